--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+PYTHON ?= $(shell command -v python3.11 || command -v python3)
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: demo test bench lint format clean
+
+demo: $(VENV)/.installed
+	$(BIN)/python -m berylshift.tools.demo
+
+test: $(VENV)/.installed lint
+	$(BIN)/python -m berylshift.tools.run_tests
+
+lint: $(VENV)/.installed
+	$(BIN)/ruff check --no-cache .
+	$(BIN)/ruff format --no-cache --check .
+
+format: $(VENV)/.installed
+	$(BIN)/ruff check --no-cache --fix .
+	$(BIN)/ruff format --no-cache .
+
+bench: $(VENV)/.installed
+	$(BIN)/python -m bench
+
+$(VENV)/.installed: requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install -q --disable-pip-version-check -r requirements.lock
+	$(BIN)/python -m pip install -q --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $@
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/berylshift/application.py
@@ -0,0 +1,279 @@
+"""The application: wires all parts of an entry host, and its life-cycle hooks."""
+
+import logging
+import random
+from dataclasses import dataclass
+
+import trio
+
+from berylshift.clock import Clock
+from berylshift.ids import DomainName, HostName
+from berylshift.metrics import Metrics
+from berylshift.platform.batch import TableGate
+from berylshift.platform.interfaces import (
+    HostEntry,
+    HostList,
+    HostState,
+    ObjectStore,
+    TableService,
+    WeightStore,
+)
+from berylshift.process.cost import CostModel
+from berylshift.process.drains import Drains
+from berylshift.process.health import Health
+from berylshift.process.host_list_loop import HostListLoop
+from berylshift.process.lengths import OutputLengths
+from berylshift.process.limits import CustomerLimits
+from berylshift.process.load import LoadView
+from berylshift.process.membership import Membership, make_incarnation
+from berylshift.process.peer_loop import PeerLink, PeerLoop, PeerParts
+from berylshift.process.pending_loop import PendingLoop
+from berylshift.process.pending_records import PendingRecords
+from berylshift.process.prefixes import PrefixIndex
+from berylshift.process.readiness import Phase, Readiness
+from berylshift.process.report_poller import ReportPoller
+from berylshift.process.retry_budget import RetryBudget
+from berylshift.process.store_budget import StoreBudget
+from berylshift.process.table_follower import PeerTables, TableFollower, TableHolder
+from berylshift.request.choice import (
+    Knowledge,
+    LeastLateness,
+    LeastReported,
+    ReplicaChooser,
+    RoundRobin,
+    Router,
+)
+from berylshift.request.completion import CompletionParts
+from berylshift.request.decisions import DecisionLog
+from berylshift.request.front import Front, FrontParts
+from berylshift.request.service_call import ServiceCalls, ServiceParts
+from berylshift.settings import Credential, Settings
+from berylshift.targets import EngineClient, ServiceClient
+from berylshift.version.changelog import TableLog
+from berylshift.version.freshness import Freshness
+
+logger = logging.getLogger(__name__)
+
+EMPTY_CHECK_SECONDS = 0.1
+
+
+@dataclass
+class Ports:
+    """The outside as this process meets it; tests hand in fakes."""
+
+    clock: Clock
+    rng: random.Random
+    metrics: Metrics
+    table_service: TableService
+    objects: ObjectStore
+    hosts: HostList
+    weights: WeightStore
+    engines: EngineClient
+    services: ServiceClient
+    link: PeerLink
+    peer_tables: PeerTables
+
+
+@dataclass(frozen=True)
+class Addresses:
+    """Where this process listens, with the ports in use; each ``IP:PORT``."""
+
+    peer: str
+    admin: str
+
+
+def make_router(name: str, know: Knowledge, slack: float) -> Router:
+    """Return the router that the settings name."""
+    if name == "round-robin":
+        return RoundRobin(know)
+    if name == "least-reported":
+        return LeastReported(know)
+    return LeastLateness(know, slack)
+
+
+class Application:
+    """One entry host, without its listeners."""
+
+    def __init__(
+        self,
+        cfg: Settings,
+        ports: Ports,
+        addresses: Addresses,
+        callers: dict[str, Credential],
+    ):
+        """Wire the parts; nothing runs yet."""
+        self.cfg = cfg
+        self.ports = ports
+        clock, rng = ports.clock, ports.rng
+        host = HostName(cfg.host.name)
+        started_ms = int(clock.now().timestamp() * 1000)
+        self.incarnation = make_incarnation(host, started_ms, rng.getrandbits(32))
+        self.holder = TableHolder()
+        self.fresh = Freshness(cfg.table.freshness_limit)
+        self.load = LoadView(cfg.policy.prefill_rate)
+        self.limits = CustomerLimits()
+        self.pending = PendingRecords()
+        self.decisions = DecisionLog(
+            clock, ports.metrics, cfg.observability.decisions_kept
+        )
+        self.know = Knowledge(
+            self.load, Health(), CostModel(cfg.policy), PrefixIndex(), rng
+        )
+        self.members = Membership(host, self.incarnation, cfg.peers.silent_after, rng)
+        self.drains = Drains(self.load, self.holder)
+        self.readiness = Readiness(host, self.holder, self.fresh, clock)
+        self.gate = self._make_gate()
+        self.front = self._make_front(callers)
+        self._make_loops(addresses)
+
+    def _make_gate(self) -> TableGate:
+        cfg, ports = self.cfg.platform, self.ports
+        return TableGate(
+            ports.table_service,
+            ports.clock,
+            StoreBudget(cfg.reads_per_second, ports.rng),
+            StoreBudget(cfg.writes_per_second, ports.rng),
+            cfg.batch_window,
+            cfg.batch_rows,
+        )
+
+    def _make_front(self, callers: dict[str, Credential]) -> Front:
+        cfg, ports = self.cfg, self.ports
+        retries = RetryBudget(cfg.policy.retry_share, cfg.policy.retry_floor)
+        router = make_router(cfg.policy.router, self.know, cfg.policy.lateness_slack)
+        completions = CompletionParts(
+            clock=ports.clock,
+            client=ports.engines,
+            know=self.know,
+            router=router,
+            retries=retries,
+            lengths=OutputLengths(),
+            decisions=self.decisions,
+            table=self.holder.get,
+            may_route=self.readiness.may_route,
+            cfg=cfg.targets,
+            longest=cfg.callers.longest_request,
+        )
+        services = ServiceParts(
+            clock=ports.clock,
+            client=ports.services,
+            know=self.know,
+            chooser=ReplicaChooser(self.know),
+            retries=retries,
+            gate=self.gate,
+            pending=self.pending,
+            decisions=self.decisions,
+            table=self.holder.get,
+            may_route=self.readiness.may_route,
+            rng=ports.rng,
+            timeout=cfg.targets.service_timeout,
+        )
+        parts = FrontParts(
+            clock=ports.clock,
+            cfg=cfg.callers,
+            callers=callers,
+            completions=completions,
+            services=ServiceCalls(services),
+            limits=self.limits,
+            decisions=self.decisions,
+            metrics=ports.metrics,
+            closed=self.readiness.closed,
+            ready=self.readiness.is_ready,
+            rng=ports.rng,
+        )
+        return Front(parts)
+
+    def _make_loops(self, addresses: Addresses) -> None:
+        cfg, ports = self.cfg, self.ports
+        self.table_log = TableLog(self.gate, ports.objects)
+        self.follower = TableFollower(
+            self.holder,
+            self.table_log,
+            self.fresh,
+            self.limits,
+            ports.peer_tables,
+            ports.clock,
+            cfg.table.poll_interval,
+        )
+        self.poller = ReportPoller(
+            ports.engines,
+            self.load,
+            self.know.prefixes,
+            self.holder,
+            ports.clock,
+            cfg.targets.report_interval,
+            cfg.targets.report_timeout,
+        )
+        peers = PeerParts(
+            cfg=cfg.peers,
+            members=self.members,
+            link=ports.link,
+            fresh=self.fresh,
+            load=self.load,
+            limits=self.limits,
+            follower=self.follower,
+            holder=self.holder,
+            drains=self.drains,
+            clock=ports.clock,
+        )
+        self.peer_loop = PeerLoop(peers)
+        entry = HostEntry(
+            host=self.members.host,
+            incarnation=self.incarnation,
+            domain=DomainName(cfg.host.domain),
+            state=HostState.LIVE,
+            peer_address=addresses.peer,
+            admin_address=addresses.admin,
+        )
+        self.host_loop = HostListLoop(
+            ports.hosts, self.members, entry, cfg.peers.host_list_interval
+        )
+        self.pending_loop = PendingLoop(self.pending, self.gate, ports.rng)
+
+    async def run(self) -> None:
+        """Run the loops until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.gate.run)
+            nursery.start_soon(self.follower.run)
+            nursery.start_soon(self.poller.run)
+            nursery.start_soon(self.host_loop.run)
+            nursery.start_soon(self.peer_loop.run)
+            nursery.start_soon(self.ports.link.receive, self.peer_loop.take)
+            nursery.start_soon(self.pending_loop.run)
+
+    def on_start(self) -> None:
+        """Note that the process runs."""
+        logger.info("started", extra={"incarnation": self.incarnation})
+
+    async def on_shutdown(self) -> None:
+        """Carry out a planned stop; return once nothing is in flight.
+
+        The balancer is told first, and given time to see it: a request that it
+        sends meanwhile is served like any other.
+        """
+        self.readiness.phase = Phase.LEAVING
+        self.peer_loop.leaving = True
+        self.host_loop.entry = _leaving(self.host_loop.entry)
+        logger.info("leaving", extra={"in_flight": self.front.in_flight})
+        await trio.sleep(self.cfg.shutdown.balancer_notice)
+        self.readiness.phase = Phase.CLOSED
+        with trio.move_on_after(self.cfg.shutdown.longest) as scope:
+            while self.front.in_flight or len(self.pending):
+                await trio.sleep(EMPTY_CHECK_SECONDS)
+        if scope.cancelled_caught:
+            logger.error("stopped with work in flight")
+
+    def on_stop(self) -> None:
+        """Note that the process ends."""
+        logger.info("stopped", extra={"incarnation": self.incarnation})
+
+
+def _leaving(entry: HostEntry) -> HostEntry:
+    return HostEntry(
+        host=entry.host,
+        incarnation=entry.incarnation,
+        domain=entry.domain,
+        state=HostState.LEAVING,
+        peer_address=entry.peer_address,
+        admin_address=entry.admin_address,
+    )
--- /dev/null
+++ b/berylshift/connection/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one connection: HTTP, peer datagrams, target clients."""
--- /dev/null
+++ b/berylshift/connection/admin.py
@@ -0,0 +1,64 @@
+"""The admin interface: for the balancer, operators' tools, and peers."""
+
+import hmac
+
+import msgspec
+
+from berylshift.application import Application
+from berylshift.connection.http_server import HttpRequest, Responder
+from berylshift.connection.status import make_status
+from berylshift.ids import RequestId, TableVersion
+from berylshift.version.changelog import Snapshot
+
+JSON_TYPE = {"content-type": "application/json"}
+TEXT_TYPE = {"content-type": "text/plain"}
+STATUS_OK = 200
+STATUS_FORBIDDEN = 403
+STATUS_NOT_FOUND = 404
+STATUS_UNAVAILABLE = 503
+
+
+class Admin:
+    """Answers requests on the admin address."""
+
+    def __init__(self, app: Application, cluster_key: str):
+        """Speak for ``app``; the peers' table needs ``cluster_key``."""
+        self._app = app
+        self._cluster_key = cluster_key
+
+    async def handle(self, req: HttpRequest, responder: Responder) -> None:
+        """Answer one request."""
+        if req.path == "/live":
+            await responder.full(STATUS_OK, TEXT_TYPE, b"live\n")
+        elif req.path == "/ready":
+            await self._ready(responder)
+        elif req.path == "/status":
+            body = msgspec.json.encode(make_status(self._app))
+            await responder.full(STATUS_OK, JSON_TYPE, body)
+        elif req.path.startswith("/decisions/"):
+            await self._decisions(req, responder)
+        elif req.path == "/peer/table":
+            await self._peer_table(req, responder)
+        else:
+            await responder.full(STATUS_NOT_FOUND, TEXT_TYPE, b"no such path\n")
+
+    async def _ready(self, responder: Responder) -> None:
+        if self._app.readiness.is_ready():
+            await responder.full(STATUS_OK, TEXT_TYPE, b"ready\n")
+        else:
+            await responder.full(STATUS_UNAVAILABLE, TEXT_TYPE, b"not ready\n")
+
+    async def _decisions(self, req: HttpRequest, responder: Responder) -> None:
+        request = RequestId(req.path.removeprefix("/decisions/"))
+        found = self._app.decisions.explain(request)
+        status = STATUS_OK if found else STATUS_NOT_FOUND
+        await responder.full(status, JSON_TYPE, msgspec.json.encode(found))
+
+    async def _peer_table(self, req: HttpRequest, responder: Responder) -> None:
+        token = req.headers.get("authorization", "").removeprefix("Bearer ")
+        if not hmac.compare_digest(token.encode(), self._cluster_key.encode()):
+            await responder.full(STATUS_FORBIDDEN, TEXT_TYPE, b"not a peer\n")
+            return
+        table = self._app.holder.table
+        snapshot = Snapshot(TableVersion(table.version), list(table.rows.values()))
+        await responder.full(STATUS_OK, JSON_TYPE, msgspec.json.encode(snapshot))
--- /dev/null
+++ b/berylshift/connection/peer.capnp
@@ -0,0 +1,38 @@
+@0xc1d5f3a7b2e84690;
+# Datagrams between entry hosts. Times in milliseconds, sizes in tokens.
+
+struct Digest {
+  host @0 :Text;
+  incarnation @1 :Text;
+  sequence @2 :UInt64;
+  tableVersion @3 :UInt64;
+  storeAgeMs @4 :UInt32;
+  leaving @5 :Bool;
+  echoes @6 :List(Echo);
+  shares @7 :List(Share);
+  demands @8 :List(Demand);
+  drained @9 :List(Drained);
+}
+
+struct Echo {
+  host @0 :Text;
+  incarnation @1 :Text;
+  sequence @2 :UInt64;
+}
+
+struct Share {
+  target @0 :Text;
+  fleet @1 :Text;
+  streams @2 :UInt32;
+  prefillTokens @3 :UInt32;
+}
+
+struct Demand {
+  customer @0 :Text;
+  rate @1 :Float32;
+}
+
+struct Drained {
+  target @0 :Text;
+  version @1 :UInt64;
+}
--- /dev/null
+++ b/berylshift/connection/peer_codec.py
@@ -0,0 +1,107 @@
+"""Peers' datagrams: capnp messages behind a keyed tag."""
+
+import hashlib
+import hmac
+from pathlib import Path
+
+import capnp
+
+from berylshift.connection.errors import ConnectionLayerError
+from berylshift.ids import HostName, Incarnation, TargetName
+from berylshift.process.digest import Digest, Drained, Echo
+from berylshift.process.limits import Demand
+from berylshift.process.load import Share
+
+TAG_BYTES = 16
+LARGEST_DATAGRAM = 1400
+MILLISECONDS = 1000
+
+capnp.remove_import_hook()
+_schema = capnp.load(str(Path(__file__).with_name("peer.capnp")))
+
+
+class BadDatagramError(ConnectionLayerError):
+    """A datagram of a stranger, or one that can't be read."""
+
+
+class PeerCodec:
+    """Encodes and decodes digests; a stranger without the key changes nothing."""
+
+    def __init__(self, key: str):
+        """Tag datagrams with ``key``, which all hosts of the system share."""
+        self._key = hashlib.blake2b(key.encode(), digest_size=32).digest()
+
+    def encode(self, digest: Digest, most: int = LARGEST_DATAGRAM) -> bytes:
+        """Return a datagram of at most ``most`` bytes; lists are cut to fit."""
+        keep = max(len(digest.shares), len(digest.demands), len(digest.drained), 1)
+        while True:
+            body = _pack(digest, keep)
+            if len(body) + TAG_BYTES <= most or keep == 0:
+                return self._tag(body) + body
+            keep //= 2
+
+    def decode(self, data: bytes) -> Digest:
+        """Return the digest; raise ``BadDatagramError``."""
+        tag, body = data[:TAG_BYTES], data[TAG_BYTES:]
+        if not hmac.compare_digest(tag, self._tag(body)):
+            raise BadDatagramError("wrong tag")
+        try:
+            return _unpack(body)
+        except Exception as exc:
+            raise BadDatagramError(f"can't be read: {exc}") from exc
+
+    def _tag(self, body: bytes) -> bytes:
+        return hashlib.blake2b(body, key=self._key, digest_size=TAG_BYTES).digest()
+
+
+def _pack(digest: Digest, keep: int) -> bytes:
+    message = _schema.Digest.new_message(
+        host=digest.host,
+        incarnation=digest.incarnation,
+        sequence=digest.sequence,
+        tableVersion=digest.table_version,
+        storeAgeMs=int(digest.store_age * MILLISECONDS),
+        leaving=digest.leaving,
+        echoes=[
+            {"host": e.host, "incarnation": e.incarnation, "sequence": e.sequence}
+            for e in digest.echoes
+        ],
+        shares=[
+            {
+                "target": s.target,
+                "fleet": s.fleet,
+                "streams": s.streams,
+                "prefillTokens": s.prefill_tokens,
+            }
+            for s in digest.shares[:keep]
+        ],
+        demands=[
+            {"customer": d.customer, "rate": d.rate} for d in digest.demands[:keep]
+        ],
+        drained=[
+            {"target": d.target, "version": d.version} for d in digest.drained[:keep]
+        ],
+    )
+    return message.to_bytes_packed()
+
+
+def _unpack(body: bytes) -> Digest:
+    message = _schema.Digest.from_bytes_packed(body)
+    return Digest(
+        host=HostName(message.host),
+        incarnation=Incarnation(message.incarnation),
+        sequence=message.sequence,
+        table_version=message.tableVersion,
+        store_age=message.storeAgeMs / MILLISECONDS,
+        leaving=message.leaving,
+        echoes=[
+            Echo(HostName(e.host), Incarnation(e.incarnation), e.sequence)
+            for e in message.echoes
+        ],
+        shares=[
+            Share(TargetName(s.target), s.fleet, s.streams, s.prefillTokens)
+            for s in message.shares
+        ],
+        demands=[Demand(d.customer, d.rate) for d in message.demands],
+        drained=[Drained(TargetName(d.target), d.version) for d in message.drained],
+    )
--- /dev/null
+++ b/berylshift/connection/service_client.py
@@ -0,0 +1,57 @@
+"""HTTP client of plain services: calls are passed on as the callers sent them."""
+
+from berylshift.connection.errors import ConnectFailedError, ConnectionLayerError
+from berylshift.connection.http_client import HttpClient, Outgoing
+from berylshift.targets import (
+    ServiceAnswer,
+    ServiceCall,
+    TargetBrokenError,
+    TargetNotReachedError,
+    TargetRefusedError,
+)
+
+ATTEMPT_HEADER = "berylshift-attempt"
+KEY_HEADER = "idempotency-key"
+REFUSED_HEADER = "berylshift-refused"
+DROPPED_HEADERS = frozenset(
+    {"connection", "content-length", "date", "keep-alive", "transfer-encoding"}
+)
+
+
+class HttpServiceClient:
+    """Calls plain services.
+
+    A call that may not be repeated goes out on a connection of its own: on a
+    pooled one the service may close as we write, and its fate would be unknown.
+    """
+
+    def __init__(self, client: HttpClient, credential: str):
+        """Authorize calls with ``credential``; empty: none is sent."""
+        self._client = client
+        self._credential = credential
+
+    async def call(self, address: str, call: ServiceCall) -> ServiceAnswer:
+        """Return the service's answer."""
+        headers = {**call.headers, ATTEMPT_HEADER: call.attempt}
+        if self._credential:
+            headers["authorization"] = f"Bearer {self._credential}"
+        if call.key:
+            headers[KEY_HEADER] = call.key
+        out = Outgoing(
+            address, call.method, call.path, headers, call.body, call.idempotent
+        )
+        try:
+            async with self._client.request(out) as resp:
+                data = await resp.read()
+        except ConnectFailedError as exc:
+            raise TargetNotReachedError(str(exc)) from exc
+        except ConnectionLayerError as exc:
+            raise TargetBrokenError(str(exc)) from exc
+        if resp.headers.get(REFUSED_HEADER) == "true":
+            raise TargetRefusedError(f"status {resp.status}")
+        kept = {
+            name: value
+            for name, value in resp.headers.items()
+            if name not in DROPPED_HEADERS
+        }
+        return ServiceAnswer(resp.status, kept, data)
--- /dev/null
+++ b/berylshift/connection/status.py
@@ -0,0 +1,107 @@
+"""What an entry host says of itself to operators."""
+
+import msgspec
+
+from berylshift.application import Application
+from berylshift.version.rows import RowKind
+
+
+class TargetStatus(msgspec.Struct, frozen=True):
+    """A target as this host sees it; ages in seconds, prefill in tokens."""
+
+    target: str
+    kind: str
+    serves: str
+    domain: str
+    state: str
+    role: str
+    streams: float
+    prefill_tokens: float
+    report_age: float
+    open_here: int
+    suspended: bool
+
+
+class CustomerStatus(msgspec.Struct, frozen=True):
+    """A customer's requests at this host since it started."""
+
+    customer: str
+    limit: int
+    admitted: int
+    refused: int
+
+
+class HostStatus(msgspec.Struct, frozen=True):
+    """One entry host."""
+
+    host: str
+    incarnation: str
+    domain: str
+    ready: bool
+    phase: str
+    table_version: int
+    store_age: float
+    in_flight: int
+    peers_in_sight: int
+    hosts_listed: int
+    pending_records: int
+    datagrams_dropped: int
+    targets: list[TargetStatus]
+    customers: list[CustomerStatus]
+
+
+def make_status(app: Application) -> HostStatus:
+    """Return the status of a host."""
+    now = app.ports.clock.monotonic()
+    return HostStatus(
+        host=app.members.host,
+        incarnation=app.incarnation,
+        domain=app.cfg.host.domain,
+        ready=app.readiness.is_ready(),
+        phase=app.readiness.phase.value,
+        table_version=app.holder.table.version,
+        store_age=round(min(app.fresh.store_age(now), 1e6), 3),
+        in_flight=app.front.in_flight,
+        peers_in_sight=len(app.members.live(now)) - 1,
+        hosts_listed=app.members.size(),
+        pending_records=len(app.pending),
+        datagrams_dropped=app.members.dropped,
+        targets=_targets(app, now),
+        customers=_customers(app),
+    )
+
+
+def _targets(app: Application, now: float) -> list[TargetStatus]:
+    found = []
+    for row in app.holder.table.targets.values():
+        load = app.load.estimate(row.name, now)
+        plain = row.kind is RowKind.SERVICE
+        found.append(
+            TargetStatus(
+                target=row.target,
+                kind=row.kind.value,
+                serves=row.serves,
+                domain=row.domain,
+                state=row.state.value,
+                role="" if plain else load.role.value,
+                streams=load.streams,
+                prefill_tokens=round(load.prefill_tokens),
+                report_age=round(min(load.report_age, 1e6), 3),
+                open_here=app.load.open_here(row.name),
+                suspended=not app.know.health.usable(row.name, now),
+            )
+        )
+    return found
+
+
+def _customers(app: Application) -> list[CustomerStatus]:
+    limits = app.holder.table.customers
+    return [
+        CustomerStatus(
+            customer=name,
+            limit=limits[name].limit if name in limits else 0,
+            admitted=admitted,
+            refused=refused,
+        )
+        for name, (admitted, refused) in sorted(app.limits.counts().items())
+    ]
--- /dev/null
+++ b/berylshift/daemon.py
@@ -0,0 +1,179 @@
+"""The daemon ``berylshiftd``: reads settings, wires the application, serves."""
+
+import logging
+import random
+import signal
+import socket
+import sys
+
+import trio
+from cleo.application import Application as CommandLine
+from cleo.commands.command import Command
+from cleo.helpers import option
+from returns.result import Failure, Success
+
+from berylshift import __version__
+from berylshift.application import Addresses, Application, Ports
+from berylshift.clock import LoopClock
+from berylshift.connection.admin import Admin
+from berylshift.connection.engine_client import HttpEngineClient
+from berylshift.connection.http_client import HttpClient
+from berylshift.connection.http_server import HttpServer, ServerLimits
+from berylshift.connection.peer_codec import LARGEST_DATAGRAM, PeerCodec
+from berylshift.connection.peer_link import UdpPeerLink
+from berylshift.connection.peer_tables import HttpPeerTables
+from berylshift.connection.service_client import HttpServiceClient
+from berylshift.log import init_logging
+from berylshift.metrics import make_metrics
+from berylshift.platform.http import (
+    HttpHostList,
+    HttpObjectStore,
+    HttpTableService,
+    HttpWeightStore,
+)
+from berylshift.settings import (
+    Credentials,
+    Settings,
+    read_credentials,
+    read_settings,
+)
+from berylshift.utils import split_address
+
+logger = logging.getLogger(__name__)
+
+EXIT_OK = 0
+EXIT_BAD_SETTINGS = 2
+BACKLOG = 1024
+
+
+def open_listener(address: str) -> trio.SocketListener:
+    """Listen on ``IP:PORT``; a successor on this host may share the port."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    sock.setblocking(False)
+    sock.bind(split_address(address))
+    sock.listen(BACKLOG)
+    return trio.SocketListener(trio.socket.from_stdlib_socket(sock))
+
+
+def bound_address(listener: trio.SocketListener) -> str:
+    """Return the ``IP:PORT`` that a listener is bound to."""
+    host, port = listener.socket.getsockname()
+    return f"{host}:{port}"
+
+
+def make_ports(cfg: Settings, creds: Credentials, link: UdpPeerLink) -> Ports:
+    """Return the real outside, by HTTP and UDP."""
+    client = HttpClient(connect_seconds=cfg.targets.connect_timeout)
+    store, timeout = cfg.platform, cfg.platform.timeout
+    return Ports(
+        clock=LoopClock(),
+        rng=random.Random(),
+        metrics=make_metrics(cfg.observability.statsd),
+        table_service=HttpTableService(client, store.table, timeout),
+        objects=HttpObjectStore(client, store.objects, timeout),
+        hosts=HttpHostList(client, store.hosts, timeout),
+        weights=HttpWeightStore(client, store.weights, timeout),
+        engines=HttpEngineClient(client, cfg.targets.credential),
+        services=HttpServiceClient(client, cfg.targets.credential),
+        link=link,
+        peer_tables=HttpPeerTables(client, creds.cluster_key),
+    )
+
+
+def _limits(cfg: Settings) -> ServerLimits:
+    return ServerLimits(
+        header_bytes=cfg.callers.header_bytes,
+        body_bytes=cfg.callers.body_bytes,
+        request_seconds=cfg.callers.request_seconds,
+        idle_seconds=cfg.callers.idle_seconds,
+        write_seconds=cfg.callers.write_seconds,
+        connections=cfg.callers.connections,
+    )
+
+
+async def serve(cfg: Settings, creds: Credentials) -> None:
+    """Serve until SIGTERM, then shut down gracefully."""
+    most = min(LARGEST_DATAGRAM, cfg.peers.byte_budget // cfg.peers.fanout)
+    link = UdpPeerLink(PeerCodec(creds.cluster_key), most)
+    peer_address = await link.bind(cfg.host.peer_address)
+    listener = open_listener(cfg.host.address)
+    admin_listener = open_listener(cfg.host.admin_address)
+    addresses = Addresses(peer_address, bound_address(admin_listener))
+    app = Application(cfg, make_ports(cfg, creds, link), addresses, creds.callers)
+    server = HttpServer(app.front.handle, _limits(cfg))
+    admin = HttpServer(Admin(app, creds.cluster_key).handle)
+    app.on_start()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(app.run)
+        nursery.start_soon(admin.serve, admin_listener)
+        nursery.start_soon(server.serve, listener)
+        await _wait_for_signal()
+        server.draining = True
+        await app.on_shutdown()
+        server.close_idle()
+        nursery.cancel_scope.cancel()
+    link.close()
+    app.on_stop()
+
+
+async def _wait_for_signal() -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            return
+
+
+class ServeCommand(Command):
+    """The daemon's one command."""
+
+    name = "serve"
+    description = "Serve callers' requests until SIGTERM."
+    options = [
+        option("config", "c", "The settings file.", flag=False),
+        option("check", None, "Only check the settings."),
+    ]
+
+    def handle(self) -> int:
+        """Read the settings, then serve."""
+        path = self.option("config")
+        if not path:
+            self.line_error("--config FILE.ini is needed")
+            return EXIT_BAD_SETTINGS
+        match read_settings(path):
+            case Failure(faults):
+                return self._report(faults)
+            case Success(cfg):
+                return self._serve(cfg)
+        return EXIT_BAD_SETTINGS
+
+    def _serve(self, cfg: Settings) -> int:
+        match read_credentials(cfg.host.credentials):
+            case Failure(fault):
+                return self._report([fault])
+            case Success(creds):
+                if self.option("check"):
+                    self.line("settings are right")
+                    return EXIT_OK
+                init_logging(cfg.observability.log_level, cfg.host.name)
+                trio.run(serve, cfg, creds)
+        return EXIT_OK
+
+    def _report(self, faults: list) -> int:
+        for fault in faults:
+            sys.stderr.write(f"{fault}\n")
+        return EXIT_BAD_SETTINGS
+
+
+def main() -> None:
+    """Run the daemon."""
+    command = ServeCommand()
+    cli = CommandLine("berylshiftd", __version__)
+    cli.add(command)
+    cli._default_command = command.name
+    cli._single_command = True
+    sys.exit(cli.run())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/berylshift/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's services behind protocols, and their HTTP clients."""
--- /dev/null
+++ b/berylshift/platform/http.py
@@ -0,0 +1,130 @@
+"""HTTP clients of the platform's services, with time-outs."""
+
+from typing import TypeVar
+from urllib.parse import quote
+
+import msgspec
+import trio
+
+from berylshift.connection.errors import (
+    ConnectFailedError,
+    ConnectionLayerError,
+)
+from berylshift.connection.http_client import HttpClient, Outgoing
+from berylshift.platform.interfaces import (
+    AnswerLostError,
+    HostEntry,
+    StoredRow,
+    StoreThrottledError,
+    StoreUnavailableError,
+    Transaction,
+    TransactionAnswer,
+    WeightInfo,
+)
+
+STATUS_OK = 200
+STATUS_NOT_FOUND = 404
+STATUS_THROTTLED = 429
+STATUS_UNAVAILABLE = 503
+JSON_TYPE = {"content-type": "application/json"}
+Item = TypeVar("Item")
+
+
+class _HttpService:
+    """What all platform clients share: one address, one time-out."""
+
+    def __init__(self, client: HttpClient, address: str, timeout: float):
+        """Ask ``address``; each call takes at most ``timeout`` seconds."""
+        self._client = client
+        self._address = address
+        self._timeout = timeout
+
+    async def _call(self, method: str, path: str, body: bytes = b"") -> bytes | None:
+        """Return the answer's body, or ``None`` where there is no such thing."""
+        reuse = method == "GET"
+        out = Outgoing(self._address, method, path, JSON_TYPE, body, reuse)
+        with trio.move_on_after(self._timeout):
+            try:
+                async with self._client.request(out) as resp:
+                    data = await resp.read()
+                    return _checked(resp.status, data)
+            except ConnectFailedError as exc:
+                raise StoreUnavailableError(str(exc)) from exc
+            except ConnectionLayerError as exc:
+                raise AnswerLostError(str(exc)) from exc
+        raise AnswerLostError(f"no answer within {self._timeout} s")
+
+
+def _checked(status: int, data: bytes) -> bytes | None:
+    if status == STATUS_OK:
+        return data
+    if status == STATUS_NOT_FOUND:
+        return None
+    if status == STATUS_THROTTLED:
+        raise StoreThrottledError("rate limit")
+    if status == STATUS_UNAVAILABLE:
+        raise StoreUnavailableError("service says that it is down")
+    raise AnswerLostError(f"status {status}")
+
+
+def _decode(data: bytes | None, kind: type[Item]) -> Item:
+    try:
+        return msgspec.json.decode(data or b"null", type=kind)
+    except msgspec.DecodeError as exc:
+        raise AnswerLostError(f"answer can't be read: {exc}") from exc
+
+
+class HttpTableService(_HttpService):
+    """Table service over HTTP."""
+
+    async def read(self, keys: list[str]) -> list[StoredRow | None]:
+        """Return the rows as of one moment."""
+        names = "&".join(f"key={quote(key, safe='')}" for key in keys)
+        data = await self._call("GET", f"/rows?{names}")
+        return _decode(data, list[StoredRow | None])
+
+    async def scan(self, prefix: str, after: str, limit: int) -> list[StoredRow]:
+        """Return rows by key after ``after``."""
+        where = f"prefix={quote(prefix, safe='')}&after={quote(after, safe='')}"
+        data = await self._call("GET", f"/scan?{where}&limit={limit}")
+        return _decode(data, list[StoredRow])
+
+    async def transact(self, transaction: Transaction) -> TransactionAnswer:
+        """Commit or name the failed conditions."""
+        body = msgspec.json.encode(transaction)
+        data = await self._call("POST", "/transactions", body)
+        return _decode(data, TransactionAnswer)
+
+
+class HttpObjectStore(_HttpService):
+    """Object store over HTTP."""
+
+    async def get(self, name: str) -> bytes | None:
+        """Return an object, or ``None``."""
+        return await self._call("GET", f"/objects/{quote(name, safe='')}")
+
+    async def put(self, name: str, data: bytes) -> None:
+        """Store an object."""
+        await self._call("PUT", f"/objects/{quote(name, safe='')}", data)
+
+
+class HttpHostList(_HttpService):
+    """Host list over HTTP."""
+
+    async def hosts(self) -> list[HostEntry]:
+        """Return the hosts that the platform lists."""
+        return _decode(await self._call("GET", "/hosts"), list[HostEntry])
+
+    async def announce(self, entry: HostEntry) -> None:
+        """Tell the platform of this process."""
+        await self._call("POST", "/hosts", msgspec.json.encode(entry))
+
+
+class HttpWeightStore(_HttpService):
+    """Weight store over HTTP."""
+
+    async def info(self, model: str, version: str) -> WeightInfo | None:
+        """Return what is known of a model version."""
+        path = f"/weights/{quote(model, safe='')}/{quote(version, safe='')}"
+        data = await self._call("GET", path)
+        return None if data is None else _decode(data, WeightInfo)
--- /dev/null
+++ b/berylshift/process/digest.py
@@ -0,0 +1,39 @@
+"""What one entry host tells another in a datagram."""
+
+import msgspec
+
+from berylshift.ids import HostName, Incarnation, TargetName
+from berylshift.process.limits import Demand
+from berylshift.process.load import Share
+
+NO_STORE_AGE = 3_600.0
+
+
+class Echo(msgspec.Struct, frozen=True):
+    """The last datagram that the sender had from a peer."""
+
+    host: HostName
+    incarnation: Incarnation
+    sequence: int
+
+
+class Drained(msgspec.Struct, frozen=True):
+    """The sender has no work at a target, as of a table version."""
+
+    target: TargetName
+    version: int
+
+
+class Digest(msgspec.Struct, frozen=True):
+    """One datagram; ``store_age`` in seconds since the store confirmed the table."""
+
+    host: HostName
+    incarnation: Incarnation
+    sequence: int
+    table_version: int
+    store_age: float = NO_STORE_AGE
+    leaving: bool = False
+    echoes: list[Echo] = []
+    shares: list[Share] = []
+    demands: list[Demand] = []
+    drained: list[Drained] = []
--- /dev/null
+++ b/berylshift/process/host_list_loop.py
@@ -0,0 +1,37 @@
+"""The loop that announces this host and reads the platform's list of hosts."""
+
+import logging
+
+import trio
+
+from berylshift.platform.interfaces import HostEntry, HostList, PlatformError
+from berylshift.process.membership import Membership
+
+logger = logging.getLogger(__name__)
+
+
+class HostListLoop:
+    """Announces this host to the platform and reads its list of hosts."""
+
+    def __init__(
+        self, hosts: HostList, members: Membership, entry: HostEntry, interval: float
+    ):
+        """Announce ``entry`` every ``interval`` seconds."""
+        self._hosts = hosts
+        self._members = members
+        self.entry = entry
+        self._interval = interval
+
+    async def run(self) -> None:
+        """Announce and read until cancelled."""
+        while True:
+            await self.once()
+            await trio.sleep(self._interval)
+
+    async def once(self) -> None:
+        """Announce and read once; a platform that is down changes nothing."""
+        try:
+            await self._hosts.announce(self.entry)
+            self._members.listed(await self._hosts.hosts())
+        except PlatformError as exc:
+            logger.warning("host list not read", extra={"why": str(exc)})
--- /dev/null
+++ b/berylshift/process/peer_loop.py
@@ -0,0 +1,103 @@
+"""The loop that tells peers of this process and takes in what they say."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+import trio
+
+from berylshift.clock import Clock
+from berylshift.platform.interfaces import HostEntry
+from berylshift.process.digest import NO_STORE_AGE, Digest
+from berylshift.process.drains import Drains
+from berylshift.process.limits import CustomerLimits
+from berylshift.process.load import LoadView
+from berylshift.process.membership import Membership
+from berylshift.process.table_follower import TableFollower, TableHolder
+from berylshift.settings import PeerSettings
+from berylshift.version.freshness import Freshness
+
+Receive = Callable[[Digest], None]
+
+
+class PeerLink(Protocol):
+    """Carries digests between hosts; any of them may be lost."""
+
+    async def send(self, address: str, digest: Digest) -> None:
+        """Send a digest."""
+
+    async def receive(self, take: Receive) -> None:
+        """Give each digest that comes to ``take``."""
+
+
+@dataclass
+class PeerParts:
+    """What the peers' loop works with."""
+
+    cfg: PeerSettings
+    members: Membership
+    link: PeerLink
+    fresh: Freshness
+    load: LoadView
+    limits: CustomerLimits
+    follower: TableFollower
+    holder: TableHolder
+    drains: Drains
+    clock: Clock
+
+
+class PeerLoop:
+    """Tells peers of this process and takes in what they say."""
+
+    def __init__(self, parts: PeerParts):
+        """Work with ``parts``."""
+        self._parts = parts
+        self.leaving = False
+
+    def take(self, digest: Digest) -> None:
+        """Take a peer's digest."""
+        parts = self._parts
+        now = parts.clock.monotonic()
+        if not parts.members.is_news(digest):
+            parts.members.dropped += 1
+            return
+        word = parts.members.received(digest, now)
+        if word is not None:
+            parts.fresh.peer_confirmed(word)
+        parts.load.peer_shares(digest.host, digest.shares, now)
+        parts.limits.peer_demand(digest.host, digest.demands, now)
+        parts.drains.heard(digest.incarnation, digest.drained)
+        peer = parts.members.peers[digest.host]
+        if peer.entry is not None:
+            parts.follower.peer_has(peer.entry.admin_address, digest.table_version)
+
+    async def run(self) -> None:
+        """Tell some peers each interval until cancelled."""
+        parts = self._parts
+        while True:
+            now = parts.clock.monotonic()
+            size = parts.members.size()
+            parts.fresh.hosts = size
+            in_sight = len(parts.members.live(now))
+            parts.limits.set_hosts(size, in_sight > size / 2)
+            for entry in parts.members.pick(parts.cfg.fanout):
+                await self._tell(entry, now)
+            await trio.sleep(parts.cfg.interval)
+
+    async def _tell(self, entry: HostEntry, now: float) -> None:
+        parts = self._parts
+        sequence = parts.members.next_sequence()
+        digest = Digest(
+            host=parts.members.host,
+            incarnation=parts.members.incarnation,
+            sequence=sequence,
+            table_version=parts.holder.table.version,
+            store_age=min(NO_STORE_AGE, parts.fresh.store_age(now)),
+            leaving=self.leaving,
+            echoes=parts.members.echo(entry.host),
+            shares=parts.load.shares(),
+            demands=parts.limits.demands(now),
+            drained=parts.drains.own(),
+        )
+        parts.members.note_sent(entry.host, sequence, now)
+        await parts.link.send(entry.peer_address, digest)
--- /dev/null
+++ b/berylshift/process/retry_budget.py
@@ -0,0 +1,36 @@
+"""A budget for retries, so that failures do not multiply the load."""
+
+
+class RetryBudget:
+    """Allows retries up to a share of recent first attempts, plus a floor.
+
+    Without it, each failing target turns one request into several, and a fleet
+    that is short of capacity is pushed further down.
+    """
+
+    def __init__(self, share: float, floor: float):
+        """Allow ``share`` of first attempts and ``floor`` retries a second."""
+        self._share = share
+        self._floor = floor
+        self._tokens = floor
+        self._largest = max(10.0, 10 * floor)
+        self._filled_at: float | None = None
+
+    def first_attempt(self, now: float) -> None:
+        """Note a request's first attempt."""
+        self._refill(now)
+        self._tokens = min(self._largest, self._tokens + self._share)
+
+    def take(self, now: float) -> bool:
+        """Take leave for one retry."""
+        self._refill(now)
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+    def _refill(self, now: float) -> None:
+        if self._filled_at is not None:
+            gained = self._floor * (now - self._filled_at)
+            self._tokens = min(self._largest, self._tokens + gained)
+        self._filled_at = now
--- /dev/null
+++ b/berylshift/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Replay of recorded traces against stated outcomes."""
--- /dev/null
+++ b/berylshift/request/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one request: admission, choice, attempts, answer."""
--- /dev/null
+++ b/berylshift/request/decisions.py
@@ -0,0 +1,67 @@
+"""The log of routing decisions: a line each, and the last ones for ``explain``."""
+
+import logging
+from collections import OrderedDict
+
+import msgspec
+
+from berylshift.clock import Clock
+from berylshift.ids import RequestId, TargetName
+from berylshift.metrics import Metrics
+from berylshift.request.choice import Plan, Refusal
+from berylshift.request.messages import Decision, Ending, Outcome
+
+logger = logging.getLogger(__name__)
+
+
+class DecisionLog:
+    """Writes and keeps decisions, by request."""
+
+    def __init__(self, clock: Clock, metrics: Metrics, kept: int):
+        """Keep the decisions of the last ``kept`` requests."""
+        self._clock = clock
+        self._metrics = metrics
+        self._kept = kept
+        self._by_request: OrderedDict[RequestId, list[Decision]] = OrderedDict()
+
+    def placed(self, request: RequestId, kind: str, plan: Plan) -> None:
+        """Note where an attempt goes."""
+        reason = plan.reason
+        if plan.prefill_on is not None:
+            reason = f"{reason}; prefill on {plan.prefill_on.name}"
+        self._add(request, kind, plan.target.name, reason, plan.weighed)
+
+    def refused(self, request: RequestId, kind: str, refusal: Refusal) -> None:
+        """Note that a request finds no place."""
+        nothing = TargetName("")
+        self._add(request, kind, nothing, refusal.reason, refusal.weighed)
+
+    def failed(self, request: RequestId, target: TargetName, fault: str) -> None:
+        """Note a failed attempt."""
+        self._add(request, "failure", target, fault, [])
+
+    def ended(self, request: RequestId, ending: Ending) -> None:
+        """Note how a request ended."""
+        self._metrics.incr(f"requests.{ending.outcome}")
+        detail = f"{ending.outcome}: {ending.reason} {ending.detail}".rstrip()
+        self._add(request, "ending", TargetName(""), detail, [])
+
+    def explain(self, request: RequestId) -> list[Decision]:
+        """Return what is kept of a request."""
+        return self._by_request.get(request, [])
+
+    def _add(
+        self, request: RequestId, kind: str, chosen: TargetName, reason: str, weighed
+    ) -> None:
+        at = self._clock.now().timestamp()
+        decision = Decision(request, at, kind, chosen, str(reason), weighed)
+        self._by_request.setdefault(request, []).append(decision)
+        while len(self._by_request) > self._kept:
+            self._by_request.popitem(last=False)
+        if logger.isEnabledFor(logging.INFO):
+            logger.info("decision", extra=msgspec.to_builtins(decision))
+
+
+def is_late(ending: Ending, finished: float, deadline: float) -> bool:
+    """Return whether a complete answer came after its deadline."""
+    return ending.outcome is Outcome.COMPLETE and finished > deadline
--- /dev/null
+++ b/berylshift/settings.py
@@ -0,0 +1,308 @@
+"""Settings in INI: their defaults, how they are read, and how they are checked."""
+
+import configparser
+import difflib
+from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta
+from returns.result import Failure, Result, Success
+
+from berylshift.version.checks import valid_address
+
+Seconds = Annotated[float, Meta(gt=0, le=86400)]
+Share = Annotated[float, Meta(ge=0, le=1)]
+Count = Annotated[int, Meta(ge=1, le=1_000_000_000)]
+Name = Annotated[str, Meta(min_length=1, max_length=64)]
+
+
+class HostSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """This host: who it is and where it listens."""
+
+    name: Name
+    domain: Name
+    address: str = "127.0.0.1:8080"
+    admin_address: str = "127.0.0.1:8081"
+    peer_address: str = "127.0.0.1:8082"
+    credentials: str = ""
+    seeds: str = ""
+
+
+class PlatformSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Where the platform's services are, and how this process spends its rates."""
+
+    table: str = "127.0.0.1:9000"
+    objects: str = "127.0.0.1:9000"
+    hosts: str = "127.0.0.1:9000"
+    weights: str = "127.0.0.1:9000"
+    timeout: Seconds = 1.0
+    writes_per_second: Annotated[float, Meta(gt=0, le=10000)] = 40.0
+    reads_per_second: Annotated[float, Meta(gt=0, le=10000)] = 200.0
+    batch_window: Annotated[float, Meta(ge=0, le=1)] = 0.005
+    batch_rows: Annotated[int, Meta(ge=1, le=100)] = 50
+
+
+class CallerSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Bounds on callers' connections and requests."""
+
+    header_bytes: Count = 16384
+    body_bytes: Count = 4194304
+    request_seconds: Seconds = 10.0
+    idle_seconds: Seconds = 60.0
+    write_seconds: Seconds = 30.0
+    connections: Count = 2048
+    default_deadline: Seconds = 30.0
+    longest_request: Seconds = 300.0
+
+
+class TargetSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Bounds on calls to targets."""
+
+    connect_timeout: Seconds = 1.0
+    first_token_timeout: Seconds = 20.0
+    token_timeout: Seconds = 5.0
+    service_timeout: Seconds = 5.0
+    report_interval: Seconds = 1.0
+    report_timeout: Seconds = 0.5
+    credential: str = ""
+
+
+class TableSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """How the operators' table is followed."""
+
+    poll_interval: Seconds = 1.0
+    freshness_limit: Seconds = 3.0
+
+
+class PeerSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Datagrams between entry hosts."""
+
+    interval: Seconds = 1.0
+    fanout: Annotated[int, Meta(ge=1, le=64)] = 3
+    byte_budget: Annotated[int, Meta(ge=256, le=65536)] = 4096
+    silent_after: Seconds = 5.0
+    host_list_interval: Seconds = 2.0
+
+
+class PolicySettings(msgspec.Struct, frozen=True, kw_only=True):
+    """The policy under a shifting mix."""
+
+    router: str = "least-lateness"
+    planner: str = "hysteresis"
+    lateness_slack: Annotated[float, Meta(ge=0.1, le=10)] = 1.0
+    retry_share: Share = 0.2
+    retry_floor: Annotated[float, Meta(ge=0, le=1000)] = 5.0
+    prefill_rate: Annotated[float, Meta(gt=0)] = 8000.0
+    step_base: Seconds = 0.020
+    step_per_stream: Annotated[float, Meta(ge=0, le=1)] = 0.00015
+    prefill_chunk: Count = 512
+    kv_import_rate: Annotated[float, Meta(gt=0)] = 50000.0
+    churn_price: Annotated[float, Meta(ge=0, le=1000)] = 1.0
+    dwell: Seconds = 120.0
+    change_seconds: Seconds = 4.0
+    plan_interval: Seconds = 5.0
+    away_share: Share = 0.2
+
+
+class LeaseSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Leases of the pools; the margin covers clock rates and scheduling."""
+
+    term: Seconds = 6.0
+    margin: Seconds = 1.0
+    interval: Seconds = 1.5
+
+
+class ShutdownSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """A graceful shutdown."""
+
+    balancer_notice: Annotated[float, Meta(ge=0, le=600)] = 5.0
+    longest: Seconds = 300.0
+
+
+class ObservabilitySettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Logs and metrics."""
+
+    log_level: str = "INFO"
+    statsd: str = ""
+    decisions_kept: Count = 2000
+
+
+class Settings(msgspec.Struct, frozen=True, kw_only=True):
+    """All settings, a section each."""
+
+    host: HostSettings
+    platform: PlatformSettings = PlatformSettings()
+    callers: CallerSettings = CallerSettings()
+    targets: TargetSettings = TargetSettings()
+    table: TableSettings = TableSettings()
+    peers: PeerSettings = PeerSettings()
+    policy: PolicySettings = PolicySettings()
+    leases: LeaseSettings = LeaseSettings()
+    shutdown: ShutdownSettings = ShutdownSettings()
+    observability: ObservabilitySettings = ObservabilitySettings()
+
+
+SECTIONS: dict[str, type[msgspec.Struct]] = {
+    field.name: field.type for field in msgspec.structs.fields(Settings)
+}
+DEFAULT_CONFIG: dict[str, dict[str, Any]] = {
+    name: {
+        field.name: field.default
+        for field in msgspec.structs.fields(kind)
+        if field.default is not msgspec.NODEFAULT
+    }
+    for name, kind in SECTIONS.items()
+}
+CHOICES = {
+    ("policy", "router"): ("least-lateness", "round-robin", "least-reported"),
+    ("policy", "planner"): ("hysteresis", "fixed", "threshold"),
+    ("observability", "log_level"): ("DEBUG", "INFO", "WARNING", "ERROR"),
+}
+ADDRESSES = (
+    ("host", "address"),
+    ("host", "admin_address"),
+    ("host", "peer_address"),
+    ("platform", "table"),
+    ("platform", "objects"),
+    ("platform", "hosts"),
+    ("platform", "weights"),
+)
+
+
+class SettingFault(msgspec.Struct, frozen=True):
+    """One thing wrong with the settings."""
+
+    section: str
+    key: str
+    value: str
+    allowed: str
+
+    def __str__(self) -> str:
+        """Return the fault as operators read it."""
+        return f"[{self.section}] {self.key} = {self.value}: {self.allowed}"
+
+
+def read_settings(path: str) -> Result[Settings, list[SettingFault]]:
+    """Return the settings of an INI file, or everything wrong with them."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except OSError as exc:
+        return Failure([SettingFault("", "", path, f"can't be read: {exc.strerror}")])
+    return parse_settings(text)
+
+
+def parse_settings(text: str) -> Result[Settings, list[SettingFault]]:
+    """Return the settings of an INI text, or everything wrong with them."""
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(text)
+    except configparser.Error as exc:
+        return Failure([SettingFault("", "", "", f"not INI: {exc}")])
+    given = {name: dict(parser[name]) for name in parser.sections()}
+    faults = _unknown(given)
+    values: dict[str, dict[str, Any]] = {}
+    for name, kind in SECTIONS.items():
+        values[name] = _read_section(name, kind, given.get(name, {}), faults)
+    if faults:
+        return Failure(faults)
+    settings = msgspec.convert(values, Settings)
+    return check_settings(settings)
+
+
+def check_settings(settings: Settings) -> Result[Settings, list[SettingFault]]:
+    """Return the settings if their values agree with each other."""
+    faults = []
+    for section, key in ADDRESSES:
+        value = getattr(getattr(settings, section), key)
+        # This host may have the kernel choose a port to listen on.
+        if not valid_address(value, least_port=0 if section == "host" else 1):
+            faults.append(SettingFault(section, key, value, "must be IP:PORT"))
+    for (section, key), allowed in CHOICES.items():
+        value = getattr(getattr(settings, section), key)
+        if value not in allowed:
+            reason = f"must be one of {', '.join(allowed)}"
+            faults.append(SettingFault(section, key, value, reason))
+    faults += _relations(settings)
+    return Failure(faults) if faults else Success(settings)
+
+
+def _relations(cfg: Settings) -> list[SettingFault]:
+    faults = []
+    if cfg.table.freshness_limit <= cfg.table.poll_interval:
+        value = str(cfg.table.freshness_limit)
+        reason = f"must be above poll_interval, which is {cfg.table.poll_interval}"
+        faults.append(SettingFault("table", "freshness_limit", value, reason))
+    room = cfg.leases.interval + cfg.leases.margin + cfg.platform.timeout
+    if cfg.leases.term <= room:
+        value = str(cfg.leases.term)
+        reason = f"must be above interval + margin + the platform's timeout, {room}"
+        faults.append(SettingFault("leases", "term", value, reason))
+    return faults
+
+
+def _unknown(given: dict[str, dict[str, str]]) -> list[SettingFault]:
+    faults = []
+    for section, keys in given.items():
+        if section not in SECTIONS:
+            reason = f"unknown section{_nearest(section, list(SECTIONS))}"
+            faults.append(SettingFault(section, "", "", reason))
+            continue
+        known = SECTIONS[section].__struct_fields__
+        for key, value in keys.items():
+            if key not in known:
+                reason = f"unknown key{_nearest(key, list(known))}"
+                faults.append(SettingFault(section, key, value, reason))
+    return faults
+
+
+def _nearest(word: str, known: list[str]) -> str:
+    found = difflib.get_close_matches(word, known, n=1, cutoff=0.5)
+    return f"; the nearest known one is {found[0]}" if found else ""
+
+
+def _read_section(
+    section: str,
+    kind: type[msgspec.Struct],
+    given: dict[str, str],
+    faults: list[SettingFault],
+) -> dict[str, Any]:
+    values = {}
+    for field in msgspec.structs.fields(kind):
+        if field.name not in given:
+            if field.default is msgspec.NODEFAULT:
+                reason = "is needed and has no default"
+                faults.append(SettingFault(section, field.name, "", reason))
+            continue
+        text = given[field.name]
+        try:
+            values[field.name] = msgspec.convert(text, field.type, strict=False)
+        except msgspec.ValidationError as exc:
+            faults.append(SettingFault(section, field.name, text, str(exc)))
+    return values
+
+
+class Credential(msgspec.Struct, frozen=True):
+    """Who a caller's token speaks for."""
+
+    customer: str
+    fleet: str
+
+
+class Credentials(msgspec.Struct, frozen=True):
+    """Callers' tokens, and the key that peers' datagrams are tagged with."""
+
+    callers: dict[str, Credential]
+    cluster_key: str
+
+
+def read_credentials(path: str) -> Result[Credentials, SettingFault]:
+    """Return the credentials of a JSON file."""
+    try:
+        data = Path(path).read_bytes()
+        return Success(msgspec.json.decode(data, type=Credentials))
+    except OSError as exc:
+        reason = f"can't be read: {exc.strerror}"
+    except msgspec.DecodeError as exc:
+        reason = f"not a credentials file: {exc}"
+    return Failure(SettingFault("host", "credentials", path, reason))
--- /dev/null
+++ b/berylshift/stand_ins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform, engines and plain services."""
--- /dev/null
+++ b/berylshift/stand_ins/__main__.py
@@ -0,0 +1,121 @@
+"""The stand-ins as programs: ``python -m berylshift.stand_ins NAME``.
+
+Each prints ``listening IP:PORT`` once it serves, and ends on SIGTERM.
+"""
+
+import signal
+import sys
+
+import trio
+from cleo.application import Application as CommandLine
+from cleo.commands.command import Command
+from cleo.helpers import option
+
+from berylshift.clock import LoopClock
+from berylshift.connection.http_server import Handler, HttpServer
+from berylshift.daemon import bound_address, open_listener
+from berylshift.stand_ins.engine_runner import EngineRunner
+from berylshift.stand_ins.engine_server import EngineServer
+from berylshift.stand_ins.fake_engine import CostModel, FakeEngine
+from berylshift.stand_ins.fake_platform import FakePlatform, PlatformScript
+from berylshift.stand_ins.fake_service import FakeService
+from berylshift.stand_ins.platform_server import PlatformServer
+from berylshift.stand_ins.service_server import ServiceServer
+
+ADDRESS = option("address", "a", "IP:PORT to listen on.", flag=False)
+NAME = option("name", None, "The stand-in's name.", flag=False, default="engine-1")
+
+
+async def serve(address: str, make_handler, *background) -> None:
+    """Serve until SIGTERM."""
+    listener = open_listener(address)
+    async with trio.open_nursery() as nursery:
+        handler: Handler = make_handler(bound_address(listener))
+        nursery.start_soon(HttpServer(handler).serve, listener)
+        for task in background:
+            nursery.start_soon(task)
+        sys.stdout.write(f"listening {bound_address(listener)}\n")
+        sys.stdout.flush()
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                nursery.cancel_scope.cancel()
+                return
+
+
+class PlatformCommand(Command):
+    """Runs the platform."""
+
+    name = "platform"
+    description = "Table service, object store, host list and weight store."
+    options = [
+        ADDRESS,
+        option("writes", None, "Writes a second.", flag=False, default="300"),
+        option("reads", None, "Reads a second.", flag=False, default="2000"),
+    ]
+
+    def handle(self) -> int:
+        """Serve until SIGTERM."""
+        script = PlatformScript(
+            writes_per_second=float(self.option("writes")),
+            reads_per_second=float(self.option("reads")),
+        )
+        fake = FakePlatform(LoopClock(), script)
+        server = PlatformServer(fake)
+        trio.run(serve, self.option("address"), lambda _: server.handle)
+        return 0
+
+
+class EngineCommand(Command):
+    """Runs an engine."""
+
+    name = "engine"
+    description = "A model engine with a simple cost model."
+    options = [
+        ADDRESS,
+        NAME,
+        option("model", None, "The model served.", flag=False, default="match-note"),
+        option("ignores-old", None, "Ignore old fencing numbers."),
+        option("change-seconds", None, "Time of a change.", flag=False, default="4"),
+    ]
+
+    def handle(self) -> int:
+        """Serve until SIGTERM."""
+        cost = CostModel(change_seconds=float(self.option("change-seconds")))
+        refuses = not self.option("ignores-old")
+        engine = FakeEngine(
+            self.option("name"), "", cost, refuses, self.option("model")
+        )
+        runner = EngineRunner(engine)
+
+        def make_handler(address: str) -> Handler:
+            engine.address = address
+            return EngineServer(runner).handle
+
+        trio.run(serve, self.option("address"), make_handler, runner.run)
+        return 0
+
+
+class ServiceCommand(Command):
+    """Runs a replica of a plain service."""
+
+    name = "service"
+    description = "A plain service that counts each confirmation it ran."
+    options = [ADDRESS, NAME]
+
+    def handle(self) -> int:
+        """Serve until SIGTERM."""
+        server = ServiceServer(FakeService(self.option("name")))
+        trio.run(serve, self.option("address"), lambda _: server.handle)
+        return 0
+
+
+def main() -> None:
+    """Run one stand-in."""
+    cli = CommandLine("berylshift-stand-in")
+    for command in (PlatformCommand(), EngineCommand(), ServiceCommand()):
+        cli.add(command)
+    sys.exit(cli.run())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/berylshift/stand_ins/fake_service.py
@@ -0,0 +1,59 @@
+"""A plain service in memory: answers lookups, counts each confirmation it ran."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+import msgspec
+import xxhash
+
+from berylshift.targets import ServiceAnswer, ServiceCall, TargetRefusedError
+
+STATUS_OK = 200
+
+
+@dataclass
+class ServiceScript:
+    """Faults of a service; ``lose_answers`` counts answers to be cut off."""
+
+    refuse: bool = False
+    lose_answers: int = 0
+    seconds: float = 0.02
+
+
+class ServiceBody(msgspec.Struct, frozen=True):
+    """What the service answers."""
+
+    replica: str
+    echo: str
+
+
+@dataclass
+class FakeService:
+    """State of one replica; ``ran`` is shared by the replicas of a service."""
+
+    name: str
+    ran: Counter = field(default_factory=Counter)
+    script: ServiceScript = field(default_factory=ServiceScript)
+    calls: int = 0
+
+    def run(self, call: ServiceCall) -> ServiceAnswer:
+        """Run a call and return its answer; raise ``TargetRefusedError``."""
+        if self.script.refuse:
+            raise TargetRefusedError("scripted refusal")
+        self.calls += 1
+        if call.key:
+            self.ran[call.key] += 1
+        body = msgspec.json.encode(ServiceBody(self.name, service_echo(call.body)))
+        return ServiceAnswer(STATUS_OK, {"content-type": "application/json"}, body)
+
+    def loses_answer(self) -> bool:
+        """Return whether the answer just made is to be cut off."""
+        if self.script.lose_answers <= 0:
+            return False
+        self.script.lose_answers -= 1
+        return True
+
+
+def service_echo(body: bytes) -> str:
+    """Return what every replica answers to ``body``."""
+    return xxhash.xxh64_hexdigest(body)
--- /dev/null
+++ b/berylshift/stand_ins/platform_server.py
@@ -0,0 +1,83 @@
+"""The stand-in platform as an HTTP server."""
+
+import msgspec
+import trio
+
+from berylshift.connection.http_server import HttpRequest, Responder
+from berylshift.platform.interfaces import (
+    AnswerLostError,
+    HostEntry,
+    StoreThrottledError,
+    StoreUnavailableError,
+    Transaction,
+)
+from berylshift.stand_ins.fake_platform import FakePlatform, PlatformScript
+
+JSON_TYPE = {"content-type": "application/json"}
+STATUS_OK = 200
+STATUS_NOT_FOUND = 404
+STATUS_THROTTLED = 429
+STATUS_UNAVAILABLE = 503
+
+
+class PlatformServer:
+    """Answers the platform's published interface; see docs/platform.md."""
+
+    def __init__(self, fake: FakePlatform):
+        """Serve ``fake``."""
+        self._fake = fake
+
+    async def handle(self, req: HttpRequest, responder: Responder) -> None:
+        """Answer one request; a scripted lost answer ends the connection."""
+        if self._fake.script.delay:
+            await trio.sleep(self._fake.script.delay)
+        try:
+            status, body = self._answer(req)
+        except StoreThrottledError:
+            status, body = STATUS_THROTTLED, b"{}"
+        except StoreUnavailableError:
+            status, body = STATUS_UNAVAILABLE, b"{}"
+        except AnswerLostError:
+            return
+        await responder.full(status, JSON_TYPE, body)
+
+    def _answer(self, req: HttpRequest) -> tuple[int, bytes]:
+        if req.path == "/script":
+            script = msgspec.json.decode(req.body, type=PlatformScript)
+            self._fake.script = script
+            return STATUS_OK, b"{}"
+        if req.path.startswith("/objects/"):
+            return self._object(req)
+        if req.path == "/hosts" and req.method == "POST":
+            self._fake.announce(msgspec.json.decode(req.body, type=HostEntry))
+            return STATUS_OK, b"{}"
+        found = self._rows(req)
+        if found is None:
+            return STATUS_NOT_FOUND, b"{}"
+        return STATUS_OK, msgspec.json.encode(found)
+
+    def _rows(self, req: HttpRequest) -> object:
+        fake = self._fake
+        if req.path == "/rows":
+            return fake.read(req.multi("key"))
+        if req.path == "/scan":
+            limit = int(req.query["limit"])
+            return fake.scan(req.query["prefix"], req.query.get("after", ""), limit)
+        if req.path == "/transactions":
+            return fake.transact(msgspec.json.decode(req.body, type=Transaction))
+        if req.path == "/hosts":
+            return fake.hosts()
+        if req.path.startswith("/weights/"):
+            _, _, model, version = req.path.split("/")
+            return fake.weight_info(model, version)
+        return None
+
+    def _object(self, req: HttpRequest) -> tuple[int, bytes]:
+        if self._fake.script.down:
+            raise StoreUnavailableError("scripted outage")
+        name = req.path.removeprefix("/objects/")
+        if req.method == "PUT":
+            self._fake.objects[name] = req.body
+            return STATUS_OK, b"{}"
+        data = self._fake.objects.get(name)
+        return (STATUS_NOT_FOUND, b"{}") if data is None else (STATUS_OK, data)
--- /dev/null
+++ b/berylshift/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package, one module each."""
--- /dev/null
+++ b/berylshift/tests/support.py
@@ -0,0 +1,63 @@
+"""Shared by the tests: rows, tables, virtual time."""
+
+import unittest
+from collections.abc import Awaitable, Callable
+
+import trio
+import trio.testing
+
+from berylshift.ids import TableVersion
+from berylshift.version.rows import OrderCheck, Row, RowKind
+from berylshift.version.table import Table
+
+MODEL = "match-note"
+FLEET = "nestwatch"
+
+
+def engine_row(name: str, **changes) -> Row:
+    """Return the row of an engine."""
+    number = int(name.rpartition("-")[2])
+    values = {
+        "serves": MODEL,
+        "address": f"10.0.0.{number}:8000",
+        "domain": f"domain-{number % 4 + 1}",
+        "orders": OrderCheck.REFUSES,
+    }
+    return Row(RowKind.ENGINE, name, **{**values, **changes})
+
+
+def service_row(name: str, serves: str = "booking", **changes) -> Row:
+    """Return the row of a plain service's replica."""
+    number = int(name.rpartition("-")[2])
+    values = {
+        "serves": serves,
+        "address": f"10.0.1.{number}:8000",
+        "domain": f"domain-{number % 4 + 1}",
+    }
+    return Row(RowKind.SERVICE, name, **{**values, **changes})
+
+
+def route_row(name: str, fleet: str = FLEET, **changes) -> Row:
+    """Return the row that lets a fleet's work go to a target."""
+    return Row(RowKind.ROUTE, name, fleet=fleet, **changes)
+
+
+def engines_table(count: int, version: int = 1) -> Table:
+    """Return a table of engines that one fleet may use."""
+    rows = []
+    for number in range(1, count + 1):
+        rows += [engine_row(f"engine-{number}"), route_row(f"engine-{number}")]
+    return Table(TableVersion(version), rows)
+
+
+def run_virtual(task: Callable[..., Awaitable], *args):
+    """Run a task on a virtual clock that jumps over waits."""
+    return trio.run(task, *args, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+class VirtualTestCase(unittest.TestCase):
+    """A test case whose asynchronous parts run on a virtual clock."""
+
+    def run_virtual(self, task: Callable[..., Awaitable], *args):
+        """Run a task on a virtual clock and return its result."""
+        return run_virtual(task, *args)
--- /dev/null
+++ b/berylshift/tools/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool and the programs around it."""
--- /dev/null
+++ b/berylshift/version/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one version of the operators' table."""
--- /dev/null
+++ b/berylshift/version/freshness.py
@@ -0,0 +1,81 @@
+"""Whether this process may route by the table version that it holds.
+
+A process cut off from the store and its peers does not hear that a target is
+leaving, and would send it work for ever. It may route only while its view was
+confirmed within a limit, counted from before the question was sent.
+"""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from berylshift.ids import HostName
+
+
+class View(Enum):
+    """State of this process's view of the table."""
+
+    NONE = "none"
+    FRESH = "fresh"
+    STALE = "stale"
+
+
+@dataclass(frozen=True)
+class PeerWord:
+    """What a peer says of its view.
+
+    ``asked_at`` is when this process sent the datagram that the peer echoes, so
+    a word that lay in a buffer while this process was paused is an old one.
+    ``store_age`` is the age in seconds of the peer's own store confirmation.
+    """
+
+    peer: HostName
+    asked_at: float
+    version: int
+    store_age: float
+
+
+@dataclass
+class Freshness:
+    """Keeps when the view was last confirmed; times in monotonic seconds."""
+
+    limit: float
+    version: int = 0
+    hosts: int = 1
+    _by_store: float | None = None
+    _words: dict[HostName, PeerWord] = field(default_factory=dict)
+
+    def store_confirmed(self, asked_at: float, version: int) -> None:
+        """Note that the store's head, asked for at ``asked_at``, was ``version``."""
+        if version <= self.version:
+            self._by_store = max(asked_at, self._by_store or asked_at)
+
+    def peer_confirmed(self, word: PeerWord) -> None:
+        """Note a peer's word."""
+        old = self._words.get(word.peer)
+        if old is None or word.asked_at >= old.asked_at:
+            self._words[word.peer] = word
+
+    def store_age(self, now: float) -> float:
+        """Return the age in seconds of the last store confirmation."""
+        return now - self._by_store if self._by_store is not None else float("inf")
+
+    def view(self, now: float) -> View:
+        """Return whether new work may be routed now."""
+        if not self.version:
+            return View.NONE
+        if self.store_age(now) <= self.limit or self._fresh_by_peers(now):
+            return View.FRESH
+        return View.STALE
+
+    def _fresh_by_peers(self, now: float) -> bool:
+        """Return whether peers vouch for this view.
+
+        One peer that has read the store itself is enough. Where none has, the
+        store is taken to be down for all only with a majority of hosts in sight:
+        a minority may be cut off from a store that others still see change.
+        """
+        words = [w for w in self._words.values() if now - w.asked_at <= self.limit]
+        agreeing = [w for w in words if w.version <= self.version]
+        if any(now - w.asked_at + w.store_age <= self.limit for w in agreeing):
+            return True
+        return len(agreeing) + 1 > self.hosts / 2 and len(agreeing) == len(words)
