Add leases of pools, journalled orders, plans of moves and role planning

Cause: roles could not change at all, and nothing said who may order an engine.

Change: a lease row a pool, whose term the holder counts from before it sent the last renewal known to have taken effect; orders journalled in a transaction that checks the pool's epoch, then sent once; a plan row that every host reads with the table's head, so that no host sends work to an engine that is about to change; three planners (fixed, threshold, hysteresis). Freshness by peers now covers the plans.

Weighed: acknowledgements by every host that an engine is empty were tried first and dropped: a bound by the freshness limit plus the engine's own empty report needs no message per host.

--- a/berylshift/application.py
+++ b/berylshift/application.py
@@ -19,16 +19,18 @@
     WeightStore,
 )
 from berylshift.process.cost import CostModel
-from berylshift.process.drains import Drains
 from berylshift.process.health import Health
 from berylshift.process.host_list_loop import HostListLoop
 from berylshift.process.lengths import OutputLengths
 from berylshift.process.limits import CustomerLimits
 from berylshift.process.load import LoadView
 from berylshift.process.membership import Membership, make_incarnation
+from berylshift.process.mix_meter import MixMeter
 from berylshift.process.peer_loop import PeerLink, PeerLoop, PeerParts
 from berylshift.process.pending_loop import PendingLoop
 from berylshift.process.pending_records import PendingRecords
+from berylshift.process.plans import Plans
+from berylshift.process.pool_loop import PoolLoop, PoolParts
 from berylshift.process.prefixes import PrefixIndex
 from berylshift.process.readiness import Phase, Readiness
 from berylshift.process.report_poller import ReportPoller
@@ -116,11 +118,17 @@
         self.decisions = DecisionLog(
             clock, ports.metrics, cfg.observability.decisions_kept
         )
+        self.plans = Plans()
+        self.meter = MixMeter()
         self.know = Knowledge(
-            self.load, Health(), CostModel(cfg.policy), PrefixIndex(), rng
+            self.load,
+            Health(),
+            CostModel(cfg.policy),
+            PrefixIndex(),
+            self.plans,
+            rng,
         )
         self.members = Membership(host, self.incarnation, cfg.peers.silent_after, rng)
-        self.drains = Drains(self.load, self.holder)
         self.readiness = Readiness(host, self.holder, self.fresh, clock)
         self.gate = self._make_gate()
         self.front = self._make_front(callers)
@@ -149,6 +157,7 @@
             retries=retries,
             lengths=OutputLengths(),
             decisions=self.decisions,
+            meter=self.meter,
             table=self.holder.get,
             may_route=self.readiness.may_route,
             cfg=cfg.targets,
@@ -191,6 +200,7 @@
             self.table_log,
             self.fresh,
             self.limits,
+            self.plans,
             ports.peer_tables,
             ports.clock,
             cfg.table.poll_interval,
@@ -213,7 +223,8 @@
             limits=self.limits,
             follower=self.follower,
             holder=self.holder,
-            drains=self.drains,
+            meter=self.meter,
+            plans=self.plans,
             clock=ports.clock,
         )
         self.peer_loop = PeerLoop(peers)
@@ -229,6 +240,18 @@
             ports.hosts, self.members, entry, cfg.peers.host_list_interval
         )
         self.pending_loop = PendingLoop(self.pending, self.gate, ports.rng)
+        pools = PoolParts(
+            cfg=cfg,
+            members=self.members,
+            holder=self.holder,
+            plans=self.plans,
+            load=self.load,
+            meter=self.meter,
+            gate=self.gate,
+            engines=ports.engines,
+            clock=ports.clock,
+        )
+        self.pool_loop = PoolLoop(pools)
 
     async def run(self) -> None:
         """Run the loops until cancelled."""
@@ -240,6 +263,7 @@
             nursery.start_soon(self.peer_loop.run)
             nursery.start_soon(self.ports.link.receive, self.peer_loop.take)
             nursery.start_soon(self.pending_loop.run)
+            nursery.start_soon(self.pool_loop.run)
 
     def on_start(self) -> None:
         """Note that the process runs."""
@@ -262,6 +286,8 @@
                 await trio.sleep(EMPTY_CHECK_SECONDS)
         if scope.cancelled_caught:
             logger.error("stopped with work in flight")
+        with trio.move_on_after(self.cfg.platform.timeout):
+            await self.pool_loop.release()
 
     def on_stop(self) -> None:
         """Note that the process ends."""
--- a/berylshift/connection/admin.py
+++ b/berylshift/connection/admin.py
@@ -7,8 +7,8 @@
 from berylshift.application import Application
 from berylshift.connection.http_server import HttpRequest, Responder
 from berylshift.connection.status import make_status
-from berylshift.ids import RequestId, TableVersion
-from berylshift.version.changelog import Snapshot
+from berylshift.ids import RequestId
+from berylshift.process.table_follower import PeerView
 
 JSON_TYPE = {"content-type": "application/json"}
 TEXT_TYPE = {"content-type": "text/plain"}
@@ -60,5 +60,6 @@
             await responder.full(STATUS_FORBIDDEN, TEXT_TYPE, b"not a peer\n")
             return
         table = self._app.holder.table
-        snapshot = Snapshot(TableVersion(table.version), list(table.rows.values()))
-        await responder.full(STATUS_OK, JSON_TYPE, msgspec.json.encode(snapshot))
+        rows = list(table.rows.values())
+        view = PeerView(table.version, rows, self._app.plans.rows)
+        await responder.full(STATUS_OK, JSON_TYPE, msgspec.json.encode(view))
--- a/berylshift/connection/peer.capnp
+++ b/berylshift/connection/peer.capnp
@@ -11,7 +11,8 @@
   echoes @6 :List(Echo);
   shares @7 :List(Share);
   demands @8 :List(Demand);
-  drained @9 :List(Drained);
+  planVersion @9 :UInt64;
+  mixes @10 :List(Mix);
 }
 
 struct Echo {
@@ -32,7 +33,8 @@
   rate @1 :Float32;
 }
 
-struct Drained {
-  target @0 :Text;
-  version @1 :UInt64;
+struct Mix {
+  pool @0 :Text;
+  prefillRate @1 :Float32;
+  decodeRate @2 :Float32;
 }
--- a/berylshift/connection/peer_codec.py
+++ b/berylshift/connection/peer_codec.py
@@ -7,8 +7,8 @@
 import capnp
 
 from berylshift.connection.errors import ConnectionLayerError
-from berylshift.ids import HostName, Incarnation, TargetName
-from berylshift.process.digest import Digest, Drained, Echo
+from berylshift.ids import HostName, Incarnation, PoolName, TargetName
+from berylshift.process.digest import Digest, Echo, Mix
 from berylshift.process.limits import Demand
 from berylshift.process.load import Share
 
@@ -33,7 +33,7 @@
 
     def encode(self, digest: Digest, most: int = LARGEST_DATAGRAM) -> bytes:
         """Return a datagram of at most ``most`` bytes; lists are cut to fit."""
-        keep = max(len(digest.shares), len(digest.demands), len(digest.drained), 1)
+        keep = max(len(digest.shares), len(digest.demands), len(digest.mixes), 1)
         while True:
             body = _pack(digest, keep)
             if len(body) + TAG_BYTES <= most or keep == 0:
@@ -78,8 +78,14 @@
         demands=[
             {"customer": d.customer, "rate": d.rate} for d in digest.demands[:keep]
         ],
-        drained=[
-            {"target": d.target, "version": d.version} for d in digest.drained[:keep]
+        planVersion=digest.plan_version,
+        mixes=[
+            {
+                "pool": m.pool,
+                "prefillRate": m.prefill_rate,
+                "decodeRate": m.decode_rate,
+            }
+            for m in digest.mixes[:keep]
         ],
     )
     return message.to_bytes_packed()
@@ -103,5 +109,8 @@
             for s in message.shares
         ],
         demands=[Demand(d.customer, d.rate) for d in message.demands],
-        drained=[Drained(TargetName(d.target), d.version) for d in message.drained],
+        plan_version=message.planVersion,
+        mixes=[
+            Mix(PoolName(m.pool), m.prefillRate, m.decodeRate) for m in message.mixes
+        ],
     )
--- a/berylshift/connection/peer_tables.py
+++ b/berylshift/connection/peer_tables.py
@@ -5,8 +5,7 @@
 
 from berylshift.connection.errors import ConnectionLayerError
 from berylshift.connection.http_client import HttpClient, Outgoing
-from berylshift.version.changelog import Snapshot
-from berylshift.version.table import Table
+from berylshift.process.table_follower import PeerView
 
 FETCH_SECONDS = 2.0
 STATUS_OK = 200
@@ -20,8 +19,8 @@
         self._client = client
         self._headers = {"authorization": f"Bearer {cluster_key}"}
 
-    async def fetch(self, address: str) -> Table | None:
-        """Return the peer's table, or ``None`` where it gives none."""
+    async def fetch(self, address: str) -> PeerView | None:
+        """Return the peer's view, or ``None`` where it gives none."""
         out = Outgoing(address, "GET", "/peer/table", self._headers)
         with trio.move_on_after(FETCH_SECONDS):
             try:
@@ -29,8 +28,7 @@
                     data = await resp.read()
                     if resp.status != STATUS_OK:
                         return None
-                found = msgspec.json.decode(data, type=Snapshot)
-                return Table(found.version, found.rows)
+                return msgspec.json.decode(data, type=PeerView)
             except (ConnectionLayerError, msgspec.DecodeError):
                 return None
         return None
--- a/berylshift/process/digest.py
+++ b/berylshift/process/digest.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from berylshift.ids import HostName, Incarnation, TargetName
+from berylshift.ids import HostName, Incarnation, PoolName
 from berylshift.process.limits import Demand
 from berylshift.process.load import Share
 
@@ -17,11 +17,12 @@
     sequence: int
 
 
-class Drained(msgspec.Struct, frozen=True):
-    """The sender has no work at a target, as of a table version."""
+class Mix(msgspec.Struct, frozen=True):
+    """The sender's own demand for a pool, in tokens a second."""
 
-    target: TargetName
-    version: int
+    pool: PoolName
+    prefill_rate: float
+    decode_rate: float
 
 
 class Digest(msgspec.Struct, frozen=True):
@@ -36,4 +37,5 @@
     echoes: list[Echo] = []
     shares: list[Share] = []
     demands: list[Demand] = []
-    drained: list[Drained] = []
+    plan_version: int = 0
+    mixes: list[Mix] = []
--- a/berylshift/process/membership.py
+++ b/berylshift/process/membership.py
@@ -86,7 +86,11 @@
             asked_at = peer.sent.get(echo.sequence)
             if asked_at is not None:
                 return PeerWord(
-                    digest.host, asked_at, digest.table_version, digest.store_age
+                    peer=digest.host,
+                    asked_at=asked_at,
+                    version=digest.table_version,
+                    store_age=digest.store_age,
+                    plan=digest.plan_version,
                 )
         return None
 
--- a/berylshift/process/peer_loop.py
+++ b/berylshift/process/peer_loop.py
@@ -9,10 +9,11 @@
 from berylshift.clock import Clock
 from berylshift.platform.interfaces import HostEntry
 from berylshift.process.digest import NO_STORE_AGE, Digest
-from berylshift.process.drains import Drains
 from berylshift.process.limits import CustomerLimits
 from berylshift.process.load import LoadView
 from berylshift.process.membership import Membership
+from berylshift.process.mix_meter import MixMeter
+from berylshift.process.plans import Plans
 from berylshift.process.table_follower import TableFollower, TableHolder
 from berylshift.settings import PeerSettings
 from berylshift.version.freshness import Freshness
@@ -42,7 +43,8 @@
     limits: CustomerLimits
     follower: TableFollower
     holder: TableHolder
-    drains: Drains
+    meter: MixMeter
+    plans: Plans
     clock: Clock
 
 
@@ -66,10 +68,12 @@
             parts.fresh.peer_confirmed(word)
         parts.load.peer_shares(digest.host, digest.shares, now)
         parts.limits.peer_demand(digest.host, digest.demands, now)
-        parts.drains.heard(digest.incarnation, digest.drained)
+        parts.meter.peer_mixes(digest.host, digest.mixes, now)
         peer = parts.members.peers[digest.host]
         if peer.entry is not None:
-            parts.follower.peer_has(peer.entry.admin_address, digest.table_version)
+            parts.follower.peer_has(
+                peer.entry.admin_address, digest.table_version, digest.plan_version
+            )
 
     async def run(self) -> None:
         """Tell some peers each interval until cancelled."""
@@ -97,7 +101,8 @@
             echoes=parts.members.echo(entry.host),
             shares=parts.load.shares(),
             demands=parts.limits.demands(now),
-            drained=parts.drains.own(),
+            plan_version=parts.plans.total,
+            mixes=parts.meter.own(now),
         )
         parts.members.note_sent(entry.host, sequence, now)
         await parts.link.send(entry.peer_address, digest)
--- a/berylshift/process/table_follower.py
+++ b/berylshift/process/table_follower.py
@@ -4,23 +4,35 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+import msgspec
 import trio
 
 from berylshift.clock import Clock
-from berylshift.platform.interfaces import PlatformError
+from berylshift.ids import PoolName, TableVersion
+from berylshift.platform.interfaces import PlatformError, StoredRow
 from berylshift.process.limits import CustomerLimits
+from berylshift.process.plans import PlanRow, Plans, plan_key
 from berylshift.version.changelog import TableLog, TableLogError
 from berylshift.version.freshness import Freshness
+from berylshift.version.rows import Row
 from berylshift.version.table import EMPTY_TABLE, Table
 
 logger = logging.getLogger(__name__)
 
 
+class PeerView(msgspec.Struct, frozen=True):
+    """What a peer holds: the rows of a table version, and the plans."""
+
+    version: TableVersion
+    rows: list[Row]
+    plans: dict[PoolName, PlanRow]
+
+
 class PeerTables(Protocol):
     """Fetches tables from peers."""
 
-    async def fetch(self, address: str) -> Table | None:
-        """Return a peer's table, or ``None``."""
+    async def fetch(self, address: str) -> PeerView | None:
+        """Return a peer's view, or ``None``."""
 
 
 @dataclass
@@ -50,6 +62,7 @@
         log: TableLog,
         fresh: Freshness,
         limits: CustomerLimits,
+        plans: Plans,
         peers: PeerTables,
         clock: Clock,
         poll: float,
@@ -59,16 +72,18 @@
         self._log = log
         self._fresh = fresh
         self._limits = limits
+        self._plans = plans
         self._peers = peers
         self._clock = clock
         self._poll = poll
         self._hint = trio.Event()
-        self._ahead: dict[str, int] = {}
+        self._ahead: set[str] = set()
 
-    def peer_has(self, address: str, version: int) -> None:
-        """Note that a peer holds a newer version; it is fetched at once."""
-        if version > self._holder.table.version:
-            self._ahead[address] = version
+    def peer_has(self, address: str, version: int, plan_version: int) -> None:
+        """Note what a peer holds; what is newer is fetched at once."""
+        newer = version > self._holder.table.version
+        if newer or plan_version > self._plans.total:
+            self._ahead.add(address)
             self._hint.set()
 
     async def run(self) -> None:
@@ -84,7 +99,10 @@
     async def _from_store(self) -> bool:
         asked_at = self._clock.monotonic()
         try:
-            head, _ = await self._log.head()
+            pools = sorted({row.serves for row in self._holder.table.engines()})
+            keys = [plan_key(pool) for pool in pools]
+            head, stored = await self._log.read_with_head(keys)
+            self._offer_plans(pools, stored)
             if head.version > self._holder.table.version:
                 self._offer(await self._log.catch_up(self._holder.table, head))
         except (PlatformError, TableLogError, ValueError) as exc:
@@ -94,10 +112,24 @@
         return True
 
     async def _from_peers(self) -> None:
-        for address in list(self._ahead):
-            table = await self._peers.fetch(address)
-            if table is not None:
-                self._offer(table)
+        for address in sorted(self._ahead):
+            view = await self._peers.fetch(address)
+            if view is None:
+                continue
+            self._offer(Table(view.version, view.rows))
+            for pool, plan in view.plans.items():
+                self._plans.offer(pool, plan, self._clock.monotonic())
+            self._fresh.plan = self._plans.total
+
+    def _offer_plans(
+        self, pools: list[PoolName], stored: list[StoredRow | None]
+    ) -> None:
+        now = self._clock.monotonic()
+        for pool, found in zip(pools, stored, strict=True):
+            if found is not None:
+                plan = msgspec.json.decode(found.value, type=PlanRow)
+                self._plans.offer(pool, plan, now)
+        self._fresh.plan = self._plans.total
 
     def _offer(self, table: Table) -> None:
         if not self._holder.offer(table):
--- a/berylshift/request/choice.py
+++ b/berylshift/request/choice.py
@@ -11,6 +11,7 @@
 from berylshift.process.cost import CostModel, Prediction
 from berylshift.process.health import Health
 from berylshift.process.load import LoadView
+from berylshift.process.plans import Plans
 from berylshift.process.prefixes import Prefixes, PrefixIndex
 from berylshift.request.messages import Reason, Weighed
 from berylshift.request.pool import Picker, Pool, Pools
@@ -75,6 +76,7 @@
     health: Health
     cost: CostModel
     prefixes: PrefixIndex
+    plans: Plans
     rng: random.Random
 
     def __post_init__(self) -> None:
@@ -84,7 +86,9 @@
     def usable(self, found: Candidate, item: WorkItem, now: float) -> bool:
         """Return whether a candidate may take this item now."""
         name = found.row.name
-        if name in item.exclude or not self.health.usable(name, now):
+        if name in item.exclude or self.plans.is_moving(name):
+            return False
+        if not self.health.usable(name, now):
             return False
         if not found.limit:
             return True
--- a/berylshift/request/completion.py
+++ b/berylshift/request/completion.py
@@ -8,8 +8,9 @@
 from returns.result import Failure, Result, Success
 
 from berylshift.clock import Clock
-from berylshift.ids import AttemptId, TargetName
+from berylshift.ids import AttemptId, PoolName, TargetName
 from berylshift.process.lengths import OutputLengths
+from berylshift.process.mix_meter import MixMeter
 from berylshift.process.prefixes import Prefixes, prefix_hashes
 from berylshift.process.retry_budget import RetryBudget
 from berylshift.request.assembly import AnswerAssembler, Verdict
@@ -53,6 +54,7 @@
     retries: RetryBudget
     lengths: OutputLengths
     decisions: DecisionLog
+    meter: MixMeter
     table: Callable[[], Table]
     may_route: Callable[[], bool]
     cfg: TargetSettings
@@ -178,7 +180,9 @@
     def _check_takes_work(self, row: Row) -> None:
         """Fail the attempt where the target began to leave during the prefill."""
         current = self._parts.table().targets.get(row.name)
-        if current is None or not current.takes_work or not self._parts.may_route():
+        leaves = current is None or not current.takes_work
+        leaves = leaves or self._parts.know.plans.is_moving(row.name)
+        if leaves or not self._parts.may_route():
             raise _AttemptFailedError(row.name, Fault.REFUSED)
 
     async def _prefill(self, row: Row, plan: Plan) -> KvSource:
@@ -212,6 +216,9 @@
                 first_at.append(self._now())
                 self._parts.know.prefixes.sent(row.name, self._prefixes)
             verdict = self._take_chunks(row.name, chunks)
+            count = sum(len(chunk.texts) for chunk in chunks)
+            pool = PoolName(self._call.model)
+            self._parts.meter.decode(pool, count, self._now())
             text = self._answer.new_text()
             if text:
                 await self._sink.text(text)
@@ -284,7 +291,10 @@
         name, attempt = self._row.name, self._call.attempt
         know = self._parts.know
         fleet = self._asked.caller.fleet
-        know.load.sent(name, attempt, fleet, self._prefill_tokens, self._now())
+        now = self._now()
+        know.load.sent(name, attempt, fleet, self._prefill_tokens, now)
+        pool = PoolName(self._asked.model)
+        self._parts.meter.prefill(pool, self._prefill_tokens, now)
         know.health.started(name)
         try:
             await self._read(take)
--- a/berylshift/stand_ins/fake_engine.py
+++ b/berylshift/stand_ins/fake_engine.py
@@ -254,7 +254,8 @@
                 raise StaleOrderError(f"{order.number} < {self.order_number}")
             if self._held is not None:
                 raise TargetBusyError("carrying out another order")
-        if order.number == self.order_number and self._last_same(order):
+        same = order.number == self.order_number and self._last_same(order)
+        if same and self.role is not Role.UNKNOWN:
             return
         if self._held is not None and not self._held.same_aim(order):
             self.conflicts += 1
--- a/berylshift/version/changelog.py
+++ b/berylshift/version/changelog.py
@@ -18,6 +18,7 @@
     Condition,
     ObjectStore,
     PlatformError,
+    StoredRow,
     Transaction,
     Write,
     as_raw,
@@ -90,6 +91,15 @@
         head = msgspec.json.decode(found[0].value, type=Head)
         return head, found[0].revision
 
+    async def read_with_head(
+        self, keys: list[str]
+    ) -> tuple[Head, list[StoredRow | None]]:
+        """Return the head and other rows as of the same moment."""
+        found = await self._gate.read([HEAD_KEY, *keys], Priority.TABLE)
+        if found[0] is None:
+            return Head(TableVersion(0), ChangeId("")), found[1:]
+        return msgspec.json.decode(found[0].value, type=Head), found[1:]
+
     async def changes(self, after: int, upto: int) -> list[Change]:
         """Return the changes of versions ``after + 1`` to ``upto``."""
         found: list[Change] = []
--- a/berylshift/version/freshness.py
+++ b/berylshift/version/freshness.py
@@ -32,6 +32,7 @@
     asked_at: float
     version: int
     store_age: float
+    plan: int = 0
 
 
 @dataclass
@@ -40,6 +41,7 @@
 
     limit: float
     version: int = 0
+    plan: int = 0
     hosts: int = 1
     _by_store: float | None = None
     _words: dict[HostName, PeerWord] = field(default_factory=dict)
@@ -67,6 +69,9 @@
             return View.FRESH
         return View.STALE
 
+    def _is_not_behind(self, word: PeerWord) -> bool:
+        return word.version <= self.version and word.plan <= self.plan
+
     def _fresh_by_peers(self, now: float) -> bool:
         """Return whether peers vouch for this view.
 
@@ -75,7 +80,7 @@
         a minority may be cut off from a store that others still see change.
         """
         words = [w for w in self._words.values() if now - w.asked_at <= self.limit]
-        agreeing = [w for w in words if w.version <= self.version]
+        agreeing = [w for w in words if self._is_not_behind(w)]
         if any(now - w.asked_at + w.store_age <= self.limit for w in agreeing):
             return True
         return len(agreeing) + 1 > self.hosts / 2 and len(agreeing) == len(words)
