Add the command line and replays on a virtual clock

Cause: operators had no tool, and a trace could be replayed only by the demonstration.

Change: berylshift table show|set|import|export|history, engine and host drain|replace|withdraw|restore, status, explain, replay. The virtual replay runs the daemon's own application for 9 hosts over an in-memory network, platform, engines and services, on the loop's virtual clock with a fixed schedule.

--- a/berylshift/settings.py
+++ b/berylshift/settings.py
@@ -192,6 +192,23 @@
     return parse_settings(text)
 
 
+def read_platform_settings(
+    path: str,
+) -> Result[PlatformSettings, list[SettingFault]]:
+    """Return the ``[platform]`` section of a settings file, for operators' tools."""
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(Path(path).read_text(encoding="utf-8"))
+    except (OSError, configparser.Error) as exc:
+        return Failure([SettingFault("", "", path, f"can't be read: {exc}")])
+    given = dict(parser["platform"]) if "platform" in parser else {}
+    faults = _unknown({"platform": given})
+    values = _read_section("platform", PlatformSettings, given, faults)
+    if faults:
+        return Failure(faults)
+    return Success(msgspec.convert(values, PlatformSettings))
+
+
 def parse_settings(text: str) -> Result[Settings, list[SettingFault]]:
     """Return the settings of an INI text, or everything wrong with them."""
     parser = configparser.ConfigParser(interpolation=None)
--- a/berylshift/stand_ins/fake_service.py
+++ b/berylshift/stand_ins/fake_service.py
@@ -35,6 +35,7 @@
     ran: Counter = field(default_factory=Counter)
     script: ServiceScript = field(default_factory=ServiceScript)
     calls: int = 0
+    alive: bool = True
 
     def run(self, call: ServiceCall) -> ServiceAnswer:
         """Run a call and return its answer; raise ``TargetRefusedError``."""
--- /dev/null
+++ b/berylshift/tools/cli.py
@@ -0,0 +1,45 @@
+"""The command-line tool ``berylshift``."""
+
+import sys
+
+from cleo.application import Application
+
+from berylshift import __version__
+from berylshift.tools.mark_commands import make_mark_commands
+from berylshift.tools.replay_command import ReplayCommand
+from berylshift.tools.status_commands import ExplainCommand, StatusCommand
+from berylshift.tools.table_commands import (
+    TableExport,
+    TableHistory,
+    TableImport,
+    TableSet,
+    TableShow,
+)
+
+
+def make_application() -> Application:
+    """Return the tool with all its commands."""
+    app = Application("berylshift", __version__)
+    commands = [
+        TableShow(),
+        TableSet(),
+        TableImport(),
+        TableExport(),
+        TableHistory(),
+        StatusCommand(),
+        ExplainCommand(),
+        ReplayCommand(),
+        *make_mark_commands(),
+    ]
+    for command in commands:
+        app.add(command)
+    return app
+
+
+def main() -> None:
+    """Run the tool."""
+    sys.exit(make_application().run())
+
+
+if __name__ == "__main__":
+    main()
