Confirm the table's freshness by asked and answering peers

Peers' words were dated by the last datagram that happened to be echoed, up to 11 s old with a fan-out of 3 out of 8, against a limit of 3 s.

Ruled out: a table version that lagged (all hosts held version 3), the restarted host (others were stale too).

--- a/berylshift/connection/peer.capnp
+++ b/berylshift/connection/peer.capnp
@@ -13,6 +13,7 @@
   demands @8 :List(Demand);
   planVersion @9 :UInt64;
   mixes @10 :List(Mix);
+  isReply @11 :Bool;
 }
 
 struct Echo {
--- a/berylshift/connection/peer_codec.py
+++ b/berylshift/connection/peer_codec.py
@@ -62,6 +62,7 @@
         tableVersion=digest.table_version,
         storeAgeMs=int(digest.store_age * MILLISECONDS),
         leaving=digest.leaving,
+        isReply=digest.is_reply,
         echoes=[
             {"host": e.host, "incarnation": e.incarnation, "sequence": e.sequence}
             for e in digest.echoes
@@ -100,6 +101,7 @@
         table_version=message.tableVersion,
         store_age=message.storeAgeMs / MILLISECONDS,
         leaving=message.leaving,
+        is_reply=message.isReply,
         echoes=[
             Echo(HostName(e.host), Incarnation(e.incarnation), e.sequence)
             for e in message.echoes
--- a/berylshift/daemon.py
+++ b/berylshift/daemon.py
@@ -95,7 +95,7 @@
 
 async def serve(cfg: Settings, creds: Credentials) -> None:
     """Serve until SIGTERM, then shut down gracefully."""
-    most = min(LARGEST_DATAGRAM, cfg.peers.byte_budget // cfg.peers.fanout)
+    most = min(LARGEST_DATAGRAM, cfg.peers.byte_budget // (2 * cfg.peers.fanout))
     link = UdpPeerLink(PeerCodec(creds.cluster_key), most)
     peer_address = await link.bind(cfg.host.peer_address)
     listener = open_listener(cfg.host.address)
--- a/berylshift/process/digest.py
+++ b/berylshift/process/digest.py
@@ -34,6 +34,7 @@
     table_version: int
     store_age: float = NO_STORE_AGE
     leaving: bool = False
+    is_reply: bool = False
     echoes: list[Echo] = []
     shares: list[Share] = []
     demands: list[Demand] = []
--- a/berylshift/process/membership.py
+++ b/berylshift/process/membership.py
@@ -34,6 +34,7 @@
     peers: dict[HostName, Peer] = field(default_factory=dict)
     dropped: int = 0
     sequence: int = 0
+    _round: list[HostName] = field(default_factory=list)
 
     def listed(self, entries: list[HostEntry]) -> None:
         """Take the platform's list; it lags, so it only adds and renames."""
@@ -114,11 +115,20 @@
         return [Echo(host, peer.incarnation, peer.sequence)]
 
     def pick(self, fanout: int) -> list[HostEntry]:
-        """Return the peers to tell now."""
-        known = [peer.entry for peer in self.peers.values() if peer.entry is not None]
-        if len(known) <= fanout:
-            return known
-        return self.rng.sample(known, fanout)
+        """Return the peers to tell now: all in turn, each round in a new order."""
+        known = {
+            host: peer.entry
+            for host, peer in self.peers.items()
+            if peer.entry is not None
+        }
+        picked: list[HostEntry] = []
+        for _ in range(min(fanout, len(known))):
+            if not self._round:
+                self._round = self.rng.sample(sorted(known), len(known))
+            host = self._round.pop()
+            if host in known and known[host] not in picked:
+                picked.append(known[host])
+        return picked
 
     def live(self, now: float) -> list[HostName]:
         """Return the peers heard of lately, and this host."""
--- a/berylshift/process/peer_loop.py
+++ b/berylshift/process/peer_loop.py
@@ -1,5 +1,6 @@
 """The loop that tells peers of this process and takes in what they say."""
 
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
@@ -18,6 +19,7 @@
 from berylshift.settings import PeerSettings
 from berylshift.version.freshness import Freshness
 
+REPLIES_KEPT = 64
 Receive = Callable[[Digest], None]
 
 
@@ -55,6 +57,8 @@
         """Work with ``parts``."""
         self._parts = parts
         self.leaving = False
+        self._replies: deque[HostEntry] = deque(maxlen=REPLIES_KEPT)
+        self._wake = trio.Event()
 
     def take(self, digest: Digest) -> None:
         """Take a peer's digest."""
@@ -70,13 +74,29 @@
         parts.limits.peer_demand(digest.host, digest.demands, now)
         parts.meter.peer_mixes(digest.host, digest.mixes, now)
         peer = parts.members.peers[digest.host]
-        if peer.entry is not None:
-            parts.follower.peer_has(
-                peer.entry.admin_address, digest.table_version, digest.plan_version
-            )
+        if peer.entry is None:
+            return
+        parts.follower.peer_has(
+            peer.entry.admin_address, digest.table_version, digest.plan_version
+        )
+        if not digest.is_reply:
+            self._replies.append(peer.entry)
+            self._wake.set()
 
     async def run(self) -> None:
-        """Tell some peers each interval until cancelled."""
+        """Tell some peers each interval, and answer the others, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._answer)
+            await self._tell_in_turn()
+
+    async def _answer(self) -> None:
+        while True:
+            await self._wake.wait()
+            self._wake = trio.Event()
+            while self._replies:
+                await self._tell(self._replies.popleft(), is_reply=True)
+
+    async def _tell_in_turn(self) -> None:
         parts = self._parts
         while True:
             now = parts.clock.monotonic()
@@ -85,11 +105,15 @@
             in_sight = len(parts.members.live(now))
             parts.limits.set_hosts(size, in_sight > size / 2)
             for entry in parts.members.pick(parts.cfg.fanout):
-                await self._tell(entry, now)
+                parts.fresh.peer_asked(entry.host, now)
+                await self._tell(entry, is_reply=False)
             await trio.sleep(parts.cfg.interval)
 
-    async def _tell(self, entry: HostEntry, now: float) -> None:
+    async def _tell(self, entry: HostEntry, is_reply: bool) -> None:
         parts = self._parts
+        now = parts.clock.monotonic()
+        if entry.host not in parts.members.peers:
+            return
         sequence = parts.members.next_sequence()
         digest = Digest(
             host=parts.members.host,
@@ -98,6 +122,7 @@
             table_version=parts.holder.table.version,
             store_age=min(NO_STORE_AGE, parts.fresh.store_age(now)),
             leaving=self.leaving,
+            is_reply=is_reply,
             echoes=parts.members.echo(entry.host),
             shares=parts.load.shares(),
             demands=parts.limits.demands(now),
--- a/berylshift/settings.py
+++ b/berylshift/settings.py
@@ -79,7 +79,7 @@
     """Datagrams between entry hosts."""
 
     interval: Seconds = 1.0
-    fanout: Annotated[int, Meta(ge=1, le=64)] = 3
+    fanout: Annotated[int, Meta(ge=1, le=64)] = 4
     byte_budget: Annotated[int, Meta(ge=256, le=65536)] = 4096
     silent_after: Seconds = 5.0
     host_list_interval: Seconds = 2.0
