--- a/berylshift/application.py
+++ b/berylshift/application.py
@@ -36,7 +36,12 @@
 from berylshift.process.report_poller import ReportPoller
 from berylshift.process.retry_budget import RetryBudget
 from berylshift.process.store_budget import StoreBudget
-from berylshift.process.table_follower import PeerTables, TableFollower, TableHolder
+from berylshift.process.table_follower import (
+    PeerTables,
+    PeerView,
+    TableFollower,
+    TableHolder,
+)
 from berylshift.request.choice import (
     Knowledge,
     LeastLateness,
@@ -201,9 +206,11 @@
             self.fresh,
             self.limits,
             self.plans,
+            self.members,
             ports.peer_tables,
             ports.clock,
             cfg.table.poll_interval,
+            [seed.strip() for seed in cfg.host.seeds.split(",") if seed.strip()],
         )
         self.poller = ReportPoller(
             ports.engines,
@@ -253,6 +260,16 @@
         )
         self.pool_loop = PoolLoop(pools)
 
+    def peer_view(self) -> PeerView:
+        """Return what this host tells peers that lag behind or start."""
+        table = self.holder.table
+        return PeerView(
+            version=table.version,
+            rows=list(table.rows.values()),
+            plans=self.plans.rows,
+            hosts=[*self.members.entries(), self.host_loop.entry],
+        )
+
     async def run(self) -> None:
         """Run the loops until cancelled."""
         async with trio.open_nursery() as nursery:
--- a/berylshift/connection/admin.py
+++ b/berylshift/connection/admin.py
@@ -8,7 +8,6 @@
 from berylshift.connection.http_server import HttpRequest, Responder
 from berylshift.connection.status import make_status
 from berylshift.ids import RequestId
-from berylshift.process.table_follower import PeerView
 
 JSON_TYPE = {"content-type": "application/json"}
 TEXT_TYPE = {"content-type": "text/plain"}
@@ -59,7 +58,5 @@
         if not hmac.compare_digest(token.encode(), self._cluster_key.encode()):
             await responder.full(STATUS_FORBIDDEN, TEXT_TYPE, b"not a peer\n")
             return
-        table = self._app.holder.table
-        rows = list(table.rows.values())
-        view = PeerView(table.version, rows, self._app.plans.rows)
+        view = self._app.peer_view()
         await responder.full(STATUS_OK, JSON_TYPE, msgspec.json.encode(view))
--- a/berylshift/process/membership.py
+++ b/berylshift/process/membership.py
@@ -95,6 +95,10 @@
                 )
         return None
 
+    def entries(self) -> list[HostEntry]:
+        """Return the peers as the platform's list named them last."""
+        return [peer.entry for peer in self.peers.values() if peer.entry is not None]
+
     def next_sequence(self) -> int:
         """Return the number of the next datagram."""
         self.sequence += 1
--- a/berylshift/process/table_follower.py
+++ b/berylshift/process/table_follower.py
@@ -9,8 +9,9 @@
 
 from berylshift.clock import Clock
 from berylshift.ids import PoolName, TableVersion
-from berylshift.platform.interfaces import PlatformError, StoredRow
+from berylshift.platform.interfaces import HostEntry, PlatformError, StoredRow
 from berylshift.process.limits import CustomerLimits
+from berylshift.process.membership import Membership
 from berylshift.process.plans import PlanRow, Plans, plan_key
 from berylshift.version.changelog import TableLog, TableLogError
 from berylshift.version.freshness import Freshness
@@ -21,11 +22,12 @@
 
 
 class PeerView(msgspec.Struct, frozen=True):
-    """What a peer holds: the rows of a table version, and the plans."""
+    """What a peer holds: the rows of a table version, the plans, its host list."""
 
     version: TableVersion
     rows: list[Row]
     plans: dict[PoolName, PlanRow]
+    hosts: list[HostEntry] = []
 
 
 class PeerTables(Protocol):
@@ -63,20 +65,28 @@
         fresh: Freshness,
         limits: CustomerLimits,
         plans: Plans,
+        members: Membership,
         peers: PeerTables,
         clock: Clock,
         poll: float,
+        seeds: list[str],
     ):
-        """Look at the store every ``poll`` seconds."""
+        """Look at the store every ``poll`` seconds.
+
+        ``seeds`` are peers' admin addresses, asked while no table is held: a
+        process that starts while store and host list are down knows no peer.
+        """
         self._holder = holder
         self._log = log
         self._fresh = fresh
         self._limits = limits
         self._plans = plans
+        self._members = members
         self._peers = peers
         self._clock = clock
         self._poll = poll
         self._hint = trio.Event()
+        self._seeds = seeds
         self._ahead: set[str] = set()
 
     def peer_has(self, address: str, version: int, plan_version: int) -> None:
@@ -112,10 +122,14 @@
         return True
 
     async def _from_peers(self) -> None:
-        for address in sorted(self._ahead):
+        starting = not self._holder.table.version
+        asked = self._ahead | set(self._seeds if starting else ())
+        for address in sorted(asked):
             view = await self._peers.fetch(address)
             if view is None:
                 continue
+            if starting and not self._members.peers:
+                self._members.listed(view.hosts)
             self._offer(Table(view.version, view.rows))
             for pool, plan in view.plans.items():
                 self._plans.offer(pool, plan, self._clock.monotonic())
--- a/berylshift/replay/virtual_fleet.py
+++ b/berylshift/replay/virtual_fleet.py
@@ -20,7 +20,6 @@
 from berylshift.metrics import NoMetrics
 from berylshift.platform.batch import TableGate
 from berylshift.process.store_budget import StoreBudget
-from berylshift.process.table_follower import PeerView
 from berylshift.replay.keys import KeyBook
 from berylshift.replay.policies import policy_settings
 from berylshift.replay.trace import Kind, Trace
@@ -184,7 +183,8 @@
         policy = policy_settings(
             self.spec.policy, PolicySettings(churn_price=self.spec.churn_price)
         )
-        cfg = Settings(host=HostSettings(name=name, domain=domain), policy=policy)
+        host = HostSettings(name=name, domain=domain, seeds="host-1:admin")
+        cfg = Settings(host=host, policy=policy)
 
         def make_app() -> Application:
             self._starts += 1
@@ -214,11 +214,7 @@
         )
         app = Application(cfg, ports, addresses, {})
 
-        def make_view() -> PeerView:
-            table = app.holder.table
-            return PeerView(table.version, list(table.rows.values()), app.plans.rows)
-
-        self.hub.views[addresses.admin] = make_view
+        self.hub.views[addresses.admin] = app.peer_view
         return app
 
     def table_log(self) -> TableLog:
--- a/berylshift/request/front.py
+++ b/berylshift/request/front.py
@@ -3,7 +3,8 @@
 import logging
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 
 import msgspec
@@ -156,14 +157,20 @@
         if req.path in (READY_PATH, LIVE_PATH):
             await self._health(req, responder)
             return
-        self.in_flight += 1
         started = self._parts.clock.monotonic()
-        try:
+        with self._in_flight():
             await self._route(req, Answer(responder, self.new_request()))
+        took = self._parts.clock.monotonic() - started
+        self._parts.metrics.timing("request", took * 1000)
+
+    @contextmanager
+    def _in_flight(self) -> Iterator[None]:
+        """Count the block as work that a graceful shutdown waits for."""
+        self.in_flight += 1
+        try:
+            yield
         finally:
             self.in_flight -= 1
-            took = self._parts.clock.monotonic() - started
-            self._parts.metrics.timing("request", took * 1000)
 
     def new_request(self) -> RequestId:
         """Return an id that no other request has."""
@@ -243,7 +250,8 @@
         """Carry a model call out; every ending is logged."""
         ending = self.admit(call.caller)
         if ending is None:
-            ending = await Completion(self._parts.completions, call, sink).run()
+            with self._in_flight():
+                ending = await Completion(self._parts.completions, call, sink).run()
         self._parts.decisions.ended(call.request, ending)
         return ending
 
@@ -274,7 +282,8 @@
         """Carry a plain call out; every ending is logged."""
         ending = self.admit(call.caller)
         if ending is None:
-            found = await self._parts.services.run(call)
+            with self._in_flight():
+                found = await self._parts.services.run(call)
         else:
             found = PlainEnding(ending)
         self._parts.decisions.ended(call.request, found.ending)
