Never say not-run of a keyed call whose row can't be read

Cause: a booking ran through one host, which was killed before it answered; the store went down, and another host told the caller that the call was not run. The same untruth came from refusals at the door (limits, stale view), and from a wait for another arrival that ended at the deadline.

The price: during an outage confirmations end as unknown with Retry-After, not as not-run.

Change: such endings are unknown; a refusal at the door reads the key's row first. Confirmations run in a task of the process, so that a caller that leaves does not leave a row without a result, and a killed host really stops.

--- a/berylshift/application.py
+++ b/berylshift/application.py
@@ -182,12 +182,13 @@
             rng=ports.rng,
             timeout=cfg.targets.service_timeout,
         )
+        self.services = ServiceCalls(services)
         parts = FrontParts(
             clock=ports.clock,
             cfg=cfg.callers,
             callers=callers,
             completions=completions,
-            services=ServiceCalls(services),
+            services=self.services,
             limits=self.limits,
             decisions=self.decisions,
             metrics=ports.metrics,
@@ -274,6 +275,7 @@
         """Run the loops until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.gate.run)
+            nursery.start_soon(self.services.serve)
             nursery.start_soon(self.follower.run)
             nursery.start_soon(self.poller.run)
             nursery.start_soon(self.host_loop.run)
@@ -299,13 +301,17 @@
         await trio.sleep(self.cfg.shutdown.balancer_notice)
         self.readiness.phase = Phase.CLOSED
         with trio.move_on_after(self.cfg.shutdown.longest) as scope:
-            while self.front.in_flight or len(self.pending):
+            while self._has_work():
                 await trio.sleep(EMPTY_CHECK_SECONDS)
         if scope.cancelled_caught:
             logger.error("stopped with work in flight")
         with trio.move_on_after(self.cfg.platform.timeout):
             await self.pool_loop.release()
 
+    def _has_work(self) -> bool:
+        confirmations = self.services.open_confirmations + len(self.pending)
+        return bool(self.front.in_flight or confirmations)
+
     def on_stop(self) -> None:
         """Note that the process ends."""
         logger.info("stopped", extra={"incarnation": self.incarnation})
--- a/berylshift/request/confirmation.py
+++ b/berylshift/request/confirmation.py
@@ -95,6 +95,7 @@
     revision: int = 0
     owned: bool = False
     unsure: bool = False
+    pending: bool = False
 
     def row(self, state: RowState) -> ConfirmRow:
         """Return this attempt's row in ``state``."""
@@ -110,13 +111,7 @@
     @property
     def leaves_row(self) -> bool:
         """Return whether a row may stand that must still be set to abandoned."""
-        unsent = self.outcome is Outcome.NOT_RUN and not self.sends_open
-        return unsent and (self.owned or self.unsure)
-
-    @property
-    def sends_open(self) -> bool:
-        """Return whether a send was begun whose end is not known to be harmless."""
-        return self.outcome is Outcome.UNKNOWN
+        return self.record is None and (self.owned or self.unsure)
 
     # Events
 
@@ -165,6 +160,7 @@
             case RowState.STARTED if now >= self.deadline:
                 self._end(Outcome.UNKNOWN, Reason.KEY_PENDING)
             case _:
+                self.pending = True
                 self.step = Step.WAIT
 
     def read_failed(self, now: float) -> None:
@@ -216,10 +212,13 @@
         self.step = Step.RECORD
 
     def _retry_store(self, step: Step, now: float) -> None:
-        if now >= self.deadline:
-            self._end(Outcome.NOT_RUN, Reason.STORE_DOWN)
-        else:
+        if now < self.deadline:
             self.step = step
+            return
+        # An earlier arrival with this key, at another host, may have run: while
+        # the row can't be read, "not run" might be untrue.
+        reason = Reason.KEY_PENDING if self.pending else Reason.STORE_DOWN
+        self._end(Outcome.UNKNOWN, reason)
 
     def _end(self, outcome: Outcome, reason: Reason) -> None:
         self.outcome, self.reason = outcome, reason
--- a/berylshift/request/front.py
+++ b/berylshift/request/front.py
@@ -285,7 +285,7 @@
             with self._in_flight():
                 found = await self._parts.services.run(call)
         else:
-            found = PlainEnding(ending)
+            found = await self._parts.services.refuse(call, ending)
         self._parts.decisions.ended(call.request, found.ending)
         return found
 
--- a/berylshift/request/service_call.py
+++ b/berylshift/request/service_call.py
@@ -50,6 +50,7 @@
 KEY_LIFE_SECONDS = 24 * 3600.0
 RECORD_SECONDS = 2.0
 STORE_PAUSE = 0.05
+REFUSE_SECONDS = 0.25
 
 
 @dataclass
@@ -76,14 +77,65 @@
     def __init__(self, parts: ServiceParts):
         """Work with ``parts``."""
         self._parts = parts
+        self._nursery: trio.Nursery | None = None
+        self.open_confirmations = 0
+
+    async def serve(self) -> None:
+        """Hold the confirmations' tasks until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            await trio.sleep_forever()
 
     async def run(self, call: PlainCall) -> PlainEnding:
         """Return how the call ended."""
         if call.idempotent:
             return await self._lookup(call)
-        with trio.CancelScope(shield=True):
-            # A caller that leaves must not leave the key's row without a result.
-            return await self._confirm(call)
+        return await self._confirm_apart(call)
+
+    async def _confirm_apart(self, call: PlainCall) -> PlainEnding:
+        """Confirm in a task that lives for the process, not for the request.
+
+        A caller that leaves would otherwise leave its key's row without a result,
+        and the key's fate would be unknown for ever.
+        """
+        done = trio.Event()
+        found: list[PlainEnding] = []
+
+        async def work() -> None:
+            self.open_confirmations += 1
+            try:
+                found.append(await self._confirm(call))
+            except Exception:
+                # It must not end the process, with all other requests in it.
+                logger.exception("confirmation failed")
+                found.append(PlainEnding(Ending(Outcome.UNKNOWN, Reason.FATE_UNKNOWN)))
+            finally:
+                self.open_confirmations -= 1
+            done.set()
+
+        self._nursery.start_soon(work)
+        await done.wait()
+        return found[0]
+
+    async def refuse(self, call: PlainCall, ending: Ending) -> PlainEnding:
+        """Return the refusal of a call that is turned away at the door.
+
+        "Not run" may be said of a key only when its row can be read: an earlier
+        arrival with it, at another host, may have run.
+        """
+        if call.idempotent:
+            return PlainEnding(ending)
+        state = self._new_state(call)
+        with trio.move_on_after(REFUSE_SECONDS):
+            await self._read(
+                state, confirmation.row_key(call.caller.customer, call.key)
+            )
+            if state.step is Step.ANSWER:
+                return _confirmed(state)
+            if state.step in (Step.INSERT, Step.TAKE):
+                return PlainEnding(ending)
+        unknown = msgspec.structs.replace(ending, outcome=Outcome.UNKNOWN)
+        return PlainEnding(unknown)
 
     # Lookups
 
@@ -178,19 +230,23 @@
     # Confirmations
 
     async def _confirm(self, call: PlainCall) -> PlainEnding:
-        parts = self._parts
-        digest = confirmation.body_digest(call.method, call.path, call.body)
-        expires = parts.clock.now().timestamp() + KEY_LIFE_SECONDS
-        attempt = AttemptId(f"{call.request}.{parts.rng.getrandbits(48):012x}")
-        state = Confirmation(attempt, digest, call.deadline, expires)
+        state = self._new_state(call)
         key = confirmation.row_key(call.caller.customer, call.key)
         tried: set[TargetName] = set()
         while state.step is not Step.ANSWER:
             await self._carry_out(state, call, key, tried)
         if state.leaves_row:
-            parts.pending.add(key, state.row(confirmation.RowState.ABANDONED))
+            row = state.row(confirmation.RowState.ABANDONED)
+            self._parts.pending.add(key, row)
         return _confirmed(state)
 
+    def _new_state(self, call: PlainCall) -> Confirmation:
+        parts = self._parts
+        digest = confirmation.body_digest(call.method, call.path, call.body)
+        expires = parts.clock.now().timestamp() + KEY_LIFE_SECONDS
+        attempt = AttemptId(f"{call.request}.{parts.rng.getrandbits(48):012x}")
+        return Confirmation(attempt, digest, call.deadline, expires)
+
     async def _carry_out(
         self, state: Confirmation, call: PlainCall, key: str, tried: set[TargetName]
     ) -> None:
--- /dev/null
+++ b/berylshift/tests/test_confirmations.py
@@ -0,0 +1,290 @@
+"""Tests of confirmations: a call that may not be repeated runs at most once."""
+
+import contextlib
+import unittest
+
+import msgspec
+import trio
+
+from berylshift.ids import AttemptId
+from berylshift.replay.virtual_fleet import HostDownError
+from berylshift.request.confirmation import (
+    COME_BACK_SECONDS,
+    Confirmation,
+    ConfirmRow,
+    Event,
+    RowState,
+    Step,
+)
+from berylshift.request.messages import Outcome, Reason
+from berylshift.targets import ServiceAnswer
+from berylshift.tests.world import call_service, plain_call, run_world
+
+ANSWER = ServiceAnswer(200, {}, b"booked")
+
+
+def other(state: RowState, digest="d", answer=None) -> ConfirmRow:
+    """Return a row that another arrival wrote."""
+    return ConfirmRow(AttemptId("other"), state, digest, 1e9, answer)
+
+
+class StateMachineTest(unittest.TestCase):
+    """The steps after each event."""
+
+    def setUp(self):
+        self.state = Confirmation(AttemptId("mine"), "d", deadline=10.0, expires=1e9)
+
+    def test_sends_only_after_its_row_is_committed(self):
+        self.assertIs(self.state.step, Step.INSERT)
+        self.state.inserted(Event.COMMITTED, 0.0)
+        self.assertIs(self.state.step, Step.SEND)
+
+    def test_lost_insert_is_read_back_and_found_to_be_ours(self):
+        # The insert took effect, its answer was lost. Inserting again would fail
+        # on our own row, and the call would never run.
+        self.state.inserted(Event.LOST, 0.0)
+        self.assertIs(self.state.step, Step.READ)
+        self.state.read(self.state.row(RowState.STARTED), 1, 0.1)
+        self.assertIs(self.state.step, Step.SEND)
+
+    def test_lost_insert_that_did_not_land_is_tried_again(self):
+        self.state.inserted(Event.LOST, 0.0)
+        self.state.read(None, 0, 0.1)
+        self.assertIs(self.state.step, Step.INSERT)
+
+    def test_other_arrival_with_the_key_never_sends(self):
+        self.state.inserted(Event.CONFLICT, 0.0)
+        self.state.read(other(RowState.STARTED), 1, 0.1)
+        self.assertIs(self.state.step, Step.WAIT)
+        self.state.waited()
+        self.state.read(other(RowState.STARTED), 1, 11.0)
+        self.assertIs(self.state.outcome, Outcome.UNKNOWN)
+        self.assertEqual(self.state.retry_after, COME_BACK_SECONDS)
+
+    def test_other_arrival_gets_the_first_ones_answer(self):
+        self.state.inserted(Event.CONFLICT, 0.0)
+        self.state.read(other(RowState.DONE, answer=ANSWER), 2, 0.1)
+        self.assertIs(self.state.outcome, Outcome.COMPLETE)
+        self.assertEqual(self.state.answer, ANSWER)
+
+    def test_same_key_with_another_body_is_an_error(self):
+        self.state.inserted(Event.CONFLICT, 0.0)
+        self.state.read(other(RowState.DONE, digest="else"), 2, 0.1)
+        self.assertIs(self.state.reason, Reason.KEY_REUSED)
+        self.assertIs(self.state.outcome, Outcome.NOT_RUN)
+
+    def test_abandoned_key_is_taken_over_at_its_revision(self):
+        self.state.inserted(Event.CONFLICT, 0.0)
+        self.state.read(other(RowState.ABANDONED), 3, 0.1)
+        self.assertIs(self.state.step, Step.TAKE)
+        self.state.inserted(Event.COMMITTED, 0.2)
+        self.assertEqual(self.state.revision, 4)
+
+    def test_process_paused_past_the_deadline_does_not_send(self):
+        # It was paused between the commit and the send. Its caller has long been
+        # told something else; the row is set to abandoned instead.
+        self.state.inserted(Event.COMMITTED, 11.0)
+        self.assertIs(self.state.step, Step.RECORD)
+        self.assertIs(self.state.record.state, RowState.ABANDONED)
+        self.assertIs(self.state.outcome, Outcome.NOT_RUN)
+
+    def test_broken_answer_is_unknown_and_not_sent_again(self):
+        self.state.inserted(Event.COMMITTED, 0.0)
+        self.state.sent(Event.BROKEN, None, 0.1)
+        self.assertIs(self.state.record.state, RowState.UNKNOWN)
+        self.assertIs(self.state.outcome, Outcome.UNKNOWN)
+
+    def test_unreached_target_lets_another_be_tried(self):
+        self.state.inserted(Event.COMMITTED, 0.0)
+        self.state.sent(Event.NOT_REACHED, None, 0.1)
+        self.assertIs(self.state.step, Step.SEND)
+        self.state.sent(Event.REFUSED, None, 0.2)
+        self.state.sent(Event.REFUSED, None, 0.3)
+        self.assertIs(self.state.record.state, RowState.ABANDONED)
+
+    def test_store_down_to_the_deadline_can_not_be_called_not_run(self):
+        # This arrival sent nothing. But an earlier one with the key may have run
+        # at another host, and only the row could tell.
+        self.state.inserted(Event.UNAVAILABLE, 1.0)
+        self.assertIs(self.state.step, Step.INSERT)
+        self.state.inserted(Event.UNAVAILABLE, 11.0)
+        self.assertIs(self.state.reason, Reason.STORE_DOWN)
+        self.assertIs(self.state.outcome, Outcome.UNKNOWN)
+        self.assertFalse(self.state.leaves_row)
+
+    def test_unsure_insert_leaves_a_row_to_be_abandoned(self):
+        self.state.inserted(Event.LOST, 1.0)
+        self.state.read_failed(11.0)
+        self.assertIs(self.state.outcome, Outcome.UNKNOWN)
+        self.assertTrue(self.state.leaves_row)
+
+
+class WholePathTest(unittest.TestCase):
+    """Confirmations through real hosts, against the service's own count."""
+
+    def test_two_hosts_with_one_key_at_once_run_it_once(self):
+        # A parent taps twice; the balancer takes the two to different hosts. Both
+        # get the same answer, and the booking runs once.
+        async def task(world):
+            found = []
+
+            async def ask(host):
+                found.append(await call_service(world.hosts[host], plain_call("k")))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask, "host-1")
+                nursery.start_soon(ask, "host-2")
+            return found, world.ran["k"]
+
+        found, ran = run_world(task)
+        self.assertEqual(ran, 1)
+        self.assertEqual({item.ending.outcome for item in found}, {Outcome.COMPLETE})
+        self.assertEqual(found[0].body, found[1].body)
+
+    def test_every_answer_of_the_store_lost_still_runs_once(self):
+        async def task(world):
+            world.platform.script.lose_answers = 2
+            found = await call_service(world.hosts["host-1"], plain_call("k"))
+            return found.ending.outcome, world.ran["k"]
+
+        self.assertEqual(run_world(task), (Outcome.COMPLETE, 1))
+
+    def test_service_answer_lost_is_unknown_and_stays_so(self):
+        # The booking ran, its answer was cut off. Nobody may run it again, and
+        # nobody may say that it was not run.
+        async def task(world):
+            for replica in world.services.values():
+                replica.script.lose_answers = 1
+            first = await call_service(world.hosts["host-1"], plain_call("k"))
+            again = await call_service(world.hosts["host-2"], plain_call("k"))
+            return first.ending.outcome, again.ending.outcome, world.ran["k"]
+
+        found = run_world(task)
+        self.assertEqual(found, (Outcome.UNKNOWN, Outcome.UNKNOWN, 1))
+
+    def test_not_run_is_never_said_of_a_key_that_ran_elsewhere(self):
+        # The booking runs through host-1, which is killed before it answers. The
+        # store goes down; the caller asks host-2, which can't read the row. If it
+        # said "not run", the parent would book twice by telephone.
+        async def task(world):
+            for replica in world.services.values():
+                replica.script.seconds = 1.0
+
+            async def ask():
+                await call_service(world.hosts["host-1"], plain_call("k"))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_ignore_host_down, ask)
+                await trio.sleep(0.3)
+                world.hosts["host-1"].kill()
+            world.platform.script.down = True
+            found = await call_service(world.hosts["host-2"], plain_call("k"))
+            return found.ending, world.ran["k"]
+
+        ending, ran = run_world(task)
+        self.assertEqual(ran, 1)
+        self.assertIs(ending.outcome, Outcome.UNKNOWN, ending)
+        self.assertGreater(ending.retry_after, 0)
+
+    def test_refusal_at_the_door_reads_the_key_first(self):
+        # The customer's limit refuses the second asking. Its booking ran with the
+        # first one, so the refusal must not say "not run".
+        async def task(world):
+            first = await call_service(world.hosts["host-1"], plain_call("k"))
+            app = world.hosts["host-2"].app
+            app.limits.admit = lambda customer, now: 5.0
+            same = await call_service(world.hosts["host-2"], plain_call("k"))
+            other = await call_service(world.hosts["host-2"], plain_call("k2"))
+            return first.ending, same.ending, other.ending
+
+        first, same, other = run_world(task)
+        self.assertIs(first.outcome, Outcome.COMPLETE)
+        self.assertIs(same.outcome, Outcome.COMPLETE)
+        self.assertIs(other.outcome, Outcome.NOT_RUN)
+        self.assertIs(other.reason, Reason.CUSTOMER_LIMIT)
+
+    def test_store_down_at_the_result_still_answers_and_records_later(self):
+        # The outage begins while the service works. The caller gets the answer;
+        # the row gets its result when the store is back.
+        async def task(world):
+            for replica in world.services.values():
+                replica.script.seconds = 1.0
+            found = []
+
+            async def ask():
+                found.append(await call_service(world.hosts["host-1"], plain_call("k")))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask)
+                await trio.sleep(0.5)
+                world.platform.script.down = True
+            await trio.sleep(3)
+            world.platform.script.down = False
+            await trio.sleep(8)
+            again = await call_service(world.hosts["host-2"], plain_call("k"))
+            return found[0].ending.outcome, again.ending.outcome, world.ran["k"]
+
+        self.assertEqual(run_world(task), (Outcome.COMPLETE, Outcome.COMPLETE, 1))
+
+    def test_host_killed_after_the_send_is_unknown_elsewhere(self):
+        # The row says started, and its writer is gone: nobody can read whether
+        # the call ran, so nobody runs it.
+        async def task(world):
+            for replica in world.services.values():
+                replica.script.seconds = 1.0
+
+            async def ask():
+                with trio.move_on_after(0.5):
+                    await call_service(world.hosts["host-1"], plain_call("k"))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_ignore_host_down, ask)
+                await trio.sleep(0.3)
+                world.hosts["host-1"].kill()
+            again = await call_service(
+                world.hosts["host-2"], plain_call("k", seconds=2.0)
+            )
+            return again.ending, world.ran["k"]
+
+        ending, ran = run_world(task)
+        self.assertIs(ending.outcome, Outcome.UNKNOWN, ending)
+        self.assertLessEqual(ran, 1)
+
+    def test_refused_call_can_be_made_again_with_its_key(self):
+        # Every replica refuses, so the call was not run. The same key must work
+        # once they take calls again.
+        async def task(world):
+            for replica in world.services.values():
+                replica.script.refuse = True
+            first = await call_service(world.hosts["host-1"], plain_call("k"))
+            for replica in world.services.values():
+                replica.script.refuse = False
+            await trio.sleep(3)
+            again = await call_service(world.hosts["host-2"], plain_call("k"))
+            return first.ending.outcome, again.ending.outcome, world.ran["k"]
+
+        found = run_world(task)
+        self.assertEqual(found, (Outcome.NOT_RUN, Outcome.COMPLETE, 1))
+
+    def test_same_key_with_another_body_is_refused(self):
+        async def task(world):
+            await call_service(world.hosts["host-1"], plain_call("k", b"one"))
+            found = await call_service(world.hosts["host-2"], plain_call("k", b"two"))
+            return found.ending.reason, world.ran["k"]
+
+        self.assertEqual(run_world(task), (Reason.KEY_REUSED, 1))
+
+    def test_caller_that_leaves_does_not_stop_the_record(self):
+        async def task(world):
+            with trio.move_on_after(0.015):
+                await call_service(world.hosts["host-1"], plain_call("k"))
+            await trio.sleep(1)
+            row = world.platform.rows["confirm/hobart/k"]
+            return msgspec.json.decode(row.value, type=ConfirmRow).state
+
+        self.assertIs(run_world(task), RowState.DONE)
+
+
+async def _ignore_host_down(task) -> None:
+    with contextlib.suppress(HostDownError):
+        await task()
