Explore interleavings of confirmations and of table versions

Cause: at-most-once and the table's promises were shown in single scenarios only.

Change: rule-based state machines over the decision objects: arrivals with lost answers, outages, late calls and killed hosts, checked at the service's own count and at what callers are told; operators whose commits interleave call by call with lost answers, checked at the history. The table's log depends on a protocol for rows.

--- /dev/null
+++ b/berylshift/tests/test_confirmation_machine.py
@@ -0,0 +1,208 @@
+"""Interleavings of confirmations: arrivals, lost answers, outages, late calls."""
+
+import random
+
+import msgspec
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from berylshift.clock import ManualClock
+from berylshift.ids import AttemptId
+from berylshift.platform.interfaces import (
+    ABSENT,
+    AnswerLostError,
+    Condition,
+    StoreUnavailableError,
+    Transaction,
+    Write,
+    as_raw,
+)
+from berylshift.process.pending_records import PendingRecords
+from berylshift.request.confirmation import (
+    Confirmation,
+    ConfirmRow,
+    Event,
+    RowState,
+    Step,
+)
+from berylshift.request.messages import Outcome
+from berylshift.stand_ins.fake_platform import FakePlatform
+from berylshift.stand_ins.fake_service import FakeService
+from berylshift.targets import ServiceAnswer, ServiceCall
+
+KEYS = ("k1", "k2")
+DEADLINE = 5.0
+EXPLORE = settings(
+    derandomize=True,
+    max_examples=200,
+    stateful_step_count=60,
+    deadline=None,
+    database=None,
+    print_blob=False,
+    report_multiple_bugs=False,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+class Arrival:
+    """One arrival with a key, at some host."""
+
+    def __init__(self, number: int, key: str, now: float):
+        self.key = key
+        self.state = Confirmation(
+            AttemptId(f"a{number}"), "d", now + DEADLINE, expires=1e9
+        )
+        self.sending = False
+        self.ended = False
+
+
+class ConfirmationMachine(RuleBasedStateMachine):
+    """Hosts, one store, one service; the service's own count is what matters."""
+
+    def __init__(self):
+        super().__init__()
+        self.clock = ManualClock()
+        self.platform = FakePlatform(self.clock)
+        self.service = FakeService("booking-1")
+        self.arrivals: list[Arrival] = []
+        self.wire: list[Arrival] = []
+        self.pending = PendingRecords()
+        self.count = 0
+        self.rng = random.Random(1)
+
+    @rule(key=st.sampled_from(KEYS))
+    def arrive(self, key):
+        self.count += 1
+        self.arrivals.append(Arrival(self.count, key, self.clock.monotonic()))
+
+    @rule(place=st.integers(0, 4), lose=st.booleans(), down=st.booleans())
+    def step(self, place, lose, down):
+        """Let one arrival do its next step."""
+        open_ones = [a for a in self.arrivals if not a.ended and not a.sending]
+        if not open_ones:
+            return
+        self.platform.script.lose_answers = 1 if lose else 0
+        self.platform.script.down = down and not lose
+        self._carry_out(open_ones[place % len(open_ones)])
+        self.platform.script.lose_answers = 0
+        self.platform.script.down = False
+
+    @rule(place=st.integers(0, 4))
+    def run_to_the_send(self, place):
+        for _ in range(4):
+            self.step(place, False, False)
+
+    @rule(
+        place=st.integers(0, 4),
+        end=st.sampled_from(["answered", "broken", "refused", "not reached", "late"]),
+    )
+    def deliver(self, place, end):
+        """Let the service take a call; ``late``: it runs, the host has given up."""
+        if not self.wire:
+            return
+        arrival = self.wire.pop(place % len(self.wire))
+        answer = None
+        event = {"refused": Event.REFUSED, "not reached": Event.NOT_REACHED}.get(end)
+        if event is None:
+            answer = self._run(arrival)
+            event = Event.ANSWERED if end == "answered" else Event.BROKEN
+        arrival.sending = False
+        arrival.state.sent(event, answer, self.clock.monotonic())
+
+    @rule(place=st.integers(0, 4))
+    def kill_host(self, place):
+        """Kill the host of an arrival; its call may still be on the wire."""
+        open_ones = [a for a in self.arrivals if not a.ended]
+        if open_ones:
+            open_ones[place % len(open_ones)].ended = True
+
+    @rule(seconds=st.sampled_from([0.5, DEADLINE + 1]))
+    def advance(self, seconds):
+        self.clock.advance(seconds)
+
+    @rule()
+    def upkeep(self):
+        """Write a result that could not be written before."""
+        item = self.pending.first()
+        if item is None:
+            return
+        key, row = item
+        stored = self.platform.read([key])[0]
+        current = msgspec.json.decode(stored.value, type=ConfirmRow) if stored else None
+        revision = self.pending.revision_to_replace(
+            row, current, stored.revision if stored else ABSENT
+        )
+        if revision is not None:
+            self._put(key, revision, row)
+        self.pending.done(key)
+
+    def _run(self, arrival: Arrival) -> ServiceAnswer:
+        call = ServiceCall(
+            arrival.state.attempt, "booking", "POST", "/", {}, b"", False, arrival.key
+        )
+        return self.service.run(call)
+
+    def _put(self, key: str, revision: int, row: ConfirmRow) -> Event:
+        transaction = Transaction([Condition(key, revision)], [Write(key, as_raw(row))])
+        try:
+            answer = self.platform.transact(transaction)
+        except AnswerLostError:
+            return Event.LOST
+        except StoreUnavailableError:
+            return Event.UNAVAILABLE
+        return Event.COMMITTED if answer.committed else Event.CONFLICT
+
+    def _carry_out(self, arrival: Arrival) -> None:
+        state, now = arrival.state, self.clock.monotonic()
+        key = f"confirm/c/{arrival.key}"
+        match state.step:
+            case Step.INSERT | Step.TAKE:
+                event = self._put(key, state.revision, state.row(RowState.STARTED))
+                state.inserted(event, now)
+            case Step.READ:
+                self._read(state, key, now)
+            case Step.WAIT:
+                state.waited()
+            case Step.SEND:
+                arrival.sending = True
+                self.wire.append(arrival)
+            case Step.RECORD:
+                event = self._put(key, state.revision, state.record)
+                if event is not Event.COMMITTED:
+                    self.pending.add(key, state.record)
+                state.recorded()
+            case Step.ANSWER:
+                self._answer(arrival, key)
+
+    def _read(self, state: Confirmation, key: str, now: float) -> None:
+        try:
+            stored = self.platform.read([key])[0]
+        except StoreUnavailableError:
+            state.read_failed(now)
+            return
+        row = msgspec.json.decode(stored.value, type=ConfirmRow) if stored else None
+        state.read(row, stored.revision if stored else ABSENT, now)
+
+    def _answer(self, arrival: Arrival, key: str) -> None:
+        """Tell the caller; what it is told must be true at that moment."""
+        arrival.ended = True
+        state = arrival.state
+        if state.leaves_row:
+            self.pending.add(key, state.row(RowState.ABANDONED))
+        ran = self.service.ran[arrival.key]
+        if state.outcome is Outcome.NOT_RUN:
+            assert ran == 0, "told not-run, but it ran"
+        if state.outcome is Outcome.COMPLETE:
+            assert ran == 1, "told complete, but it did not run"
+
+    @invariant()
+    def no_key_ran_twice(self):
+        twice = [key for key, count in self.service.ran.items() if count > 1]
+        assert not twice, f"ran twice: {twice}"
+
+
+class ConfirmationsTest(ConfirmationMachine.TestCase):
+    """Confirmations run at most once, and outcomes are true."""
+
+    settings = EXPLORE
--- /dev/null
+++ b/berylshift/tests/test_table_machine.py
@@ -0,0 +1,221 @@
+"""Interleavings of edits: operators at once, lost answers, hosts that follow."""
+
+import unittest
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from returns.result import Success
+
+from berylshift.clock import ManualClock
+from berylshift.ids import ChangeId
+from berylshift.platform.interfaces import AnswerLostError, PlatformError
+from berylshift.process.table_follower import TableHolder
+from berylshift.stand_ins.fake_platform import FakePlatform
+from berylshift.tests.support import engine_row, route_row
+from berylshift.version.changelog import TableLog
+from berylshift.version.diff import Edit
+
+EXPLORE = settings(
+    derandomize=True,
+    max_examples=150,
+    stateful_step_count=60,
+    deadline=None,
+    database=None,
+    print_blob=False,
+    report_multiple_bugs=False,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+class _Turn:
+    """Gives the turn back before a store call, so that a test can interleave."""
+
+    def __await__(self):
+        yield
+
+
+class SteppedStore:
+    """Table service and object store whose every call waits for its turn."""
+
+    def __init__(self, fake: FakePlatform):
+        self._fake = fake
+
+    async def read(self, keys, priority):
+        await _Turn()
+        return self._fake.read(keys)
+
+    async def transact(self, transaction, priority):
+        await _Turn()
+        return self._fake.transact(transaction)
+
+    async def get(self, name):
+        await _Turn()
+        return self._fake.objects.get(name)
+
+    async def put(self, name, data):
+        await _Turn()
+        self._fake.objects[name] = data
+
+
+class Operator:
+    """One edit on its way."""
+
+    def __init__(self, number: int, log: TableLog, edit: Edit):
+        self.change_id = ChangeId(f"c{number}")
+        self.edit = edit
+        self.result = None
+        self.lost = False
+        self.done = False
+        self._task = log.commit(edit, self.change_id, f"op{number}", "")
+
+    def step(self) -> None:
+        """Go on to the next store call."""
+        if self.done:
+            return
+        try:
+            self._task.send(None)
+        except StopIteration as stop:
+            self.result, self.done = stop.value, True
+        except AnswerLostError:
+            self.done = self.lost = True
+        except PlatformError:
+            self.done = True
+
+    def close(self) -> None:
+        self._task.close()
+
+
+def make_log(fake: FakePlatform) -> TableLog:
+    """Return a log whose calls can be stepped."""
+    store = SteppedStore(fake)
+    return TableLog(store, store)
+
+
+def run_now(task):
+    """Run a stepped coroutine to its end."""
+    while True:
+        try:
+            task.send(None)
+        except StopIteration as stop:
+            return stop.value
+
+
+class TableMachine(RuleBasedStateMachine):
+    """Two operators and three hosts over one store."""
+
+    def __init__(self):
+        super().__init__()
+        self.fake = FakePlatform(ManualClock())
+        self.log = make_log(self.fake)
+        rows = []
+        for number in (1, 2, 3):
+            rows += [engine_row(f"engine-{number}"), route_row(f"engine-{number}")]
+        run_now(self.log.commit(Edit(0, rows, []), ChangeId("c0"), "first", ""))
+        self.operators: list[Operator] = []
+        self.accepted: dict[str, Edit] = {}
+        self.count = 0
+        self.hosts = [TableHolder() for _ in range(3)]
+        self.highest = [0, 0, 0]
+
+    @rule(engine=st.integers(1, 3), weight=st.integers(1, 9), old=st.integers(0, 2))
+    def edit(self, engine, weight, old):
+        """Let an operator begin an edit, perhaps from an old version."""
+        self.count += 1
+        head, _ = run_now(self.log.head())
+        row = route_row(f"engine-{engine}", weight=weight * 1000 + self.count)
+        edit = Edit(max(1, head.version - old), [row], [])
+        self.operators.append(Operator(self.count, self.log, edit))
+
+    @rule(place=st.integers(0, 3), lose=st.booleans())
+    def step(self, place, lose):
+        """Let one operator go on by one store call."""
+        waiting = [item for item in self.operators if not item.done]
+        if not waiting:
+            return
+        operator = waiting[place % len(waiting)]
+        self.fake.script.lose_answers = 1 if lose else 0
+        operator.step()
+        self.fake.script.lose_answers = 0
+        if isinstance(operator.result, Success):
+            self.accepted[operator.change_id] = operator.edit
+
+    @rule(host=st.integers(0, 2))
+    def follow(self, host):
+        """Let a host read the store."""
+        holder = self.hosts[host]
+        head, _ = run_now(self.log.head())
+        if head.version > holder.table.version:
+            holder.offer(run_now(self.log.catch_up(holder.table, head)))
+
+    @rule(host=st.integers(0, 2), peer=st.integers(0, 2))
+    def copy_from_peer(self, host, peer):
+        self.hosts[host].offer(self.hosts[peer].table)
+
+    @invariant()
+    def versions_never_go_back(self):
+        for place, holder in enumerate(self.hosts):
+            assert holder.table.version >= self.highest[place]
+            self.highest[place] = holder.table.version
+
+    @invariant()
+    def accepted_edits_are_in_the_history_once(self):
+        head, _ = run_now(self.log.head())
+        history = run_now(self.log.changes(0, head.version))
+        ids = [change.change_id for change in history]
+        assert len(ids) == len(set(ids)), "a change was committed twice"
+        assert set(self.accepted) <= set(ids), "an accepted change is lost"
+
+    @invariant()
+    def no_edit_overwrote_a_row_that_it_had_not_seen(self):
+        head, _ = run_now(self.log.head())
+        history = run_now(self.log.changes(0, head.version))
+        edits = {item.change_id: item.edit for item in self.operators}
+        for change in history[1:]:
+            edit = edits[change.change_id]
+            unseen = history[edit.base : change.version - 1]
+            touched = {row.key for other in unseen for row in other.put}
+            assert not touched & edit.keys
+
+    def teardown(self):
+        for operator in self.operators:
+            operator.close()
+
+
+class TableVersionsTest(TableMachine.TestCase):
+    """Accepted edits stay, versions only rise, nothing is overwritten unseen."""
+
+    settings = EXPLORE
+
+
+class LostCommitTest(unittest.TestCase):
+    """A commit whose answer is lost."""
+
+    def test_is_found_by_its_change_id_and_not_repeated(self):
+        # The operator's edit is committed, the answer never comes. Sent again
+        # blindly it would be told of a conflict with itself.
+        machine = TableMachine()
+        machine.edit(1, 5, 0)
+        operator = machine.operators[0]
+        while not operator.done:
+            machine.step(0, True)
+        self.assertIsInstance(operator.result, Success)
+        head, _ = run_now(machine.log.head())
+        self.assertEqual(head.version, 2)
+        machine.teardown()
+
+    def test_many_versions_are_read_through_a_snapshot(self):
+        machine = TableMachine()
+        for number in range(70):
+            row = route_row("engine-1", weight=number + 1)
+            edit = Edit(number + 1, [row], [])
+            run_now(machine.log.commit(edit, ChangeId(f"m{number}"), "op", ""))
+        head, _ = run_now(machine.log.head())
+        self.assertEqual(head.snapshot, 64)
+        self.fake = machine.fake
+        reads = self.fake.reads
+        table = run_now(machine.log.load())
+        self.assertEqual(table.version, 71)
+        self.assertEqual(table.rows[row.key].weight, 70)
+        self.assertLessEqual(self.fake.reads - reads, 2)
+        self.assertEqual(run_now(machine.log.at(3)).rows[row.key].weight, 2)
--- a/berylshift/version/changelog.py
+++ b/berylshift/version/changelog.py
@@ -6,12 +6,12 @@
 """
 
 from dataclasses import dataclass
+from typing import Protocol
 
 import msgspec
 from returns.result import Failure, Result, Success
 
 from berylshift.ids import ChangeId, TableVersion
-from berylshift.platform.batch import TableGate
 from berylshift.platform.interfaces import (
     ABSENT,
     AnswerLostError,
@@ -20,6 +20,7 @@
     PlatformError,
     StoredRow,
     Transaction,
+    TransactionAnswer,
     Write,
     as_raw,
 )
@@ -75,10 +76,22 @@
     return f"table/snapshot/{version:010d}-{change_id}"
 
 
+class RowAccess(Protocol):
+    """Rows of the table service, by priority; raises ``PlatformError``."""
+
+    async def read(self, keys: list[str], priority: Priority) -> list[StoredRow | None]:
+        """Return the rows as of one moment."""
+
+    async def transact(
+        self, transaction: Transaction, priority: Priority
+    ) -> TransactionAnswer:
+        """Commit or name the failed conditions."""
+
+
 class TableLog:
     """Reads and extends the table's history."""
 
-    def __init__(self, gate: TableGate, objects: ObjectStore):
+    def __init__(self, gate: RowAccess, objects: ObjectStore):
         """Keep rows behind ``gate`` and snapshots in ``objects``."""
         self._gate = gate
         self._objects = objects
