--- a/berylshift/process/membership.py
+++ b/berylshift/process/membership.py
@@ -1,6 +1,7 @@
 """Membership: which peers live, what they last said, and whom to tell next."""
 
 import random
+from collections import deque
 from dataclasses import dataclass, field
 
 from berylshift.ids import HostName, Incarnation
@@ -9,6 +10,7 @@
 from berylshift.version.freshness import PeerWord
 
 SENT_KEPT = 64
+FORMER_KEPT = 8
 
 
 @dataclass
@@ -21,6 +23,9 @@
     heard_at: float = float("-inf")
     digest: Digest | None = None
     sent: dict[int, float] = field(default_factory=dict)
+    former: deque[Incarnation] = field(
+        default_factory=lambda: deque(maxlen=FORMER_KEPT)
+    )
 
 
 @dataclass
@@ -58,7 +63,8 @@
             self.dropped += 1
             return None
         peer = self.peers.setdefault(digest.host, Peer())
-        peer.incarnation = digest.incarnation
+        if peer.incarnation != digest.incarnation:
+            self._follow(peer, digest.incarnation)
         peer.sequence = digest.sequence
         peer.digest = digest
         peer.heard_at = now
@@ -72,13 +78,31 @@
         return peer is None or self._is_newer(peer, digest)
 
     def _is_newer(self, peer: Peer, digest: Digest) -> bool:
-        if digest.incarnation == peer.incarnation:
+        """Return whether a datagram follows all that its host is known to have said.
+
+        The host list lags, and calendars may be stepped back, so neither alone
+        tells which of two incarnations is the later one. One that was followed by
+        another is never taken again.
+        """
+        incarnation = digest.incarnation
+        if incarnation == peer.incarnation:
             return digest.sequence > peer.sequence
-        if not peer.incarnation:
-            return True
-        if peer.entry is not None and peer.entry.incarnation == digest.incarnation:
+        if incarnation in peer.former:
+            return False
+        if peer.entry is not None and peer.entry.incarnation == incarnation:
             return True
-        return _started(digest.incarnation) > _started(peer.incarnation)
+        known = peer.incarnation
+        if not known and peer.entry is not None:
+            known = peer.entry.incarnation
+        return not known or _started(incarnation) > _started(known)
+
+    def _follow(self, peer: Peer, incarnation: Incarnation) -> None:
+        """Note which incarnations a new one puts an end to."""
+        former = [peer.incarnation]
+        if peer.entry is not None:
+            former.append(peer.entry.incarnation)
+        peer.former.extend(item for item in former if item and item != incarnation)
+        peer.incarnation = incarnation
 
     def _word(self, peer: Peer, digest: Digest) -> PeerWord | None:
         for echo in digest.echoes:
--- a/berylshift/process/moves.py
+++ b/berylshift/process/moves.py
@@ -145,7 +145,7 @@
         act = self.orders.decide(note.view, wanted, now)
         match act:
             case OrderAct.ISSUE:
-                if note.is_idle or self._may_reissue(note):
+                if note.row.state is not RowState.WITHDRAWN:
                     row = self.orders.next_row(note.view, wanted, epoch)
                     return PoolStep("order", note, journal=row, send=True)
             case OrderAct.SEND:
@@ -180,9 +180,6 @@
         asked_since = seen.plan_since + self.cfg.table.freshness_limit
         return is_empty(note.report, note.report_taken_at, asked_since)
 
-    def _may_reissue(self, note: EngineNote) -> bool:
-        return note.row.state is not RowState.WITHDRAWN
-
     # The plan
 
     def _plan_step(
--- a/berylshift/request/completion.py
+++ b/berylshift/request/completion.py
@@ -1,7 +1,8 @@
 """A model call from its placement to its last token, over one or more attempts."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import aclosing
 from dataclasses import dataclass
 
 import trio
@@ -27,6 +28,7 @@
 from berylshift.settings import TargetSettings
 from berylshift.targets import (
     EngineCall,
+    EngineChunk,
     EngineClient,
     KvSource,
     TargetBrokenError,
@@ -40,6 +42,8 @@
 logger = logging.getLogger(__name__)
 
 REPLACE_PAUSE = 0.2
+Chunks = list[EngineChunk]
+Take = Callable[[Chunks], Awaitable[bool]]
 CANCEL_SECONDS = 1.0
 
 
@@ -191,7 +195,7 @@
         stream = _AttemptRun(self._parts, row, call, plan.prefill_tokens, self._call)
         found: list[KvSource] = []
 
-        async def take(chunks) -> bool:
+        async def take(chunks: Chunks) -> bool:
             for chunk in chunks:
                 if chunk.attempt != call.attempt:
                     raise _AttemptFailedError(row.name, Fault.NONSENSE)
@@ -211,7 +215,7 @@
         start = self._now()
         first_at: list[float] = []
 
-        async def take(chunks) -> bool:
+        async def take(chunks: Chunks) -> bool:
             if not first_at:
                 first_at.append(self._now())
                 self._parts.know.prefixes.sent(row.name, self._prefixes)
@@ -228,7 +232,7 @@
         await stream.run(take)
         self._learn(plan, start, first_at[0], self._answer.tokens - before)
 
-    def _take_chunks(self, target: TargetName, chunks) -> Verdict:
+    def _take_chunks(self, target: TargetName, chunks: Chunks) -> Verdict:
         verdict = Verdict.MORE
         for chunk in chunks:
             verdict = self._answer.take(chunk)
@@ -286,7 +290,7 @@
         self._asked = asked
         self._got_first = False
 
-    async def run(self, take) -> None:
+    async def run(self, take: Take) -> None:
         """Feed ``take`` with chunks until it says that the answer is whole."""
         name, attempt = self._row.name, self._call.attempt
         know = self._parts.know
@@ -317,32 +321,38 @@
         if exc.fault in (Fault.SILENT, Fault.NONSENSE):
             await self._cancel()
 
-    async def _read(self, take) -> None:
+    async def _read(self, take: Take) -> None:
         cfg = self._parts.cfg
         name = self._row.name
         scope = trio.CancelScope(deadline=self._now() + cfg.first_token_timeout)
-        whole = False
         with scope:
             try:
                 async with self._parts.client.generate(
                     self._row.address, self._call
                 ) as batches:
-                    async for chunks in batches:
-                        self._note_first()
-                        # The caller's pace is not the engine's fault.
-                        scope.deadline = float("inf")
-                        whole = await take(chunks)
-                        if whole:
-                            return
-                        scope.deadline = self._now() + cfg.token_timeout
+                    async with aclosing(batches):
+                        await self._take_all(batches, take, scope)
+                        return
             except TargetNotReachedError as exc:
                 raise _AttemptFailedError(name, Fault.NOT_REACHED) from exc
             except TargetRefusedError as exc:
                 raise _AttemptFailedError(name, Fault.REFUSED) from exc
             except TargetBrokenError as exc:
                 raise _AttemptFailedError(name, Fault.BROKEN) from exc
-        fault = Fault.SILENT if scope.cancelled_caught else Fault.BROKEN
-        raise _AttemptFailedError(name, fault)
+        raise _AttemptFailedError(name, Fault.SILENT)
+
+    async def _take_all(
+        self, batches: AsyncIterator[Chunks], take: Take, scope: trio.CancelScope
+    ) -> None:
+        """Feed ``take`` until the answer is whole; ``scope`` bounds the silences."""
+        async for chunks in batches:
+            self._note_first()
+            # The caller's pace is not the engine's fault.
+            scope.deadline = float("inf")
+            if await take(chunks):
+                return
+            scope.deadline = self._now() + self._parts.cfg.token_timeout
+        raise TargetBrokenError("ended before the answer was whole")
 
     def _note_first(self) -> None:
         if not self._got_first:
--- a/berylshift/stand_ins/fake_engine.py
+++ b/berylshift/stand_ins/fake_engine.py
@@ -322,10 +322,11 @@
     def report(self, now: float) -> LoadReport:
         """Return a report that is as old as the cost model says."""
         self.advance(now)
+        self._snapshot()
         wanted = now - self.cost.report_lag
         while len(self._reports) > 1 and self._reports[1][0] <= wanted:
             self._reports.popleft()
-        at, report = self._reports[0] if self._reports else (now, self._state())
+        at, report = self._reports[0]
         return LoadReport(
             incarnation=Incarnation(f"{self.name}/{self._generation}"),
             age=now - at,
--- a/berylshift/stand_ins/memory_targets.py
+++ b/berylshift/stand_ins/memory_targets.py
@@ -1,7 +1,7 @@
 """The target protocols over fakes in memory, as one host meets them."""
 
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import aclosing, asynccontextmanager
 
 import trio
 
@@ -60,9 +60,11 @@
     async def _batches(
         self, reader: StreamReader, engine: str
     ) -> AsyncIterator[list[EngineChunk]]:
-        async for chunks in reader.batches():
-            await self._network.wait_open(self._host, engine)
-            yield chunks
+        batches = reader.batches()
+        async with aclosing(batches):
+            async for chunks in batches:
+                await self._network.wait_open(self._host, engine)
+                yield chunks
 
     async def cancel(self, address: str, attempt: AttemptId) -> None:
         """Stop an attempt."""
--- /dev/null
+++ b/berylshift/tests/test_process_load.py
@@ -0,0 +1,237 @@
+"""Tests of the load view, health, budgets and limits."""
+
+import random
+import unittest
+
+from berylshift.ids import Incarnation
+from berylshift.process.health import FAILURES_ALLOWED, Health
+from berylshift.process.limits import CustomerLimits, Demand
+from berylshift.process.load import LoadView, Share
+from berylshift.process.retry_budget import RetryBudget
+from berylshift.process.store_budget import Priority, StoreBudget
+from berylshift.targets import LoadReport, Role
+
+RATE = 8000.0
+
+
+def report(age=1.0, running=0, waiting=0, prefill=0, role=Role.MIXED, generation=1):
+    """Return a load report."""
+    return LoadReport(
+        Incarnation(f"engine-1/{generation}"), age, role, running, waiting, prefill
+    )
+
+
+class LoadViewTest(unittest.TestCase):
+    """Reports tell of a moment that is past."""
+
+    def setUp(self):
+        self.load = LoadView(RATE)
+
+    def test_work_sent_since_the_report_is_added(self):
+        # The report says idle, but it is a second old. Without what was sent since,
+        # the busiest engine looks idle and draws all the work.
+        self.load.reported("engine-1", report(age=1.0), asked_at=10.0)
+        for number in range(5):
+            self.load.sent("engine-1", f"a{number}", "nestwatch", 2000, 9.5)
+        found = self.load.estimate("engine-1", 10.0)
+        self.assertEqual(found.streams, 5)
+        self.assertEqual(found.prefill_tokens, 10000)
+
+    def test_work_that_the_report_already_counts_is_not_added_twice(self):
+        self.load.sent("engine-1", "a1", "nestwatch", 2000, 5.0)
+        self.load.first_token("engine-1", "a1", 5.5)
+        self.load.reported("engine-1", report(running=1), asked_at=10.0)
+        self.assertEqual(self.load.estimate("engine-1", 10.0).streams, 1)
+
+    def test_peers_open_work_is_added(self):
+        self.load.reported("engine-1", report(), asked_at=10.0)
+        shares = [Share("engine-1", "nestwatch", 7, 3000)]
+        self.load.peer_shares("host-2", shares, 10.0)
+        self.assertEqual(self.load.estimate("engine-1", 11.0).streams, 7)
+
+    def test_peers_old_words_are_forgotten(self):
+        shares = [Share("engine-1", "nestwatch", 7, 3000)]
+        self.load.peer_shares("host-2", shares, 10.0)
+        self.assertEqual(self.load.estimate("engine-1", 30.0).streams, 0)
+
+    def test_prefill_backlog_shrinks_with_time(self):
+        self.load.reported("engine-1", report(age=0.0, prefill=16000), asked_at=10.0)
+        self.assertEqual(self.load.estimate("engine-1", 11.0).prefill_tokens, 8000)
+        self.assertEqual(self.load.estimate("engine-1", 13.0).prefill_tokens, 0)
+
+    def test_late_report_does_not_replace_a_newer_one(self):
+        self.load.reported("engine-1", report(age=0.0, running=9), asked_at=10.0)
+        self.load.reported("engine-1", report(age=5.0, running=1), asked_at=10.5)
+        self.assertEqual(self.load.report("engine-1").running, 9)
+
+    def test_engine_in_mid_change_has_no_role(self):
+        changing = LoadReport(Incarnation("e/1"), 0.0, Role.PREFILL, changing=True)
+        self.load.reported("engine-1", changing, asked_at=10.0)
+        self.assertIs(self.load.role("engine-1"), Role.UNKNOWN)
+
+    def test_books_are_even_after_all_attempts_ended(self):
+        for number in range(4):
+            self.load.sent("engine-1", f"a{number}", "nestwatch", 100, 1.0)
+        self.load.first_token("engine-1", "a0", 1.1)
+        for number in range(4):
+            self.load.ended("engine-1", f"a{number}", 2.0)
+            self.load.ended("engine-1", f"a{number}", 2.0)
+        found = self.load.estimate("engine-1", 2.0)
+        self.assertEqual((found.streams, found.prefill_tokens), (0, 0))
+
+
+class HealthTest(unittest.TestCase):
+    """A target that fails fast must not look cheap."""
+
+    def setUp(self):
+        self.health = Health()
+
+    def fail(self, now: float) -> None:
+        self.health.failed("engine-1", now)
+
+    def test_failures_in_a_row_suspend(self):
+        self.fail(1.0)
+        self.assertTrue(self.health.usable("engine-1", 1.0))
+        self.fail(1.0)
+        self.assertFalse(self.health.usable("engine-1", 1.1))
+
+    def test_one_call_tries_a_suspended_target(self):
+        for _ in range(FAILURES_ALLOWED):
+            self.fail(1.0)
+        self.assertTrue(self.health.usable("engine-1", 2.0))
+        self.health.started("engine-1")
+        self.assertFalse(self.health.usable("engine-1", 2.0))
+
+    def test_each_failure_suspends_for_longer(self):
+        for _ in range(6):
+            self.fail(1.0)
+        self.assertFalse(self.health.usable("engine-1", 5.0))
+
+    def test_success_ends_it(self):
+        for _ in range(6):
+            self.fail(1.0)
+        self.health.succeeded("engine-1")
+        self.assertTrue(self.health.usable("engine-1", 1.0))
+
+    def test_cancelled_trial_lets_another_begin(self):
+        for _ in range(FAILURES_ALLOWED):
+            self.fail(1.0)
+        self.health.started("engine-1")
+        self.health.cancelled("engine-1")
+        self.assertTrue(self.health.usable("engine-1", 2.0))
+
+
+class RetryBudgetTest(unittest.TestCase):
+    """Failures must not multiply the load."""
+
+    def test_retries_are_a_share_of_first_attempts(self):
+        budget = RetryBudget(share=0.2, floor=0.0)
+        for number in range(1000):
+            budget.first_attempt(number / 100)
+        allowed = sum(budget.take(10.0) for _ in range(1000))
+        self.assertLessEqual(allowed, 10)
+
+    def test_a_total_outage_at_most_adds_the_share(self):
+        budget = RetryBudget(share=0.2, floor=1.0)
+        retries = 0
+        for number in range(2000):
+            now = number / 100
+            budget.first_attempt(now)
+            retries += budget.take(now)
+        self.assertLessEqual(retries, 0.2 * 2000 + 20 + 10)
+
+    def test_the_floor_serves_a_quiet_host(self):
+        budget = RetryBudget(share=0.2, floor=2.0)
+        self.assertTrue(budget.take(0.0))
+
+
+class StoreBudgetTest(unittest.TestCase):
+    """Leases and confirmations go before the rest."""
+
+    def setUp(self):
+        self.budget = StoreBudget(10.0, random.Random(1))
+
+    def test_low_priority_leaves_room_for_leases(self):
+        taken = sum(
+            self.budget.wait_seconds(Priority.UPKEEP, 0.0) == 0 for _ in range(20)
+        )
+        self.assertLessEqual(taken, 5)
+        self.assertEqual(self.budget.wait_seconds(Priority.LEASE, 0.0), 0)
+
+    def test_failures_close_the_way_for_all_but_leases(self):
+        self.budget.failed(0.0)
+        self.assertGreater(self.budget.wait_seconds(Priority.CONFIRMATION, 0.0), 0)
+        self.assertEqual(self.budget.wait_seconds(Priority.LEASE, 0.0), 0)
+
+    def test_backoff_grows_and_differs_between_processes(self):
+        waits = set()
+        for seed in range(20):
+            budget = StoreBudget(10.0, random.Random(seed))
+            for _ in range(6):
+                budget.failed(0.0)
+            waits.add(round(budget.wait_seconds(Priority.TABLE, 0.0), 3))
+        self.assertGreater(len(waits), 15)
+        self.assertGreaterEqual(min(waits), 1.5)
+
+    def test_success_opens_it_again(self):
+        self.budget.failed(0.0)
+        self.budget.succeeded()
+        self.assertEqual(self.budget.wait_seconds(Priority.TABLE, 0.0), 0)
+
+
+class CustomerLimitsTest(unittest.TestCase):
+    """A customer's limit holds across hosts, with no one asked."""
+
+    def run_hosts(self, count, rates, limit, seconds, talk=True) -> int:
+        """Offer ``rates`` requests a second at each host; return those admitted."""
+        hosts = [CustomerLimits() for _ in range(count)]
+        for host in hosts:
+            host.set_limits({"hobart": limit})
+            host.set_hosts(count, connected=talk)
+        admitted = 0
+        step = 0.01
+        for tick in range(int(seconds / step)):
+            now = tick * step
+            if talk and tick % 100 == 0:
+                for place, host in enumerate(hosts):
+                    for other in hosts:
+                        if other is not host:
+                            other.peer_demand(f"h{place}", host.demands(now), now)
+            for place, host in enumerate(hosts):
+                if random.Random(tick * 100 + place).random() < rates[place] * step:
+                    admitted += host.admit("hobart", now) == 0
+        return admitted
+
+    def test_even_demand_over_nine_hosts(self):
+        admitted = self.run_hosts(9, [10] * 9, limit=30, seconds=30)
+        self.assertLessEqual(admitted, 30 * 30 * 1.15 + 30)
+        self.assertGreaterEqual(admitted, 30 * 30 * 0.8)
+
+    def test_all_demand_at_one_host_may_use_nearly_all_of_it(self):
+        admitted = self.run_hosts(9, [90] + [0] * 8, limit=30, seconds=30)
+        self.assertLessEqual(admitted, 30 * 30 * 1.15 + 30)
+        self.assertGreaterEqual(admitted, 30 * 30 * 0.8)
+
+    def test_hosts_cut_off_from_each_other_stay_within_the_limit(self):
+        # Nobody hears of anybody. Each host keeps to an even share, so that all
+        # together do not exceed the limit, whatever comes in where.
+        admitted = self.run_hosts(9, [90] * 9, limit=27, seconds=30, talk=False)
+        self.assertLessEqual(admitted, 27 * 30 * 1.1 + 27)
+
+    def test_customer_without_a_limit_is_admitted(self):
+        limits = CustomerLimits()
+        self.assertEqual(limits.admit("hobart", 0.0), 0.0)
+
+    def test_refusal_says_when_to_come_back(self):
+        limits = CustomerLimits()
+        limits.set_limits({"hobart": 1})
+        limits.admit("hobart", 0.0)
+        self.assertGreater(limits.admit("hobart", 0.0), 0.0)
+
+    def test_old_demands_of_peers_are_forgotten(self):
+        limits = CustomerLimits()
+        limits.set_limits({"hobart": 10})
+        limits.set_hosts(2, connected=True)
+        limits.peer_demand("h2", [Demand("hobart", 1000.0)], 0.0)
+        admitted = sum(limits.admit("hobart", 10 + i / 100) == 0 for i in range(1000))
+        self.assertGreater(admitted, 80)
--- a/berylshift/tools/run_tests.py
+++ b/berylshift/tools/run_tests.py
@@ -4,6 +4,7 @@
 or a run without tests makes the run fail.
 """
 
+import logging
 import sys
 import unittest
 from pathlib import Path
@@ -54,6 +55,7 @@
 
 def main() -> int:
     """Run the tests and return the exit status."""
+    logging.getLogger().addHandler(logging.NullHandler())
     loader = unittest.TestLoader()
     suite = loader.discover(TESTS.replace(".", "/"), top_level_dir=".")
     runner = unittest.TextTestRunner(sys.stdout, verbosity=2, resultclass=NamingResult)
