--- a/berylshift/process/store_budget.py
+++ b/berylshift/process/store_budget.py
@@ -10,6 +10,7 @@
 
 FIRST_BACKOFF = 0.1
 LONGEST_BACKOFF = 3.0
+LEAST_WAIT = 0.001
 
 
 class Priority(IntEnum):
@@ -45,11 +46,12 @@
         """Take a token and return 0, or return the seconds to wait first."""
         self._refill(now)
         if now < self.closed_until and priority is not Priority.LEASE:
-            return self.closed_until - now
+            return max(LEAST_WAIT, self.closed_until - now)
         reserved = RESERVED[priority] * self.rate
         missing = 1 + reserved - self._tokens
         if missing > 0:
-            return missing / self.rate
+            # A wait that rounds to nothing on the clock would never end.
+            return max(LEAST_WAIT, missing / self.rate)
         self._tokens -= 1
         return 0.0
 
