--- a/berylshift/tools/session.py
+++ b/berylshift/tools/session.py
@@ -2,6 +2,7 @@
 
 import getpass
 import random
+from collections.abc import Awaitable, Callable
 from datetime import UTC, datetime
 from enum import IntEnum
 
@@ -102,7 +103,7 @@
     def handle(self) -> int:
         """Run ``work`` and turn errors into exit codes."""
         try:
-            return trio.run(self._connected)
+            return self.run_loop(self._connected)
         except ToolError as exc:
             self.line_error(f"<error>{exc}</error>")
             return exc.code
@@ -113,8 +114,16 @@
             )
             return Exit.NO_PLATFORM
 
+    def run_loop(self, task: Callable[[], Awaitable[int]]) -> int:
+        """Run a task on an event loop."""
+        return trio.run(task)
+
     async def _connected(self) -> int:
-        return await self.work(PlatformSession(self._platform_settings()))
+        return await self.work(self.make_session(self._platform_settings()))
+
+    def make_session(self, cfg: PlatformSettings) -> PlatformSession:
+        """Return the session that ``work`` uses."""
+        return PlatformSession(cfg)
 
     async def work(self, session: PlatformSession) -> int:
         """Do the command's work; return its exit code."""
