Remove confirmations' rows at the end of their life; break ties at random

Cause: rows of confirmations were never removed. In the live log every host sent its plain calls to the first replica: with equal loads the first candidate won.

Change: one host, by rendezvous hash, pages through the rows and removes those that are an hour past their end; draws from a whole pool come in random order.

--- a/berylshift/application.py
+++ b/berylshift/application.py
@@ -36,6 +36,7 @@
 from berylshift.process.report_poller import ReportPoller
 from berylshift.process.retry_budget import RetryBudget
 from berylshift.process.store_budget import StoreBudget
+from berylshift.process.sweep_loop import SweepLoop
 from berylshift.process.table_follower import (
     PeerTables,
     PeerView,
@@ -248,6 +249,7 @@
             ports.hosts, self.members, entry, cfg.peers.host_list_interval
         )
         self.pending_loop = PendingLoop(self.pending, self.gate, ports.rng)
+        self.sweep_loop = SweepLoop(self.gate, self.members, ports.clock, ports.rng)
         pools = PoolParts(
             cfg=cfg,
             members=self.members,
@@ -283,6 +285,7 @@
             nursery.start_soon(self.ports.link.receive, self.peer_loop.take)
             nursery.start_soon(self.pending_loop.run)
             nursery.start_soon(self.pool_loop.run)
+            nursery.start_soon(self.sweep_loop.run)
 
     def on_start(self) -> None:
         """Note that the process runs."""
--- a/berylshift/process/membership.py
+++ b/berylshift/process/membership.py
@@ -4,6 +4,8 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+import xxhash
+
 from berylshift.ids import HostName, Incarnation
 from berylshift.platform.interfaces import HostEntry, HostState
 from berylshift.process.digest import Digest, Echo
@@ -167,6 +169,20 @@
         ]
         return [self.host, *heard]
 
+    def rank(self, name: str) -> int:
+        """Return this host's place for some duty among the live ones.
+
+        By rendezvous hash: each duty has its own order, and a host that goes
+        changes only its own places.
+        """
+        mine = _score(name, self.host)
+        live = [
+            host
+            for host, peer in self.peers.items()
+            if peer.entry is not None and peer.entry.state is HostState.LIVE
+        ]
+        return sum(_score(name, host) > mine for host in live)
+
     def size(self) -> int:
         """Return how many hosts there are, by the list, leaving ones not counted."""
         listed = sum(
@@ -205,6 +221,10 @@
     return HostName(incarnation.rpartition("/")[0].rpartition("/")[0])
 
 
+def _score(name: str, host: HostName) -> int:
+    return xxhash.xxh64_intdigest(f"{name}|{host}".encode())
+
+
 def _started(incarnation: Incarnation) -> int:
     parts = incarnation.split("/")
     return int(parts[1]) if len(parts) == 3 and parts[1].isdigit() else 0
--- a/berylshift/process/pool_loop.py
+++ b/berylshift/process/pool_loop.py
@@ -5,16 +5,14 @@
 
 import msgspec
 import trio
-import xxhash
 
 from berylshift.clock import Clock
-from berylshift.ids import Epoch, HostName, PoolName, TargetName
+from berylshift.ids import Epoch, PoolName, TargetName
 from berylshift.platform.batch import TableGate
 from berylshift.platform.interfaces import (
     ABSENT,
     AnswerLostError,
     Condition,
-    HostState,
     PlatformError,
     StoredRow,
     Transaction,
@@ -103,7 +101,7 @@
         async with trio.open_nursery() as nursery:
             while True:
                 for pool, rows in self._by_pool().items():
-                    rank = self._rank(pool)
+                    rank = self._parts.members.rank(pool)
                     if rank < CANDIDATES:
                         await self._tick(pool, rows, rank, nursery)
                 await self._settle()
@@ -133,17 +131,6 @@
             found.setdefault(PoolName(row.serves), []).append(row)
         return found
 
-    def _rank(self, pool: PoolName) -> int:
-        """Return this host's place among the live ones, by rendezvous hash."""
-        members = self._parts.members
-        live = [
-            host
-            for host, peer in members.peers.items()
-            if peer.entry is not None and peer.entry.state is HostState.LIVE
-        ]
-        mine = _score(pool, members.host)
-        return sum(_score(pool, host) > mine for host in live)
-
     def _state(self, pool: PoolName) -> _Pool:
         if pool not in self._pools:
             parts = self._parts
@@ -337,10 +324,6 @@
             del self._to_settle[engine]
 
 
-def _score(pool: PoolName, host: HostName) -> int:
-    return xxhash.xxh64_intdigest(f"{pool}|{host}".encode())
-
-
 def _revision(stored: StoredRow | None) -> int:
     return stored.revision if stored else ABSENT
 
--- /dev/null
+++ b/berylshift/process/sweep_loop.py
@@ -0,0 +1,79 @@
+"""The loop that removes confirmations' rows at the end of their life."""
+
+import logging
+import random
+
+import msgspec
+import trio
+
+from berylshift.clock import Clock
+from berylshift.platform.batch import TableGate
+from berylshift.platform.interfaces import (
+    Condition,
+    PlatformError,
+    StoredRow,
+    Transaction,
+    Write,
+)
+from berylshift.process.membership import Membership
+from berylshift.process.store_budget import Priority
+from berylshift.request.confirmation import PREFIX, ConfirmRow
+
+logger = logging.getLogger(__name__)
+
+DUTY = "sweep"
+PAGE_ROWS = 50
+PAGE_SECONDS = 2.0
+MARGIN_SECONDS = 3600.0
+
+
+class SweepLoop:
+    """Pages through the rows; one host does it, two at once do no harm.
+
+    A row is removed only a margin after its end: calendars differ, and a row that
+    goes early would let its key run again.
+    """
+
+    def __init__(
+        self, gate: TableGate, members: Membership, clock: Clock, rng: random.Random
+    ):
+        """Sweep through ``gate`` while this host is first among ``members``."""
+        self._gate = gate
+        self._members = members
+        self._clock = clock
+        self._rng = rng
+        self._after = ""
+        self.removed = 0
+
+    async def run(self) -> None:
+        """Sweep until cancelled."""
+        while True:
+            await trio.sleep(PAGE_SECONDS * self._rng.uniform(0.75, 1.25))
+            if self._members.rank(DUTY) == 0:
+                await self.sweep_page()
+
+    async def sweep_page(self) -> None:
+        """Look at one page of rows and remove those that are over."""
+        try:
+            rows = await self._gate.scan(
+                PREFIX, self._after, PAGE_ROWS, Priority.UPKEEP
+            )
+            self._after = rows[-1].key if len(rows) == PAGE_ROWS else ""
+            over = [row for row in rows if self._is_over(row)]
+            if over:
+                await self._remove(over)
+        except PlatformError as exc:
+            logger.debug("sweep put off", extra={"why": str(exc)})
+
+    def _is_over(self, row: StoredRow) -> bool:
+        found = msgspec.json.decode(row.value, type=ConfirmRow)
+        return self._clock.now().timestamp() > found.expires + MARGIN_SECONDS
+
+    async def _remove(self, rows: list[StoredRow]) -> None:
+        transaction = Transaction(
+            [Condition(row.key, row.revision) for row in rows],
+            [Write(row.key, delete=True) for row in rows],
+        )
+        answer = await self._gate.transact(transaction, Priority.UPKEEP)
+        if answer.committed:
+            self.removed += len(rows)
--- a/berylshift/request/pool.py
+++ b/berylshift/request/pool.py
@@ -32,7 +32,8 @@
     def sample(self, rng: random.Random, count: int) -> list[Candidate]:
         """Return up to ``count`` different candidates, heavier ones more often."""
         if count >= len(self.candidates):
-            return list(self.candidates)
+            # In a fixed order, ties would send every host to the first one.
+            return rng.sample(self.candidates, len(self.candidates))
         found: dict[str, Candidate] = {}
         for _ in range(3 * count):
             place = bisect(self._sums, rng.random() * self._sums[-1])
--- a/berylshift/tests/test_confirmations.py
+++ b/berylshift/tests/test_confirmations.py
@@ -6,10 +6,12 @@
 import msgspec
 import trio
 
+from berylshift.clock import ManualClock
 from berylshift.ids import AttemptId
 from berylshift.replay.virtual_fleet import HostDownError
 from berylshift.request.confirmation import (
     COME_BACK_SECONDS,
+    PREFIX,
     Confirmation,
     ConfirmRow,
     Event,
@@ -274,6 +276,21 @@
 
         self.assertEqual(run_world(task), (Reason.KEY_REUSED, 1))
 
+    def test_rows_are_removed_after_their_life_and_not_before(self):
+        async def task(world):
+            for number in range(7):
+                await call_service(world.hosts["host-1"], plain_call(f"k{number}"))
+            sweep = world.hosts["host-1"].app.sweep_loop
+            kept = []
+            for hours in (24.5, 25.5):
+                sweep._clock = ManualClock(hours * 3600)
+                await sweep.sweep_page()
+                keys = [key for key in world.platform.rows if key.startswith(PREFIX)]
+                kept.append(len(keys))
+            return kept
+
+        self.assertEqual(run_world(task), [7, 0])
+
     def test_caller_that_leaves_does_not_stop_the_record(self):
         async def task(world):
             with trio.move_on_after(0.015):
--- a/berylshift/tools/demo.py
+++ b/berylshift/tools/demo.py
@@ -253,7 +253,7 @@
                 client, balancer, tokens, fleet.engines, fleet.replicas, fleet
             )
             return await play(make_trace(), replay)
-        except BaseException:
+        except Exception:
             _print_logs(directory)
             raise
         finally:
