--- /dev/null
+++ b/bench/store_writes.py
@@ -0,0 +1,86 @@
+"""Store writes for each confirmation, batched and not, on the virtual clock."""
+
+import random
+
+import trio
+import trio.testing
+
+from bench.report import print_rows
+from berylshift.clock import LoopClock
+from berylshift.platform.batch import TableGate
+from berylshift.platform.interfaces import (
+    ABSENT,
+    Condition,
+    PlatformError,
+    Write,
+    as_raw,
+)
+from berylshift.process.store_budget import StoreBudget
+from berylshift.stand_ins.fake_platform import (
+    FakePlatform,
+    MemoryPlatform,
+    PlatformScript,
+)
+
+HOSTS = 9
+SECONDS = 20.0
+TABLE_WRITES = 300.0
+HOST_WRITES = 30.0
+SERVICE_SECONDS = 0.02
+RATES = (10, 100, 400)
+DEADLINE_SECONDS = 5.0
+
+
+async def _run(rate: int, batched: bool) -> dict:
+    clock = LoopClock()
+    fake = FakePlatform(clock, PlatformScript(writes_per_second=TABLE_WRITES))
+    rows = 50 if batched else 1
+    gates = []
+    for host in range(HOSTS):
+        budgets = [StoreBudget(HOST_WRITES, random.Random(host)) for _ in range(2)]
+        window = 0.005 if batched else 0.0
+        gates.append(TableGate(MemoryPlatform(fake), clock, *budgets, window, rows))
+    waits: list[float] = []
+    failed = []
+
+    async def confirm(number: int) -> None:
+        gate, key = gates[number % HOSTS], f"confirm/c/{number}"
+        start = trio.current_time()
+        try:
+            with trio.fail_after(DEADLINE_SECONDS):
+                await gate.put_row(Condition(key, ABSENT), Write(key, as_raw(1)))
+            waits.append(trio.current_time() - start)
+            await trio.sleep(SERVICE_SECONDS)
+            await gate.put_row(Condition(key, 1), Write(key, as_raw(2)))
+        except (PlatformError, trio.TooSlowError):
+            failed.append(number)
+
+    async with trio.open_nursery() as nursery:
+        for gate in gates:
+            nursery.start_soon(gate.run)
+        rng = random.Random(rate)
+        async with trio.open_nursery() as calls:
+            for number in range(int(rate * SECONDS)):
+                calls.start_soon(confirm, number)
+                await trio.sleep(rng.expovariate(rate))
+        nursery.cancel_scope.cancel()
+    waits.sort()
+    done = len(waits)
+    return {
+        "confirmations_per_s": rate,
+        "batched": batched,
+        "writes_per_confirmation": round(fake.transactions / max(1, done), 3),
+        "insert_p95_ms": round(1000 * waits[int(done * 0.95)], 1) if done else 0,
+        "refused_for_the_store": len(failed),
+        "throttled_by_the_table": fake.throttled,
+    }
+
+
+def main() -> None:
+    """Print one row a rate, batched and not."""
+    rows = []
+    for rate in RATES:
+        for batched in (False, True):
+            clock = trio.testing.MockClock(autojump_threshold=0)
+            rows.append(trio.run(_run, rate, batched, clock=clock))
+    print_rows(rows)
--- a/berylshift/settings.py
+++ b/berylshift/settings.py
@@ -37,7 +37,7 @@
     hosts: str = "127.0.0.1:9000"
     weights: str = "127.0.0.1:9000"
     timeout: Seconds = 1.0
-    writes_per_second: Annotated[float, Meta(gt=0, le=10000)] = 40.0
+    writes_per_second: Annotated[float, Meta(gt=0, le=10000)] = 30.0
     reads_per_second: Annotated[float, Meta(gt=0, le=10000)] = 200.0
     batch_window: Annotated[float, Meta(ge=0, le=1)] = 0.005
     batch_rows: Annotated[int, Meta(ge=1, le=100)] = 50
