Let two arrivals with one key meet on purpose in the confirmations' machine

Cause: with 'a conflict sends' put into the state machine, 200 examples did not find the double run: a mutation run passed.

Change: a rule brings two arrivals with one key to their sends together.

Measured: the same mutation now fails (ran twice); without it the machine passes.

--- a/berylshift/tests/test_confirmation_machine.py
+++ b/berylshift/tests/test_confirmation_machine.py
@@ -76,6 +76,16 @@
         self.count += 1
         self.arrivals.append(Arrival(self.count, key, self.clock.monotonic()))
 
+    @rule(key=st.sampled_from(KEYS))
+    def two_at_once(self, key):
+        """Let two hosts get the same key together, each on its way to send."""
+        self.arrive(key)
+        self.arrive(key)
+        for _ in range(4):
+            for arrival in self.arrivals[-2:]:
+                if not arrival.ended and not arrival.sending:
+                    self._carry_out(arrival)
+
     @rule(place=st.integers(0, 4), lose=st.booleans(), down=st.booleans())
     def step(self, place, lose, down):
         """Let one arrival do its next step."""
