Predict decode under prefill, and learn prefixes that other hosts sent

Cause: over capacity most admitted requests came late: observed decode times were 1.3 to 2 times the predicted ones. The learned factor for decode was never fed (its condition compared with what was left of an answer that had ended), the factor was applied to itself, no term stood for prefill that arrives during decode, and a host knew only the prefixes that it had sent itself, a ninth of them.

Ruled out: expected lengths (ratio 1.0 at the median).

Change: an explicit term for the pool's prefill inflow, the factor mended and bounded, cache events add what they tell as stored.

--- a/bench/micro.py
+++ b/bench/micro.py
@@ -15,6 +15,7 @@
 from berylshift.process.cost import CostModel
 from berylshift.process.health import Health
 from berylshift.process.load import LoadView
+from berylshift.process.mix_meter import MixMeter
 from berylshift.process.plans import Plans
 from berylshift.process.prefixes import PrefixIndex, prefix_hashes
 from berylshift.request.choice import Knowledge, LeastLateness, WorkItem
@@ -53,7 +54,9 @@
         report = LoadReport(Incarnation("e/1"), 1.0, Role.MIXED, running=5)
         load.reported(row.name, report, 0.0)
     cost = CostModel(PolicySettings())
-    know = Knowledge(load, Health(), cost, PrefixIndex(), Plans(), random.Random(1))
+    know = Knowledge(
+        load, Health(), cost, PrefixIndex(), Plans(), MixMeter(), random.Random(1)
+    )
     return know, Table(TableVersion(1), rows)
 
 
--- a/berylshift/application.py
+++ b/berylshift/application.py
@@ -132,6 +132,7 @@
             CostModel(cfg.policy),
             PrefixIndex(),
             self.plans,
+            self.meter,
             rng,
         )
         self.members = Membership(host, self.incarnation, cfg.peers.silent_after, rng)
--- a/berylshift/process/cost.py
+++ b/berylshift/process/cost.py
@@ -8,8 +8,9 @@
 from berylshift.targets import Role
 
 LEARNING_RATE = 0.05
-LOWEST_FACTOR = 0.25
-HIGHEST_FACTOR = 8.0
+LOWEST_FACTOR = 0.7
+HIGHEST_FACTOR = 1.6
+MOST_PREFILL_SHARE = 0.8
 
 
 @dataclass(frozen=True)
@@ -31,8 +32,10 @@
         """Take one pair of times in seconds."""
         if predicted <= 0 or observed <= 0:
             return
-        ratio = min(HIGHEST_FACTOR, max(LOWEST_FACTOR, observed / predicted))
-        self.value += LEARNING_RATE * (ratio - self.value)
+        # The prediction already carries the factor, so its error is on top of it.
+        wanted = self.value * observed / predicted
+        wanted = min(HIGHEST_FACTOR, max(LOWEST_FACTOR, wanted))
+        self.value += LEARNING_RATE * (wanted - self.value)
 
 
 class CostModel:
@@ -56,21 +59,32 @@
             seconds += chunks * self.step_seconds(load.streams)
         return seconds * self._first[load.role].value
 
-    def decode_seconds(self, load: Estimate, tokens: float) -> float:
-        """Return the time to decode ``tokens``, with prefill chunks in between."""
+    def decode_seconds(
+        self, load: Estimate, tokens: float, prefill_inflow: float
+    ) -> float:
+        """Return the time to decode ``tokens``, with prefill chunks in between.
+
+        ``prefill_inflow`` is what each engine gets to prefill, in tokens a second:
+        on a mixed engine decode steps wait for it as long as they last.
+        """
         seconds = tokens * self.step_seconds(load.streams + 1)
         if load.role is Role.MIXED:
-            seconds += load.prefill_tokens / self._cfg.prefill_rate
+            share = min(MOST_PREFILL_SHARE, prefill_inflow / self._cfg.prefill_rate)
+            seconds /= 1 - share
         return seconds * self._step[load.role].value
 
     def transfer_seconds(self, tokens: float) -> float:
         """Return the time to bring a KV cache over."""
         return tokens / self._cfg.kv_import_rate
 
-    def predict(self, load: Estimate, prefill: float, output: float) -> Prediction:
+    def predict(
+        self, load: Estimate, prefill: float, output: float, prefill_inflow: float
+    ) -> Prediction:
         """Return the times of a request done whole at one engine."""
         first = self.prefill_seconds(load, prefill)
-        return Prediction(first, first + self.decode_seconds(load, output))
+        return Prediction(
+            first, first + self.decode_seconds(load, output, prefill_inflow)
+        )
 
     def learn_first(self, role: Role, predicted: float, observed: float) -> None:
         """Learn from a first token."""
--- a/berylshift/process/prefixes.py
+++ b/berylshift/process/prefixes.py
@@ -47,6 +47,9 @@
         for _, block in prefixes:
             self._held[target, block] = None
             self._held.move_to_end((target, block))
+        self._trim()
+
+    def _trim(self) -> None:
         while len(self._held) > ENTRIES_KEPT:
             self._held.popitem(last=False)
 
@@ -54,14 +57,22 @@
         """Return how many leading tokens the target is likely to hold."""
         for tokens, block in reversed(prefixes):
             if (target, block) in self._held:
+                self._held.move_to_end((target, block))
                 return tokens
         return 0
 
     def observed(self, target: TargetName, events: list[CacheEvent]) -> None:
-        """Correct the index by cache events; most of them change nothing."""
+        """Correct the index by cache events.
+
+        They tell of what other hosts sent. Blocks that no request asks for go
+        first when the index is full.
+        """
         for event in events:
-            if not event.stored:
+            if event.stored:
+                self._held[target, event.block] = None
+            else:
                 self._held.pop((target, event.block), None)
+        self._trim()
 
     def lost(self, target: TargetName) -> None:
         """Forget a target that restarted: its cache is empty."""
--- a/berylshift/request/choice.py
+++ b/berylshift/request/choice.py
@@ -1,16 +1,24 @@
 """The choice of a target for a request, and its refusal where none will do."""
 
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 import msgspec
 from returns.result import Failure, Result, Success
 
-from berylshift.ids import CustomerName, FleetName, RequestId, TargetName, WorkName
+from berylshift.ids import (
+    CustomerName,
+    FleetName,
+    PoolName,
+    RequestId,
+    TargetName,
+    WorkName,
+)
 from berylshift.process.cost import CostModel, Prediction
 from berylshift.process.health import Health
 from berylshift.process.load import LoadView
+from berylshift.process.mix_meter import MixMeter
 from berylshift.process.plans import Plans
 from berylshift.process.prefixes import Prefixes, PrefixIndex
 from berylshift.request.messages import Reason, Weighed
@@ -51,6 +59,7 @@
     weighed: list[Weighed]
     reason: str
     prefill_on: Row | None = None
+    output_tokens: int = 0
 
 
 class Refusal(msgspec.Struct, frozen=True):
@@ -77,6 +86,7 @@
     cost: CostModel
     prefixes: PrefixIndex
     plans: Plans
+    meter: MixMeter
     rng: random.Random
 
     def __post_init__(self) -> None:
@@ -94,6 +104,11 @@
             return True
         return self.load.fleet_streams(name, item.fleet, now) < found.limit
 
+    def prefill_inflow(self, pool: Pool, work: WorkName, now: float) -> float:
+        """Return what each engine of a pool gets to prefill, in tokens a second."""
+        takers = pool.pickers[Role.MIXED].size + pool.pickers[Role.PREFILL].size
+        return self.meter.total(PoolName(work), now).prefill_rate / max(1, takers)
+
     def sample(
         self, picker: Picker, item: WorkItem, count: int, now: float
     ) -> list[Candidate]:
@@ -151,26 +166,39 @@
         found = pool.pickers[Role.MIXED].named(item.prefer)
         if found is None or not self._know.usable(found, item, now):
             return None
-        return _with(self._whole(found, item, now), [], "resume on the same engine")
+        inflow = self._know.prefill_inflow(pool, item.work, now)
+        return _with(
+            self._whole(found, item, inflow, now), [], "resume on the same engine"
+        )
 
     def _plans(self, pool: Pool, item: WorkItem, count: int, now: float) -> list[Plan]:
         know = self._know
         mixed = know.sample(pool.pickers[Role.MIXED], item, count, now)
         prefill = know.sample(pool.pickers[Role.PREFILL], item, count, now)
         decode = know.sample(pool.pickers[Role.DECODE], item, count, now)
-        plans = [self._whole(found, item, now) for found in mixed]
+        inflow = know.prefill_inflow(pool, item.work, now)
+        plans = [self._whole(found, item, inflow, now) for found in mixed]
         if prefill and decode:
             plans.append(self._split(prefill, decode, item, now))
         return plans
 
-    def _whole(self, found: Candidate, item: WorkItem, now: float) -> Plan:
+    def _whole(
+        self, found: Candidate, item: WorkItem, inflow: float, now: float
+    ) -> Plan:
         know = self._know
         name = found.row.name
         load = know.load.estimate(name, now)
         cached = know.prefixes.cached_tokens(name, item.prefixes)
         prefill = max(1, item.prompt_tokens - cached)
-        prediction = know.cost.predict(load, prefill, item.output_tokens)
-        return Plan(found.row, prediction, prefill, [], "")
+        prediction = know.cost.predict(load, prefill, item.output_tokens, inflow)
+        return Plan(
+            found.row,
+            prediction,
+            prefill,
+            [],
+            "",
+            output_tokens=item.output_tokens,
+        )
 
     def _split(
         self,
@@ -188,13 +216,13 @@
         source, ready, tokens = first
         ready += cost.transfer_seconds(item.prompt_tokens)
         ends = [
-            (cost.decode_seconds(load, item.output_tokens), found.row)
+            (cost.decode_seconds(load, item.output_tokens, 0.0), found.row)
             for found in decode
             for load in [self._know.load.estimate(found.row.name, now)]
         ]
         seconds, target = min(ends, key=lambda pair: pair[0])
         prediction = Prediction(ready, ready + seconds)
-        return Plan(target, prediction, tokens, [], "", prefill_on=source.row)
+        return Plan(target, prediction, tokens, [], "", source.row, item.output_tokens)
 
     def _prefill_part(
         self, found: Candidate, item: WorkItem, now: float
@@ -284,14 +312,7 @@
 
 
 def _with(plan: Plan, weighed: list[Weighed], reason: str) -> Plan:
-    return Plan(
-        plan.target,
-        plan.prediction,
-        plan.prefill_tokens,
-        weighed,
-        reason,
-        plan.prefill_on,
-    )
+    return replace(plan, weighed=weighed, reason=reason)
 
 
 class ReplicaChooser:
--- a/berylshift/request/completion.py
+++ b/berylshift/request/completion.py
@@ -266,9 +266,8 @@
         if predicted.end <= 0:
             return
         cost.learn_first(role, predicted.first_token, first - start)
-        expected = self._item().output_tokens
-        if tokens > 1 and expected > 1:
-            per_token = (predicted.end - predicted.first_token) / expected
+        if tokens > 1 and plan.output_tokens > 1:
+            per_token = (predicted.end - predicted.first_token) / plan.output_tokens
             cost.learn_decode(role, per_token, (self._now() - first) / tokens)
 
 
--- a/berylshift/request/pool.py
+++ b/berylshift/request/pool.py
@@ -29,6 +29,11 @@
         self._sums = list(accumulate(item.weight for item in candidates))
         self._ring: HashRing | None = None
 
+    @property
+    def size(self) -> int:
+        """Return how many candidates there are."""
+        return len(self.candidates)
+
     def sample(self, rng: random.Random, count: int) -> list[Candidate]:
         """Return up to ``count`` different candidates, heavier ones more often."""
         if count >= len(self.candidates):
