--- a/bench/micro.py
+++ b/bench/micro.py
@@ -62,7 +62,7 @@
 
 def _decision_us(size: int) -> float:
     know, table = _knowledge(size)
-    router = LeastLateness(know, 1.0)
+    router = LeastLateness(know, 1.0, 8000.0)
     prefixes = prefix_hashes(make_prompt("p", "1", 2000, 100))
     items = [
         WorkItem(f"r{i}", "c", FLEET, MODEL, 2000, 100, prefixes, 20.0)
--- a/berylshift/application.py
+++ b/berylshift/application.py
@@ -55,7 +55,7 @@
 from berylshift.request.decisions import DecisionLog
 from berylshift.request.front import Front, FrontParts
 from berylshift.request.service_call import ServiceCalls, ServiceParts
-from berylshift.settings import Credential, Settings
+from berylshift.settings import Credential, PolicySettings, Settings
 from berylshift.targets import EngineClient, ServiceClient
 from berylshift.version.changelog import TableLog
 from berylshift.version.freshness import Freshness
@@ -90,13 +90,13 @@
     admin: str
 
 
-def make_router(name: str, know: Knowledge, slack: float) -> Router:
+def make_router(cfg: PolicySettings, know: Knowledge) -> Router:
     """Return the router that the settings name."""
-    if name == "round-robin":
+    if cfg.router == "round-robin":
         return RoundRobin(know)
-    if name == "least-reported":
+    if cfg.router == "least-reported":
         return LeastReported(know)
-    return LeastLateness(know, slack)
+    return LeastLateness(know, cfg.lateness_slack, cfg.prefill_rate)
 
 
 class Application:
@@ -155,7 +155,7 @@
     def _make_front(self, callers: dict[str, Credential]) -> Front:
         cfg, ports = self.cfg, self.ports
         retries = RetryBudget(cfg.policy.retry_share, cfg.policy.retry_floor)
-        router = make_router(cfg.policy.router, self.know, cfg.policy.lateness_slack)
+        router = make_router(cfg.policy, self.know)
         completions = CompletionParts(
             clock=ports.clock,
             client=ports.engines,
--- a/berylshift/request/choice.py
+++ b/berylshift/request/choice.py
@@ -29,6 +29,8 @@
 
 FIRST_SAMPLE = 2
 FULL_SAMPLE = 8
+PREFILL_WEIGHT = 2.0
+OWN_BONUS = 0.1
 SHORT_RETRY_AFTER = 1.0
 LONGEST_RETRY_AFTER = 30.0
 
@@ -60,6 +62,7 @@
     reason: str
     prefill_on: Row | None = None
     output_tokens: int = 0
+    is_own: bool = False
 
 
 class Refusal(msgspec.Struct, frozen=True):
@@ -136,10 +139,14 @@
 class LeastLateness:
     """Chooses the least predicted end among few samples, and refuses late ones."""
 
-    def __init__(self, know: Knowledge, slack: float):
-        """Refuse what is predicted to take over ``slack`` times the time left."""
+    def __init__(self, know: Knowledge, slack: float, prefill_rate: float):
+        """Refuse what is predicted to take over ``slack`` times the time left.
+
+        ``prefill_rate`` is an engine's, in tokens a second.
+        """
         self._know = know
         self._slack = slack
+        self._prefill_rate = prefill_rate
 
     def choose(self, item: WorkItem, table: Table, now: float) -> Result[Plan, Refusal]:
         """Return the plan with the least predicted end."""
@@ -152,7 +159,7 @@
             if not plans:
                 return Failure(no_target(pool))
             weighed = [_weighed(plan, self._know, now) for plan in plans]
-            best = min(plans, key=lambda plan: plan.prediction.end)
+            best = min(plans, key=lambda plan: self._score(plan, item))
             late = best.prediction.end - item.remaining * self._slack
             if late <= 0 or item.must_place:
                 return Success(_with(best, weighed, "least predicted end"))
@@ -168,22 +175,40 @@
             return None
         inflow = self._know.prefill_inflow(pool, item.work, now)
         return _with(
-            self._whole(found, item, inflow, now), [], "resume on the same engine"
+            self._whole(found, item, inflow, None, now), [], "resume on the same engine"
         )
 
+    def _score(self, plan: Plan, item: WorkItem) -> float:
+        """Return a plan's predicted end plus what its prefill costs the others.
+
+        Prefill holds up every stream of a mixed engine. The prefix's own engine
+        gets a small bonus, so that a prefix that is cached nowhere yet is not
+        prefilled on each engine in turn.
+        """
+        held_up = PREFILL_WEIGHT * plan.prefill_tokens / self._prefill_rate
+        end = plan.prediction.end + held_up
+        return end * (1 - OWN_BONUS) if plan.is_own else end
+
     def _plans(self, pool: Pool, item: WorkItem, count: int, now: float) -> list[Plan]:
         know = self._know
         mixed = know.sample(pool.pickers[Role.MIXED], item, count, now)
         prefill = know.sample(pool.pickers[Role.PREFILL], item, count, now)
         decode = know.sample(pool.pickers[Role.DECODE], item, count, now)
         inflow = know.prefill_inflow(pool, item.work, now)
-        plans = [self._whole(found, item, inflow, now) for found in mixed]
+        picker = pool.pickers[Role.MIXED]
+        own = picker.by_prefix(item.prefixes[0][1]) if item.prefixes else None
+        plans = [self._whole(found, item, inflow, own, now) for found in mixed]
         if prefill and decode:
             plans.append(self._split(prefill, decode, item, now))
         return plans
 
     def _whole(
-        self, found: Candidate, item: WorkItem, inflow: float, now: float
+        self,
+        found: Candidate,
+        item: WorkItem,
+        inflow: float,
+        own: Candidate | None,
+        now: float,
     ) -> Plan:
         know = self._know
         name = found.row.name
@@ -198,6 +223,7 @@
             [],
             "",
             output_tokens=item.output_tokens,
+            is_own=found is own,
         )
 
     def _split(
