Place requests by what their prefill holds up, and keep prefixes together

Change: a plan's score is its predicted end plus a weight times its own prefill time; the engine that the prefix belongs to gets a bonus of 20%.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,12 +3,14 @@
 import logging
 import sys
 
-from bench import in_force, micro, policies, store_writes
+from bench import in_force, memory, micro, policies, slopes, store_writes
 
 MEASUREMENTS = {
     "store": store_writes.main,
     "in-force": in_force.main,
     "micro": micro.main,
+    "slopes": slopes.main,
+    "memory": memory.main,
     "policies": policies.main,
 }
 
--- a/berylshift/request/choice.py
+++ b/berylshift/request/choice.py
@@ -29,8 +29,8 @@
 
 FIRST_SAMPLE = 2
 FULL_SAMPLE = 8
-PREFILL_WEIGHT = 2.0
-OWN_BONUS = 0.1
+PREFILL_WEIGHT = 8.0
+OWN_BONUS = 0.2
 SHORT_RETRY_AFTER = 1.0
 LONGEST_RETRY_AFTER = 30.0
 
--- a/berylshift/tools/demo.py
+++ b/berylshift/tools/demo.py
@@ -67,6 +67,8 @@
 
     directory: Path
     programs: Programs
+    engine_count: int = ENGINES
+    daemon_count: int = DAEMONS
     platform: str = ""
     engines: list[str] = field(default_factory=list)
     replicas: list[str] = field(default_factory=list)
@@ -77,7 +79,7 @@
         self.platform = (
             await self.programs.start_stand_in("platform", "platform")
         ).address
-        for number in range(1, ENGINES + 1):
+        for number in range(1, self.engine_count + 1):
             name = f"engine-{number}"
             args = ("engine", "--name", name, "--model", MODEL)
             self.engines.append(
@@ -93,7 +95,7 @@
             Edit(0, self._rows(), []), ChangeId("demo-1"), "demo", ""
         )
         self._write_credentials()
-        for number in range(1, DAEMONS + 1):
+        for number in range(1, self.daemon_count + 1):
             await self._start_daemon(f"host-{number}", number)
 
     def table_log(self) -> TableLog:
