--- a/berylshift/stand_ins/__main__.py
+++ b/berylshift/stand_ins/__main__.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 
+import msgspec
 import trio
 from cleo.application import Application as CommandLine
 from cleo.commands.command import Command
@@ -22,6 +23,7 @@
 from berylshift.stand_ins.platform_server import PlatformServer
 from berylshift.stand_ins.service_server import ServiceServer
 
+EXIT_BAD_INPUT = 2
 ADDRESS = option("address", "a", "IP:PORT to listen on.", flag=False)
 NAME = option("name", None, "The stand-in's name.", flag=False, default="engine-1")
 
@@ -65,6 +67,15 @@
         return 0
 
 
+def read_cost(words: list[str]) -> CostModel:
+    """Return the cost model with the named values changed."""
+    values = dict(word.split("=", 1) for word in words)
+    unknown = set(values) - set(CostModel.__dataclass_fields__)
+    if unknown:
+        raise ValueError(f"unknown: {', '.join(sorted(unknown))}")
+    return msgspec.convert(values, CostModel, strict=False)
+
+
 class EngineCommand(Command):
     """Runs an engine."""
 
@@ -75,12 +86,19 @@
         NAME,
         option("model", None, "The model served.", flag=False, default="match-note"),
         option("ignores-old", None, "Ignore old fencing numbers."),
-        option("change-seconds", None, "Time of a change.", flag=False, default="4"),
+        option(
+            "cost", None, "NAME=VALUE of the cost model.", flag=False, multiple=True
+        ),
     ]
 
     def handle(self) -> int:
         """Serve until SIGTERM."""
-        cost = CostModel(change_seconds=float(self.option("change-seconds")))
+        try:
+            cost = read_cost(self.option("cost"))
+        except (ValueError, msgspec.ValidationError) as exc:
+            known = ", ".join(CostModel.__dataclass_fields__)
+            self.line_error(f"--cost takes NAME=VALUE ({exc}); there are {known}")
+            return EXIT_BAD_INPUT
         refuses = not self.option("ignores-old")
         engine = FakeEngine(
             self.option("name"), "", cost, refuses, self.option("model")
