--- /dev/null
+++ b/berylshift/request/answer.py
@@ -0,0 +1,187 @@
+"""Answers to callers: whole, streamed, passed on, or an error, with the outcome."""
+
+import math
+
+import msgspec
+
+from berylshift.connection.http_server import Responder
+from berylshift.ids import RequestId
+from berylshift.request.messages import (
+    OUTCOME_HEADER,
+    REQUEST_HEADER,
+    RETRY_HEADER,
+    Ending,
+    Outcome,
+    PlainEnding,
+    Reason,
+)
+
+PROBLEM_TYPE = "application/problem+json"
+EVENT_TYPE = "text/event-stream"
+JSON_TYPE = "application/json"
+STATUS_OK = 200
+STATUS = {
+    Reason.BAD_REQUEST: 400,
+    Reason.UNKNOWN_CALLER: 401,
+    Reason.NO_SUCH_WORK: 404,
+    Reason.STALE_VIEW: 503,
+    Reason.DRAINING: 503,
+    Reason.NO_TARGET: 503,
+    Reason.AT_LIMIT: 503,
+    Reason.CUSTOMER_LIMIT: 429,
+    Reason.TOO_LATE: 503,
+    Reason.RETRIES_SPENT: 503,
+    Reason.TARGET_FAILED: 502,
+    Reason.STORE_DOWN: 503,
+    Reason.KEY_REUSED: 422,
+    Reason.KEY_PENDING: 409,
+    Reason.FATE_UNKNOWN: 502,
+}
+
+
+class Problem(msgspec.Struct, frozen=True, omit_defaults=True):
+    """An error by RFC 9457, with the request's outcome."""
+
+    type: str
+    title: str
+    status: int
+    outcome: str
+    request: str
+    detail: str = ""
+
+
+class Choice(msgspec.Struct, frozen=True):
+    """The text of an answer, or some of it."""
+
+    index: int
+    text: str
+    finish_reason: str | None = None
+
+
+class CompletionAnswer(msgspec.Struct, frozen=True):
+    """An answer in the shape that callers' client libraries read."""
+
+    id: str
+    model: str
+    choices: list[Choice]
+    object: str = "text_completion"
+
+
+class OutcomeEvent(msgspec.Struct, frozen=True, omit_defaults=True):
+    """The last event of a stream."""
+
+    outcome: str
+    request: str
+    reason: str = ""
+    tokens: int = 0
+
+
+class Answer:
+    """Writes the answer of one request, always with its outcome."""
+
+    def __init__(self, responder: Responder, request: RequestId):
+        """Answer ``request`` through ``responder``."""
+        self._responder = responder
+        self.request = request
+
+    async def whole(self, body: bytes) -> None:
+        """Send a whole answer."""
+        headers = {**self._headers(Outcome.COMPLETE), "content-type": JSON_TYPE}
+        await self._responder.full(STATUS_OK, headers, body)
+
+    async def passed_on(self, found: PlainEnding) -> None:
+        """Send a plain service's answer."""
+        headers = {**found.headers, **self._headers(Outcome.COMPLETE)}
+        await self._responder.full(found.status, headers, found.body)
+
+    async def problem(self, ending: Ending) -> None:
+        """Send an error; it says when to come back, where that is of use."""
+        status = STATUS[ending.reason]
+        headers = {**self._headers(ending.outcome), "content-type": PROBLEM_TYPE}
+        if ending.retry_after > 0:
+            headers[RETRY_HEADER] = str(math.ceil(ending.retry_after))
+        problem = Problem(
+            type=f"urn:berylshift:{ending.reason.name.lower().replace('_', '-')}",
+            title=ending.reason.value,
+            status=status,
+            outcome=ending.outcome.value,
+            request=self.request,
+            detail=ending.detail,
+        )
+        await self._responder.full(status, headers, msgspec.json.encode(problem))
+
+    async def start_events(self) -> None:
+        """Send the head of a stream."""
+        headers = {
+            REQUEST_HEADER: self.request,
+            "content-type": EVENT_TYPE,
+            "cache-control": "no-store",
+        }
+        await self._responder.start(STATUS_OK, headers)
+
+    async def event(self, data: bytes, name: str = "") -> None:
+        """Send one server-sent event."""
+        head = f"event: {name}\n".encode() if name else b""
+        await self._responder.send(head + b"data: " + data + b"\n\n")
+
+    async def end(self) -> None:
+        """End a stream; one that is not ended so is seen to be cut."""
+        await self._responder.end()
+
+    def _headers(self, outcome: Outcome) -> dict[str, str]:
+        return {OUTCOME_HEADER: outcome.value, REQUEST_HEADER: self.request}
+
+
+class WholeSink:
+    """Keeps the text for an answer that is sent whole."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._parts: list[str] = []
+
+    async def text(self, text: str) -> None:
+        """Keep some text."""
+        self._parts.append(text)
+
+    def joined(self) -> str:
+        """Return all text."""
+        return "".join(self._parts)
+
+
+class StreamSink:
+    """Sends text as server-sent events; its head goes out with the first text.
+
+    Until then the request can still be refused with a status of its own.
+    """
+
+    def __init__(self, out: Answer, model: str):
+        """Send to ``out``."""
+        self._out = out
+        self._model = model
+        self._started = False
+
+    async def text(self, text: str) -> None:
+        """Send some text."""
+        if not self._started:
+            self._started = True
+            await self._out.start_events()
+        await self._out.event(completion_answer(self._out.request, self._model, text))
+
+    async def finish(self, ending: Ending) -> None:
+        """End the stream, or leave it open-ended where it is not whole."""
+        if not self._started:
+            await self._out.problem(ending)
+            return
+        event = OutcomeEvent(
+            ending.outcome.value, self._out.request, ending.reason.value, ending.tokens
+        )
+        await self._out.event(msgspec.json.encode(event), "outcome")
+        if ending.outcome is Outcome.COMPLETE:
+            await self._out.event(b"[DONE]")
+            await self._out.end()
+
+
+def completion_answer(request: RequestId, model: str, text: str) -> bytes:
+    """Return one object of an answer, whole or some of it."""
+    answer = CompletionAnswer(request, model, [Choice(0, text)])
+    return msgspec.json.encode(answer)
--- a/berylshift/request/front.py
+++ b/berylshift/request/front.py
@@ -1,7 +1,6 @@
 """The callers' interface: from HTTP requests to calls, and back to answers."""
 
 import logging
-import math
 import random
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
@@ -14,15 +13,19 @@
 from berylshift.ids import CustomerName, FleetName, RequestId, WorkName
 from berylshift.metrics import Metrics
 from berylshift.process.limits import CustomerLimits
+from berylshift.request.answer import (
+    STATUS,
+    Answer,
+    StreamSink,
+    WholeSink,
+    completion_answer,
+)
 from berylshift.request.completion import Completion, CompletionParts
 from berylshift.request.decisions import DecisionLog
 from berylshift.request.errors import BadRequestError
 from berylshift.request.messages import (
     DEADLINE_HEADER,
     KEY_HEADER,
-    OUTCOME_HEADER,
-    REQUEST_HEADER,
-    RETRY_HEADER,
     Caller,
     Ending,
     ModelCall,
@@ -43,9 +46,6 @@
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS"})
 IDEMPOTENT_HEADER = "berylshift-idempotent"
 LONGEST_KEY = 200
-PROBLEM_TYPE = "application/problem+json"
-EVENT_TYPE = "text/event-stream"
-JSON_TYPE = "application/json"
 DROPPED_HEADERS = frozenset(
     {
         "authorization",
@@ -60,23 +60,6 @@
         "expect",
     }
 )
-STATUS = {
-    Reason.BAD_REQUEST: 400,
-    Reason.UNKNOWN_CALLER: 401,
-    Reason.NO_SUCH_WORK: 404,
-    Reason.STALE_VIEW: 503,
-    Reason.DRAINING: 503,
-    Reason.NO_TARGET: 503,
-    Reason.AT_LIMIT: 503,
-    Reason.CUSTOMER_LIMIT: 429,
-    Reason.TOO_LATE: 503,
-    Reason.RETRIES_SPENT: 503,
-    Reason.TARGET_FAILED: 502,
-    Reason.STORE_DOWN: 503,
-    Reason.KEY_REUSED: 422,
-    Reason.KEY_PENDING: 409,
-    Reason.FATE_UNKNOWN: 502,
-}
 STATUS_OK = 200
 STATUS_UNAVAILABLE = 503
 
@@ -90,43 +73,6 @@
     stream: bool = False
 
 
-class Problem(msgspec.Struct, frozen=True, omit_defaults=True):
-    """An error by RFC 9457, with the request's outcome."""
-
-    type: str
-    title: str
-    status: int
-    outcome: str
-    request: str
-    detail: str = ""
-
-
-class Choice(msgspec.Struct, frozen=True):
-    """The text of an answer, or some of it."""
-
-    index: int
-    text: str
-    finish_reason: str | None = None
-
-
-class CompletionAnswer(msgspec.Struct, frozen=True):
-    """An answer in the shape that callers' client libraries read."""
-
-    id: str
-    model: str
-    choices: list[Choice]
-    object: str = "text_completion"
-
-
-class OutcomeEvent(msgspec.Struct, frozen=True, omit_defaults=True):
-    """The last event of a stream."""
-
-    outcome: str
-    request: str
-    reason: str = ""
-    tokens: int = 0
-
-
 @dataclass
 class FrontParts:
     """What the callers' interface works with."""
@@ -176,7 +122,7 @@
         """Return an id that no other request has."""
         return RequestId(f"{self._parts.rng.getrandbits(64):016x}")
 
-    async def _route(self, req: HttpRequest, out: "Answer") -> None:
+    async def _route(self, req: HttpRequest, out: Answer) -> None:
         caller = self._caller(req)
         if caller is None:
             await out.problem(_not_run(Reason.UNKNOWN_CALLER))
@@ -225,9 +171,7 @@
 
     # Model calls
 
-    async def _completion(
-        self, req: HttpRequest, out: "Answer", caller: Caller
-    ) -> None:
+    async def _completion(self, req: HttpRequest, out: Answer, caller: Caller) -> None:
         body = _completion_body(req)
         call = ModelCall(
             request=out.request,
@@ -242,7 +186,7 @@
         if body.stream:
             await sink.finish(ending)
         elif ending.outcome is Outcome.COMPLETE:
-            await out.whole(_completion_answer(out.request, body.model, sink.joined()))
+            await out.whole(completion_answer(out.request, body.model, sink.joined()))
         else:
             await out.problem(ending)
 
@@ -257,7 +201,7 @@
 
     # Plain services
 
-    async def _service(self, req: HttpRequest, out: "Answer", caller: Caller) -> None:
+    async def _service(self, req: HttpRequest, out: Answer, caller: Caller) -> None:
         name, _, rest = req.path.removeprefix(SERVICES_PATH).partition("/")
         call = PlainCall(
             request=out.request,
@@ -290,116 +234,6 @@
         return found
 
 
-class Answer:
-    """Writes the answer of one request, always with its outcome."""
-
-    def __init__(self, responder: Responder, request: RequestId):
-        """Answer ``request`` through ``responder``."""
-        self._responder = responder
-        self.request = request
-
-    async def whole(self, body: bytes) -> None:
-        """Send a whole answer."""
-        headers = {**self._headers(Outcome.COMPLETE), "content-type": JSON_TYPE}
-        await self._responder.full(STATUS_OK, headers, body)
-
-    async def passed_on(self, found: PlainEnding) -> None:
-        """Send a plain service's answer."""
-        headers = {**found.headers, **self._headers(Outcome.COMPLETE)}
-        await self._responder.full(found.status, headers, found.body)
-
-    async def problem(self, ending: Ending) -> None:
-        """Send an error; it says when to come back, where that is of use."""
-        status = STATUS[ending.reason]
-        headers = {**self._headers(ending.outcome), "content-type": PROBLEM_TYPE}
-        if ending.retry_after > 0:
-            headers[RETRY_HEADER] = str(math.ceil(ending.retry_after))
-        problem = Problem(
-            type=f"urn:berylshift:{ending.reason.name.lower().replace('_', '-')}",
-            title=ending.reason.value,
-            status=status,
-            outcome=ending.outcome.value,
-            request=self.request,
-            detail=ending.detail,
-        )
-        await self._responder.full(status, headers, msgspec.json.encode(problem))
-
-    async def start_events(self) -> None:
-        """Send the head of a stream."""
-        headers = {
-            REQUEST_HEADER: self.request,
-            "content-type": EVENT_TYPE,
-            "cache-control": "no-store",
-        }
-        await self._responder.start(STATUS_OK, headers)
-
-    async def event(self, data: bytes, name: str = "") -> None:
-        """Send one server-sent event."""
-        head = f"event: {name}\n".encode() if name else b""
-        await self._responder.send(head + b"data: " + data + b"\n\n")
-
-    async def end(self) -> None:
-        """End a stream; one that is not ended so is seen to be cut."""
-        await self._responder.end()
-
-    def _headers(self, outcome: Outcome) -> dict[str, str]:
-        return {OUTCOME_HEADER: outcome.value, REQUEST_HEADER: self.request}
-
-
-class WholeSink:
-    """Keeps the text for an answer that is sent whole."""
-
-    def __init__(self) -> None:
-        """Start empty."""
-        self._parts: list[str] = []
-
-    async def text(self, text: str) -> None:
-        """Keep some text."""
-        self._parts.append(text)
-
-    def joined(self) -> str:
-        """Return all text."""
-        return "".join(self._parts)
-
-
-class StreamSink:
-    """Sends text as server-sent events; its head goes out with the first text.
-
-    Until then the request can still be refused with a status of its own.
-    """
-
-    def __init__(self, out: Answer, model: str):
-        """Send to ``out``."""
-        self._out = out
-        self._model = model
-        self._started = False
-
-    async def text(self, text: str) -> None:
-        """Send some text."""
-        if not self._started:
-            self._started = True
-            await self._out.start_events()
-        await self._out.event(_completion_answer(self._out.request, self._model, text))
-
-    async def finish(self, ending: Ending) -> None:
-        """End the stream, or leave it open-ended where it is not whole."""
-        if not self._started:
-            await self._out.problem(ending)
-            return
-        event = OutcomeEvent(
-            ending.outcome.value, self._out.request, ending.reason.value, ending.tokens
-        )
-        await self._out.event(msgspec.json.encode(event), "outcome")
-        if ending.outcome is Outcome.COMPLETE:
-            await self._out.event(b"[DONE]")
-            await self._out.end()
-
-
-def _completion_answer(request: RequestId, model: str, text: str) -> bytes:
-    answer = CompletionAnswer(request, model, [Choice(0, text)])
-    return msgspec.json.encode(answer)
-
-
 def _completion_body(req: HttpRequest) -> CompletionBody:
     if req.method != "POST":
         raise BadRequestError("completions are asked for by POST")
--- a/berylshift/tests/support.py
+++ b/berylshift/tests/support.py
@@ -5,11 +5,23 @@
 
 import trio
 import trio.testing
+from hypothesis import HealthCheck, settings
 
 from berylshift.ids import TableVersion
 from berylshift.version.rows import OrderCheck, Row, RowKind
 from berylshift.version.table import Table
 
+# The same exploration each time, on any machine.
+EXPLORE = settings(
+    derandomize=True,
+    max_examples=200,
+    stateful_step_count=50,
+    deadline=None,
+    database=None,
+    print_blob=False,
+    report_multiple_bugs=False,
+    suppress_health_check=list(HealthCheck),
+)
 MODEL = "match-note"
 FLEET = "nestwatch"
 
--- a/berylshift/tests/test_confirmation_machine.py
+++ b/berylshift/tests/test_confirmation_machine.py
@@ -3,7 +3,7 @@
 import random
 
 import msgspec
-from hypothesis import HealthCheck, settings
+from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
@@ -30,19 +30,11 @@
 from berylshift.stand_ins.fake_platform import FakePlatform
 from berylshift.stand_ins.fake_service import FakeService
 from berylshift.targets import ServiceAnswer, ServiceCall
+from berylshift.tests.support import EXPLORE
 
 KEYS = ("k1", "k2")
 DEADLINE = 5.0
-EXPLORE = settings(
-    derandomize=True,
-    max_examples=200,
-    stateful_step_count=60,
-    deadline=None,
-    database=None,
-    print_blob=False,
-    report_multiple_bugs=False,
-    suppress_health_check=list(HealthCheck),
-)
+MACHINE = settings(EXPLORE, max_examples=200, stateful_step_count=60)
 
 
 class Arrival:
@@ -215,4 +207,4 @@
 class ConfirmationsTest(ConfirmationMachine.TestCase):
     """Confirmations run at most once, and outcomes are true."""
 
-    settings = EXPLORE
+    settings = MACHINE
--- a/berylshift/tests/test_orders.py
+++ b/berylshift/tests/test_orders.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from hypothesis import HealthCheck, Phase, settings
+from hypothesis import Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -14,20 +14,11 @@
 from berylshift.process.orders import SETTLE_SECONDS, JournalState, role_order
 from berylshift.targets import Role
 from berylshift.tests.order_machine import MARGIN, TERM, OrderWorld
+from berylshift.tests.support import EXPLORE
 
 ROLES = st.sampled_from([None, Role.PREFILL, Role.DECODE, Role.MIXED])
 CHANGES = st.sampled_from([Role.PREFILL, Role.DECODE])
 PROCESS = st.integers(0, 2)
-EXPLORE = settings(
-    derandomize=True,
-    max_examples=200,
-    stateful_step_count=50,
-    deadline=None,
-    database=None,
-    print_blob=False,
-    report_multiple_bugs=False,
-    suppress_health_check=list(HealthCheck),
-)
 GENERATE = settings(EXPLORE, phases=[Phase.generate])
 
 
--- a/berylshift/tests/test_table_machine.py
+++ b/berylshift/tests/test_table_machine.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from hypothesis import HealthCheck, settings
+from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from returns.result import Success
@@ -12,20 +12,11 @@
 from berylshift.platform.interfaces import AnswerLostError, PlatformError
 from berylshift.process.table_follower import TableHolder
 from berylshift.stand_ins.fake_platform import FakePlatform
-from berylshift.tests.support import engine_row, route_row
+from berylshift.tests.support import EXPLORE, engine_row, route_row
 from berylshift.version.changelog import TableLog
 from berylshift.version.diff import Edit
 
-EXPLORE = settings(
-    derandomize=True,
-    max_examples=150,
-    stateful_step_count=60,
-    deadline=None,
-    database=None,
-    print_blob=False,
-    report_multiple_bugs=False,
-    suppress_health_check=list(HealthCheck),
-)
+MACHINE = settings(EXPLORE, max_examples=150, stateful_step_count=60)
 
 
 class _Turn:
@@ -185,7 +176,7 @@
 class TableVersionsTest(TableMachine.TestCase):
     """Accepted edits stay, versions only rise, nothing is overwritten unseen."""
 
-    settings = EXPLORE
+    settings = MACHINE
 
 
 class LostCommitTest(unittest.TestCase):
