--- /dev/null
+++ b/berylshift/tests/test_outcomes.py
@@ -0,0 +1,210 @@
+"""Tests of outcomes: "not-run" is said only of calls that were not run."""
+
+import unittest
+
+import trio
+import trio.testing
+
+from berylshift.connection.http_client import HttpClient
+from berylshift.connection.service_client import REFUSED_HEADER, HttpServiceClient
+from berylshift.ids import AttemptId
+from berylshift.replay.trace import EventKind, TraceEvent
+from berylshift.replay.virtual import VirtualFleet
+from berylshift.request.messages import Outcome, Reason
+from berylshift.targets import (
+    ServiceCall,
+    TargetBrokenError,
+    TargetNotReachedError,
+    TargetRefusedError,
+)
+from berylshift.tests.support import VirtualTestCase
+from berylshift.tests.world import (
+    call_service,
+    complete,
+    model_call,
+    plain_call,
+    run_world,
+    wanted,
+)
+
+CALL = ServiceCall(AttemptId("a1"), "booking", "POST", "/book", {}, b"x", False, "k")
+
+
+class ServiceClientTest(VirtualTestCase):
+    """How each end of a connection is read."""
+
+    def call(self, answer: bytes | None, reads_request: bool = True):
+        """Call a peer that sends ``answer`` and closes; ``None``: it refuses."""
+
+        async def task():
+            near, far = trio.testing.memory_stream_pair()
+
+            async def dial(address):
+                if answer is None:
+                    raise OSError("refused")
+                return near
+
+            async def peer():
+                if reads_request:
+                    await far.receive_some()
+                if answer:
+                    await far.send_all(answer)
+                await far.aclose()
+
+            result = None
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(peer)
+                try:
+                    client = HttpServiceClient(HttpClient(dial), "")
+                    result = await client.call("a:1", CALL)
+                except Exception as exc:
+                    result = exc
+                nursery.cancel_scope.cancel()
+            return result
+
+        return self.run_virtual(task)
+
+    def test_connect_refused_was_not_run(self):
+        self.assertIsInstance(self.call(None), TargetNotReachedError)
+
+    def test_reset_before_the_first_byte_of_the_answer_may_have_run(self):
+        # The target read the call and went down. Nobody can say whether it ran.
+        self.assertIsInstance(self.call(b""), TargetBrokenError)
+
+    def test_reset_before_the_request_was_read_may_have_run(self):
+        found = self.call(b"", reads_request=False)
+        self.assertIsInstance(found, TargetBrokenError)
+
+    def test_reset_after_the_first_byte_may_have_run(self):
+        half = b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhal"
+        self.assertIsInstance(self.call(half), TargetBrokenError)
+
+    def test_nonsense_may_have_run(self):
+        self.assertIsInstance(self.call(b"nonsense\r\n\r\n"), TargetBrokenError)
+
+    def test_own_refusal_was_not_run(self):
+        head = f"HTTP/1.1 503 Busy\r\n{REFUSED_HEADER}: true\r\nContent-Length: 0\r\n"
+        found = self.call(head.encode() + b"\r\n")
+        self.assertIsInstance(found, TargetRefusedError)
+
+    def test_plain_503_is_the_services_own_answer(self):
+        found = self.call(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+        self.assertEqual(found.status, 503)
+
+
+class ConfirmationOutcomeTest(unittest.TestCase):
+    """What a caller is told of a confirmation, against the service's count."""
+
+    def confirm(self, prepare):
+        """Confirm after ``prepare(world)``; return outcome and count."""
+
+        async def task(world):
+            await prepare(world)
+            found = await call_service(world.hosts["host-1"], plain_call("k"))
+            await trio.sleep(3)
+            return found.ending.outcome, world.ran["k"], found.ending.reason
+
+        return run_world(task)
+
+    def test_no_replica_can_be_reached(self):
+        async def prepare(world):
+            for service in world.services.values():
+                service.alive = False
+
+        self.assertEqual(self.confirm(prepare)[:2], (Outcome.NOT_RUN, 0))
+
+    def test_time_out(self):
+        # The service takes longer than the time-out: it runs, and the answer comes
+        # too late to be read.
+        async def prepare(world):
+            for service in world.services.values():
+                service.script.seconds = 6.0
+
+        self.assertEqual(self.confirm(prepare)[:2], (Outcome.UNKNOWN, 1))
+
+    def test_one_replica_refuses_and_the_other_runs_it(self):
+        async def prepare(world):
+            world.services["booking-1"].script.refuse = True
+
+        self.assertEqual(self.confirm(prepare)[:2], (Outcome.COMPLETE, 1))
+
+    def test_view_that_turns_stale_before_the_send(self):
+        # The row is in, then the host finds that it can't confirm its table. It
+        # must not send by it; the key is free again.
+        async def prepare(world):
+            app = world.hosts["host-1"].app
+            app.services._parts.may_route = lambda: False
+
+        outcome, ran, reason = self.confirm(prepare)
+        self.assertEqual((outcome, ran), (Outcome.NOT_RUN, 0))
+        self.assertIs(reason, Reason.STALE_VIEW)
+
+    def test_shutdown_waits_for_a_confirmation_under_way(self):
+        async def task(world):
+            for service in world.services.values():
+                service.script.seconds = 2.0
+            host = world.hosts["host-1"]
+            found = []
+
+            async def ask():
+                found.append(await call_service(host, plain_call("k")))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask)
+                await trio.sleep(0.5)
+                nursery.start_soon(host.stop)
+            return found[0].ending.outcome, world.ran["k"]
+
+        self.assertEqual(run_world(task), (Outcome.COMPLETE, 1))
+
+
+class LookupOutcomeTest(unittest.TestCase):
+    """Calls that may be repeated."""
+
+    def test_lookup_is_repeated_at_the_other_replica(self):
+        async def task(world):
+            world.services["booking-1"].alive = False
+            found = [
+                await call_service(world.hosts["host-1"], plain_call())
+                for _ in range(6)
+            ]
+            return {item.ending.outcome for item in found}
+
+        self.assertEqual(run_world(task), {Outcome.COMPLETE})
+
+    def test_lookup_whose_answers_all_break_off_is_unknown(self):
+        async def task(world):
+            for service in world.services.values():
+                service.script.lose_answers = 100
+            found = await call_service(world.hosts["host-1"], plain_call())
+            return found.ending.outcome
+
+        self.assertIs(run_world(task), Outcome.UNKNOWN)
+
+
+class WithdrawnTargetTest(unittest.TestCase):
+    """Engines that are withdrawn or replaced while they work."""
+
+    def test_answer_under_way_is_not_cut(self):
+        for state in ("withdrawn", "replaced"):
+            with self.subTest(state=state):
+
+                async def task(world, state=state):
+                    call = model_call(1, output=300)
+                    found = []
+
+                    async def ask():
+                        found.append(await complete(world.hosts["host-1"], call))
+
+                    async with trio.open_nursery() as nursery:
+                        nursery.start_soon(ask)
+                        await trio.sleep(1)
+                        for name in ("engine-1", "engine-2"):
+                            event = TraceEvent(
+                                0, EventKind.EDIT, name, column="state", value=state
+                            )
+                            await VirtualFleet(world).act(event)
+                    ending, text = found[0]
+                    return ending.outcome, text == wanted(call)
+
+                self.assertEqual(run_world(task), (Outcome.COMPLETE, True))
