Look a prompt's prefix up when its prefill begins, in the stand-in engine

Cause: all late requests of the capacity trace fell into its first five seconds. The stand-in decided at arrival how much of a prompt was cached, so prompts that waited behind the first one of their prefix were each prefilled whole.

Ruled out: spread over engines (by prefix, uneven but not the cause), predictions.

Change: the lookup is made when the prompt comes to the head of the queue, as an engine's scheduler does. It holds for all policies alike.

--- a/berylshift/stand_ins/fake_engine.py
+++ b/berylshift/stand_ins/fake_engine.py
@@ -216,7 +216,22 @@
             place -= 1
         waiting.insert(place, stream)
         if len(waiting) == 1:
-            self._prefill_left = stream.uncached
+            self._begin_head()
+
+    def _begin_head(self) -> None:
+        """Begin the prefill of the queue's head.
+
+        Its prefix is looked up now: while it waited, another prompt may have
+        brought the prefix into the cache.
+        """
+        if not self._waiting:
+            self._prefill_left = 0.0
+            return
+        stream = self._waiting[0]
+        size = prompt_tokens(stream.call.prompt + stream.call.emitted)
+        cached = self.cache.cached_tokens(stream.hashes)
+        stream.uncached = max(1, size - cached)
+        self._prefill_left = stream.uncached
 
     def cancel(self, attempt: AttemptId, now: float) -> None:
         """Stop an attempt, wherever it stands."""
@@ -226,7 +241,7 @@
             return
         if self._waiting and self._waiting[0] is stream:
             self._waiting.popleft()
-            self._prefill_left = self._waiting[0].uncached if self._waiting else 0.0
+            self._begin_head()
         elif stream in self._waiting:
             self._waiting.remove(stream)
         if stream in self._running:
@@ -464,7 +479,7 @@
         if self._waiting and self._prefill_left <= 0 and self._prefills():
             stream = self._waiting.popleft()
             self._prefilled(stream)
-            self._prefill_left = self._waiting[0].uncached if self._waiting else 0.0
+            self._begin_head()
 
     def _forget_ended(self) -> None:
         for stream in self._running:
