--- a/berylshift/process/limits.py
+++ b/berylshift/process/limits.py
@@ -45,15 +45,21 @@
         self._customers: dict[CustomerName, _Customer] = defaultdict(_Customer)
         self._hosts = 1
         self._connected = True
+        self._scale = 1.0
 
     def set_limits(self, limits: dict[CustomerName, int]) -> None:
         """Take the limits of a table version."""
         self._limits = limits
 
-    def set_hosts(self, hosts: int, connected: bool) -> None:
-        """Take the number of live hosts, and whether most of them are in sight."""
+    def set_hosts(self, hosts: int, connected: bool, in_sight: int) -> None:
+        """Take the number of live hosts, and how many peers are in sight.
+
+        ``connected`` says whether these are as many as were asked, so that they
+        are a fair sample of the others.
+        """
         self._hosts = max(1, hosts)
         self._connected = connected
+        self._scale = (self._hosts - 1) / in_sight if in_sight else 1.0
 
     def peer_demand(self, peer: HostName, demands: list[Demand], at: float) -> None:
         """Take a peer's demands, heard at ``at``."""
@@ -99,7 +105,7 @@
         if not self._connected:
             return even
         own = _own_rate(state, now)
-        others = sum(
+        others = self._scale * sum(
             rate for at, rate in state.peers.values() if now - at <= PEER_SECONDS
         )
         if own + others <= 0:
--- a/berylshift/process/mix_meter.py
+++ b/berylshift/process/mix_meter.py
@@ -49,6 +49,7 @@
     def __init__(self) -> None:
         """Start with no demand."""
         self._pools: dict[PoolName, _PoolMeter] = defaultdict(_PoolMeter)
+        self._scale = 1.0
 
     def prefill(self, pool: PoolName, tokens: int, now: float) -> None:
         """Count tokens that were sent to be prefilled."""
@@ -58,6 +59,10 @@
         """Count tokens that were decoded."""
         self._pools[pool].decode.add(tokens, now)
 
+    def set_hosts(self, hosts: int, in_sight: int) -> None:
+        """Take the number of live hosts, and how many peers are in sight."""
+        self._scale = (hosts - 1) / in_sight if in_sight else 1.0
+
     def own(self, now: float) -> list[Mix]:
         """Return this process's own rates, for its peers."""
         found = []
@@ -76,6 +81,10 @@
         """Return the pool's whole demand, as far as known."""
         meter = self._pools[pool]
         mixes = [mix for at, mix in meter.peers.values() if now - at <= PEER_SECONDS]
-        prefill = meter.prefill.rate(now) + sum(mix.prefill_rate for mix in mixes)
-        decode = meter.decode.rate(now) + sum(mix.decode_rate for mix in mixes)
-        return Mix(pool, prefill, decode)
+        prefill = self._scale * sum(mix.prefill_rate for mix in mixes)
+        decode = self._scale * sum(mix.decode_rate for mix in mixes)
+        return Mix(
+            pool,
+            meter.prefill.rate(now) + prefill,
+            meter.decode.rate(now) + decode,
+        )
--- a/berylshift/process/peer_loop.py
+++ b/berylshift/process/peer_loop.py
@@ -89,6 +89,17 @@
             nursery.start_soon(self._answer)
             await self._tell_in_turn()
 
+    def _count_hosts(self, now: float) -> None:
+        """Tell the parts how many hosts there are, and how many of them speak."""
+        parts = self._parts
+        size = parts.members.size()
+        in_sight = len(parts.members.live(now)) - 1
+        asked = parts.cfg.fanout * parts.cfg.silent_after / parts.cfg.interval
+        connected = in_sight + 1 > min(size, asked) / 2
+        parts.fresh.hosts = size
+        parts.limits.set_hosts(size, connected, in_sight)
+        parts.meter.set_hosts(size, in_sight)
+
     async def _answer(self) -> None:
         while True:
             await self._wake.wait()
@@ -100,10 +111,7 @@
         parts = self._parts
         while True:
             now = parts.clock.monotonic()
-            size = parts.members.size()
-            parts.fresh.hosts = size
-            in_sight = len(parts.members.live(now))
-            parts.limits.set_hosts(size, in_sight > size / 2)
+            self._count_hosts(now)
             for entry in parts.members.pick(parts.cfg.fanout):
                 parts.fresh.peer_asked(entry.host, now)
                 await self._tell(entry, is_reply=False)
--- a/berylshift/tests/test_process_load.py
+++ b/berylshift/tests/test_process_load.py
@@ -187,7 +187,7 @@
         hosts = [CustomerLimits() for _ in range(count)]
         for host in hosts:
             host.set_limits({"hobart": limit})
-            host.set_hosts(count, connected=talk)
+            host.set_hosts(count, talk, count - 1 if talk else 0)
         admitted = 0
         step = 0.01
         for tick in range(int(seconds / step)):
@@ -218,6 +218,28 @@
         admitted = self.run_hosts(9, [90] * 9, limit=27, seconds=30, talk=False)
         self.assertLessEqual(admitted, 27 * 30 * 1.1 + 27)
 
+    def test_a_sample_of_the_peers_is_scaled_up(self):
+        # At 40 hosts each hears a few others. Their demand stands for all: else
+        # each host would take a part of the limit that is several times too large.
+        hosts = [CustomerLimits() for _ in range(40)]
+        rng = random.Random(2)
+        for host in hosts:
+            host.set_limits({"hobart": 40})
+            host.set_hosts(40, connected=True, in_sight=8)
+        admitted = 0
+        for tick in range(2000):
+            now = tick * 0.01
+            for own, host in enumerate(hosts):
+                if tick % 100 == 0:
+                    for step in range(1, 9):
+                        place = (own + 4 * step) % 40
+                        demands = hosts[place].demands(now)
+                        host.peer_demand(f"h{place}", demands, now)
+                if rng.random() < 0.05:
+                    admitted += host.admit("hobart", now) == 0
+        self.assertLessEqual(admitted, 1.3 * 40 * 20)
+        self.assertGreaterEqual(admitted, 0.5 * 40 * 20)
+
     def test_customer_without_a_limit_is_admitted(self):
         limits = CustomerLimits()
         self.assertEqual(limits.admit("hobart", 0.0), 0.0)
@@ -231,7 +253,7 @@
     def test_old_demands_of_peers_are_forgotten(self):
         limits = CustomerLimits()
         limits.set_limits({"hobart": 10})
-        limits.set_hosts(2, connected=True)
+        limits.set_hosts(2, connected=True, in_sight=1)
         limits.peer_demand("h2", [Demand("hobart", 1000.0)], 0.0)
         admitted = sum(limits.admit("hobart", 10 + i / 100) == 0 for i in range(1000))
         self.assertGreater(admitted, 80)
