Mend what a newcomer stumbles over: long constructors, dead code, missing gauges

Change: parts objects as elsewhere, dead names removed, a hook for a new table version that sets limits and forgets targets, four gauges.

--- a/berylshift/application.py
+++ b/berylshift/application.py
@@ -33,11 +33,12 @@
 from berylshift.process.pool_loop import PoolLoop, PoolParts
 from berylshift.process.prefixes import PrefixIndex
 from berylshift.process.readiness import Phase, Readiness
-from berylshift.process.report_poller import ReportPoller
+from berylshift.process.report_poller import PollerParts, ReportPoller
 from berylshift.process.retry_budget import RetryBudget
 from berylshift.process.store_budget import StoreBudget
 from berylshift.process.sweep_loop import SweepLoop
 from berylshift.process.table_follower import (
+    FollowerParts,
     PeerTables,
     PeerView,
     TableFollower,
@@ -59,10 +60,13 @@
 from berylshift.targets import EngineClient, ServiceClient
 from berylshift.version.changelog import TableLog
 from berylshift.version.freshness import Freshness
+from berylshift.version.table import Table
 
 logger = logging.getLogger(__name__)
 
 EMPTY_CHECK_SECONDS = 0.1
+GAUGE_SECONDS = 5.0
+LONGEST_AGE = 3600.0
 
 
 @dataclass
@@ -203,27 +207,29 @@
     def _make_loops(self, addresses: Addresses) -> None:
         cfg, ports = self.cfg, self.ports
         self.table_log = TableLog(self.gate, ports.objects)
-        self.follower = TableFollower(
-            self.holder,
-            self.table_log,
-            self.fresh,
-            self.limits,
-            self.plans,
-            self.members,
-            ports.peer_tables,
-            ports.clock,
-            cfg.table.poll_interval,
-            [seed.strip() for seed in cfg.host.seeds.split(",") if seed.strip()],
+        follower = FollowerParts(
+            holder=self.holder,
+            log=self.table_log,
+            fresh=self.fresh,
+            plans=self.plans,
+            members=self.members,
+            peers=ports.peer_tables,
+            clock=ports.clock,
+            on_change=self.on_table,
+            poll=cfg.table.poll_interval,
+            seeds=[seed.strip() for seed in cfg.host.seeds.split(",") if seed.strip()],
         )
-        self.poller = ReportPoller(
-            ports.engines,
-            self.load,
-            self.know.prefixes,
-            self.holder,
-            ports.clock,
-            cfg.targets.report_interval,
-            cfg.targets.report_timeout,
+        self.follower = TableFollower(follower)
+        poller = PollerParts(
+            client=ports.engines,
+            load=self.load,
+            prefixes=self.know.prefixes,
+            holder=self.holder,
+            clock=ports.clock,
+            interval=cfg.targets.report_interval,
+            timeout=cfg.targets.report_timeout,
         )
+        self.poller = ReportPoller(poller)
         peers = PeerParts(
             cfg=cfg.peers,
             members=self.members,
@@ -264,6 +270,26 @@
         )
         self.pool_loop = PoolLoop(pools)
 
+    def on_table(self, old: Table, new: Table) -> None:
+        """Take over what a new version of the table says."""
+        self.limits.set_limits(
+            {row.target: row.limit for row in new.customers.values() if row.limit}
+        )
+        for name in old.targets:
+            if name not in new.targets:
+                self.load.forget(name)
+
+    async def _report_gauges(self) -> None:
+        """Send the gauges until cancelled."""
+        metrics, clock = self.ports.metrics, self.ports.clock
+        while True:
+            metrics.gauge("table_version", self.holder.table.version)
+            age = min(LONGEST_AGE, self.fresh.store_age(clock.monotonic()))
+            metrics.gauge("store_age_seconds", age)
+            metrics.gauge("in_flight", self.front.in_flight)
+            metrics.gauge("pending_records", len(self.pending))
+            await trio.sleep(GAUGE_SECONDS)
+
     def peer_view(self) -> PeerView:
         """Return what this host tells peers that lag behind or start."""
         table = self.holder.table
@@ -287,6 +313,7 @@
             nursery.start_soon(self.pending_loop.run)
             nursery.start_soon(self.pool_loop.run)
             nursery.start_soon(self.sweep_loop.run)
+            nursery.start_soon(self._report_gauges)
 
     def on_start(self) -> None:
         """Note that the process runs."""
--- a/berylshift/connection/http_server.py
+++ b/berylshift/connection/http_server.py
@@ -13,7 +13,6 @@
 logger = logging.getLogger(__name__)
 
 READ_BYTES = 65536
-STATUS_BAD_REQUEST = 400
 STATUS_TIMEOUT = 408
 STATUS_TOO_LARGE = 413
 STATUS_ERROR = 500
--- a/berylshift/connection/peer_link.py
+++ b/berylshift/connection/peer_link.py
@@ -24,7 +24,6 @@
         self._most = most
         self._socket = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
         self.bad = 0
-        self.bytes_sent = 0
 
     async def bind(self, address: str) -> str:
         """Listen on ``IP:PORT``; return the address with the port in use."""
@@ -37,7 +36,6 @@
         data = self._codec.encode(digest, self._most)
         try:
             await self._socket.sendto(data, split_address(address))
-            self.bytes_sent += len(data)
         except OSError:
             logger.debug("datagram not sent")
 
--- a/berylshift/daemon.py
+++ b/berylshift/daemon.py
@@ -170,6 +170,7 @@
     command = ServeCommand()
     cli = CommandLine("berylshiftd", __version__)
     cli.add(command)
+    # The library has no public way to a program of one command.
     cli._default_command = command.name
     cli._single_command = True
     sys.exit(cli.run())
--- a/berylshift/platform/batch.py
+++ b/berylshift/platform/batch.py
@@ -53,7 +53,6 @@
         self._waiting: list[_Entry] = []
         self._wake = trio.Event()
         self.transactions = 0
-        self.rows_written = 0
 
     async def read(self, keys: list[str], priority: Priority) -> list[StoredRow | None]:
         """Return rows; raise ``PlatformError``."""
@@ -73,7 +72,6 @@
         """Commit a transaction of its own; raise ``PlatformError``."""
         await self._admit(self._writes, priority)
         self.transactions += 1
-        self.rows_written += len(transaction.writes)
         return await self._watch(self._writes, self._service.transact, transaction)
 
     async def put_row(self, condition: Condition, write: Write) -> TransactionAnswer:
@@ -141,7 +139,6 @@
         conditions = [entry.condition for entry in batch]
         writes = [entry.write for entry in batch]
         self.transactions += 1
-        self.rows_written += len(batch)
         try:
             transaction = Transaction(conditions, writes)
             return await self._watch(self._writes, self._service.transact, transaction)
--- a/berylshift/process/pool_loop.py
+++ b/berylshift/process/pool_loop.py
@@ -81,7 +81,6 @@
 
     lease: Lease
     desk: PoolDesk
-    renewed_at: float = float("-inf")
     notes: PoolNotes = field(default_factory=PoolNotes)
 
 
@@ -94,7 +93,6 @@
         self._pools: dict[PoolName, _Pool] = {}
         self._copies = CopyBook()
         self._to_settle: dict[TargetName, JournalRow] = {}
-        self.orders_sent = 0
 
     async def run(self) -> None:
         """Look at each pool every interval until cancelled."""
@@ -279,7 +277,6 @@
             return
         to = note.report.incarnation if note.report else ""
         self._copies.sending(engine, order.number, to)
-        self.orders_sent += 1
         end = await self._deliver(note.row.address, order)
         self._copies.ended(engine, order.number, end)
         extra = {"engine": engine, "number": order.number, "end": end.value}
--- a/berylshift/process/report_poller.py
+++ b/berylshift/process/report_poller.py
@@ -1,6 +1,7 @@
 """The loop that asks engines for their load and cache events."""
 
 import logging
+from dataclasses import dataclass
 
 import trio
 
@@ -14,47 +15,45 @@
 logger = logging.getLogger(__name__)
 
 
+@dataclass
+class PollerParts:
+    """What polling works with; times in seconds."""
+
+    client: EngineClient
+    load: LoadView
+    prefixes: PrefixIndex
+    holder: TableHolder
+    clock: Clock
+    interval: float
+    timeout: float
+
+
 class ReportPoller:
     """Asks engines for their load, and for what left their caches."""
 
-    def __init__(
-        self,
-        client: EngineClient,
-        load: LoadView,
-        prefixes: PrefixIndex,
-        holder: TableHolder,
-        clock: Clock,
-        interval: float,
-        timeout: float,
-    ):
-        """Ask each engine every ``interval`` seconds."""
-        self._client = client
-        self._load = load
-        self._prefixes = prefixes
-        self._holder = holder
-        self._clock = clock
-        self._interval = interval
-        self._timeout = timeout
+    def __init__(self, parts: PollerParts):
+        """Work with ``parts``."""
+        self._parts = parts
         self._events_seen: dict[str, int] = {}
 
     async def run(self) -> None:
         """Poll until cancelled."""
         while True:
-            rows = self._holder.table.engines()
+            rows = self._parts.holder.table.engines()
             async with trio.open_nursery() as nursery:
                 for row in rows:
                     nursery.start_soon(self._ask, row.name, row.address)
-            await trio.sleep(self._interval)
+            await trio.sleep(self._parts.interval)
 
     async def _ask(self, name: TargetName, address: str) -> None:
-        asked_at = self._clock.monotonic()
-        with trio.move_on_after(self._timeout):
+        asked_at = self._parts.clock.monotonic()
+        with trio.move_on_after(self._parts.timeout):
             try:
-                old = self._load.report(name)
-                report = await self._client.report(address)
-                self._load.reported(name, report, asked_at)
+                old = self._parts.load.report(name)
+                report = await self._parts.client.report(address)
+                self._parts.load.reported(name, report, asked_at)
                 if old is not None and old.incarnation != report.incarnation:
-                    self._prefixes.lost(name)
+                    self._parts.prefixes.lost(name)
                     self._events_seen[name] = 0
                 await self._read_events(name, address)
             except TargetError as exc:
@@ -62,7 +61,7 @@
 
     async def _read_events(self, name: TargetName, address: str) -> None:
         after = self._events_seen.get(name, 0)
-        events = await self._client.cache_events(address, after)
+        events = await self._parts.client.cache_events(address, after)
         if events:
             self._events_seen[name] = events[-1].sequence
-            self._prefixes.observed(name, events)
+            self._parts.prefixes.observed(name, events)
--- a/berylshift/process/sweep_loop.py
+++ b/berylshift/process/sweep_loop.py
@@ -43,7 +43,6 @@
         self._clock = clock
         self._rng = rng
         self._after = ""
-        self.removed = 0
 
     async def run(self) -> None:
         """Sweep until cancelled."""
@@ -76,4 +75,4 @@
         )
         answer = await self._gate.transact(transaction, Priority.UPKEEP)
         if answer.committed:
-            self.removed += len(rows)
+            logger.info("old confirmations removed", extra={"rows": len(rows)})
--- a/berylshift/process/table_follower.py
+++ b/berylshift/process/table_follower.py
@@ -1,6 +1,7 @@
 """The loop that keeps the operators' table up to date in this process."""
 
 import logging
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -10,7 +11,6 @@
 from berylshift.clock import Clock
 from berylshift.ids import PoolName, TableVersion
 from berylshift.platform.interfaces import HostEntry, PlatformError, StoredRow
-from berylshift.process.limits import CustomerLimits
 from berylshift.process.membership import Membership
 from berylshift.process.plans import PlanRow, Plans, plan_key
 from berylshift.version.changelog import TableLog, TableLogError
@@ -55,44 +55,40 @@
         return True
 
 
+@dataclass
+class FollowerParts:
+    """What following the table works with.
+
+    ``on_change`` is told the old and the new table. ``seeds`` are peers' admin
+    addresses, asked while no table is held: a process that starts while store and
+    host list are down knows no peer. ``poll`` is in seconds.
+    """
+
+    holder: TableHolder
+    log: TableLog
+    fresh: Freshness
+    plans: Plans
+    members: Membership
+    peers: PeerTables
+    clock: Clock
+    on_change: Callable[[Table, Table], None]
+    poll: float
+    seeds: list[str]
+
+
 class TableFollower:
     """Keeps the table up to date, from the store and from peers."""
 
-    def __init__(
-        self,
-        holder: TableHolder,
-        log: TableLog,
-        fresh: Freshness,
-        limits: CustomerLimits,
-        plans: Plans,
-        members: Membership,
-        peers: PeerTables,
-        clock: Clock,
-        poll: float,
-        seeds: list[str],
-    ):
-        """Look at the store every ``poll`` seconds.
-
-        ``seeds`` are peers' admin addresses, asked while no table is held: a
-        process that starts while store and host list are down knows no peer.
-        """
-        self._holder = holder
-        self._log = log
-        self._fresh = fresh
-        self._limits = limits
-        self._plans = plans
-        self._members = members
-        self._peers = peers
-        self._clock = clock
-        self._poll = poll
+    def __init__(self, parts: FollowerParts):
+        """Work with ``parts``."""
+        self._parts = parts
         self._hint = trio.Event()
-        self._seeds = seeds
         self._ahead: set[str] = set()
 
     def peer_has(self, address: str, version: int, plan_version: int) -> None:
         """Note what a peer holds; what is newer is fetched at once."""
-        newer = version > self._holder.table.version
-        if newer or plan_version > self._plans.total:
+        newer = version > self._parts.holder.table.version
+        if newer or plan_version > self._parts.plans.total:
             self._ahead.add(address)
             self._hint.set()
 
@@ -103,53 +99,54 @@
                 await self._from_peers()
             self._ahead.clear()
             self._hint = trio.Event()
-            with trio.move_on_after(self._poll):
+            with trio.move_on_after(self._parts.poll):
                 await self._hint.wait()
 
     async def _from_store(self) -> bool:
-        asked_at = self._clock.monotonic()
+        asked_at = self._parts.clock.monotonic()
         try:
-            pools = sorted({row.serves for row in self._holder.table.engines()})
+            pools = sorted({row.serves for row in self._parts.holder.table.engines()})
             keys = [plan_key(pool) for pool in pools]
-            head, stored = await self._log.read_with_head(keys)
+            head, stored = await self._parts.log.read_with_head(keys)
             self._offer_plans(pools, stored)
-            if head.version > self._holder.table.version:
-                self._offer(await self._log.catch_up(self._holder.table, head))
+            if head.version > self._parts.holder.table.version:
+                self._offer(
+                    await self._parts.log.catch_up(self._parts.holder.table, head)
+                )
         except (PlatformError, TableLogError, ValueError) as exc:
             logger.warning("table not read", extra={"why": str(exc)})
             return False
-        self._fresh.store_confirmed(asked_at, head.version)
+        self._parts.fresh.store_confirmed(asked_at, head.version)
         return True
 
     async def _from_peers(self) -> None:
-        starting = not self._holder.table.version
-        asked = self._ahead | set(self._seeds if starting else ())
+        starting = not self._parts.holder.table.version
+        asked = self._ahead | set(self._parts.seeds if starting else ())
         for address in sorted(asked):
-            view = await self._peers.fetch(address)
+            view = await self._parts.peers.fetch(address)
             if view is None:
                 continue
-            if starting and not self._members.peers:
-                self._members.listed(view.hosts)
+            if starting and not self._parts.members.peers:
+                self._parts.members.listed(view.hosts)
             self._offer(Table(view.version, view.rows))
             for pool, plan in view.plans.items():
-                self._plans.offer(pool, plan, self._clock.monotonic())
-            self._fresh.plan = self._plans.total
+                self._parts.plans.offer(pool, plan, self._parts.clock.monotonic())
+            self._parts.fresh.plan = self._parts.plans.total
 
     def _offer_plans(
         self, pools: list[PoolName], stored: list[StoredRow | None]
     ) -> None:
-        now = self._clock.monotonic()
+        now = self._parts.clock.monotonic()
         for pool, found in zip(pools, stored, strict=True):
             if found is not None:
                 plan = msgspec.json.decode(found.value, type=PlanRow)
-                self._plans.offer(pool, plan, now)
-        self._fresh.plan = self._plans.total
+                self._parts.plans.offer(pool, plan, now)
+        self._parts.fresh.plan = self._parts.plans.total
 
     def _offer(self, table: Table) -> None:
-        if not self._holder.offer(table):
+        old = self._parts.holder.table
+        if not self._parts.holder.offer(table):
             return
-        self._fresh.version = table.version
-        self._limits.set_limits(
-            {row.target: row.limit for row in table.customers.values() if row.limit}
-        )
+        self._parts.fresh.version = table.version
+        self._parts.on_change(old, table)
         logger.info("table in force", extra={"version": table.version})
--- a/berylshift/request/decisions.py
+++ b/berylshift/request/decisions.py
@@ -9,7 +9,7 @@
 from berylshift.ids import RequestId, TargetName
 from berylshift.metrics import Metrics
 from berylshift.request.choice import Plan, Refusal
-from berylshift.request.messages import Decision, Ending, Outcome
+from berylshift.request.messages import Decision, Ending
 
 logger = logging.getLogger(__name__)
 
@@ -60,8 +60,3 @@
             self._by_request.popitem(last=False)
         if logger.isEnabledFor(logging.INFO):
             logger.info("decision", extra=msgspec.to_builtins(decision))
-
-
-def is_late(ending: Ending, finished: float, deadline: float) -> bool:
-    """Return whether a complete answer came after its deadline."""
-    return ending.outcome is Outcome.COMPLETE and finished > deadline
--- a/berylshift/stand_ins/fake_platform.py
+++ b/berylshift/stand_ins/fake_platform.py
@@ -20,7 +20,6 @@
     WeightInfo,
 )
 
-SECONDS_A_MINUTE = 60.0
 DEFAULT_WEIGHT_BYTES = 8_000_000_000
 
 
