--- a/bench/memory.py
+++ b/bench/memory.py
@@ -11,7 +11,7 @@
 from berylshift.connection.http_client import HttpClient, Outgoing
 from berylshift.replay.http_fleet import HttpBalancer
 from berylshift.stand_ins.text import make_prompt
-from berylshift.tools.demo import CUSTOMERS, MODEL, DemoFleet
+from berylshift.tools.demo_fleet import CUSTOMERS, MODEL, DemoFleet
 from berylshift.tools.processes import Programs
 
 STREAMS = 500
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -12,7 +12,7 @@
 from berylshift.replay.virtual import replay_virtual
 from berylshift.replay.virtual_fleet import DOMAINS, ENGINES, FleetSpec
 from berylshift.replay.workloads import CONSORCIO, NESTWATCH, Mixture, Phase, make_trace
-from berylshift.stand_ins.fake_engine import CostModel
+from berylshift.stand_ins.engine_costs import EngineCosts
 
 BASE = Mixture(prompt=1500, output=120, plain_share=0.1)
 PROMPTS = Mixture(prompt=4500, output=60, plain_share=0.1)
@@ -46,7 +46,7 @@
     outputs = [Phase(20, RATE, BASE), Phase(40, 40.0, OUTPUTS), Phase(30, RATE, BASE)]
     drift = [Phase(3600, 7.0, PROMPTS, OUTPUTS)]
     small = FleetSpec(hosts=3, engines=4)
-    slow = FleetSpec(cost=CostModel(report_lag=5.0))
+    slow = FleetSpec(cost=EngineCosts(report_lag=5.0))
     return [
         _case("steady", [Phase(60, RATE, BASE)]),
         _case("prompt-swing", swing),
--- a/berylshift/replay/virtual_fleet.py
+++ b/berylshift/replay/virtual_fleet.py
@@ -24,8 +24,9 @@
 from berylshift.replay.policies import policy_settings
 from berylshift.replay.trace import Kind, Trace
 from berylshift.settings import HostSettings, PolicySettings, Settings
+from berylshift.stand_ins.engine_costs import EngineCosts
 from berylshift.stand_ins.engine_runner import EngineRunner
-from berylshift.stand_ins.fake_engine import CostModel, FakeEngine
+from berylshift.stand_ins.fake_engine import FakeEngine
 from berylshift.stand_ins.fake_platform import (
     FakePlatform,
     MemoryPlatform,
@@ -62,7 +63,7 @@
     hosts: int = HOSTS
     engines: int = ENGINES
     replicas: int = REPLICAS
-    cost: CostModel = field(default_factory=CostModel)
+    cost: EngineCosts = field(default_factory=EngineCosts)
     orders: OrderCheck = OrderCheck.REFUSES
     customer_limits: dict[str, int] = field(default_factory=dict)
     churn_price: float = 1.0
--- a/berylshift/stand_ins/__main__.py
+++ b/berylshift/stand_ins/__main__.py
@@ -15,9 +15,10 @@
 from berylshift.clock import LoopClock
 from berylshift.connection.http_server import Handler, HttpServer
 from berylshift.daemon import bound_address, open_listener
+from berylshift.stand_ins.engine_costs import EngineCosts
 from berylshift.stand_ins.engine_runner import EngineRunner
 from berylshift.stand_ins.engine_server import EngineServer
-from berylshift.stand_ins.fake_engine import CostModel, FakeEngine
+from berylshift.stand_ins.fake_engine import FakeEngine
 from berylshift.stand_ins.fake_platform import FakePlatform, PlatformScript
 from berylshift.stand_ins.fake_service import FakeService
 from berylshift.stand_ins.platform_server import PlatformServer
@@ -67,13 +68,13 @@
         return 0
 
 
-def read_cost(words: list[str]) -> CostModel:
+def read_cost(words: list[str]) -> EngineCosts:
     """Return the cost model with the named values changed."""
     values = dict(word.split("=", 1) for word in words)
-    unknown = set(values) - set(CostModel.__dataclass_fields__)
+    unknown = set(values) - set(EngineCosts.__dataclass_fields__)
     if unknown:
         raise ValueError(f"unknown: {', '.join(sorted(unknown))}")
-    return msgspec.convert(values, CostModel, strict=False)
+    return msgspec.convert(values, EngineCosts, strict=False)
 
 
 class EngineCommand(Command):
@@ -96,7 +97,7 @@
         try:
             cost = read_cost(self.option("cost"))
         except (ValueError, msgspec.ValidationError) as exc:
-            known = ", ".join(CostModel.__dataclass_fields__)
+            known = ", ".join(EngineCosts.__dataclass_fields__)
             self.line_error(f"--cost takes NAME=VALUE ({exc}); there are {known}")
             return EXIT_BAD_INPUT
         refuses = not self.option("ignores-old")
--- a/berylshift/stand_ins/engine_runner.py
+++ b/berylshift/stand_ins/engine_runner.py
@@ -4,7 +4,8 @@
 
 import trio
 
-from berylshift.stand_ins.fake_engine import FakeEngine, Stream, StreamState
+from berylshift.stand_ins.engine_stream import Stream, StreamState
+from berylshift.stand_ins.fake_engine import FakeEngine
 from berylshift.targets import EngineCall, EngineChunk, TargetBrokenError
 
 
--- a/berylshift/stand_ins/engine_server.py
+++ b/berylshift/stand_ins/engine_server.py
@@ -7,8 +7,8 @@
 from berylshift.connection.http_client import HttpClient, Outgoing
 from berylshift.connection.http_server import HttpRequest, Responder
 from berylshift.ids import AttemptId
+from berylshift.stand_ins.engine_costs import EngineScript
 from berylshift.stand_ins.engine_runner import EngineRunner, StreamReader
-from berylshift.stand_ins.fake_engine import EngineScript
 from berylshift.targets import (
     EngineCall,
     EngineChunk,
--- a/berylshift/stand_ins/fake_engine.py
+++ b/berylshift/stand_ins/fake_engine.py
@@ -4,17 +4,16 @@
 import random
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from enum import Enum
 
 from berylshift.ids import AttemptId, Incarnation, OrderNumber
+from berylshift.stand_ins.engine_costs import EngineCosts, EngineScript
+from berylshift.stand_ins.engine_stream import Stream, StreamState
 from berylshift.stand_ins.prefix_cache import PrefixCache
 from berylshift.stand_ins.text import (
     answer_tokens,
     block_hashes,
     prompt_seed,
     prompt_tokens,
-    token_texts,
 )
 from berylshift.targets import (
     EngineCall,
@@ -33,76 +32,6 @@
 SNAPSHOT_SECONDS = 0.1
 
 
-@dataclass(frozen=True)
-class CostModel:
-    """Costs of an engine; times in seconds, sizes in tokens."""
-
-    prefill_rate: float = 8000.0
-    step_base: float = 0.020
-    step_per_stream: float = 0.00015
-    max_streams: int = 64
-    max_waiting: int = 512
-    kv_tokens: int = 400_000
-    kv_import_rate: float = 50_000.0
-    cache_tokens: int = 200_000
-    change_seconds: float = 4.0
-    prefill_chunk: int = 512
-    report_lag: float = 1.0
-    cache_lag: float = 1.0
-    cache_gap: float = 0.05
-    emit_tokens: int = 8
-
-
-class StreamState(Enum):
-    """Where a stream stands."""
-
-    WAITING = "waiting"
-    IMPORTING = "importing"
-    RUNNING = "running"
-    ENDED = "ended"
-    CUT = "cut"
-
-
-@dataclass
-class Stream:
-    """One attempt at the engine, with the chunks not yet taken by its reader."""
-
-    call: EngineCall
-    seed: int
-    total: int
-    uncached: int
-    hashes: list[int]
-    produced: int
-    kv_size: int
-    wake: Callable[[], None]
-    ready_at: float = 0.0
-    state: StreamState = StreamState.WAITING
-    outbox: list[EngineChunk] = field(default_factory=list)
-    sent: int = 0
-
-    def flush(self) -> None:
-        """Move the produced tokens to the outbox."""
-        if self.produced > self.sent:
-            texts = token_texts(self.seed, self.sent, self.produced - self.sent)
-            self.outbox.append(EngineChunk(self.call.attempt, self.sent, texts))
-            self.sent = self.produced
-        if self.produced == self.total and not self.call.prefill_only:
-            self.state = StreamState.ENDED
-            self.outbox.append(EngineChunk(self.call.attempt, end=self.total))
-        self.wake()
-
-
-@dataclass
-class EngineScript:
-    """Faults of an engine that a test sets."""
-
-    fail_fast: bool = False
-    nonsense: bool = False
-    cut_after_tokens: int = 0
-    wrong_attempt: bool = False
-    repeat_chunks: bool = False
-
-
 class FakeEngine:
     """State of an engine: ``advance`` runs it up to a time."""
 
@@ -110,7 +39,7 @@
         self,
         name: str,
         address: str,
-        cost: CostModel | None = None,
+        cost: EngineCosts | None = None,
         refuses_old: bool = True,
         model: str = "",
         seed: int = 0,
@@ -118,7 +47,7 @@
         """Start empty and in the mixed role."""
         self.name = name
         self.address = address
-        self.cost = cost or CostModel()
+        self.cost = cost or EngineCosts()
         self.refuses_old = refuses_old
         self.script = EngineScript()
         self.model = model
--- a/berylshift/tests/order_machine.py
+++ b/berylshift/tests/order_machine.py
@@ -41,7 +41,8 @@
     journal_key,
     role_order,
 )
-from berylshift.stand_ins.fake_engine import CostModel, FakeEngine
+from berylshift.stand_ins.engine_costs import EngineCosts
+from berylshift.stand_ins.fake_engine import FakeEngine
 from berylshift.stand_ins.fake_platform import FakePlatform
 from berylshift.targets import (
     Order,
@@ -232,7 +233,7 @@
         self.naive = naive
         self.clock = ManualClock()
         self.platform = FakePlatform(self.clock)
-        cost = CostModel(report_lag=0.0)
+        cost = EngineCosts(report_lag=0.0)
         self.engine = FakeEngine("engine-1", "a:1", cost, refuses, POOL)
         self.wire: list[Message] = []
         self.starts = 0
