Hold no lease after giving it up

Cause: found in the reading: a leaving process wrote its lease as held by nobody, and the commit of that write counted as a renewal. For a term it went on as the holder, beside the successor that need not wait.

Change: a write of ours makes a holder only if the row names us; a leaving process's pool loop ends.

Red before: test_released_lease_is_held_by_nobody_and_free_at_once (epoch 1 still held); green after.

--- a/berylshift/process/leases.py
+++ b/berylshift/process/leases.py
@@ -142,7 +142,8 @@
     def _settle_unsure(self) -> None:
         """Find a write whose answer was lost, now that the row is known."""
         unsure, self._unsure = self._unsure, None
-        if unsure is not None and unsure.row == self.row:
+        mine = self.row is not None and self.row.holder == self.me
+        if unsure is not None and unsure.row == self.row and mine:
             self._held_from = unsure.sent_at
 
     def wrote(
@@ -154,7 +155,8 @@
                 self.row = row
                 self.revision += 1
                 self.epoch_revision += acquired
-                self._held_from = sent_at
+                # A released lease is written by us, too, and held by nobody.
+                self._held_from = sent_at if row.holder == self.me else None
                 self._still_since = sent_at
             case WriteEnd.LOST:
                 self._unsure = LeaseWrite(row, sent_at)
--- a/berylshift/process/pool_loop.py
+++ b/berylshift/process/pool_loop.py
@@ -93,11 +93,12 @@
         self._pools: dict[PoolName, _Pool] = {}
         self._copies = CopyBook()
         self._to_settle: dict[TargetName, JournalRow] = {}
+        self._leaving = False
 
     async def run(self) -> None:
         """Look at each pool every interval until cancelled."""
         async with trio.open_nursery() as nursery:
-            while True:
+            while not self._leaving:
                 for pool, rows in self._by_pool().items():
                     rank = self._parts.members.rank(pool)
                     if rank < CANDIDATES:
@@ -107,6 +108,7 @@
 
     async def release(self) -> None:
         """Give up the leases held; others need not wait for their terms."""
+        self._leaving = True
         for state in self._pools.values():
             if state.lease.holds(self._now()) is not None:
                 await self._write_lease(state.lease, state.lease.released(), False)
--- a/berylshift/tests/order_machine.py
+++ b/berylshift/tests/order_machine.py
@@ -124,6 +124,13 @@
         end = self._transact(conditions, writes)
         self.lease.wrote(row, end, now, acquire)
 
+    def release(self, now: float) -> None:
+        """Give the lease up, as a leaving process does."""
+        row = self.lease.released()
+        conditions = [Condition(lease_key(POOL), self.lease.revision)]
+        end = self._transact(conditions, [Write(lease_key(POOL), as_raw(row))])
+        self.lease.wrote(row, end, now, False)
+
     def _read_lease(self, now: float) -> bool:
         try:
             lease, epoch = self.world.platform.read([lease_key(POOL), epoch_key(POOL)])
--- a/berylshift/tests/test_orders.py
+++ b/berylshift/tests/test_orders.py
@@ -276,6 +276,27 @@
         self.assertFalse(first._write_journal(view, stored, row))
         self.assertIsNone(world.platform.read(["order/engine-1"])[0])
 
+    def test_released_lease_is_held_by_nobody_and_free_at_once(self):
+        # A leaving process gives its lease up. It must not act on it a moment
+        # longer, since a successor need not wait for the term.
+        world = OrderWorld(refuses=False)
+        world.tick(0, None)
+        first = world.contenders[0]
+        first.release(world.now)
+        self.assertIsNone(first.lease.holds(world.now))
+        world.tick(1, None)
+        self.assertIsNotNone(world.contenders[1].lease.holds(world.now))
+        world.check()
+
+    def test_release_whose_answer_is_lost_gives_the_lease_up_as_well(self):
+        world = OrderWorld(refuses=False)
+        world.tick(0, None)
+        world.platform.script.lose_answers = 1
+        world.contenders[0].release(world.now)
+        self.assertIsNone(world.contenders[0].lease.holds(world.now))
+        world.contenders[0]._read_lease(world.now)
+        self.assertIsNone(world.contenders[0].lease.holds(world.now))
+
     def test_order_is_closed_once_the_engine_reports_it(self):
         world = OrderWorld(refuses=True)
         for _ in range(20):
