Sum the peers' demand once a moment, not for each decision

Cause: the prefill inflow of each decision summed over all peers, so a decision's cost grew with the number of hosts; the load of each candidate was estimated twice.

Change: the sum is kept for a quarter of a second, the estimate rides on the plan.

--- a/berylshift/process/mix_meter.py
+++ b/berylshift/process/mix_meter.py
@@ -10,6 +10,7 @@
 FAST_SECONDS = 20.0
 PEER_SECONDS = 10.0
 LEAST_RATE = 0.5
+KEPT_SECONDS = 0.25
 
 
 class DecayingRate:
@@ -50,6 +51,7 @@
         """Start with no demand."""
         self._pools: dict[PoolName, _PoolMeter] = defaultdict(_PoolMeter)
         self._scale = 1.0
+        self._totals: dict[PoolName, tuple[float, Mix]] = {}
 
     def prefill(self, pool: PoolName, tokens: int, now: float) -> None:
         """Count tokens that were sent to be prefilled."""
@@ -78,7 +80,19 @@
             self._pools[mix.pool].peers[peer] = (now, mix)
 
     def total(self, pool: PoolName, now: float) -> Mix:
-        """Return the pool's whole demand, as far as known."""
+        """Return the pool's whole demand, as far as known.
+
+        The sum over peers grows with their number, and every decision asks for it:
+        it is kept for a moment.
+        """
+        kept = self._totals.get(pool)
+        if kept is not None and 0 <= now - kept[0] < KEPT_SECONDS:
+            return kept[1]
+        found = self._sum(pool, now)
+        self._totals[pool] = (now, found)
+        return found
+
+    def _sum(self, pool: PoolName, now: float) -> Mix:
         meter = self._pools[pool]
         mixes = [mix for at, mix in meter.peers.values() if now - at <= PEER_SECONDS]
         prefill = self._scale * sum(mix.prefill_rate for mix in mixes)
--- a/berylshift/request/choice.py
+++ b/berylshift/request/choice.py
@@ -17,7 +17,7 @@
 )
 from berylshift.process.cost import CostModel, Prediction
 from berylshift.process.health import Health
-from berylshift.process.load import LoadView
+from berylshift.process.load import Estimate, LoadView
 from berylshift.process.mix_meter import MixMeter
 from berylshift.process.plans import Plans
 from berylshift.process.prefixes import Prefixes, PrefixIndex
@@ -63,6 +63,7 @@
     prefill_on: Row | None = None
     output_tokens: int = 0
     is_own: bool = False
+    load: Estimate | None = None
 
 
 class Refusal(msgspec.Struct, frozen=True):
@@ -158,7 +159,7 @@
             plans = self._plans(pool, item, count, now)
             if not plans:
                 return Failure(no_target(pool))
-            weighed = [_weighed(plan, self._know, now) for plan in plans]
+            weighed = [_weighed(plan) for plan in plans]
             best = min(plans, key=lambda plan: self._score(plan, item))
             late = best.prediction.end - item.remaining * self._slack
             if late <= 0 or item.must_place:
@@ -224,6 +225,7 @@
             "",
             output_tokens=item.output_tokens,
             is_own=found is own,
+            load=load,
         )
 
     def _split(
@@ -242,13 +244,22 @@
         source, ready, tokens = first
         ready += cost.transfer_seconds(item.prompt_tokens)
         ends = [
-            (cost.decode_seconds(load, item.output_tokens, 0.0), found.row)
+            (cost.decode_seconds(load, item.output_tokens, 0.0), found.row, load)
             for found in decode
             for load in [self._know.load.estimate(found.row.name, now)]
         ]
-        seconds, target = min(ends, key=lambda pair: pair[0])
+        seconds, target, load = min(ends, key=lambda end: end[0])
         prediction = Prediction(ready, ready + seconds)
-        return Plan(target, prediction, tokens, [], "", source.row, item.output_tokens)
+        return Plan(
+            target,
+            prediction,
+            tokens,
+            [],
+            "",
+            prefill_on=source.row,
+            output_tokens=item.output_tokens,
+            load=load,
+        )
 
     def _prefill_part(
         self, found: Candidate, item: WorkItem, now: float
@@ -324,15 +335,13 @@
     return pairs / (pairs + len(usable[Role.MIXED]))
 
 
-def _weighed(plan: Plan, know: Knowledge, now: float) -> Weighed:
-    name = plan.target.name
-    load = know.load.estimate(name, now)
+def _weighed(plan: Plan) -> Weighed:
     return Weighed(
-        target=name,
+        target=plan.target.name,
         first_token=round(plan.prediction.first_token, 3),
         end=round(plan.prediction.end, 3),
-        streams=load.streams,
-        prefill_tokens=round(load.prefill_tokens),
+        streams=plan.load.streams,
+        prefill_tokens=round(plan.load.prefill_tokens),
         prefill_on=plan.prefill_on.name if plan.prefill_on else TargetName(""),
     )
 
