Rate-limit the stand-in's weights

Cause: the stand-in stated an allowance of weights but never counted what was taken.

Change: weights are handed out within a minute's allowance, 429 beyond.

--- a/berylshift/stand_ins/fake_platform.py
+++ b/berylshift/stand_ins/fake_platform.py
@@ -1,5 +1,6 @@
 """The platform in memory: rows, objects, hosts, weights, with scripted faults."""
 
+from collections import deque
 from dataclasses import dataclass, field
 
 import msgspec
@@ -21,6 +22,8 @@
 )
 
 DEFAULT_WEIGHT_BYTES = 8_000_000_000
+WEIGHT_WINDOW_SECONDS = 60.0
+WEIGHTS_KEPT = 1000
 
 
 @dataclass
@@ -73,6 +76,9 @@
     transactions: int = 0
     throttled: int = 0
     _hosts: dict[str, tuple[float, float, HostEntry]] = field(default_factory=dict)
+    _weights_taken: deque[tuple[float, int]] = field(
+        default_factory=lambda: deque(maxlen=WEIGHTS_KEPT)
+    )
     _write_bucket: RateBucket = field(default_factory=RateBucket)
     _read_bucket: RateBucket = field(default_factory=RateBucket)
 
@@ -159,8 +165,22 @@
     def weight_info(self, model: str, version: str) -> WeightInfo:
         """Return a model version's size and what is left of the allowance."""
         self._admit(self._read_bucket, self.script.reads_per_second)
-        left = self.script.weight_bytes_per_minute
-        return WeightInfo(model, version, DEFAULT_WEIGHT_BYTES, left)
+        return WeightInfo(
+            model, version, DEFAULT_WEIGHT_BYTES, self._weight_bytes_left()
+        )
+
+    def take_weights(self, model: str, version: str) -> WeightInfo:
+        """Hand out a model version's weights, as far as the allowance goes."""
+        info = self.weight_info(model, version)
+        if info.bytes_left < info.size_bytes:
+            raise StoreThrottledError("weights are rate-limited")
+        self._weights_taken.append((self.clock.monotonic(), info.size_bytes))
+        return info
+
+    def _weight_bytes_left(self) -> int:
+        since = self.clock.monotonic() - WEIGHT_WINDOW_SECONDS
+        taken = sum(size for at, size in self._weights_taken if at > since)
+        return self.script.weight_bytes_per_minute - taken
 
 
 class MemoryPlatform:
--- a/berylshift/stand_ins/platform_server.py
+++ b/berylshift/stand_ins/platform_server.py
@@ -69,6 +69,8 @@
             return fake.hosts()
         if req.path.startswith("/weights/"):
             _, _, model, version = req.path.split("/")
+            if req.method == "POST":
+                return fake.take_weights(model, version)
             return fake.weight_info(model, version)
         return None
 
--- a/berylshift/tests/test_platform_batch.py
+++ b/berylshift/tests/test_platform_batch.py
@@ -122,6 +122,19 @@
 
         self.assertEqual(self.run_virtual(task), (15, 5))
 
+    def test_weights_are_handed_out_as_far_as_the_allowance_goes(self):
+        async def task():
+            script = PlatformScript(weight_bytes_per_minute=20_000_000_000)
+            fake = FakePlatform(LoopClock(), script)
+            fake.take_weights("m", "2")
+            fake.take_weights("m", "2")
+            with self.assertRaises(StoreThrottledError):
+                fake.take_weights("m", "2")
+            await trio.sleep(61)
+            return fake.take_weights("m", "2").bytes_left
+
+        self.assertEqual(self.run_virtual(task), 20_000_000_000)
+
     def test_scan_pages_through_a_prefix(self):
         async def task():
             fake = FakePlatform(LoopClock())
