--- a/berylshift/application.py
+++ b/berylshift/application.py
@@ -44,12 +44,11 @@
     TableFollower,
     TableHolder,
 )
+from berylshift.request.baselines import LeastReported, RoundRobin
 from berylshift.request.choice import (
     Knowledge,
     LeastLateness,
-    LeastReported,
     ReplicaChooser,
-    RoundRobin,
     Router,
 )
 from berylshift.request.completion import CompletionParts
--- /dev/null
+++ b/berylshift/request/baselines.py
@@ -0,0 +1,80 @@
+"""The baselines that the placement is compared with."""
+
+from collections.abc import Callable
+
+from returns.result import Failure, Result, Success
+
+from berylshift.ids import TargetName
+from berylshift.process.cost import Prediction
+from berylshift.request.choice import Knowledge, Plan, Refusal, WorkItem, no_target
+from berylshift.request.pool import Pool
+from berylshift.targets import Role
+from berylshift.version.table import Candidate, Table
+
+Pick = Callable[[list[Candidate]], Candidate]
+
+
+class RoundRobin:
+    """Baseline: each target in turn."""
+
+    def __init__(self, know: Knowledge):
+        """Start with the first target."""
+        self._know = know
+        self._turn = 0
+
+    def choose(self, item: WorkItem, table: Table, now: float) -> Result[Plan, Refusal]:
+        """Return the next usable target."""
+        pool = self._know.pools.get(table, item.fleet, item.work)
+        self._turn += 1
+        return _place(self._know, pool, item, now, self._next)
+
+    def _next(self, found: list[Candidate]) -> Candidate:
+        return found[self._turn % len(found)]
+
+
+class LeastReported:
+    """Baseline: the least load by the last report, with nothing added."""
+
+    def __init__(self, know: Knowledge):
+        """Look at the reports in ``know``."""
+        self._know = know
+
+    def choose(self, item: WorkItem, table: Table, now: float) -> Result[Plan, Refusal]:
+        """Return the target with the fewest reported streams."""
+        pool = self._know.pools.get(table, item.fleet, item.work)
+        return _place(self._know, pool, item, now, self._least)
+
+    def _least(self, found: list[Candidate]) -> Candidate:
+        return min(found, key=lambda candidate: self._reported(candidate.row.name))
+
+    def _reported(self, name: TargetName) -> tuple[int, int]:
+        report = self._know.load.report(name)
+        if report is None:
+            return (0, 0)
+        return (report.running + report.waiting, report.prefill_tokens)
+
+
+def _place(
+    know: Knowledge, pool: Pool, item: WorkItem, now: float, pick: Pick
+) -> Result[Plan, Refusal]:
+    """Place an item by ``pick`` in each role that it needs."""
+    usable = {
+        role: [c for c in picker.candidates if know.usable(c, item, now)]
+        for role, picker in pool.pickers.items()
+    }
+    unknown = Prediction(0.0, 0.0)
+    split = usable[Role.PREFILL] and usable[Role.DECODE]
+    if usable[Role.MIXED] and not (split and know.rng.random() < _split_share(usable)):
+        row = pick(usable[Role.MIXED]).row
+        return Success(Plan(row, unknown, item.prompt_tokens, [], "baseline"))
+    if not split:
+        return Failure(no_target(pool))
+    source = pick(usable[Role.PREFILL]).row
+    row = pick(usable[Role.DECODE]).row
+    plan = Plan(row, unknown, item.prompt_tokens, [], "baseline", prefill_on=source)
+    return Success(plan)
+
+
+def _split_share(usable: dict[Role, list[Candidate]]) -> float:
+    pairs = len(usable[Role.PREFILL]) + len(usable[Role.DECODE])
+    return pairs / (pairs + len(usable[Role.MIXED]))
