Write the rounds of the orders' tests once

Cause: three tests repeated the same five steps.

Change: OrderWorld.rounds holds them, with the check of the promises in each round as before.

--- a/berylshift/tests/order_machine.py
+++ b/berylshift/tests/order_machine.py
@@ -312,6 +312,15 @@
             if message.dead_at is None or self.now - message.dead_at < SETTLE_SECONDS
         ]
 
+    def rounds(self, count: int, index: int, wanted: Role | None) -> None:
+        """Let one process do a round a second, with its sends delivered."""
+        for _ in range(count):
+            self.advance(1.0)
+            self.tick(index, wanted)
+            self.put_on_wire(index)
+            self.deliver(0, False)
+            self.check()
+
     def crash_engine(self) -> None:
         self.engine.crash(self.now)
 
--- a/berylshift/tests/test_orders.py
+++ b/berylshift/tests/test_orders.py
@@ -131,12 +131,7 @@
         # first one wakes and sends what it had checked long ago.
         world.tick(0, Role.PREFILL)
         world.paused.add("host-1")
-        for _ in range(20):
-            world.advance(1.0)
-            world.tick(1, Role.DECODE)
-            world.put_on_wire(1)
-            world.deliver(0, False)
-            world.check()
+        world.rounds(20, 1, Role.DECODE)
         world.paused.discard("host-1")
         world.put_on_wire(0)
         world.deliver(0, False)
@@ -177,12 +172,7 @@
         world = OrderWorld(refuses=False)
         world.tick(0, Role.PREFILL)
         world.kill(0)
-        for _ in range(40):
-            world.advance(1.0)
-            world.tick(1, Role.DECODE)
-            world.put_on_wire(1)
-            world.deliver(0, False)
-            world.check()
+        world.rounds(40, 1, Role.DECODE)
         self.assertIs(world.engine.role, Role.DECODE)
 
     def test_naive_design_breaks_within_the_explored_steps(self):
@@ -204,12 +194,7 @@
                 world.crash_engine()
                 world.restart_engine()
                 self.assertIs(world.engine.role, Role.UNKNOWN)
-                for _ in range(30):
-                    world.advance(1.0)
-                    world.tick(0, Role.PREFILL)
-                    world.put_on_wire(0)
-                    world.deliver(0, False)
-                    world.check()
+                world.rounds(30, 0, Role.PREFILL)
                 self.assertIs(world.engine.role, Role.PREFILL)
 
 
