Give each matter of the process a room of its own

Cause: 25 modules stood side by side in process/; a newcomer could not tell what belongs to a pool's lease from what counts customers' rates.

Change: rooms knowledge, control, membership, limits, records and table beside fleet; membership.py, limits.py and table_follower.py are named members.py, customer_limits.py and follower.py there, so that no path says its name twice. Packages are found, not listed. Only imports change.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -15,10 +15,10 @@
 from berylshift.connection.http_server import HttpServer
 from berylshift.connection.peer_codec import PeerCodec
 from berylshift.ids import ChangeId, HostName, Incarnation, TableVersion
-from berylshift.process.digest import Digest, Echo
-from berylshift.process.load import LoadView, Share
-from berylshift.process.membership import Membership, make_incarnation
-from berylshift.process.prefixes import PrefixIndex
+from berylshift.process.knowledge.load import LoadView, Share
+from berylshift.process.knowledge.prefixes import PrefixIndex
+from berylshift.process.membership.digest import Digest, Echo
+from berylshift.process.membership.members import Membership, make_incarnation
 from berylshift.targets import LoadReport, Role
 from berylshift.tests.support import engine_row, route_row
 from berylshift.version.table import Change, Table
--- a/bench/store_writes.py
+++ b/bench/store_writes.py
@@ -7,7 +7,7 @@
 
 from bench.report import print_rows
 from berylshift.clock import LoopClock
-from berylshift.process.store_budget import StoreBudget
+from berylshift.process.limits.store_budget import StoreBudget
 from berylshift.stand_ins.fake_platform import (
     FakePlatform,
     MemoryPlatform,
--- a/berylshift/application.py
+++ b/berylshift/application.py
@@ -9,26 +9,26 @@
 from berylshift.clock import Clock
 from berylshift.ids import DomainName, HostName
 from berylshift.metrics import Metrics
-from berylshift.process.cost import CostModel
-from berylshift.process.health import Health
-from berylshift.process.host_list_loop import HostListLoop
-from berylshift.process.lengths import OutputLengths
-from berylshift.process.limits import CustomerLimits
-from berylshift.process.load import LoadView
-from berylshift.process.membership import Membership, make_incarnation
-from berylshift.process.mix_meter import MixMeter
-from berylshift.process.peer_loop import PeerLink, PeerLoop, PeerParts
-from berylshift.process.pending_loop import PendingLoop
-from berylshift.process.pending_records import PendingRecords
-from berylshift.process.plans import Plans
-from berylshift.process.pool_loop import PoolLoop, PoolParts
-from berylshift.process.prefixes import PrefixIndex
-from berylshift.process.readiness import Phase, Readiness
-from berylshift.process.report_poller import PollerParts, ReportPoller
-from berylshift.process.retry_budget import RetryBudget
-from berylshift.process.store_budget import StoreBudget
-from berylshift.process.sweep_loop import SweepLoop
-from berylshift.process.table_follower import (
+from berylshift.process.control.mix_meter import MixMeter
+from berylshift.process.control.plans import Plans
+from berylshift.process.control.pool_loop import PoolLoop, PoolParts
+from berylshift.process.knowledge.cost import CostModel
+from berylshift.process.knowledge.health import Health
+from berylshift.process.knowledge.lengths import OutputLengths
+from berylshift.process.knowledge.load import LoadView
+from berylshift.process.knowledge.prefixes import PrefixIndex
+from berylshift.process.knowledge.report_poller import PollerParts, ReportPoller
+from berylshift.process.limits.customer_limits import CustomerLimits
+from berylshift.process.limits.retry_budget import RetryBudget
+from berylshift.process.limits.store_budget import StoreBudget
+from berylshift.process.membership.host_list_loop import HostListLoop
+from berylshift.process.membership.members import Membership, make_incarnation
+from berylshift.process.membership.peer_loop import PeerLink, PeerLoop, PeerParts
+from berylshift.process.membership.readiness import Phase, Readiness
+from berylshift.process.records.pending_loop import PendingLoop
+from berylshift.process.records.pending_records import PendingRecords
+from berylshift.process.records.sweep_loop import SweepLoop
+from berylshift.process.table.follower import (
     FollowerParts,
     PeerTables,
     PeerView,
--- a/berylshift/connection/peer_codec.py
+++ b/berylshift/connection/peer_codec.py
@@ -11,9 +11,9 @@
     Tagger,
 )
 from berylshift.ids import HostName, Incarnation, PoolName, TargetName
-from berylshift.process.digest import Digest, Echo, Mix
-from berylshift.process.limits import Demand
-from berylshift.process.load import Share
+from berylshift.process.knowledge.load import Share
+from berylshift.process.limits.customer_limits import Demand
+from berylshift.process.membership.digest import Digest, Echo, Mix
 
 MILLISECONDS = 1000
 
--- a/berylshift/process/mix_meter.py
+++ b/berylshift/process/control/mix_meter.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from berylshift.ids import HostName, PoolName
-from berylshift.process.digest import Mix
+from berylshift.process.membership.digest import Mix
 
 FAST_SECONDS = 20.0
 PEER_SECONDS = 10.0
--- a/berylshift/process/moves.py
+++ b/berylshift/process/control/moves.py
@@ -5,8 +5,7 @@
 import msgspec
 
 from berylshift.ids import Epoch, TargetName
-from berylshift.process.digest import Mix
-from berylshift.process.orders import (
+from berylshift.process.control.orders import (
     EngineView,
     JournalRow,
     JournalState,
@@ -14,13 +13,14 @@
     OrderDesk,
     role_order,
 )
-from berylshift.process.plans import Move, PlanRow, is_empty
-from berylshift.process.roles import (
+from berylshift.process.control.plans import Move, PlanRow, is_empty
+from berylshift.process.control.roles import (
     EngineState,
     PoolState,
     RoleChange,
     RolePlanner,
 )
+from berylshift.process.membership.digest import Mix
 from berylshift.settings import Settings
 from berylshift.targets import LoadReport, Order, OrderKind, Role
 from berylshift.version.rows import Row, RowState
--- a/berylshift/process/pool_loop.py
+++ b/berylshift/process/control/pool_loop.py
@@ -8,7 +8,7 @@
 
 from berylshift.clock import Clock
 from berylshift.ids import Epoch, PoolName, TargetName
-from berylshift.process.leases import (
+from berylshift.process.control.leases import (
     EpochRow,
     Lease,
     LeaseAct,
@@ -17,11 +17,9 @@
     epoch_key,
     lease_key,
 )
-from berylshift.process.load import LoadView
-from berylshift.process.membership import Membership
-from berylshift.process.mix_meter import MixMeter
-from berylshift.process.moves import EngineNote, PoolDesk, PoolNotes, PoolStep
-from berylshift.process.orders import (
+from berylshift.process.control.mix_meter import MixMeter
+from berylshift.process.control.moves import EngineNote, PoolDesk, PoolNotes, PoolStep
+from berylshift.process.control.orders import (
     CopyBook,
     JournalRow,
     JournalState,
@@ -29,10 +27,12 @@
     SendEnd,
     journal_key,
 )
-from berylshift.process.plans import PlanRow, Plans, plan_key
-from berylshift.process.roles import make_planner
-from berylshift.process.store_budget import Priority
-from berylshift.process.table_follower import TableHolder
+from berylshift.process.control.plans import PlanRow, Plans, plan_key
+from berylshift.process.control.roles import make_planner
+from berylshift.process.knowledge.load import LoadView
+from berylshift.process.limits.store_budget import Priority
+from berylshift.process.membership.members import Membership
+from berylshift.process.table.follower import TableHolder
 from berylshift.settings import Settings
 from berylshift.store.batch import TableGate
 from berylshift.store.interfaces import (
--- a/berylshift/process/report_poller.py
+++ b/berylshift/process/knowledge/report_poller.py
@@ -7,9 +7,9 @@
 
 from berylshift.clock import Clock
 from berylshift.ids import TargetName
-from berylshift.process.load import LoadView
-from berylshift.process.prefixes import PrefixIndex
-from berylshift.process.table_follower import TableHolder
+from berylshift.process.knowledge.load import LoadView
+from berylshift.process.knowledge.prefixes import PrefixIndex
+from berylshift.process.table.follower import TableHolder
 from berylshift.targets import EngineClient, TargetError
 
 logger = logging.getLogger(__name__)
--- a/berylshift/process/digest.py
+++ b/berylshift/process/membership/digest.py
@@ -3,8 +3,8 @@
 import msgspec
 
 from berylshift.ids import HostName, Incarnation, PoolName
-from berylshift.process.limits import Demand
-from berylshift.process.load import Share
+from berylshift.process.knowledge.load import Share
+from berylshift.process.limits.customer_limits import Demand
 
 NO_STORE_AGE = 3_600.0
 
--- a/berylshift/process/host_list_loop.py
+++ b/berylshift/process/membership/host_list_loop.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from berylshift.process.membership import Membership
+from berylshift.process.membership.members import Membership
 from berylshift.store.interfaces import HostEntry, HostList, PlatformError
 
 logger = logging.getLogger(__name__)
--- a/berylshift/process/membership.py
+++ b/berylshift/process/membership/members.py
@@ -7,7 +7,7 @@
 import xxhash
 
 from berylshift.ids import HostName, Incarnation
-from berylshift.process.digest import Digest, Echo
+from berylshift.process.membership.digest import Digest, Echo
 from berylshift.store.interfaces import HostEntry, HostState
 from berylshift.version.freshness import PeerWord
 
--- a/berylshift/process/peer_loop.py
+++ b/berylshift/process/membership/peer_loop.py
@@ -8,13 +8,13 @@
 import trio
 
 from berylshift.clock import Clock
-from berylshift.process.digest import NO_STORE_AGE, Digest
-from berylshift.process.limits import CustomerLimits
-from berylshift.process.load import LoadView
-from berylshift.process.membership import Membership
-from berylshift.process.mix_meter import MixMeter
-from berylshift.process.plans import Plans
-from berylshift.process.table_follower import TableFollower, TableHolder
+from berylshift.process.control.mix_meter import MixMeter
+from berylshift.process.control.plans import Plans
+from berylshift.process.knowledge.load import LoadView
+from berylshift.process.limits.customer_limits import CustomerLimits
+from berylshift.process.membership.digest import NO_STORE_AGE, Digest
+from berylshift.process.membership.members import Membership
+from berylshift.process.table.follower import TableFollower, TableHolder
 from berylshift.settings import PeerSettings
 from berylshift.store.interfaces import HostEntry
 from berylshift.version.freshness import Freshness
--- /dev/null
+++ b/berylshift/process/records/__init__.py
@@ -0,0 +1,1 @@
+"""Rows of confirmations that wait to be written or swept."""
--- a/berylshift/process/pending_loop.py
+++ b/berylshift/process/records/pending_loop.py
@@ -5,8 +5,8 @@
 import msgspec
 import trio
 
-from berylshift.process.pending_records import PendingRecords
-from berylshift.process.store_budget import Priority
+from berylshift.process.limits.store_budget import Priority
+from berylshift.process.records.pending_records import PendingRecords
 from berylshift.request.confirmation import ConfirmRow
 from berylshift.store.batch import TableGate
 from berylshift.store.interfaces import (
--- a/berylshift/process/sweep_loop.py
+++ b/berylshift/process/records/sweep_loop.py
@@ -7,8 +7,8 @@
 import trio
 
 from berylshift.clock import Clock
-from berylshift.process.membership import Membership
-from berylshift.process.store_budget import Priority
+from berylshift.process.limits.store_budget import Priority
+from berylshift.process.membership.members import Membership
 from berylshift.request.confirmation import PREFIX, ConfirmRow
 from berylshift.store.batch import TableGate
 from berylshift.store.interfaces import (
--- /dev/null
+++ b/berylshift/process/table/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' table in this process, kept up to date."""
--- a/berylshift/process/table_follower.py
+++ b/berylshift/process/table/follower.py
@@ -10,8 +10,8 @@
 
 from berylshift.clock import Clock
 from berylshift.ids import PoolName, TableVersion
-from berylshift.process.membership import Membership
-from berylshift.process.plans import PlanRow, Plans, plan_key
+from berylshift.process.control.plans import PlanRow, Plans, plan_key
+from berylshift.process.membership.members import Membership
 from berylshift.store.interfaces import HostEntry, PlatformError, StoredRow
 from berylshift.version.changelog import TableLog, TableLogError
 from berylshift.version.freshness import Freshness
--- a/berylshift/replay/virtual_fleet.py
+++ b/berylshift/replay/virtual_fleet.py
@@ -18,7 +18,7 @@
 from berylshift.clock import LoopClock
 from berylshift.ids import ChangeId
 from berylshift.metrics import NoMetrics
-from berylshift.process.store_budget import StoreBudget
+from berylshift.process.limits.store_budget import StoreBudget
 from berylshift.replay.keys import KeyBook
 from berylshift.replay.policies import policy_settings
 from berylshift.replay.trace import Kind, Trace
--- a/berylshift/request/choice.py
+++ b/berylshift/request/choice.py
@@ -15,12 +15,12 @@
     TargetName,
     WorkName,
 )
-from berylshift.process.cost import CostModel, Prediction
-from berylshift.process.health import Health
-from berylshift.process.load import Estimate, LoadView
-from berylshift.process.mix_meter import MixMeter
-from berylshift.process.plans import Plans
-from berylshift.process.prefixes import Prefixes, PrefixIndex
+from berylshift.process.control.mix_meter import MixMeter
+from berylshift.process.control.plans import Plans
+from berylshift.process.knowledge.cost import CostModel, Prediction
+from berylshift.process.knowledge.health import Health
+from berylshift.process.knowledge.load import Estimate, LoadView
+from berylshift.process.knowledge.prefixes import Prefixes, PrefixIndex
 from berylshift.request.messages import Reason, Weighed
 from berylshift.request.pool import Picker, Pool, Pools
 from berylshift.targets import Role
--- a/berylshift/request/completion.py
+++ b/berylshift/request/completion.py
@@ -10,10 +10,10 @@
 
 from berylshift.clock import Clock
 from berylshift.ids import AttemptId, PoolName, TargetName
-from berylshift.process.lengths import OutputLengths
-from berylshift.process.mix_meter import MixMeter
-from berylshift.process.prefixes import Prefixes, prefix_hashes
-from berylshift.process.retry_budget import RetryBudget
+from berylshift.process.control.mix_meter import MixMeter
+from berylshift.process.knowledge.lengths import OutputLengths
+from berylshift.process.knowledge.prefixes import Prefixes, prefix_hashes
+from berylshift.process.limits.retry_budget import RetryBudget
 from berylshift.request.assembly import AnswerAssembler, Verdict
 from berylshift.request.attempts import AttemptLog, Fault
 from berylshift.request.choice import Knowledge, Plan, Refusal, Router, WorkItem
--- a/berylshift/request/front.py
+++ b/berylshift/request/front.py
@@ -12,7 +12,7 @@
 from berylshift.connection.http_server import HttpRequest, Responder
 from berylshift.ids import CustomerName, FleetName, RequestId, WorkName
 from berylshift.metrics import Metrics
-from berylshift.process.limits import CustomerLimits
+from berylshift.process.limits.customer_limits import CustomerLimits
 from berylshift.request.answer import (
     STATUS,
     Answer,
--- a/berylshift/request/service_call.py
+++ b/berylshift/request/service_call.py
@@ -11,9 +11,9 @@
 
 from berylshift.clock import Clock
 from berylshift.ids import AttemptId, TargetName
-from berylshift.process.pending_records import PendingRecords
-from berylshift.process.retry_budget import RetryBudget
-from berylshift.process.store_budget import Priority
+from berylshift.process.limits.retry_budget import RetryBudget
+from berylshift.process.limits.store_budget import Priority
+from berylshift.process.records.pending_records import PendingRecords
 from berylshift.request import confirmation
 from berylshift.request.attempts import AttemptLog, Fault
 from berylshift.request.choice import Knowledge, Plan, ReplicaChooser, WorkItem
--- a/berylshift/stand_ins/memory_peers.py
+++ b/berylshift/stand_ins/memory_peers.py
@@ -5,8 +5,8 @@
 
 import trio
 
-from berylshift.process.digest import Digest
-from berylshift.process.table_follower import PeerView
+from berylshift.process.membership.digest import Digest
+from berylshift.process.table.follower import PeerView
 from berylshift.stand_ins.network import Network
 
 
--- a/berylshift/store/batch.py
+++ b/berylshift/store/batch.py
@@ -6,7 +6,7 @@
 import trio
 
 from berylshift.clock import Clock
-from berylshift.process.store_budget import Priority, StoreBudget
+from berylshift.process.limits.store_budget import Priority, StoreBudget
 from berylshift.store.interfaces import (
     AnswerLostError,
     Condition,
--- a/berylshift/tests/order_machine.py
+++ b/berylshift/tests/order_machine.py
@@ -10,7 +10,7 @@
 
 from berylshift.clock import ManualClock
 from berylshift.ids import Incarnation, PoolName, TargetName
-from berylshift.process.leases import (
+from berylshift.process.control.leases import (
     EpochRow,
     Lease,
     LeaseAct,
@@ -19,8 +19,7 @@
     epoch_key,
     lease_key,
 )
-from berylshift.process.membership import make_incarnation
-from berylshift.process.orders import (
+from berylshift.process.control.orders import (
     SETTLE_SECONDS,
     CopyBook,
     EngineView,
@@ -32,6 +31,7 @@
     journal_key,
     role_order,
 )
+from berylshift.process.membership.members import make_incarnation
 from berylshift.stand_ins.engine_costs import EngineCosts
 from berylshift.stand_ins.fake_engine import FakeEngine
 from berylshift.stand_ins.fake_platform import FakePlatform
--- a/berylshift/tests/test_answers.py
+++ b/berylshift/tests/test_answers.py
@@ -6,7 +6,7 @@
 import trio
 
 from berylshift.ids import AttemptId
-from berylshift.process.orders import role_order
+from berylshift.process.control.orders import role_order
 from berylshift.request.assembly import AnswerAssembler, Verdict
 from berylshift.request.messages import Outcome, Reason
 from berylshift.targets import EngineChunk, Role
--- a/berylshift/tests/test_confirmation_machine.py
+++ b/berylshift/tests/test_confirmation_machine.py
@@ -9,7 +9,7 @@
 
 from berylshift.clock import ManualClock
 from berylshift.ids import AttemptId
-from berylshift.process.pending_records import PendingRecords
+from berylshift.process.records.pending_records import PendingRecords
 from berylshift.request.confirmation import (
     Confirmation,
     ConfirmRow,
--- a/berylshift/tests/test_draining.py
+++ b/berylshift/tests/test_draining.py
@@ -5,7 +5,7 @@
 import trio
 
 from berylshift.ids import ChangeId
-from berylshift.process.readiness import HOST_NOTICE_SECONDS
+from berylshift.process.membership.readiness import HOST_NOTICE_SECONDS
 from berylshift.replay.trace import EventKind, TraceEvent
 from berylshift.replay.virtual import VirtualFleet
 from berylshift.request.messages import Outcome, Reason
--- a/berylshift/tests/test_orders.py
+++ b/berylshift/tests/test_orders.py
@@ -11,7 +11,7 @@
     run_state_machine_as_test,
 )
 
-from berylshift.process.orders import SETTLE_SECONDS, JournalState, role_order
+from berylshift.process.control.orders import SETTLE_SECONDS, JournalState, role_order
 from berylshift.targets import Role
 from berylshift.tests.order_machine import MARGIN, TERM, OrderWorld
 from berylshift.tests.support import EXPLORE
--- a/berylshift/tests/test_platform_batch.py
+++ b/berylshift/tests/test_platform_batch.py
@@ -5,7 +5,7 @@
 import trio
 
 from berylshift.clock import LoopClock
-from berylshift.process.store_budget import StoreBudget
+from berylshift.process.limits.store_budget import StoreBudget
 from berylshift.stand_ins.fake_platform import (
     FakePlatform,
     MemoryPlatform,
--- a/berylshift/tests/test_process_load.py
+++ b/berylshift/tests/test_process_load.py
@@ -4,11 +4,11 @@
 import unittest
 
 from berylshift.ids import Incarnation
-from berylshift.process.health import FAILURES_ALLOWED, Health
-from berylshift.process.limits import CustomerLimits, Demand
-from berylshift.process.load import LoadView, Share
-from berylshift.process.retry_budget import RetryBudget
-from berylshift.process.store_budget import Priority, StoreBudget
+from berylshift.process.knowledge.health import FAILURES_ALLOWED, Health
+from berylshift.process.knowledge.load import LoadView, Share
+from berylshift.process.limits.customer_limits import CustomerLimits, Demand
+from berylshift.process.limits.retry_budget import RetryBudget
+from berylshift.process.limits.store_budget import Priority, StoreBudget
 from berylshift.targets import LoadReport, Role
 
 RATE = 8000.0
--- a/berylshift/tests/test_process_membership.py
+++ b/berylshift/tests/test_process_membership.py
@@ -6,10 +6,10 @@
 from berylshift.connection.datagram_tag import Tagger
 from berylshift.connection.peer_codec import BadDatagramError, PeerCodec
 from berylshift.ids import DomainName, HostName
-from berylshift.process.digest import Digest, Echo, Mix
-from berylshift.process.limits import Demand
-from berylshift.process.load import Share
-from berylshift.process.membership import Membership, host_of, make_incarnation
+from berylshift.process.knowledge.load import Share
+from berylshift.process.limits.customer_limits import Demand
+from berylshift.process.membership.digest import Digest, Echo, Mix
+from berylshift.process.membership.members import Membership, host_of, make_incarnation
 from berylshift.store.interfaces import HostEntry, HostState
 
 ME = make_incarnation(HostName("host-1"), 1000, 1)
--- a/berylshift/tests/test_process_pools.py
+++ b/berylshift/tests/test_process_pools.py
@@ -5,16 +5,15 @@
 import trio
 
 from berylshift.ids import Epoch, Incarnation, OrderNumber
-from berylshift.process.digest import Mix
-from berylshift.process.moves import (
+from berylshift.process.control.moves import (
     MOVE_LIMIT_SECONDS,
     EngineNote,
     PoolDesk,
     PoolNotes,
 )
-from berylshift.process.orders import CopyBook, OrderDesk, role_order
-from berylshift.process.plans import Move, PlanRow, Plans, is_empty
-from berylshift.process.roles import (
+from berylshift.process.control.orders import CopyBook, OrderDesk, role_order
+from berylshift.process.control.plans import Move, PlanRow, Plans, is_empty
+from berylshift.process.control.roles import (
     PERSIST_DECISIONS,
     EngineState,
     FixedRoles,
@@ -25,6 +24,7 @@
     ThresholdRoles,
     utilization,
 )
+from berylshift.process.membership.digest import Mix
 from berylshift.settings import HostSettings, PolicySettings, Settings
 from berylshift.targets import LoadReport, Role
 from berylshift.tests.support import engine_row
--- a/berylshift/tests/test_tools.py
+++ b/berylshift/tests/test_tools.py
@@ -12,7 +12,7 @@
 from berylshift.clock import LoopClock, ManualClock
 from berylshift.connection.status import HostStatus, TargetStatus
 from berylshift.ids import ChangeId, DomainName, HostName, Incarnation
-from berylshift.process.store_budget import StoreBudget
+from berylshift.process.limits.store_budget import StoreBudget
 from berylshift.request.messages import Decision, Weighed
 from berylshift.stand_ins.fake_platform import FakePlatform, MemoryPlatform
 from berylshift.store.batch import TableGate
--- a/berylshift/tools/demo_fleet.py
+++ b/berylshift/tools/demo_fleet.py
@@ -13,7 +13,7 @@
 from berylshift.connection.http_client import HttpClient
 from berylshift.daemon import bound_address, open_listener
 from berylshift.ids import ChangeId
-from berylshift.process.store_budget import StoreBudget
+from berylshift.process.limits.store_budget import StoreBudget
 from berylshift.replay.trace import EventKind, TraceEvent
 from berylshift.store.batch import TableGate
 from berylshift.store.http import HttpObjectStore, HttpTableService
--- a/berylshift/tools/session.py
+++ b/berylshift/tools/session.py
@@ -16,7 +16,7 @@
 from berylshift.connection.errors import ConnectionLayerError
 from berylshift.connection.http_client import HttpClient, Outgoing
 from berylshift.ids import ChangeId
-from berylshift.process.store_budget import StoreBudget
+from berylshift.process.limits.store_budget import StoreBudget
 from berylshift.settings import PlatformSettings, read_platform_settings
 from berylshift.store.batch import TableGate
 from berylshift.store.http import HttpHostList, HttpObjectStore, HttpTableService
--- a/berylshift/version/changelog.py
+++ b/berylshift/version/changelog.py
@@ -12,7 +12,7 @@
 from returns.result import Failure, Result, Success
 
 from berylshift.ids import ChangeId, TableVersion
-from berylshift.process.store_budget import Priority
+from berylshift.process.limits.store_budget import Priority
 from berylshift.store.interfaces import (
     ABSENT,
     AnswerLostError,
