Send requests of all interfaces by one loop and one retry rule

Cause: completions, lookups and routed requests each had a loop of their own that sends again, and two records of what the sends came to (AttemptLog with Fault, SendHistory with SendEnd). A rule mended in one stayed wrong in the others: lookups still paid the retry budget for connections never made.

Ruled out: one relay class for all. A completion passes on numbered tokens of our own engines, a routed request bytes of the platform's replicas; what they share is when to send again and what may be said at the end.

Change: request/send_loop.py sends until done; retry_rule.py holds the one history, its outcome and its bounds; confirmations ask the same rule. A begun answer going on although retries are spent had no test that failed without it (found by make proofs); it has one now.

--- a/berylshift/application.py
+++ b/berylshift/application.py
@@ -45,6 +45,7 @@
 from berylshift.request.completion import CompletionParts
 from berylshift.request.decisions import DecisionLog
 from berylshift.request.front import Front, FrontParts
+from berylshift.request.plain_send import PlainSend
 from berylshift.request.service_call import ServiceCalls, ServiceParts
 from berylshift.settings import Credential, PolicySettings, Settings
 from berylshift.store.batch import TableGate
@@ -173,20 +174,24 @@
             cfg=cfg.targets,
             longest=cfg.callers.longest_request,
         )
-        services = ServiceParts(
+        sender = PlainSend(
             clock=ports.clock,
             client=ports.services,
             know=self.know,
             chooser=ReplicaChooser(self.know),
-            retries=retries,
-            gate=self.gate,
-            pending=self.pending,
             decisions=self.decisions,
             table=self.holder.get,
             may_route=self.readiness.may_route,
-            rng=ports.rng,
             timeout=cfg.targets.service_timeout,
         )
+        services = ServiceParts(
+            clock=ports.clock,
+            sender=sender,
+            retries=retries,
+            gate=self.gate,
+            pending=self.pending,
+            rng=ports.rng,
+        )
         self.services = ServiceCalls(services)
         parts = FrontParts(
             clock=ports.clock,
--- a/berylshift/process/limits/retry_budget.py
+++ b/berylshift/process/limits/retry_budget.py
@@ -16,7 +16,7 @@
         self._largest = max(10.0, 10 * floor)
         self._filled_at: float | None = None
 
-    def first_attempt(self, now: float) -> None:
+    def first(self, now: float) -> None:
         """Note a request's first attempt."""
         self._refill(now)
         self._tokens = min(self._largest, self._tokens + self._share)
--- a/berylshift/request/completion.py
+++ b/berylshift/request/completion.py
@@ -15,7 +15,11 @@
 from berylshift.process.knowledge.prefixes import Prefixes, prefix_hashes
 from berylshift.process.limits.retry_budget import RetryBudget
 from berylshift.request.assembly import AnswerAssembler, Verdict
-from berylshift.request.attempts import AttemptLog, Fault
+from berylshift.request.attempts import (
+    ATTEMPT_BOUNDS,
+    target_preferred,
+    targets_excluded,
+)
 from berylshift.request.choice import Knowledge, Plan, Refusal, Router, WorkItem
 from berylshift.request.decisions import DecisionLog
 from berylshift.request.messages import (
@@ -25,6 +29,8 @@
     Outcome,
     Reason,
 )
+from berylshift.request.retry_rule import SendEnd, SendHistory, Sent, end_of
+from berylshift.request.send_loop import LoopEnd, send_until_done
 from berylshift.settings import TargetSettings
 from berylshift.targets import (
     EngineCall,
@@ -32,8 +38,7 @@
     EngineClient,
     KvSource,
     TargetBrokenError,
-    TargetNotReachedError,
-    TargetRefusedError,
+    TargetError,
 )
 from berylshift.utils import token_count
 from berylshift.version.rows import Row
@@ -68,10 +73,10 @@
 class _AttemptFailedError(Exception):
     """An attempt ended early."""
 
-    def __init__(self, target: TargetName, fault: Fault):
-        super().__init__(fault.value)
+    def __init__(self, target: TargetName, end: SendEnd):
+        super().__init__(end)
         self.target = target
-        self.fault = fault
+        self.end = end
 
 
 class Completion:
@@ -82,7 +87,8 @@
         self._parts = parts
         self._call = call
         self._sink = sink
-        self._log = AttemptLog()
+        self._history = SendHistory()
+        self._refusal: Refusal | None = None
         self._answer = AnswerAssembler()
         self._prefixes: Prefixes = prefix_hashes(call.prompt)
         self._prompt_tokens = token_count(call.prompt)
@@ -91,18 +97,38 @@
 
     async def run(self) -> Ending:
         """Return how the call ended; all text has gone to the sink by then."""
-        self._parts.retries.first_attempt(self._now())
+        parts = self._parts
+        end = await send_until_done(
+            self, ATTEMPT_BOUNDS, self._history, parts.retries, parts.clock
+        )
+        if end is LoopEnd.DONE:
+            tokens = self._answer.tokens
+            parts.lengths.learn(self._call.caller.customer, self._call.model, tokens)
+            return Ending(Outcome.COMPLETE, tokens=tokens)
+        return self._ending(end)
+
+    async def send(self) -> Sent | None:
+        """Make one attempt, once there is a place for it."""
         while True:
             match self._choose():
                 case Success(plan):
                     self._parts.decisions.placed(self._call.request, "engine", plan)
-                    ending = await self._try(plan)
-                    if ending is not None:
-                        return ending
+                    return await self._try(plan)
                 case Failure(refusal):
-                    ending = await self._refused(refusal)
-                    if ending is not None:
-                        return ending
+                    if not await self._wait_for_place(refusal):
+                        return None
+
+    def is_late(self) -> bool:
+        """Return whether the time of an answer, begun or not, is over."""
+        begun = self._answer.tokens > 0
+        return self._now() >= (self._ends_at if begun else self._call.deadline)
+
+    def must_finish(self) -> bool:
+        """Return whether the answer has begun.
+
+        Its caller holds a part of it, and a refusal would cut it.
+        """
+        return self._answer.tokens > 0
 
     def _now(self) -> float:
         return self._parts.clock.monotonic()
@@ -127,52 +153,40 @@
             output_tokens=max(1, expected - self._answer.tokens),
             prefixes=self._prefixes,
             remaining=call.deadline - self._now(),
-            exclude=self._log.exclude,
-            prefer=self._log.prefer,
-            must_place=self._log.may_have_run,
+            exclude=targets_excluded(self._history),
+            prefer=target_preferred(self._history),
+            must_place=self._history.may_have_run,
         )
 
-    async def _refused(self, refusal: Refusal) -> Ending | None:
-        """End the call, or wait where an answer has begun that can be finished."""
-        begun = self._answer.tokens > 0
-        if begun and not self._log.spent and self._now() < self._ends_at:
-            # Engines that refused or failed may be back by the next try.
-            self._log = AttemptLog(may_have_run=True)
+    async def _wait_for_place(self, refusal: Refusal) -> bool:
+        """Wait where an answer has begun that can be finished; else say no."""
+        self._refusal = refusal
+        if self._answer.tokens and self._now() < self._ends_at:
+            self._history.start_over()
             await trio.sleep(REPLACE_PAUSE)
-            return None
+            return True
         self._parts.decisions.refused(self._call.request, "engine", refusal)
-        return self._ending(refusal.reason, refusal.retry_after)
-
-    def _ending(self, reason: Reason, retry_after: float) -> Ending:
-        ran = self._log.may_have_run
-        outcome = Outcome.UNKNOWN if ran else Outcome.NOT_RUN
-        return Ending(outcome, reason, "", max(1.0, retry_after), self._answer.tokens)
-
-    async def _try(self, plan: Plan) -> Ending | None:
-        """Make one attempt; return the ending, or ``None`` for another one."""
+        return False
+
+    def _ending(self, end: LoopEnd) -> Ending:
+        reason, wait = Reason.TARGET_FAILED, 1.0
+        if end is LoopEnd.NO_PLACE and self._refusal is not None:
+            reason, wait = self._refusal.reason, self._refusal.retry_after
+        elif end is LoopEnd.NO_BUDGET:
+            reason = Reason.RETRIES_SPENT
+        elif end is LoopEnd.LATE and not self._answer.tokens:
+            reason = Reason.TOO_LATE
+        outcome = self._history.outcome
+        return Ending(outcome, reason, "", max(1.0, wait), self._answer.tokens)
+
+    async def _try(self, plan: Plan) -> Sent:
+        """Make one attempt."""
         try:
             await self._attempt(plan)
         except _AttemptFailedError as exc:
-            self._log.failed(exc.target, exc.fault)
-            self._parts.decisions.failed(
-                self._call.request, exc.target, exc.fault.value
-            )
-            return self._after_failure()
-        tokens = self._answer.tokens
-        self._parts.lengths.learn(self._call.caller.customer, self._call.model, tokens)
-        return Ending(Outcome.COMPLETE, tokens=tokens)
-
-    def _after_failure(self) -> Ending | None:
-        now = self._now()
-        if self._log.spent or now >= self._ends_at:
-            return self._ending(Reason.TARGET_FAILED, 1.0)
-        if now >= self._call.deadline and not self._answer.tokens:
-            return self._ending(Reason.TOO_LATE, 1.0)
-        # A begun answer is finished whatever the budget says: its caller holds a
-        # part of it, and a refusal would cut it.
-        if not self._parts.retries.take(now) and not self._answer.tokens:
-            return self._ending(Reason.RETRIES_SPENT, 1.0)
-        return None
+            self._parts.decisions.failed(self._call.request, exc.target, exc.end)
+            return Sent(exc.target, exc.end)
+        return Sent(plan.target.name, SendEnd.DONE)
 
     async def _attempt(self, plan: Plan) -> None:
         kv = None
@@ -187,7 +201,7 @@
         leaves = current is None or not current.takes_work
         leaves = leaves or self._parts.know.plans.is_moving(row.name)
         if leaves or not self._parts.may_route():
-            raise _AttemptFailedError(row.name, Fault.REFUSED)
+            raise _AttemptFailedError(row.name, SendEnd.NOT_RUN)
 
     async def _prefill(self, row: Row, plan: Plan) -> KvSource:
         """Have the prompt prefilled; return where its KV cache can be had."""
@@ -198,7 +212,7 @@
         async def take(chunks: Chunks) -> bool:
             for chunk in chunks:
                 if chunk.attempt != call.attempt:
-                    raise _AttemptFailedError(row.name, Fault.NONSENSE)
+                    raise _AttemptFailedError(row.name, SendEnd.SPOILED)
                 if chunk.kv is not None:
                     found.append(chunk.kv)
             return bool(found)
@@ -237,9 +251,9 @@
         for chunk in chunks:
             verdict = self._answer.take(chunk)
             if verdict in (Verdict.FOREIGN, Verdict.GAP):
-                raise _AttemptFailedError(target, Fault.NONSENSE)
+                raise _AttemptFailedError(target, SendEnd.SPOILED)
             if verdict is Verdict.SHORT:
-                raise _AttemptFailedError(target, Fault.BROKEN)
+                raise _AttemptFailedError(target, SendEnd.BROKEN)
         return verdict
 
     def _engine_call(
@@ -317,7 +331,7 @@
 
     async def _note_failure(self, exc: _AttemptFailedError) -> None:
         self._parts.know.health.failed(self._row.name, self._now())
-        if exc.fault in (Fault.SILENT, Fault.NONSENSE):
+        if exc.end in (SendEnd.SILENT, SendEnd.SPOILED):
             await self._cancel()
 
     async def _read(self, take: Take) -> None:
@@ -332,13 +346,9 @@
                     async with aclosing(batches):
                         await self._take_all(batches, take, scope)
                         return
-            except TargetNotReachedError as exc:
-                raise _AttemptFailedError(name, Fault.NOT_REACHED) from exc
-            except TargetRefusedError as exc:
-                raise _AttemptFailedError(name, Fault.REFUSED) from exc
-            except TargetBrokenError as exc:
-                raise _AttemptFailedError(name, Fault.BROKEN) from exc
-        raise _AttemptFailedError(name, Fault.SILENT)
+            except TargetError as exc:
+                raise _AttemptFailedError(name, end_of(exc)) from exc
+        raise _AttemptFailedError(name, SendEnd.SILENT)
 
     async def _take_all(
         self, batches: AsyncIterator[Chunks], take: Take, scope: trio.CancelScope
--- a/berylshift/request/confirmation.py
+++ b/berylshift/request/confirmation.py
@@ -5,7 +5,7 @@
 arrival reads from it what became of the call. See docs/design/confirmations.md.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum, StrEnum
 
 import msgspec
@@ -13,12 +13,20 @@
 
 from berylshift.ids import AttemptId, CustomerName
 from berylshift.request.messages import Outcome, Reason
+from berylshift.request.retry_rule import (
+    RetryBounds,
+    SendEnd,
+    SendHistory,
+    Sent,
+    may_send_again,
+)
 from berylshift.targets import ServiceAnswer
 
 PREFIX = "confirm/"
 POLL_SECONDS = 0.25
 COME_BACK_SECONDS = 2.0
-REPLICAS_TRIED = 3
+# A call that may run once goes to so many replicas at most, while each refuses it.
+ONCE = RetryBounds(repeatable=False, most_runs=1, most_sends=3)
 
 
 class RowState(StrEnum):
@@ -72,10 +80,6 @@
     CONFLICT = "the condition failed"
     LOST = "the answer was lost"
     UNAVAILABLE = "the store refused"
-    NOT_REACHED = "no byte reached the target"
-    REFUSED = "the target refused"
-    BROKEN = "the call was sent, its answer never came"
-    ANSWERED = "the target answered"
 
 
 @dataclass
@@ -91,7 +95,7 @@
     reason: Reason = Reason.OK
     answer: ServiceAnswer | None = None
     record: ConfirmRow | None = None
-    sends: int = 0
+    history: SendHistory = field(default_factory=SendHistory)
     revision: int = 0
     owned: bool = False
     unsure: bool = False
@@ -171,19 +175,18 @@
         """Take the end of a wait."""
         self.step = Step.READ
 
-    def sent(self, event: Event, answer: ServiceAnswer | None, now: float) -> None:
+    def sent(self, sent: Sent, answer: ServiceAnswer | None, now: float) -> None:
         """Take the end of a send."""
-        self.sends += 1
-        match event:
-            case Event.ANSWERED:
-                self.answer = answer
-                self._record(RowState.DONE, Outcome.COMPLETE, Reason.OK)
-            case Event.BROKEN:
-                self._record(RowState.UNKNOWN, Outcome.UNKNOWN, Reason.FATE_UNKNOWN)
-            case _ if self.sends < REPLICAS_TRIED and now < self.deadline:
-                self.step = Step.SEND
-            case _:
-                self._abandon(Reason.TARGET_FAILED)
+        self.history.add(sent)
+        if sent.end is SendEnd.DONE:
+            self.answer = answer
+            self._record(RowState.DONE, Outcome.COMPLETE, Reason.OK)
+        elif self.history.may_have_run:
+            self._record(RowState.UNKNOWN, Outcome.UNKNOWN, Reason.FATE_UNKNOWN)
+        elif may_send_again(ONCE, self.history) and now < self.deadline:
+            self.step = Step.SEND
+        else:
+            self._abandon(Reason.TARGET_FAILED)
 
     def no_target(self, reason: Reason) -> None:
         """Take that there is no target to send to."""
--- /dev/null
+++ b/berylshift/request/plain_send.py
@@ -0,0 +1,102 @@
+"""One send of a call to a plain service: its place, its books, its end."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+import trio
+from returns.result import Failure, Success
+
+from berylshift.clock import Clock
+from berylshift.ids import AttemptId, TargetName
+from berylshift.request.choice import Knowledge, Plan, ReplicaChooser, WorkItem
+from berylshift.request.decisions import DecisionLog
+from berylshift.request.messages import Ending, Outcome, PlainCall, Reason
+from berylshift.request.retry_rule import SendEnd, end_of
+from berylshift.targets import (
+    ServiceAnswer,
+    ServiceCall,
+    ServiceClient,
+    TargetBrokenError,
+    TargetError,
+)
+from berylshift.version.table import Table
+
+
+class PlainSent(msgspec.Struct, frozen=True):
+    """How a send ended, with the answer if it is done."""
+
+    end: SendEnd
+    answer: ServiceAnswer | None = None
+
+
+@dataclass
+class PlainSend:
+    """Places and sends calls; ``timeout`` bounds one send, in seconds."""
+
+    clock: Clock
+    client: ServiceClient
+    know: Knowledge
+    chooser: ReplicaChooser
+    decisions: DecisionLog
+    table: Callable[[], Table]
+    may_route: Callable[[], bool]
+    timeout: float
+
+    def place(self, call: PlainCall, exclude: frozenset[TargetName]) -> Plan | Ending:
+        """Return the replica for ``call``, or how the call ends without one."""
+        if not self.may_route():
+            return Ending(Outcome.NOT_RUN, Reason.STALE_VIEW, "", 1.0)
+        now = self.clock.monotonic()
+        item = WorkItem(
+            request=call.request,
+            customer=call.caller.customer,
+            fleet=call.caller.fleet,
+            work=call.service,
+            prompt_tokens=0,
+            output_tokens=0,
+            prefixes=(),
+            remaining=call.deadline - now,
+            exclude=exclude,
+        )
+        match self.chooser.choose(item, self.table(), now):
+            case Success(plan):
+                self.decisions.placed(call.request, "replica", plan)
+                return plan
+            case Failure(refusal):
+                self.decisions.refused(call.request, "replica", refusal)
+                return Ending(Outcome.NOT_RUN, refusal.reason, "", refusal.retry_after)
+
+    async def run(self, plan: Plan, call: PlainCall, attempt: AttemptId) -> PlainSent:
+        """Send one attempt."""
+        name = plan.target.name
+        out = ServiceCall(
+            attempt=attempt,
+            service=call.service,
+            method=call.method,
+            path=call.path,
+            headers=call.headers,
+            body=call.body,
+            idempotent=call.idempotent,
+            key=call.key,
+        )
+        load, health = self.know.load, self.know.health
+        load.sent(name, attempt, call.caller.fleet, 0, self.clock.monotonic())
+        health.started(name)
+        try:
+            answer = await self._bounded(plan.target.address, out)
+            health.succeeded(name)
+            return PlainSent(SendEnd.DONE, answer)
+        except TargetError as exc:
+            health.failed(name, self.clock.monotonic())
+            return PlainSent(end_of(exc))
+        except trio.Cancelled:
+            health.cancelled(name)
+            raise
+        finally:
+            load.ended(name, attempt, self.clock.monotonic())
+
+    async def _bounded(self, address: str, out: ServiceCall) -> ServiceAnswer:
+        with trio.move_on_after(self.timeout):
+            return await self.client.call(address, out)
+        raise TargetBrokenError("no answer in time")
--- a/berylshift/request/relay.py
+++ b/berylshift/request/relay.py
@@ -11,14 +11,15 @@
 from berylshift.messages.load_digest import Urgency, urgency_of
 from berylshift.messages.replicas import Replica
 from berylshift.messages.routed import Dispatch, RoutedRequest
-from berylshift.process.fleet.arrival_budget import ArrivalBudget
 from berylshift.process.fleet.pools import Pool
 from berylshift.process.fleet.target_load import MILD, SEVERE
 from berylshift.request.answer_stream import AnswerStream
+from berylshift.request.messages import Outcome
 from berylshift.request.placement import Placement
 from berylshift.request.prompt_read import KvSource
 from berylshift.request.relay_parts import RelayParts
-from berylshift.request.retry_rule import SendEnd, SendHistory, may_send_again
+from berylshift.request.retry_rule import SendEnd, SendHistory, Sent, bounds_of
+from berylshift.request.send_loop import LoopEnd, send_until_done
 from berylshift.request.single_send import FailedAnswer, Reading, SingleSend
 from berylshift.version.routes import Route
 
@@ -83,6 +84,7 @@
         self._route = route
         self._out = AnswerStream(responder, parts.clock)
         self._history = SendHistory()
+        self._budget = parts.budget(service)
         self._tried: list[InstanceId] = []
         self._sends: list[str] = []
         self._sender = SingleSend(parts, req, route, self._out, self._history)
@@ -152,7 +154,8 @@
         return self._parts.clock.monotonic()
 
     def _last_end(self) -> str:
-        return str(self._history.ends[-1]) if self._history.ends else "no replica"
+        last = self._history.last
+        return str(last.end) if last is not None else "no replica"
 
     def _note_send(self, place: Placement, what: str) -> None:
         """Keep a send for the log: what was predicted, and when it ended."""
@@ -161,38 +164,39 @@
         self._sends.append(f"{place.target.instance} {what} {inputs} {ms:.0f}ms")
 
     async def _send_until_done(self) -> Verdict:
-        budget = self._parts.budget(self.service)
-        budget.first(self._now())
-        while True:
-            end = await self._place_and_send(budget)
-            if end is None:
-                return self._gave_up()
-            self._history.add(end)
-            if end is SendEnd.DONE:
-                return Verdict.ANSWERED
-            if not may_send_again(self._route, self._history):
-                return self._gave_up()
-            arrived = end is not SendEnd.NOT_REACHED
-            if arrived and not budget.take(self._now()):
-                self._sends.append("no budget")
-                return self._gave_up()
+        end = await send_until_done(
+            self, bounds_of(self._route), self._history, self._budget, self._parts.clock
+        )
+        if end is LoopEnd.DONE:
+            return Verdict.ANSWERED
+        if end is LoopEnd.NO_BUDGET:
+            self._sends.append(str(end))
+        return self._gave_up()
+
+    def is_late(self) -> bool:
+        """Return that time is left: its end cancels the sends."""
+        return False
+
+    def must_finish(self) -> bool:
+        """Return that all hosts' budget goes before any answer."""
+        return False
 
     def _gave_up(self) -> Verdict:
         if self._out.started:
             return Verdict.CUT
-        if self._history.may_have_run:
+        if self._history.outcome is Outcome.UNKNOWN:
             return Verdict.FAILED
         return Verdict.NOT_RUN
 
-    async def _place_and_send(self, budget: ArrivalBudget) -> SendEnd | None:
-        """Send once; ``None`` if there is no place."""
+    async def send(self) -> Sent | None:
+        """Place and send once; ``None`` if there is no place."""
         if self._req.prompt is None:
             place = self._parts.placer.plain(self._pool(), self._tried, self._now())
             return await self._send(place, None)
         if self._answerer(None) is None:
             return None
         if self._source is None and not self._out.started:
-            if not await self._read_prompt(budget):
+            if not await self._read_prompt():
                 return None
         source = None if self._out.started else self._source
         place = self._answerer(source and source.engine)
@@ -219,7 +223,7 @@
 
     # Reading a prompt apart
 
-    async def _read_prompt(self, budget: ArrivalBudget) -> bool:
+    async def _read_prompt(self) -> bool:
         """Have an engine read the prompt, unless the answering one is to.
 
         Return whether the request may go on. The first reading is free, if it is
@@ -227,14 +231,14 @@
         """
         tried: list[InstanceId] = []
         while (place := self._reader(tried)) is not None:
-            if self._reads and not budget.take(self._now()):
+            if self._reads and not self._budget.take(self._now()):
                 return False
             tried.append(place.target.instance)
             end = await self._read_at(place)
             if end is SendEnd.DONE:
                 return True
             if self._reads == 1 and end is not SendEnd.NOT_REACHED:
-                budget.spend(self._now())
+                self._budget.spend(self._now())
             if len(tried) >= MOST_READS:
                 return False
         return not tried
@@ -290,7 +294,7 @@
 
     async def _send(
         self, place: Placement | None, source: KvSource | None
-    ) -> SendEnd | None:
+    ) -> Sent | None:
         """Send once and relay what comes; return how it ended."""
         if place is None:
             return None
@@ -309,7 +313,7 @@
         self._open_place = None
         self._note_send(place, f"{place.reason} {end}")
         self._judge(instance, end)
-        return end
+        return Sent(instance, end)
 
     def _use_source(self, end: SendEnd) -> None:
         """Keep the cache for another engine if this one did not take it.
--- a/berylshift/request/service_call.py
+++ b/berylshift/request/service_call.py
@@ -2,12 +2,10 @@
 
 import logging
 import random
-from collections.abc import Callable
 from dataclasses import dataclass
 
 import msgspec
 import trio
-from returns.result import Failure, Success
 
 from berylshift.clock import Clock
 from berylshift.ids import AttemptId, TargetName
@@ -15,10 +13,8 @@
 from berylshift.process.limits.store_budget import Priority
 from berylshift.process.records.pending_records import PendingRecords
 from berylshift.request import confirmation
-from berylshift.request.attempts import AttemptLog, Fault
-from berylshift.request.choice import Knowledge, Plan, ReplicaChooser, WorkItem
 from berylshift.request.confirmation import Confirmation, ConfirmRow, Event, Step
-from berylshift.request.decisions import DecisionLog
+from berylshift.request.lookup import Lookup
 from berylshift.request.messages import (
     Ending,
     Outcome,
@@ -26,6 +22,8 @@
     PlainEnding,
     Reason,
 )
+from berylshift.request.plain_send import PlainSend
+from berylshift.request.retry_rule import Sent
 from berylshift.store.batch import TableGate
 from berylshift.store.interfaces import (
     ABSENT,
@@ -35,15 +33,6 @@
     Write,
     as_raw,
 )
-from berylshift.targets import (
-    ServiceAnswer,
-    ServiceCall,
-    ServiceClient,
-    TargetBrokenError,
-    TargetNotReachedError,
-    TargetRefusedError,
-)
-from berylshift.version.table import Table
 
 logger = logging.getLogger(__name__)
 
@@ -58,17 +47,11 @@
     """What service calls work with."""
 
     clock: Clock
-    client: ServiceClient
-    know: Knowledge
-    chooser: ReplicaChooser
+    sender: PlainSend
     retries: RetryBudget
     gate: TableGate
     pending: PendingRecords
-    decisions: DecisionLog
-    table: Callable[[], Table]
-    may_route: Callable[[], bool]
     rng: random.Random
-    timeout: float
 
 
 class ServiceCalls:
@@ -89,7 +72,7 @@
     async def run(self, call: PlainCall) -> PlainEnding:
         """Return how the call ended."""
         if call.idempotent:
-            return await self._lookup(call)
+            return await Lookup(self._parts.sender, call, self._parts.retries).run()
         return await self._confirm_apart(call)
 
     async def _confirm_apart(self, call: PlainCall) -> PlainEnding:
@@ -137,96 +120,6 @@
         unknown = msgspec.structs.replace(ending, outcome=Outcome.UNKNOWN)
         return PlainEnding(unknown)
 
-    # Lookups
-
-    async def _lookup(self, call: PlainCall) -> PlainEnding:
-        parts = self._parts
-        log = AttemptLog()
-        parts.retries.first_attempt(parts.clock.monotonic())
-        while True:
-            placed = self._place(call, log.exclude)
-            if isinstance(placed, Ending):
-                return _failed(placed, log)
-            try:
-                answer = await self._send(placed, call, _attempt(call, log))
-                return PlainEnding(
-                    Ending(Outcome.COMPLETE), answer.status, answer.headers, answer.body
-                )
-            except TargetNotReachedError:
-                log.failed(placed.target.name, Fault.NOT_REACHED)
-            except TargetRefusedError:
-                log.failed(placed.target.name, Fault.REFUSED)
-            except TargetBrokenError:
-                log.failed(placed.target.name, Fault.NONSENSE)
-            now = parts.clock.monotonic()
-            if log.spent or now >= call.deadline:
-                ending = Ending(Outcome.NOT_RUN, Reason.TARGET_FAILED, "", 1.0)
-                return _failed(ending, log)
-            if not parts.retries.take(now):
-                ending = Ending(Outcome.NOT_RUN, Reason.RETRIES_SPENT, "", 1.0)
-                return _failed(ending, log)
-
-    def _place(self, call: PlainCall, exclude: frozenset[TargetName]) -> Plan | Ending:
-        parts = self._parts
-        if not parts.may_route():
-            return Ending(Outcome.NOT_RUN, Reason.STALE_VIEW, "", 1.0)
-        now = parts.clock.monotonic()
-        item = WorkItem(
-            request=call.request,
-            customer=call.caller.customer,
-            fleet=call.caller.fleet,
-            work=call.service,
-            prompt_tokens=0,
-            output_tokens=0,
-            prefixes=(),
-            remaining=call.deadline - now,
-            exclude=exclude,
-        )
-        match parts.chooser.choose(item, parts.table(), now):
-            case Success(plan):
-                parts.decisions.placed(call.request, "replica", plan)
-                return plan
-            case Failure(refusal):
-                parts.decisions.refused(call.request, "replica", refusal)
-                return Ending(Outcome.NOT_RUN, refusal.reason, "", refusal.retry_after)
-
-    async def _send(
-        self, plan: Plan, call: PlainCall, attempt: AttemptId
-    ) -> ServiceAnswer:
-        """Send one attempt; raise ``TargetError``."""
-        parts = self._parts
-        name = plan.target.name
-        out = ServiceCall(
-            attempt=attempt,
-            service=call.service,
-            method=call.method,
-            path=call.path,
-            headers=call.headers,
-            body=call.body,
-            idempotent=call.idempotent,
-            key=call.key,
-        )
-        now = parts.clock.monotonic()
-        parts.know.load.sent(name, attempt, call.caller.fleet, 0, now)
-        parts.know.health.started(name)
-        try:
-            answer = await self._bounded(plan.target.address, out)
-            parts.know.health.succeeded(name)
-            return answer
-        except (TargetNotReachedError, TargetRefusedError, TargetBrokenError):
-            parts.know.health.failed(name, parts.clock.monotonic())
-            raise
-        except trio.Cancelled:
-            parts.know.health.cancelled(name)
-            raise
-        finally:
-            parts.know.load.ended(name, attempt, parts.clock.monotonic())
-
-    async def _bounded(self, address: str, out: ServiceCall) -> ServiceAnswer:
-        with trio.move_on_after(self._parts.timeout):
-            return await self._parts.client.call(address, out)
-        raise TargetBrokenError("no answer in time")
-
     # Confirmations
 
     async def _confirm(self, call: PlainCall) -> PlainEnding:
@@ -301,22 +194,15 @@
     async def _send_once(
         self, state: Confirmation, call: PlainCall, tried: set[TargetName]
     ) -> None:
-        placed = self._place(call, frozenset(tried))
+        sender = self._parts.sender
+        placed = sender.place(call, frozenset(tried))
         if isinstance(placed, Ending):
             state.no_target(placed.reason)
             return
         tried.add(placed.target.name)
-        answer = None
-        try:
-            answer = await self._send(placed, call, state.attempt)
-            event = Event.ANSWERED
-        except TargetNotReachedError:
-            event = Event.NOT_REACHED
-        except TargetRefusedError:
-            event = Event.REFUSED
-        except TargetBrokenError:
-            event = Event.BROKEN
-        state.sent(event, answer, self._parts.clock.monotonic())
+        found = await sender.run(placed, call, state.attempt)
+        sent = Sent(placed.target.name, found.end)
+        state.sent(sent, found.answer, self._parts.clock.monotonic())
 
     async def _record(self, state: Confirmation, key: str) -> None:
         """Write the result; where that fails, leave it to the upkeep."""
@@ -336,16 +222,6 @@
         state.recorded()
 
 
-def _attempt(call: PlainCall, log: AttemptLog) -> AttemptId:
-    return AttemptId(f"{call.request}.{len(log.failures) + 1}")
-
-
-def _failed(ending: Ending, log: AttemptLog) -> PlainEnding:
-    if log.may_have_run:
-        ending = msgspec.structs.replace(ending, outcome=Outcome.UNKNOWN)
-    return PlainEnding(ending)
-
-
 def _confirmed(state: Confirmation) -> PlainEnding:
     ending = Ending(state.outcome, state.reason, "", state.retry_after)
     if state.answer is None or state.outcome is not Outcome.COMPLETE:
--- a/berylshift/tests/test_answers.py
+++ b/berylshift/tests/test_answers.py
@@ -95,6 +95,18 @@
 
         self.assert_whole(self.one_call(fail))
 
+    def test_begun_answer_is_finished_although_retries_are_spent(self):
+        # Other requests have used up the budget for retries when the engine dies.
+        # The caller holds a part of its answer: the rest still comes, since ending
+        # it here would leave the caller with a cut answer.
+        async def fail(world, engine):
+            retries = world.hosts["host-1"].app.front._parts.completions.retries
+            while retries.take(trio.current_time()):
+                pass
+            engine.crash(trio.current_time())
+
+        self.assert_whole(self.one_call(fail))
+
     def test_both_engines_killed_one_after_the_other_and_back(self):
         # Both engines die while the answer is under way. The host waits and
         # finishes when one is back: the caller holds a half that must not be lost.
--- a/berylshift/tests/test_confirmation_machine.py
+++ b/berylshift/tests/test_confirmation_machine.py
@@ -18,6 +18,7 @@
     Step,
 )
 from berylshift.request.messages import Outcome
+from berylshift.request.retry_rule import SendEnd, Sent
 from berylshift.stand_ins.fake_platform import FakePlatform
 from berylshift.stand_ins.fake_service import FakeService
 from berylshift.store.interfaces import (
@@ -105,12 +106,14 @@
             return
         arrival = self.wire.pop(place % len(self.wire))
         answer = None
-        event = {"refused": Event.REFUSED, "not reached": Event.NOT_REACHED}.get(end)
-        if event is None:
+        ended = {"refused": SendEnd.NOT_RUN, "not reached": SendEnd.NOT_REACHED}.get(
+            end
+        )
+        if ended is None:
             answer = self._run(arrival)
-            event = Event.ANSWERED if end == "answered" else Event.BROKEN
+            ended = SendEnd.DONE if end == "answered" else SendEnd.BROKEN
         arrival.sending = False
-        arrival.state.sent(event, answer, self.clock.monotonic())
+        arrival.state.sent(Sent("replica", ended), answer, self.clock.monotonic())
 
     @rule(place=st.integers(0, 4))
     def kill_host(self, place):
--- a/berylshift/tests/test_confirmations.py
+++ b/berylshift/tests/test_confirmations.py
@@ -19,6 +19,7 @@
     Step,
 )
 from berylshift.request.messages import Outcome, Reason
+from berylshift.request.retry_rule import SendEnd, Sent
 from berylshift.targets import ServiceAnswer
 from berylshift.tests.world import call_service, plain_call, run_world
 
@@ -92,16 +93,16 @@
 
     def test_broken_answer_is_unknown_and_not_sent_again(self):
         self.state.inserted(Event.COMMITTED, 0.0)
-        self.state.sent(Event.BROKEN, None, 0.1)
+        self.state.sent(Sent("replica", SendEnd.BROKEN), None, 0.1)
         self.assertIs(self.state.record.state, RowState.UNKNOWN)
         self.assertIs(self.state.outcome, Outcome.UNKNOWN)
 
     def test_unreached_target_lets_another_be_tried(self):
         self.state.inserted(Event.COMMITTED, 0.0)
-        self.state.sent(Event.NOT_REACHED, None, 0.1)
+        self.state.sent(Sent("replica", SendEnd.NOT_REACHED), None, 0.1)
         self.assertIs(self.state.step, Step.SEND)
-        self.state.sent(Event.REFUSED, None, 0.2)
-        self.state.sent(Event.REFUSED, None, 0.3)
+        self.state.sent(Sent("replica", SendEnd.NOT_RUN), None, 0.2)
+        self.state.sent(Sent("replica", SendEnd.NOT_RUN), None, 0.3)
         self.assertIs(self.state.record.state, RowState.ABANDONED)
 
     def test_store_down_to_the_deadline_can_not_be_called_not_run(self):
--- a/berylshift/tests/test_process_load.py
+++ b/berylshift/tests/test_process_load.py
@@ -127,7 +127,7 @@
     def test_retries_are_a_share_of_first_attempts(self):
         budget = RetryBudget(share=0.2, floor=0.0)
         for number in range(1000):
-            budget.first_attempt(number / 100)
+            budget.first(number / 100)
         allowed = sum(budget.take(10.0) for _ in range(1000))
         self.assertLessEqual(allowed, 10)
 
@@ -136,7 +136,7 @@
         retries = 0
         for number in range(2000):
             now = number / 100
-            budget.first_attempt(now)
+            budget.first(now)
             retries += budget.take(now)
         self.assertLessEqual(retries, 0.2 * 2000 + 20 + 10)
 
--- a/berylshift/tests/test_request_retry_rule.py
+++ b/berylshift/tests/test_request_retry_rule.py
@@ -6,20 +6,22 @@
     MOST_SENDS,
     SendEnd,
     SendHistory,
+    Sent,
+    bounds_of,
     may_send_again,
 )
 from berylshift.tests.entry_world import route
 from berylshift.version.routes import RouteKind
 
-ONCE = route("book", RouteKind.AT_MOST_ONCE, most_attempts=3)
-AGAIN = route("look", RouteKind.IDEMPOTENT, most_attempts=2)
+ONCE = bounds_of(route("book", RouteKind.AT_MOST_ONCE, most_attempts=3))
+AGAIN = bounds_of(route("look", RouteKind.IDEMPOTENT, most_attempts=2))
 
 
 def after(*ends: SendEnd) -> SendHistory:
     """Return a history of ended sends."""
     history = SendHistory()
     for end in ends:
-        history.add(end)
+        history.add(Sent("replica", end))
     return history
 
 
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -46,7 +46,7 @@
     Proof(
         "requests run once unless they may be repeated",
         "request/retry_rule.py",
-        "return route.repeatable and",
+        "return bounds.repeatable and",
         "return",
         "test_request_retry_rule.RetryRuleTest",
     ),
@@ -138,15 +138,30 @@
     ),
     Proof(
         "retries keep to a share",
-        "request/relay.py",
-        "if arrived and not budget.take(self._now()):",
-        "if False:",
+        "request/send_loop.py",
+        "not budget.take(clock.monotonic()) and",
+        "False and",
         f"{RELAY}.RetryTest.test_retries_keep_to_the_share_of_all_hosts",
     ),
+    Proof(
+        "a begun answer is finished whatever the budget says",
+        "request/completion.py",
+        "        return self._answer.tokens > 0\n",
+        "        return False\n",
+        "test_answers.StreamFailureTest."
+        "test_begun_answer_is_finished_although_retries_are_spent",
+    ),
+    Proof(
+        "starting over keeps that a send may have run",
+        "request/retry_rule.py",
+        "self._ran_before = self.may_have_run",
+        "self._ran_before = False",
+        "test_request_send_loop.SendLoopTest",
+    ),
     Proof(
         "further readings are further sends",
         "request/relay.py",
-        "if self._reads and not budget.take(self._now()):",
+        "if self._reads and not self._budget.take(self._now()):",
         "if False:",
         f"{RELAY}.RetryTest.test_readings_count_as_sends",
     ),
