Hand long bodies on while they come, at their target's pace

Cause: every body was read whole before its request was placed. A long upload waited twice (in and out), an early answer of the replica came only after the upload, and a caller announced a body over the bound and sent it in vain.

Ruled out: handing on all bodies. A caller that sends a few bytes and pauses would hold a replica's slot; bodies up to 64 KB are still read first.

Silence of a replica is not held against it while its request still comes. The adapter may import the body's type (a type, like the others on its list). The proof for a connection with a body under way now meets the last chunk, which alone still needs that safeguard. The stand-in's pipe raises plain errors when its own side closes it.

--- a/berylshift/connection/http_server.py
+++ b/berylshift/connection/http_server.py
@@ -9,6 +9,7 @@
 import trio
 
 from berylshift.connection.errors import RequestRejectedError
+from berylshift.connection.request_body import RequestBody
 
 logger = logging.getLogger(__name__)
 
@@ -16,6 +17,12 @@
 # Bytes of a next request that a connection may send before its answer ends; past
 # them nothing is read, so that such a caller can't fill the memory.
 MOST_EARLY_BYTES = 65536
+# Bodies up to this size are read before their request is handled: a caller that sends
+# slowly would hold a target's slot meanwhile. Larger ones are handed on as they come.
+HELD_BYTES = 65536
+# How long the rest of a body is read after its answer: closing the connection before
+# would reset it, and the answer could be lost on its way.
+REST_SECONDS = 1.0
 STATUS_BAD_REQUEST = 400
 STATUS_TIMEOUT = 408
 STATUS_TOO_LARGE = 413
@@ -38,20 +45,26 @@
 
 @dataclass(frozen=True)
 class HttpRequest:
-    """One request, read whole; header names are in lower case.
+    """One request; header names are in lower case.
 
     ``target`` and ``raw_headers`` are path, query and headers as they were sent.
+    ``arriving`` is the body, which has ended unless the server hands on long ones.
     """
 
     method: str
     path: str
     query: dict[str, str]
     headers: Headers
-    body: bytes
+    arriving: RequestBody
     pairs: tuple[tuple[str, str], ...] = ()
     target: bytes = b""
     raw_headers: tuple[tuple[bytes, bytes], ...] = ()
 
+    @property
+    def body(self) -> bytes:
+        """Return the whole body."""
+        return self.arriving.whole()
+
     def multi(self, name: str) -> list[str]:
         """Return all values of a query parameter."""
         return [value for key, value in self.pairs if key == name]
@@ -116,9 +129,18 @@
 class HttpServer:
     """Serves connections with one handler, within limits."""
 
-    def __init__(self, handler: Handler, limits: ServerLimits | None = None):
-        """Serve with ``handler``; it is cancelled when its caller leaves."""
+    def __init__(
+        self,
+        handler: Handler,
+        limits: ServerLimits | None = None,
+        hands_on_bodies: bool = False,
+    ):
+        """Serve with ``handler``; it is cancelled when its caller leaves.
+
+        With ``hands_on_bodies`` it gets long bodies while they still come.
+        """
         self.handler = handler
+        self.held_bytes = HELD_BYTES if hands_on_bodies else float("inf")
         self.limits = limits or ServerLimits()
         self.draining = False
         self.open_connections = 0
@@ -172,6 +194,7 @@
     server: HttpServer
     stream: trio.abc.Stream
     conn: h11.Connection = field(init=False)
+    read_until: float = float("inf")
 
     def __post_init__(self) -> None:
         """Start the HTTP state of the connection."""
@@ -188,17 +211,16 @@
             raise trio.BrokenResourceError("caller reads too slowly")
 
     async def run(self) -> None:
-        while True:
-            try:
-                req = await self._read_request()
-            except RequestRejectedError as exc:
-                await self.refuse(exc.status, exc.reason)
-                return
-            if req is None:
-                return
-            if not await self._answer(req):
-                return
-            self.conn.start_next_cycle()
+        try:
+            while await self._serve_one():
+                self.conn.start_next_cycle()
+        except RequestRejectedError as exc:
+            await self.refuse(exc.status, exc.reason)
+
+    async def _serve_one(self) -> bool:
+        """Serve a request; return whether the connection may go on."""
+        req = await self._read_request()
+        return req is not None and await self._answer(req)
 
     async def refuse(self, status: int, reason: str, outcome: str = "not-run") -> None:
         if self.conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
@@ -218,13 +240,23 @@
     async def _answer(self, req: HttpRequest) -> bool:
         """Run the handler; return whether the connection may go on."""
         responder = Responder(self)
+        rest = _Rest()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._watch, nursery.cancel_scope)
+            nursery.start_soon(self._watch, req.arriving, rest, nursery.cancel_scope)
             await self._handle(req, responder)
+            await self._take_rest(req.arriving)
             nursery.cancel_scope.cancel()
+        if rest.rejected is not None and not responder.started:
+            raise rest.rejected
         both_done = self.conn.our_state is self.conn.their_state is h11.DONE
         return responder.finished and both_done
 
+    async def _take_rest(self, body: RequestBody) -> None:
+        """Wait a little for the rest of a body whose answer is out."""
+        body.discard()
+        with trio.move_on_after(REST_SECONDS):
+            await body.wait_for_end()
+
     async def _handle(self, req: HttpRequest, responder: Responder) -> None:
         try:
             await self.server.handler(req, responder)
@@ -236,15 +268,38 @@
             if not responder.started:
                 await self.refuse(STATUS_ERROR, "internal error", "unknown")
 
-    async def _watch(self, scope: trio.CancelScope) -> None:
-        """Cancel the handler when the caller leaves, so no engine works for it."""
+    async def _watch(
+        self, body: RequestBody, rest: "_Rest", scope: trio.CancelScope
+    ) -> None:
+        """Read the rest of the body, then notice when the caller leaves.
+
+        A handler whose caller left, or broke its body off, is cancelled, so that no
+        target works for it.
+        """
+        try:
+            await self._read_rest(body)
+        except RequestRejectedError as exc:
+            rest.rejected = exc
+            body.break_off()
+        else:
+            await self._wait_for_leaving()
+        scope.cancel()
+
+    async def _read_rest(self, body: RequestBody) -> None:
+        with trio.move_on_at(self.read_until):
+            while not body.ended:
+                await body.wait_for_room()
+                await self._read_part(body)
+            return
+        raise RequestRejectedError(STATUS_TIMEOUT, "request was sent too slowly")
+
+    async def _wait_for_leaving(self) -> None:
         early = 0
         while data := await self._receive():
             self.conn.receive_data(data)
             early += len(data)
             if early > MOST_EARLY_BYTES:
-                return
-        scope.cancel()
+                await trio.sleep_forever()
 
     async def _receive(self) -> bytes:
         try:
@@ -267,8 +322,9 @@
     async def _read_request(self) -> HttpRequest | None:
         if not await self._wait_for_bytes():
             return None
-        with trio.move_on_after(self.server.limits.request_seconds):
-            return await self._read_whole()
+        self.read_until = trio.current_time() + self.server.limits.request_seconds
+        with trio.move_on_at(self.read_until):
+            return await self._read_held()
         raise RequestRejectedError(STATUS_TIMEOUT, "request was sent too slowly")
 
     async def _wait_for_bytes(self) -> bool:
@@ -286,21 +342,47 @@
             self.conn.receive_data(data)
         return bool(data)
 
-    async def _read_whole(self) -> HttpRequest | None:
+    async def _read_held(self) -> HttpRequest | None:
+        """Read the head and as much of the body as is held before it is handled."""
         head = await self._next_event()
         if not isinstance(head, h11.Request):
             return None
         _check_framing(head)
-        parts: list[bytes] = []
-        size = 0
-        while not isinstance(event := await self._next_event(), h11.EndOfMessage):
-            if not isinstance(event, h11.Data):
-                return None
-            size += len(event.data)
-            if size > self.server.limits.body_bytes:
-                raise RequestRejectedError(STATUS_TOO_LARGE, "body is too large")
-            parts.append(bytes(event.data))
-        return _request(head, b"".join(parts))
+        body = RequestBody(_announced(head))
+        self._check_size(body.length or 0)
+        while not body.ended and body.size < self.server.held_bytes:
+            await self._read_part(body)
+        return _request(head, body)
+
+    async def _read_part(self, body: RequestBody) -> None:
+        event = await self._next_event()
+        if isinstance(event, h11.EndOfMessage):
+            body.end()
+            return
+        if not isinstance(event, h11.Data):
+            raise RequestRejectedError(STATUS_BAD_REQUEST, "body broke off")
+        self._check_size(body.size + len(event.data))
+        body.add(bytes(event.data))
+
+    def _check_size(self, size: int) -> None:
+        if size > self.server.limits.body_bytes:
+            raise RequestRejectedError(STATUS_TOO_LARGE, "body is too large")
+
+
+@dataclass
+class _Rest:
+    """What came of the rest of a body; ``rejected``: why it can't be taken."""
+
+    rejected: RequestRejectedError | None = None
+
+
+def _announced(head: h11.Request) -> int | None:
+    """Return the length that a request announces."""
+    value = dict(head.headers).get(b"content-length")
+    if value is not None:
+        return int(value)
+    chunked = any(name == b"transfer-encoding" for name, _ in head.headers)
+    return None if chunked else 0
 
 
 def _check_framing(head: h11.Request) -> None:
@@ -314,7 +396,7 @@
         raise RequestRejectedError(STATUS_BAD_REQUEST, "two lengths")
 
 
-def _request(head: h11.Request, body: bytes) -> HttpRequest:
+def _request(head: h11.Request, body: RequestBody) -> HttpRequest:
     url = urlsplit(head.target.decode("ascii"))
     headers = {name.decode(): value.decode("latin-1") for name, value in head.headers}
     pairs = tuple(parse_qsl(url.query, keep_blank_values=True))
@@ -323,7 +405,7 @@
         path=unquote(url.path),
         query=dict(pairs),
         headers=headers,
-        body=body,
+        arriving=body,
         pairs=pairs,
         target=bytes(head.target),
         raw_headers=tuple((bytes(name), bytes(val)) for name, val in head.headers),
--- a/berylshift/connection/target_client.py
+++ b/berylshift/connection/target_client.py
@@ -20,6 +20,7 @@
     ConnectionBrokenError,
 )
 from berylshift.connection.http_client import Dial, Wire, close_now, dial_tcp
+from berylshift.connection.request_body import BodyBrokenError, RequestBody
 from berylshift.ids import InstanceId
 from berylshift.messages.routed import Header
 
@@ -36,6 +37,7 @@
 KEPT_PART = 0.5
 # The largest late answer that is passed over.
 MOST_SKIPPED_BYTES = 1 << 20
+NO_BODY = RequestBody.of(b"")
 
 
 class TargetRequest(msgspec.Struct, frozen=True):
@@ -46,7 +48,7 @@
     method: bytes
     target: bytes
     headers: list[Header]
-    body: bytes = b""
+    body: RequestBody = NO_BODY
 
 
 class TargetAnswer:
@@ -76,8 +78,7 @@
         self.usable = False
         await self.read(MOST_SKIPPED_BYTES)
         rest, _ = self._wire.conn.trailing_data
-        self._wire.conn = h11.Connection(h11.CLIENT)
-        _encode(self._wire.conn, self._out)
+        self._wire.conn = _expecting_answer(self._out)
         if rest:
             self._wire.conn.receive_data(rest)
         self._take(await self._wire.read_head())
@@ -148,16 +149,20 @@
         self, wire: Wire, out: TargetRequest, scope: trio.CancelScope
     ) -> trio.Event:
         """Start sending; the event is set once all was handed to the kernel."""
-        data = _encode(wire.conn, out)
+        body = out.body
+        head = _encode_head(wire.conn, out)
         sent = trio.Event()
-        if len(data) <= AT_ONCE_BYTES or self._senders is None:
+        small = len(head) + body.size <= AT_ONCE_BYTES
+        if body.ended and (small or self._senders is None):
             try:
-                await wire.stream.send_all(data)
+                await wire.stream.send_all(head + _encode_rest(wire.conn, body))
             except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
                 raise ConnectionBrokenError(str(exc)) from exc
             sent.set()
             return sent
-        self._senders.start_soon(_send_beside, wire, data, scope, sent)
+        if self._senders is None:
+            raise ConnectionBrokenError("the client does not run")
+        self._senders.start_soon(_send_beside, wire, head, body, scope, sent)
         return sent
 
     async def _open(self, address: str) -> Wire:
@@ -200,23 +205,56 @@
             self.forget(instance)
 
 
-def _encode(conn: h11.Connection, out: TargetRequest) -> bytes:
+def _encode_head(conn: h11.Connection, out: TargetRequest) -> bytes:
     headers = list(out.headers)
-    if out.body or out.method not in (b"GET", b"HEAD", b"DELETE"):
-        headers.append((b"content-length", b"%d" % len(out.body)))
+    body = out.body
+    if not body.ended and body.length is None:
+        headers.append((b"transfer-encoding", b"chunked"))
+    elif body.length or body.size or out.method not in (b"GET", b"HEAD", b"DELETE"):
+        length = body.size if body.length is None else body.length
+        headers.append((b"content-length", b"%d" % length))
     head = h11.Request(method=out.method, target=out.target, headers=headers)
-    data = conn.send(head) or b""
-    if out.body:
-        data += conn.send(h11.Data(data=out.body)) or b""
+    return conn.send(head) or b""
+
+
+def _encode_rest(conn: h11.Connection, body: RequestBody) -> bytes:
+    data = b""
+    if body.size:
+        data = conn.send(h11.Data(data=body.whole())) or b""
     return data + (conn.send(h11.EndOfMessage()) or b"")
 
 
+def _expecting_answer(out: TargetRequest) -> h11.Connection:
+    """Return the state of a connection on which ``out`` was sent."""
+    conn = h11.Connection(h11.CLIENT)
+    conn.send(h11.Request(method=out.method, target=out.target, headers=out.headers))
+    conn.send(h11.EndOfMessage())
+    return conn
+
+
 async def _send_beside(
-    wire: Wire, data: bytes, scope: trio.CancelScope, sent: trio.Event
+    wire: Wire,
+    head: bytes,
+    body: RequestBody,
+    scope: trio.CancelScope,
+    sent: trio.Event,
 ) -> None:
-    """Send a large request; what breaks shows to the task that reads the answer."""
+    """Send a long request; what breaks shows to the task that reads the answer.
+
+    A body that its caller breaks off must not look whole to the target, which would
+    run half of it: the connection is closed instead.
+    """
+    conn = wire.conn
     with scope, contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
-        await wire.stream.send_all(data)
+        await wire.stream.send_all(head)
+        try:
+            async with contextlib.aclosing(body.chunks()) as chunks:
+                async for data in chunks:
+                    await wire.stream.send_all(conn.send(h11.Data(data=data)) or b"")
+        except BodyBrokenError:
+            close_now(wire.stream)
+            return
+        await wire.stream.send_all(conn.send(h11.EndOfMessage()) or b"")
         sent.set()
 
 
--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -118,7 +118,7 @@
         self.front = RoutedFront(
             parts, self.routes, ports.rng, self.telemetry.request_ended
         )
-        self.server = HttpServer(self.front.handle)
+        self.server = HttpServer(self.front.handle, hands_on_bodies=True)
         status = EntryStatus(cfg.entry.ready_path, self.is_ready, self.telemetry.text)
         self.status_server = HttpServer(status.handle)
         self.follower = DirectoryLoop(
--- a/berylshift/messages/routed.py
+++ b/berylshift/messages/routed.py
@@ -1,5 +1,6 @@
 """A routed request and the answers of replicas, free of any platform's names."""
 
+from collections.abc import AsyncIterator
 from typing import Protocol
 
 import msgspec
@@ -34,6 +35,18 @@
         return sum(part.tokens for part in self.shared)
 
 
+class Body(Protocol):
+    """A request's body, which may still come while it is sent on."""
+
+    ended: bool
+
+    def whole(self) -> bytes:
+        """Return what has come; the body, once it has ended."""
+
+    def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body from its start."""
+
+
 class RoutedRequest(msgspec.Struct, frozen=True):
     """A caller's request, checked; ``target`` is path and query as sent.
 
@@ -45,7 +58,7 @@
     method: bytes
     target: bytes
     headers: tuple[Header, ...]
-    body: bytes
+    body: Body
     seconds_left: float | None = None
     prompt: Prompt | None = None
     resume_after: bytes | None = None
@@ -110,7 +123,7 @@
     """How callers and replicas say these things on the wire."""
 
     def read_request(
-        self, method: bytes, target: bytes, headers: list[Header], body: bytes
+        self, method: bytes, target: bytes, headers: list[Header], body: Body
     ) -> RoutedRequest:
         """Return a caller's request; raise ``BadRequestError``."""
 
--- a/berylshift/platform/engines.py
+++ b/berylshift/platform/engines.py
@@ -4,6 +4,7 @@
 import trio
 
 from berylshift.connection.errors import ConnectionLayerError
+from berylshift.connection.request_body import RequestBody
 from berylshift.connection.target_client import TargetClient, TargetRequest
 from berylshift.messages.engine_control import (
     EngineReport,
@@ -79,7 +80,12 @@
         if body:
             headers.append((b"content-type", b"application/json"))
         out = TargetRequest(
-            replica.instance, replica.address, method, path, headers, body
+            replica.instance,
+            replica.address,
+            method,
+            path,
+            headers,
+            RequestBody.of(body),
         )
         with trio.move_on_after(self._timeout):
             try:
--- a/berylshift/platform/exchange.py
+++ b/berylshift/platform/exchange.py
@@ -5,6 +5,7 @@
 from berylshift.ids import InstanceId, PartId, RequestId
 from berylshift.messages.routed import (
     AnswerHead,
+    Body,
     ControlCall,
     Dispatch,
     Header,
@@ -62,7 +63,7 @@
     """The platform's headers."""
 
     def read_request(
-        self, method: bytes, target: bytes, headers: list[Header], body: bytes
+        self, method: bytes, target: bytes, headers: list[Header], body: Body
     ) -> RoutedRequest:
         """Return a caller's request; raise ``BadRequestError``."""
         single = _single_values(headers)
--- a/berylshift/request/routed_front.py
+++ b/berylshift/request/routed_front.py
@@ -89,7 +89,7 @@
         route = table.match(host, path)
         try:
             req = self._parts.language.read_request(
-                http.method.encode(), http.target, list(http.raw_headers), http.body
+                http.method.encode(), http.target, list(http.raw_headers), http.arriving
             )
         except BadRequestError as exc:
             logger.info("bad request", extra={"path": path, "reason": str(exc)})
--- a/berylshift/request/single_send.py
+++ b/berylshift/request/single_send.py
@@ -93,8 +93,11 @@
             return SendEnd.BROKEN
 
     def _patience(self) -> float:
-        """Return how long to wait for a first word before sending elsewhere."""
-        if not self._may_go_elsewhere():
+        """Return how long to wait for a first word before sending elsewhere.
+
+        While the body still comes, a replica's silence may be its caller's.
+        """
+        if not self._may_go_elsewhere() or not self._req.body.ended:
             return float("inf")
         stream = self._route.kind is RouteKind.STREAM
         factor = STREAM_PATIENCE if stream else PATIENCE
--- a/berylshift/stand_ins/entry_replica.py
+++ b/berylshift/stand_ins/entry_replica.py
@@ -38,6 +38,7 @@
     UNFRAMED = "unframed"
     UNFRAMED_RESET = "unframed-reset"
     EARLY = "early"
+    RESET_EARLY = "reset-early"
     ERROR = "error"
 
 
@@ -112,6 +113,8 @@
         self.alive = True
         self.loses_caches = False
         self.connections = 0
+        self.body_bytes = 0
+        self.read_pause = 0.0
 
     async def serve(self, stream: trio.abc.Stream) -> None:
         """Serve one connection until either side ends it."""
@@ -120,7 +123,11 @@
         try:
             while await session.serve_one():
                 pass
-        except* (trio.BrokenResourceError, trio.ClosedResourceError):
+        except* (
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            h11.RemoteProtocolError,
+        ):
             pass
         finally:
             await trio.aclose_forcefully(stream)
@@ -149,9 +156,11 @@
         if fault is Fault.EARLY:
             await self._answer(413, b"too long", headers)
             await trio.sleep(0.2)
-        body = b""
-        while isinstance(event := await self._event(), h11.Data):
-            body += bytes(event.data)
+        if fault is Fault.RESET_EARLY:
+            await self._event()
+            await self._reset()
+            return False
+        body = await self._read_body()
         if fault is not Fault.EARLY:
             await self._route(head, headers, body, fault)
         if self.conn.our_state is not h11.DONE:
@@ -159,6 +168,16 @@
         self.conn.start_next_cycle()
         return True
 
+    async def _read_body(self) -> bytes:
+        body = b""
+        while isinstance(event := await self._event(), h11.Data):
+            body += bytes(event.data)
+            self.replica.body_bytes += len(event.data)
+            await trio.sleep(self.replica.read_pause)
+        if not isinstance(event, h11.EndOfMessage):
+            raise trio.BrokenResourceError("the body broke off")
+        return body
+
     async def _route(self, head, headers, body: bytes, fault) -> None:
         path = head.target.decode()
         named = headers.get(names.TARGET_INSTANCE)
--- a/berylshift/stand_ins/pipes.py
+++ b/berylshift/stand_ins/pipes.py
@@ -49,10 +49,13 @@
     async def receive_some(self, max_bytes: int | None = None) -> bytes:
         """Return bytes, or nothing at the end."""
         result = b""
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._cancel_on_reset, nursery.cancel_scope)
-            result = await self._inner.receive_some(max_bytes)
-            nursery.cancel_scope.cancel()
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._cancel_on_reset, nursery.cancel_scope)
+                result = await self._inner.receive_some(max_bytes)
+                nursery.cancel_scope.cancel()
+        except* trio.ClosedResourceError as exc:
+            raise trio.ClosedResourceError("closed by its own side") from exc
         if self._broken.is_set():
             raise trio.BrokenResourceError("reset")
         if self.peer is not None:
--- a/berylshift/tests/test_platform_adapter.py
+++ b/berylshift/tests/test_platform_adapter.py
@@ -4,6 +4,7 @@
 import unittest
 from pathlib import Path
 
+from berylshift.connection.target_client import NO_BODY
 from berylshift.messages.replicas import EnginePhase
 from berylshift.messages.routed import Dispatch
 from berylshift.platform import names
@@ -114,7 +115,7 @@
         self.language = PlatformLanguage()
 
     def onward(self, headers, **dispatch):
-        req = self.language.read_request(b"POST", b"/x/", headers, b"")
+        req = self.language.read_request(b"POST", b"/x/", headers, NO_BODY)
         values = {"instance": "i-1", "seconds_left": 2.5, "rank": 2, **dispatch}
         return self.language.onward_headers(req, Dispatch(**values))
 
@@ -175,7 +176,7 @@
             self.onward([(b"host", b"a")])
 
     def test_prompt(self):
-        req = self.language.read_request(b"POST", b"/x/", USUAL, b"")
+        req = self.language.read_request(b"POST", b"/x/", USUAL, NO_BODY)
         self.assertEqual(req.prompt.tokens, 1460)
         self.assertEqual(req.prompt.shared_tokens, 1210)
 
@@ -183,7 +184,7 @@
         for value in (b"a", b"a:b", b":,", b"\xff:1"):
             headers = [h for h in USUAL if h[0] != names.PROMPT_PARTS]
             headers.append((names.PROMPT_PARTS, value))
-            req = self.language.read_request(b"POST", b"/x/", headers, b"")
+            req = self.language.read_request(b"POST", b"/x/", headers, NO_BODY)
             self.assertIsNone(req.prompt)
 
 
@@ -236,6 +237,7 @@
 
     ALLOWED = (
         "berylshift.connection.errors",
+        "berylshift.connection.request_body",
         "berylshift.connection.target_client",
         "berylshift.ids",
         "berylshift.messages.",
--- /dev/null
+++ b/berylshift/tests/test_request_bodies.py
@@ -0,0 +1,317 @@
+"""Long bodies: handed on as they come, at the pace of the slower side."""
+
+import unittest
+
+import h11
+import trio
+
+from berylshift.connection.errors import ConnectionLayerError
+from berylshift.connection.request_body import AHEAD_BYTES, RequestBody
+from berylshift.connection.target_client import TargetClient, TargetRequest
+from berylshift.platform import names
+from berylshift.stand_ins.entry_replica import EntryReplica, Fault
+from berylshift.stand_ins.pipes import WINDOW_BYTES, Pipe, pipe_pair
+from berylshift.tests.entry_world import HOST, CallerLink, Reply, run_entry
+from berylshift.tests.support import run_virtual
+
+PART = b"x" * 32_768
+
+
+class Upload:
+    """A caller that sends a body piece by piece."""
+
+    def __init__(self, link: CallerLink):
+        """Send on ``link``."""
+        self.link = link
+
+    async def begin(self, path: str, length: int | None = None) -> None:
+        """Send the head; ``None``: the body comes in chunks."""
+        framing = (b"transfer-encoding", b"chunked")
+        if length is not None:
+            framing = (b"content-length", b"%d" % length)
+        lines = [
+            (b"host", HOST.encode()),
+            (names.ATTEMPT_ID, b"r1"),
+            (names.TIME_LEFT_MS, b"3000"),
+            framing,
+        ]
+        head = h11.Request(method="POST", target=path, headers=lines)
+        await self.link.stream.send_all(self.link.conn.send(head))
+
+    async def part(self, data: bytes = PART) -> None:
+        """Send a part of the body."""
+        await self.link.stream.send_all(self.link.conn.send(h11.Data(data=data)))
+
+    async def end(self) -> Reply:
+        """Send the end and return the reply."""
+        await self.link.stream.send_all(self.link.conn.send(h11.EndOfMessage()))
+        return await self.link.read()
+
+
+def only(world):
+    """Return the one replica of a world."""
+    (replica,) = world.replicas.values()
+    return replica
+
+
+class HandedOnTest(unittest.TestCase):
+    """Bodies that go on while they come."""
+
+    def test_a_long_body_reaches_the_replica_while_it_comes(self):
+        for length in (None, 8 * len(PART)):
+            with self.subTest(length=length):
+
+                async def task(world, length=length):
+                    upload = Upload(world.connect())
+                    await upload.begin("/book/x", length)
+                    for _ in range(6):
+                        await upload.part()
+                    await trio.sleep(0.2)
+                    early = only(world).body_bytes
+                    for _ in range(2):
+                        await upload.part()
+                    reply = await upload.end()
+                    return early, reply, only(world).runs[0].body
+
+                early, reply, body = run_entry(task, plain=1)
+                self.assertEqual(early, 6 * len(PART))
+                self.assertEqual((reply.status, reply.whole), (200, True))
+                self.assertEqual(body, 8 * PART)
+
+    def test_a_short_body_is_read_before_a_replica_is_asked(self):
+        # A caller sends a few bytes and pauses. A replica asked now would hold a
+        # slot for it that other callers' requests wait for.
+        async def task(world):
+            upload = Upload(world.connect())
+            await upload.begin("/book/x")
+            await upload.part(b"few")
+            await trio.sleep(0.5)
+            asked = only(world).connections
+            reply = await upload.end()
+            return asked, reply.status
+
+        self.assertEqual(run_entry(task, plain=1), (0, 200))
+
+    def test_a_replica_that_reads_slowly_slows_its_caller(self):
+        # Without it, a host with many such callers holds all their bodies.
+        async def task(world):
+            only(world).read_pause = 10.0
+            upload = Upload(world.connect())
+            await upload.begin("/book/x")
+            sent = 0
+            with trio.move_on_after(1.0):
+                for _ in range(64):
+                    await upload.part()
+                    sent += len(PART)
+            return sent
+
+        sent = run_entry(task, plain=1)
+        # What the pipes on both sides hold comes on top.
+        self.assertLess(sent, 2 * AHEAD_BYTES + 4 * WINDOW_BYTES)
+
+    def test_an_early_answer_is_delivered_at_once(self):
+        # The replica rejects a body before it has come; its caller is told while it
+        # still sends, not after.
+        async def task(world):
+            only(world).faults = [Fault.EARLY]
+            upload = Upload(world.connect())
+            await upload.begin("/book/x")
+            for _ in range(4):
+                await upload.part()
+            start = trio.current_time()
+            reply = await upload.link.read()
+            return reply.status, trio.current_time() - start
+
+        status, seconds = run_entry(task, plain=1)
+        self.assertEqual(status, 413)
+        self.assertLess(seconds, 0.1)
+
+
+class BrokenBodyTest(unittest.TestCase):
+    """Bodies that don't arrive whole."""
+
+    def test_a_body_that_breaks_off_runs_nowhere(self):
+        # The caller leaves in the middle. A replica that took what came for the
+        # whole body would book something that nobody asked for.
+        async def task(world):
+            upload = Upload(world.connect())
+            await upload.begin("/book/x")
+            for _ in range(4):
+                await upload.part()
+            await trio.sleep(0.1)
+            await upload.link.close()
+            await trio.sleep(1)
+            return only(world).body_bytes, only(world).runs
+
+        self.assertEqual(run_entry(task, plain=1), (4 * len(PART), []))
+
+    def test_a_body_with_broken_chunks_is_a_bad_request(self):
+        async def task(world):
+            upload = Upload(world.connect())
+            await upload.begin("/book/x")
+            for _ in range(4):
+                await upload.part()
+            await upload.link.stream.send_all(b"not a chunk\r\n")
+            reply = await upload.link.read()
+            await trio.sleep(1)
+            return reply.status, only(world).runs
+
+        self.assertEqual(run_entry(task, plain=1), (400, []))
+
+    def test_a_body_without_end_is_given_up(self):
+        async def task(world):
+            upload = Upload(world.connect())
+            await upload.begin("/book/x")
+            for _ in range(4):
+                await upload.part()
+            reply = await upload.link.read()
+            return reply.status, only(world).runs
+
+        status, runs = run_entry(task, plain=1)
+        self.assertIn(status, (408, 503, 504))
+        self.assertEqual(runs, [])
+
+    def test_an_announced_body_over_the_bound_is_refused_at_once(self):
+        async def task(world):
+            upload = Upload(world.connect())
+            await upload.begin("/book/x", 1 << 30)
+            reply = await upload.link.read()
+            return reply.status, only(world).connections
+
+        self.assertEqual(run_entry(task, plain=1), (413, 0))
+
+    def test_a_body_that_grows_over_the_bound_is_refused(self):
+        async def task(world):
+            upload = Upload(world.connect())
+            bound = world.hosts[0].server.limits.body_bytes
+            await upload.begin("/book/x")
+            with trio.move_on_after(2):
+                for _ in range(bound // len(PART) + 1):
+                    await upload.part()
+            reply = await upload.link.read()
+            await trio.sleep(1)
+            return reply.status, only(world).runs
+
+        self.assertEqual(run_entry(task, plain=1), (413, []))
+
+    def test_another_replica_gets_the_body_from_its_start(self):
+        # The first replica resets its connection when most of the body has come; the
+        # request may be repeated, and the second one must get all of it.
+        async def task(world):
+            for replica in world.replicas.values():
+                replica.faults = [Fault.RESET_EARLY]
+            upload = Upload(world.connect())
+            await upload.begin("/look/x")
+            for _ in range(4):
+                await upload.part()
+            while all(rep.faults for rep in world.replicas.values()):
+                await trio.sleep(0.0005)
+            for replica in world.replicas.values():
+                replica.faults = []
+            for _ in range(3):
+                await upload.part()
+            reply = await upload.end()
+            runs = [run for rep in world.replicas.values() for run in rep.runs]
+            asked = sum(rep.connections for rep in world.replicas.values())
+            return reply.status, asked, [run.body for run in runs]
+
+        self.assertEqual(run_entry(task), (200, 2, [7 * PART]))
+
+
+class ClientWorld:
+    """The client of replicas with one replica."""
+
+    def __init__(self, nursery: trio.Nursery):
+        """Start both."""
+        self.replica = EntryReplica("plain-1", "10.0.0.1:80")
+        self.client = TargetClient(0.3, self.dial)
+        self._nursery = nursery
+        nursery.start_soon(self.client.run)
+
+    async def dial(self, address: str) -> Pipe:
+        """Connect to the replica."""
+        near, far = pipe_pair()
+        self._nursery.start_soon(self.replica.serve, far)
+        return near
+
+    def request(self, request: bytes, body: RequestBody) -> TargetRequest:
+        """Return a request for the replica."""
+        headers = [
+            (b"host", b"x"),
+            (names.TARGET_INSTANCE, b"plain-1"),
+            (names.ATTEMPT_ID, request),
+        ]
+        address = self.replica.address
+        return TargetRequest("plain-1", address, b"POST", b"/x/", headers, body)
+
+
+def run_client(task):
+    """Run ``task(world)`` on a virtual clock."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            world = ClientWorld(nursery)
+            await trio.sleep(0.01)
+            result = await task(world)
+            nursery.cancel_scope.cancel()
+        return result
+
+    return run_virtual(main)
+
+
+class ClientTest(unittest.TestCase):
+    """The client of replicas alone."""
+
+    def test_half_a_body_does_not_look_whole(self):
+        # The caller breaks its body off. Nothing that the replica gets may say that
+        # the body is complete, or it would run half a request.
+        async def task(world):
+            body = RequestBody()
+            body.add(PART)
+
+            async def break_off():
+                await trio.sleep(0.1)
+                body.break_off()
+
+            broken = False
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(break_off)
+                try:
+                    async with world.client.exchange(world.request(b"r1", body)):
+                        pass
+                except ConnectionLayerError:
+                    broken = True
+            await trio.sleep(1)
+            return broken, world.replica.body_bytes, world.replica.runs
+
+        self.assertEqual(run_client(task), (True, len(PART), []))
+
+    def test_connection_whose_last_chunk_is_under_way_is_not_used_again(self):
+        # The replica answers before it reads, and the last chunk waits behind a full
+        # window. The next request would be read where that chunk is due.
+        async def task(world):
+            world.replica.faults = [Fault.EARLY]
+            body = RequestBody()
+
+            async def fill():
+                await trio.sleep(0.01)
+                body.add(b"x" * (WINDOW_BYTES - 16))
+                await trio.sleep(0.01)
+                body.add(b"x" * 10)
+                body.end()
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(fill)
+                async with world.client.exchange(world.request(b"r1", body)) as early:
+                    await trio.sleep(0.05)
+                    await early.read(100)
+            out = world.request(b"r2", RequestBody.of(b"y"))
+            async with world.client.exchange(out) as answer:
+                await answer.read(100)
+            return early.status, answer.status, world.replica.connections
+
+        self.assertEqual(run_client(task), (413, 200, 2))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -63,8 +63,23 @@
         "connection/target_client.py",
         "whole = sent.is_set() and answer.usable and wire.reusable()",
         "whole = answer.usable and wire.reusable()",
-        f"{RELAY}.KeptConnectionTest."
-        "test_connection_after_an_early_answer_is_not_used_again",
+        "test_request_bodies.ClientTest."
+        "test_connection_whose_last_chunk_is_under_way_is_not_used_again",
+    ),
+    Proof(
+        "half a body does not look whole",
+        "connection/target_client.py",
+        "BodyBrokenError:\n            close_now(wire.stream)\n            return\n",
+        "BodyBrokenError:\n            pass\n",
+        "test_request_bodies.ClientTest.test_half_a_body_does_not_look_whole",
+    ),
+    Proof(
+        "a body is read at its target's pace",
+        "connection/http_server.py",
+        "                await body.wait_for_room()\n",
+        "",
+        "test_request_bodies.HandedOnTest."
+        "test_a_replica_that_reads_slowly_slows_its_caller",
     ),
     Proof(
         "an answer must bear its signature",
