--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,7 +3,16 @@
 import logging
 import sys
 
-from bench import in_force, memory, micro, placing, policies, slopes, store_writes
+from bench import (
+    in_force,
+    memory,
+    micro,
+    placing,
+    policies,
+    relay,
+    slopes,
+    store_writes,
+)
 
 MEASUREMENTS = {
     "store": store_writes.main,
@@ -12,6 +21,7 @@
     "slopes": slopes.main,
     "memory": memory.main,
     "placing": placing.main,
+    "relay": relay.main,
     "policies": policies.main,
 }
 
--- a/bench/memory.py
+++ b/bench/memory.py
@@ -7,6 +7,7 @@
 import trio
 
 from bench.report import print_rows
+from bench.usage import resident_kb
 from berylshift.connection.errors import ConnectionLayerError
 from berylshift.connection.http_client import HttpClient, Outgoing
 from berylshift.replay.http_fleet import HttpBalancer
@@ -17,12 +18,6 @@
 STREAMS = 500
 OUTPUT_TOKENS = 2000
 SETTLE_SECONDS = 12.0
-PAGE = "VmRSS"
-
-
-def _resident_kb(pid: int) -> int:
-    lines = Path(f"/proc/{pid}/status").read_text(encoding="ascii").splitlines()
-    return int(next(line for line in lines if line.startswith(PAGE)).split()[1])
 
 
 async def _stream(client: HttpClient, entry: str, number: int) -> None:
@@ -54,11 +49,11 @@
                 await balancer.wait_until_ready(1)
             await trio.sleep(3)
             pid = programs.running["host-1"].process.pid
-            idle = _resident_kb(pid)
+            idle = resident_kb(pid)
             for number in range(STREAMS):
                 nursery.start_soon(_stream, client, fleet.entries[0], number)
             await trio.sleep(SETTLE_SECONDS)
-            loaded = _resident_kb(pid)
+            loaded = resident_kb(pid)
         finally:
             await programs.end_all()
             nursery.cancel_scope.cancel()
--- a/berylshift/tools/demo_entry.py
+++ b/berylshift/tools/demo_entry.py
@@ -27,6 +27,7 @@
 HOSTS = 3
 SEED = 1
 READY_SECONDS = 20.0
+READY_POLL_SECONDS = 0.05
 PIECES = 6
 SITE = "shop.example"
 SETTINGS = """[host]
@@ -98,8 +99,9 @@
     replicas: dict[str, str] = field(default_factory=dict)
     ends: list[End] = field(default_factory=list)
     version: int = 1
+    host_ready_seconds: float = 0.0
 
-    async def start(self) -> None:
+    async def start(self, hosts: int = HOSTS) -> None:
         """Start store, replicas and hosts; return once the hosts are ready."""
         self.store = (await self.programs.start_stand_in("store", "store")).address
         await self._start_replica("plain-1", "desk", "")
@@ -109,12 +111,14 @@
         for name in ("answer-1", "answer-2"):
             await self._start_replica(name, "writer", "decode")
         await self.put_routes()
-        for number in range(HOSTS):
+        started = trio.current_time()
+        for number in range(hosts):
             await self._start_host(number)
         with trio.fail_after(READY_SECONDS):
             for host in self.hosts:
                 while not await self._is_ready(host):
-                    await trio.sleep(0.1)
+                    await trio.sleep(READY_POLL_SECONDS)
+        self.host_ready_seconds = trio.current_time() - started
 
     async def _start_replica(self, name: str, service: str, phase: str) -> None:
         program = await self.programs.start_stand_in(
