Explore routes and replicas under any order of store trouble

Change: three hosts follow one directory by the real loops while hypothesis orders changes, refusals, silence, lagging copies, late answers and dropped history. A version never goes back; a host in touch for 2.6 s has the routes in force, gives no work to what left, and agrees with the store at the end. Two named schedules: a lagging copy after a cut feed, a drain within the gap.

Tried: a proof that rereading all entries after an outage is needed. It stayed green: in this model feeds leave nothing out. The reading stays, since the platform's feeds may, and it costs one call an outage; it is not called proved.

--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -81,6 +81,13 @@
         "test_request_bodies.HandedOnTest."
         "test_a_replica_that_reads_slowly_slows_its_caller",
     ),
+    Proof(
+        "what a whole list leaves out is gone",
+        "process/fleet/replica_set.py",
+        "gone |= self._listed.keys() -",
+        "gone |= set() & self._listed.keys() -",
+        "test_directory_machine.DirectoryScheduleTest",
+    ),
     Proof(
         "an answer must bear its signature",
         "platform/exchange.py",
