Keep taking signals until the process ends

Cause: the receiver of signals was left at the first SIGTERM, and SIGHUP and SIGTERM had their default actions again. The same held for SIGHUP while the modules were still loading.

Ruled out: the grace (8 s) and the balancer (the connections were open already).

Change: signals.py watches for the life of the process; further signals to end are logged and change nothing, SIGHUP reloads also while leaving and is let pass until settings are read. Both daemons use it.

--- a/berylshift/daemon.py
+++ b/berylshift/daemon.py
@@ -2,7 +2,6 @@
 
 import logging
 import random
-import signal
 import socket
 import sys
 from collections.abc import Callable
@@ -44,6 +43,7 @@
     read_credentials,
     read_settings,
 )
+from berylshift.signals import ignore_early_reloads, watch_signals
 from berylshift.store.calls import StoreCalls
 from berylshift.store.http import (
     HttpHostList,
@@ -118,12 +118,14 @@
     app = Application(cfg, make_ports(cfg, creds, link), addresses, creds.callers)
     server = HttpServer(app.front.handle, _limits(cfg))
     admin = HttpServer(Admin(app, creds.cluster_key).handle)
+    stop = trio.Event()
     app.on_start()
     async with trio.open_nursery() as nursery:
+        await nursery.start(watch_signals, _no_reload, stop)
         nursery.start_soon(app.run)
         nursery.start_soon(admin.serve, admin_listener)
         nursery.start_soon(server.serve, listener)
-        await _wait_for_signal()
+        await stop.wait()
         server.draining = True
         await app.on_shutdown()
         server.close_idle()
@@ -167,36 +169,27 @@
         cfg, lambda codec: UdpPeerLink(codec, LARGEST_DATAGRAM, sock)
     )
     app = EntryApplication(cfg, ports)
+    settings_file = SettingsFile(path, cfg, app.adopt)
+    stop = trio.Event()
     app.on_start()
     async with trio.open_nursery() as nursery:
+        await nursery.start(watch_signals, settings_file.reload, stop)
         nursery.start_soon(app.run)
         nursery.start_soon(app.status_server.serve, status_listener)
         nursery.start_soon(app.server.serve, listener)
         if cfg.entry.metrics_address:
             metrics_listener = open_listener(cfg.entry.metrics_address)
             nursery.start_soon(app.status_server.serve, metrics_listener)
-        settings_file = SettingsFile(path, cfg, app.adopt)
         nursery.start_soon(settings_file.watch)
-        await _wait_for_end(settings_file)
+        await stop.wait()
         await app.on_shutdown()
         nursery.cancel_scope.cancel()
     app.on_stop()
 
 
-async def _wait_for_end(settings_file: SettingsFile) -> None:
-    """Return at SIGTERM; SIGHUP has the settings read anew."""
-    wanted = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-    with trio.open_signal_receiver(*wanted) as signals:
-        async for signum in signals:
-            if signum != signal.SIGHUP:
-                return
-            settings_file.reload("SIGHUP")
-
-
-async def _wait_for_signal() -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            return
+def _no_reload(cause: str) -> None:
+    """Note a wish that this kind of daemon can't fulfil."""
+    logger.warning("settings are read at start only", extra={"cause": cause})
 
 
 class ServeCommand(Command):
@@ -252,6 +245,7 @@
 
 def main() -> None:
     """Run the daemon."""
+    ignore_early_reloads()
     command = ServeCommand()
     cli = CommandLine("berylshiftd", __version__)
     cli.add(command)
