--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -26,7 +26,7 @@
 from berylshift.process.fleet.route_holder import RouteHolder
 from berylshift.process.fleet.target_load import TargetLoads
 from berylshift.process.fleet.warm_parts import WarmParts
-from berylshift.request.placement import Placer
+from berylshift.request.placing_policies import PLACINGS, PlacingParts
 from berylshift.request.prompt_read import PromptReads
 from berylshift.request.relay_parts import RelayParts
 from berylshift.request.routed_front import RoutedFront
@@ -94,7 +94,7 @@
         self._nursery: trio.Nursery | None = None
         self.peers = PeerLoads(cfg.host.name)
         self.warm = WarmParts()
-        placer = Placer(
+        placing = PlacingParts(
             self.loads, self.peers, self.warm, DomainName(cfg.host.domain), ports.rng
         )
         reads = PromptReads(
@@ -111,7 +111,7 @@
             client=ports.client,
             replicas=self.replicas,
             loads=self.loads,
-            placer=placer,
+            placer=PLACINGS[cfg.entry.placing](placing),
             reads=reads,
             budget=self.budget,
         )
--- a/berylshift/request/placement.py
+++ b/berylshift/request/placement.py
@@ -9,6 +9,7 @@
 import random
 from collections.abc import Iterable
 from enum import StrEnum
+from typing import Protocol
 
 import msgspec
 
@@ -90,6 +91,38 @@
     weight: float = 0.0
 
 
+class Placing(Protocol):
+    """Chooses replicas; ``None``: there is none left."""
+
+    def plain(
+        self, pool: Pool, avoid: Iterable[InstanceId], now: float
+    ) -> Placement | None:
+        """Return the place of a request without a prompt."""
+
+    def reader(
+        self,
+        pool: Pool,
+        prompt: Prompt,
+        urgency: Urgency,
+        avoid: Iterable[InstanceId],
+        now: float,
+    ) -> Placement | None:
+        """Return the engine that should read a prompt; ``None``: none reads apart."""
+
+    def answerer(
+        self,
+        pool: Pool,
+        prompt: Prompt,
+        reader: Replica | None,
+        avoid: Iterable[InstanceId],
+        now: float,
+    ) -> Placement | None:
+        """Return the engine that should answer what ``reader`` has read."""
+
+    def note_sent(self, place: Placement, prompt: Prompt, now: float) -> None:
+        """Note that a prompt goes where a placement says."""
+
+
 class Placer:
     """Chooses by predicted time to the first piece of the answer."""
 
--- a/berylshift/request/relay_parts.py
+++ b/berylshift/request/relay_parts.py
@@ -10,7 +10,7 @@
 from berylshift.process.fleet.arrival_budget import ArrivalBudget
 from berylshift.process.fleet.replica_set import ReplicaSet
 from berylshift.process.fleet.target_load import TargetLoads
-from berylshift.request.placement import Placer
+from berylshift.request.placement import Placing
 from berylshift.request.prompt_read import PromptReads
 
 
@@ -23,6 +23,6 @@
     client: TargetClient
     replicas: ReplicaSet
     loads: TargetLoads
-    placer: Placer
+    placer: Placing
     reads: PromptReads
     budget: Callable[[ServiceName], ArrivalBudget]
--- a/berylshift/settings.py
+++ b/berylshift/settings.py
@@ -146,7 +146,10 @@
 
 
 class EntrySettings(msgspec.Struct, frozen=True, kw_only=True):
-    """An entry host on the platform; times in seconds."""
+    """An entry host on the platform; times in seconds.
+
+    ``placing`` is how replicas are chosen; all but ``warm`` are there to compare with.
+    """
 
     status_address: str = "127.0.0.1:8083"
     ready_path: str = "/ready"
@@ -157,6 +160,7 @@
     grace: Annotated[float, Meta(ge=2, le=600)] = 8.0
     orders_apart_ms: Annotated[int, Meta(ge=1, le=86400000)] = 3000
     reading_share: Share = 0.65
+    placing: str = "warm"
     first_start: bool = False
 
 
@@ -192,6 +196,7 @@
     ("policy", "router"): ("least-lateness", "round-robin", "least-reported"),
     ("policy", "planner"): ("hysteresis", "fixed", "threshold"),
     ("directory", "kind"): ("own", "platform"),
+    ("entry", "placing"): ("warm", "no-homes", "least-reported", "round-robin"),
     ("observability", "log_level"): ("DEBUG", "INFO", "WARNING", "ERROR"),
 }
 ADDRESSES = (
