Take nothing that a leaving host can't finish, and answer the rest in time

Ruled out: a longer grace (it is the platform's), and not listening any more after the balancer's notice: callers would meet a refused connection where an answer with a time to come back is as quick and says that nothing was run.

Change: process/fleet/departure.py knows the end. Until 3 s before it requests are served; then they get 503 at once. All open requests end 0.2 s before the process does, with their final answer (503 only where nothing was run, else 504) or as a stream that is cut.

Test: a host leaves for 8 s; a booking open since before is answered 504, one that comes after 5 s is refused and reaches no replica.

--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -15,6 +15,7 @@
 from berylshift.messages.engine_control import EngineControl
 from berylshift.messages.routed import Language
 from berylshift.process.fleet.arrival_budget import HOSTS_ASSUMED, ArrivalBudget
+from berylshift.process.fleet.departure import Departure
 from berylshift.process.fleet.directory_loop import DirectoryLoop
 from berylshift.process.fleet.expected_phases import ExpectedPhases
 from berylshift.process.fleet.load_loop import LoadLink, LoadLoop, LoadParts
@@ -54,6 +55,8 @@
 QUIET_SECONDS = 0.5
 # Of the time that the platform grants a stop, what is left for ending the process.
 STOP_MARGIN_SECONDS = 0.8
+# What the last answers get to reach their callers before the connections close.
+LAST_ANSWER_SECONDS = 0.2
 # Times that callers may need beyond their stated idle bound: their clocks and links.
 IDLE_SLACK_SECONDS = 1.0
 WHOLE_REQUEST_SECONDS = 10.0
@@ -88,6 +91,7 @@
         self.replicas = ReplicaSet(self.phases)
         self.loads = TargetLoads()
         self.leaving = False
+        self.departure = Departure(ports.clock)
         self._started = ports.clock.monotonic()
         self._pools: set[ServiceName] = set()
         self._budgets: dict[ServiceName, ArrivalBudget] = {}
@@ -113,6 +117,7 @@
             loads=self.loads,
             placer=PLACINGS[cfg.entry.placing](placing),
             reads=reads,
+            departure=self.departure,
             budget=self.budget,
         )
         self.front = RoutedFront(
@@ -289,6 +294,7 @@
         in_flight = self.front.in_flight
         logger.info("leaving", extra={"in_flight": in_flight})
         grace = self.cfg.entry.grace - STOP_MARGIN_SECONDS
+        self.departure.begin(grace - LAST_ANSWER_SECONDS)
         with trio.move_on_after(grace) as scope:
             await trio.sleep(BALANCER_NOTICE_SECONDS)
             self.server.close_idle()
--- /dev/null
+++ b/berylshift/process/fleet/departure.py
@@ -0,0 +1,56 @@
+"""The planned end of this process, and what it means for requests."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Protocol
+
+from berylshift.clock import Clock
+
+# A request that comes with less than this left before the end is not taken: the
+# longest stream of a calm day takes 1.6 s (log of a host, 64 requests), and its caller
+# has time for another host. Where a stop is given little time, half of it counts.
+NEEDED_SECONDS = 3.0
+NEEDED_SHARE = 0.5
+
+
+class Bounded(Protocol):
+    """Work that ends at a deadline on the loop's clock, in seconds."""
+
+    deadline: float
+
+
+class Departure:
+    """Bounds requests by the end of the process, once that is known.
+
+    While most hosts of a domain leave at once the balancer still sends requests to
+    each of them. Those taken late would be cut by the end: the callers would get no
+    answer, or half of one, for a request that may have run.
+    """
+
+    def __init__(self, clock: Clock):
+        """Start without an end in sight."""
+        self._clock = clock
+        self._ends_at = float("inf")
+        self._needed = NEEDED_SECONDS
+        self._open: set[Bounded] = set()
+
+    def begin(self, seconds: float) -> None:
+        """End all requests within ``seconds``."""
+        self._ends_at = self._clock.monotonic() + seconds
+        self._needed = min(NEEDED_SECONDS, NEEDED_SHARE * seconds)
+        for work in self._open:
+            work.deadline = min(work.deadline, self._ends_at)
+
+    def takes_new(self) -> bool:
+        """Return whether a request that comes now has time enough."""
+        return self._ends_at - self._clock.monotonic() >= self._needed
+
+    @contextmanager
+    def bounding(self, work: Bounded) -> Iterator[None]:
+        """Have ``work`` end before the process does."""
+        work.deadline = min(work.deadline, self._ends_at)
+        self._open.add(work)
+        try:
+            yield
+        finally:
+            self._open.discard(work)
--- a/berylshift/request/relay.py
+++ b/berylshift/request/relay.py
@@ -102,7 +102,8 @@
     async def run(self) -> Result:
         """Serve the request; every path ends with one answer or a cut stream."""
         left = self._until - self._now() - ANSWER_SECONDS
-        with trio.move_on_after(max(0.0, left)):
+        scope = trio.move_on_after(max(0.0, left))
+        with scope, self._parts.departure.bounding(scope):
             try:
                 verdict = await self._send_until_done()
             except HopelessError as exc:
--- a/berylshift/request/routed_front.py
+++ b/berylshift/request/routed_front.py
@@ -84,6 +84,9 @@
             refusal = self._come_back("no routes are known yet", NO_REPLICA_SECONDS)
             await self._refuse(responder, refusal)
             return
+        if not self._parts.departure.takes_new():
+            await self._refuse(responder, self._come_back("this host is leaving"))
+            return
         path = http.target.partition(b"?")[0].decode("latin-1")
         host = host_of(http.headers.get("host", ""))
         route = table.match(host, path)
--- a/berylshift/tests/test_entry_application.py
+++ b/berylshift/tests/test_entry_application.py
@@ -249,6 +249,39 @@
         self.assertEqual((reply.body, reply.whole), (stream_body(1, 70), True))
         self.assertLess(seconds, 8)
 
+    def test_what_comes_too_late_is_refused_and_the_rest_gets_an_answer(self):
+        """Most hosts leave at once, and the balancer still sends callers to each.
+
+        One that comes with 3 s left or more is served, and is told at once when its
+        booking's desk stays silent to the end. One that comes later is refused at
+        once, which is true: its booking was not run. Neither is cut.
+        """
+
+        async def before(world):
+            slow = route("slow", RouteKind.AT_MOST_ONCE, timeout=20.0)
+            world.directory.put_routes(routes(2, slow))
+            for replica in world.replicas.values():
+                replica.work_seconds = 30
+            await trio.sleep(0.1)
+            waiting = world.connect()
+            await waiting.send("/slow/x", "r1", left_ms=20_000)
+            await trio.sleep(0.1)
+            return waiting
+
+        async def after(world, waiting):
+            await trio.sleep(5)
+            late = await world.ask("/book/x", "r2")
+            arrived = {name for rep in world.replicas.values() for name in rep.arrivals}
+            early = await waiting.read()
+            return late, early, arrived
+
+        _, (late, early, arrived), seconds, _ = self.stop(before, after)
+        self.assertEqual((late.status, late.whole), (503, True))
+        self.assertGreater(late.again, 0)
+        self.assertEqual(arrived, {"r1"})
+        self.assertEqual((early.status, early.whole), (504, True))
+        self.assertLess(seconds, 8)
+
     def test_callers_that_still_come_are_served(self):
         """The balancer needs two seconds to see that the host is not ready."""
 
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -66,6 +66,20 @@
         "test_request_bodies.ClientTest."
         "test_connection_whose_last_chunk_is_under_way_is_not_used_again",
     ),
+    Proof(
+        "a leaving host takes nothing that it can't finish",
+        "request/routed_front.py",
+        "if not self._parts.departure.takes_new():",
+        "if False:",
+        "test_entry_application.PlannedStopTest",
+    ),
+    Proof(
+        "a leaving host answers before it ends",
+        "process/fleet/departure.py",
+        "            work.deadline = min(work.deadline, self._ends_at)\n\n",
+        "            pass\n\n",
+        "test_entry_application.PlannedStopTest",
+    ),
     Proof(
         "half a body does not look whole",
         "connection/target_client.py",
