--- /dev/null
+++ b/berylshift/model/host.py
@@ -0,0 +1,57 @@
+"""A modelled host: the real placement and what it knows."""
+
+import random
+
+from berylshift.ids import DomainName
+from berylshift.messages.load_digest import LoadDigest
+from berylshift.model.agenda import Agenda
+from berylshift.process.fleet.load_loop import REPEAT_SECONDS, TELL_SECONDS
+from berylshift.process.fleet.peer_loads import PeerLoads
+from berylshift.process.fleet.target_load import TargetLoads
+from berylshift.process.fleet.warm_parts import WarmParts
+from berylshift.request.placing_policies import PLACINGS, PlacingParts
+
+
+class ModelHost:
+    """One host; it tells the others what a real one tells."""
+
+    def __init__(
+        self, agenda: Agenda, name: str, domain: DomainName, placing: str, seed: int
+    ):
+        """Place by the policy that ``placing`` names."""
+        self._agenda = agenda
+        self.name = name
+        self.domain = domain
+        self.loads = TargetLoads()
+        self.peers = PeerLoads(name)
+        self.warm = WarmParts()
+        self.rng = random.Random(seed)
+        parts = PlacingParts(self.loads, self.peers, self.warm, domain, self.rng)
+        self.placer = PLACINGS[placing](parts)
+        self._others: list[ModelHost] = []
+        self._sequence = 0
+        self._last: object = None
+        self._last_at = float("-inf")
+
+    def join(self, others: list["ModelHost"]) -> None:
+        """Begin to tell ``others``."""
+        self._others = others
+        self._agenda.after(self.rng.uniform(0, TELL_SECONDS), self._tell)
+
+    def _tell(self) -> None:
+        now = self._agenda.monotonic()
+        entries, reads = self.loads.entries(now), self.warm.to_tell(now)
+        due = now - self._last_at >= REPEAT_SECONDS
+        if entries != self._last or reads or due:
+            self._last, self._last_at = entries, now
+            self._sequence += 1
+            digest = LoadDigest(self.name, self._sequence, entries, reads)
+            for other in self._others:
+                other.hear(digest)
+        self._agenda.after(TELL_SECONDS, self._tell)
+
+    def hear(self, digest: LoadDigest) -> None:
+        """Take over what another host tells."""
+        now = self._agenda.monotonic()
+        self.peers.take(digest, now)
+        self.warm.heard(digest.reads, now)
--- /dev/null
+++ b/berylshift/model/journey.py
@@ -0,0 +1,199 @@
+"""One modelled prompt on its way through a host, a reading and an answering engine."""
+
+from typing import TYPE_CHECKING
+
+from berylshift.ids import InstanceId
+from berylshift.messages.load_digest import urgency_of
+from berylshift.messages.replicas import Replica
+from berylshift.model.engine import Stream
+from berylshift.model.host import ModelHost
+from berylshift.model.result import PromptEnd
+from berylshift.model.traffic import Arrival
+from berylshift.process.fleet.target_load import MILD, SEVERE
+from berylshift.request.placement import Placement
+from berylshift.request.relay import MOST_READS
+from berylshift.request.routed_front import LEAST_RETRY_AFTER, MOST_RETRY_AFTER
+
+if TYPE_CHECKING:
+    from berylshift.model.fleet import ModelFleet
+
+# What a host takes for a request and its first event on its way (2.4 ms of processor
+# time on half a core).
+HOST_SECONDS = 0.005
+# Callers honour a time to come back up to this share of what they have left.
+HONOURED_SHARE = 1 / 3
+
+
+class Journey:
+    """Serves one arrival; a refused caller comes back once."""
+
+    def __init__(self, fleet: "ModelFleet", arrival: Arrival):
+        """Start with nothing sent."""
+        self._fleet = fleet
+        self._agenda = fleet.agenda
+        self._arrival = arrival
+        self._kind = arrival.kind
+        self._urgency = urgency_of(arrival.kind.rank)
+        self._host: ModelHost = fleet.hosts[arrival.host]
+        self._tried: list[InstanceId] = []
+        self._reads = 0
+        self._refused = 0
+        self._first: float | None = None
+        self._last = 0.0
+        self._pause = 0.0
+        self._over = False
+        self._first_until = 0.0
+
+    def begin(self) -> None:
+        """Place the prompt; refuse it at once if it would come too late."""
+        now = self._agenda.monotonic()
+        self._first_until = now + self._kind.patience
+        self._tried.clear()
+        self._reads = 0
+        self._agenda.after(HOST_SECONDS, self._read)
+        self._agenda.at(self._first_until, self._leave_if_waiting)
+
+    # Reading
+
+    def _read(self) -> None:
+        now, host = self._agenda.monotonic(), self._host
+        pool, prompt = self._fleet.pool, self._arrival.prompt
+        if self._over:
+            return
+        if self._reads >= MOST_READS:
+            self._refuse(0.0)
+            return
+        place = host.placer.reader(pool, prompt, self._urgency, self._tried, now)
+        if place is None:
+            self._answer(None)
+            return
+        after = host.placer.answerer(pool, prompt, place.target, (), now)
+        seconds = place.seconds + (after.seconds if after is not None else 0.0)
+        if now + seconds > self._first_until:
+            self._refuse(seconds - self._kind.patience)
+            return
+        self._reads += 1
+        host.placer.note_sent(place, prompt, now)
+        host.loads.sent(place.target.instance, place.tokens, self._urgency)
+        engine = self._fleet.engines[place.target.address]
+        self._agenda.after(
+            self._hop(place.target),
+            lambda: engine.read(
+                prompt, self._kind.rank, lambda good: self._was_read(place, good)
+            ),
+        )
+
+    def _was_read(self, place: Placement, good: bool) -> None:
+        self._agenda.after(
+            self._hop(place.target), lambda: self._take_reading(place, good)
+        )
+
+    def _take_reading(self, place: Placement, good: bool) -> None:
+        instance, host = place.target.instance, self._host
+        host.loads.read(instance, place.tokens, self._urgency)
+        host.loads.ended(instance)
+        self._note(place.target, good)
+        if good:
+            self._answer(place.target)
+        else:
+            self._tried.append(instance)
+            self._read()
+
+    # Answering
+
+    def _answer(self, source: Replica | None) -> None:
+        now, host = self._agenda.monotonic(), self._host
+        if self._over:
+            return
+        prompt = self._arrival.prompt
+        place = host.placer.answerer(self._fleet.pool, prompt, source, self._tried, now)
+        if place is None:
+            self._refuse(0.0)
+            return
+        instance = place.target.instance
+        host.loads.sent(instance, place.tokens, self._urgency)
+        engine = self._fleet.engines[place.target.address]
+        stream = Stream(
+            prompt,
+            self._arrival.events,
+            lambda: self._event(place),
+            lambda good: self._ended(place, stream, good),
+        )
+        self._agenda.after(
+            self._hop(place.target),
+            lambda: engine.answer(stream, source, self._kind.rank),
+        )
+
+    def _event(self, place: Placement) -> None:
+        way = self._way_back(place.target)
+        self._agenda.after(way, lambda: self._take_event(place))
+
+    def _take_event(self, place: Placement) -> None:
+        now = self._agenda.monotonic()
+        if self._over:
+            return
+        if self._first is None:
+            self._first = now - self._arrival.at
+            host = self._host
+            host.loads.read(place.target.instance, place.tokens, self._urgency)
+        else:
+            self._pause = max(self._pause, now - self._last)
+        self._last = now
+
+    def _ended(self, place: Placement, stream: Stream, good: bool) -> None:
+        instance, host = place.target.instance, self._host
+        if self._first is None:
+            host.loads.read(instance, place.tokens, self._urgency)
+        host.loads.ended(instance)
+        self._note(place.target, good)
+        way = self._way_back(place.target)
+        self._agenda.after(way, lambda: self._close(good))
+
+    # Ends
+
+    def _note(self, target: Replica, good: bool) -> None:
+        now, host = self._agenda.monotonic(), self._host
+        if good:
+            host.loads.succeeded(target.instance, now)
+            report = self._fleet.engines[target.address].report()
+            host.loads.heard(target.instance, report, now)
+        else:
+            host.loads.failed(target.instance, SEVERE if self._first else MILD, now)
+
+    def _refuse(self, seconds: float) -> None:
+        """Refuse the prompt; its caller comes back if it has tries and time left."""
+        self._refused += 1
+        now, rng = self._agenda.monotonic(), self._host.rng
+        wait = max(0.0, seconds) + rng.uniform(LEAST_RETRY_AFTER, MOST_RETRY_AFTER)
+        left = self._arrival.at + self._kind.timeout - now
+        if self._refused > self._kind.retries or left <= 0:
+            self._close(False)
+            return
+        self._host = rng.choice(self._fleet.hosts)
+        self._agenda.after(min(wait, HONOURED_SHARE * left), self.begin)
+
+    def _leave_if_waiting(self) -> None:
+        late = self._agenda.monotonic() >= self._first_until
+        if late and self._first is None:
+            self._close(False)
+
+    def _close(self, complete: bool) -> None:
+        if self._over:
+            return
+        self._over = True
+        end = PromptEnd(
+            self._kind,
+            self._arrival.at,
+            self._first,
+            self._pause,
+            complete,
+            self._refused,
+        )
+        self._fleet.ends.append(end)
+
+    def _way_back(self, target: Replica) -> float:
+        """Return the seconds from an engine to the caller."""
+        return self._hop(target) + HOST_SECONDS + self._fleet.site.caller_seconds
+
+    def _hop(self, target: Replica) -> float:
+        return self._fleet.hop(self._host.domain, target.domain)
--- a/berylshift/request/answer_stream.py
+++ b/berylshift/request/answer_stream.py
@@ -27,6 +27,7 @@
         self.last_event: bytes | None = None
         self.first_at: float | None = None
         self.longest_pause = 0.0
+        self.events = 0
         self._last_at = 0.0
 
     async def whole(self, head: AnswerHead, body: bytes) -> None:
@@ -53,6 +54,7 @@
         if not events:
             return
         self._note_time()
+        self.events += len(events)
         await self._start()
         for event in events:
             if event.id is not None:
--- a/berylshift/request/relay.py
+++ b/berylshift/request/relay.py
@@ -141,6 +141,11 @@
         """Return the longest pause between two events, in milliseconds."""
         return round(self._out.longest_pause * 1000, 1)
 
+    @property
+    def events(self) -> int:
+        """Return how many events of a stream were passed on."""
+        return self._out.events
+
     @property
     def may_have_run(self) -> bool:
         """Return whether a replica may have run the request."""
--- a/berylshift/request/routed_front.py
+++ b/berylshift/request/routed_front.py
@@ -200,6 +200,7 @@
                 "ms": round(seconds * 1000, 1),
                 "first_ms": relay.first_ms,
                 "pause_ms": relay.pause_ms,
+                "events": relay.events,
                 "version": None if table is None else table.version,
                 "routes_age": _rounded(self._routes.age(now)),
                 "replicas_age": _rounded(replicas.age(now)),
--- a/berylshift/tools/cli.py
+++ b/berylshift/tools/cli.py
@@ -5,6 +5,7 @@
 from cleo.application import Application
 
 from berylshift import __version__
+from berylshift.tools.experiment_command import ExperimentCommand
 from berylshift.tools.mark_commands import make_mark_commands
 from berylshift.tools.replay_command import ReplayCommand
 from berylshift.tools.status_commands import ExplainCommand, StatusCommand
@@ -29,6 +30,7 @@
         StatusCommand(),
         ExplainCommand(),
         ReplayCommand(),
+        ExperimentCommand(),
         *make_mark_commands(),
     ]
     for command in commands:
