Forget replicas that are gone

Cause: each start of a replica has a name of its own, and what a host kept of it (load, failures, idle connections) stayed for the life of the process. A load record is small, but a fleet of 1,600 that restarts daily never stops.

Change: when an entry is removed, or lapses for good, its record and its idle connections go; a record with requests under way stays until they have ended.

--- a/berylshift/connection/target_client.py
+++ b/berylshift/connection/target_client.py
@@ -199,6 +199,11 @@
         for wire in self._kept.pop(instance, []):
             close_now(wire.stream)
 
+    @property
+    def kept_targets(self) -> int:
+        """Return how many targets have kept connections."""
+        return len(self._kept)
+
     def close(self) -> None:
         """Close all kept connections."""
         for instance in list(self._kept):
--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -11,7 +11,7 @@
 from berylshift.connection.entry_status import EntryStatus
 from berylshift.connection.http_server import HttpServer, ServerLimits
 from berylshift.connection.target_client import TargetClient
-from berylshift.ids import DomainName, ServiceName
+from berylshift.ids import DomainName, InstanceId, ServiceName
 from berylshift.messages.engine_control import EngineControl
 from berylshift.messages.routed import Language
 from berylshift.process.fleet.arrival_budget import HOSTS_ASSUMED, ArrivalBudget
@@ -134,6 +134,7 @@
             ports.rng,
             self._feed_wait,
             self._feed_rest,
+            self._forget_replica,
         )
 
     def _make_load_loop(self) -> LoadLoop:
@@ -163,6 +164,11 @@
         found.hosts = self._hosts_that_share()
         return found
 
+    def _forget_replica(self, instance: InstanceId) -> None:
+        """Drop what is kept of a replica that is gone."""
+        self.loads.forget(instance)
+        self.ports.client.forget(instance)
+
     def _feed_wait(self) -> float:
         """Return how long a quiet feed waits; calls to the store cost all hosts."""
         cfg = self.cfg.directory
--- a/berylshift/process/fleet/directory_loop.py
+++ b/berylshift/process/fleet/directory_loop.py
@@ -7,7 +7,7 @@
 import trio
 
 from berylshift.clock import Clock
-from berylshift.ids import Revision
+from berylshift.ids import InstanceId, Revision
 from berylshift.process.fleet.replica_set import ReplicaSet
 from berylshift.process.fleet.route_holder import RouteHolder
 from berylshift.store.directory import (
@@ -40,13 +40,17 @@
         rng: random.Random,
         wait: Callable[[], float],
         rest: Callable[[], float],
+        gone: Callable[[InstanceId], None] = lambda instance: None,
     ):
         """Follow with feeds that wait ``wait()`` seconds at most.
 
+        ``gone`` is told of each replica that is no longer listed.
+
         After news of replicas the next call comes ``rest()`` seconds later, so that
         changes in a row cost each host a few calls and not one each.
         """
         self._rest = rest
+        self._gone = gone
         self._directory = directory
         self._routes = routes
         self._replicas = replicas
@@ -121,6 +125,8 @@
             )
         change = self._replicas.apply(changes, self._clock.monotonic())
         self._replicas_at = changes.revision
+        for instance in change.removed:
+            self._gone(instance)
         if not change.empty:
             logger.info(
                 "replicas changed",
@@ -139,5 +145,7 @@
         while True:
             await trio.sleep(EXPIRE_SECONDS)
             over = self._replicas.expire(self._clock.monotonic())
+            for instance in over:
+                self._gone(instance)
             if over:
                 logger.info("replicas gone", extra={"removed": over})
--- a/berylshift/process/fleet/target_load.py
+++ b/berylshift/process/fleet/target_load.py
@@ -117,8 +117,18 @@
         load.failure_at = now
 
     def forget(self, instance: InstanceId) -> None:
-        """Drop a replica that is gone."""
-        self._loads.pop(instance, None)
+        """Drop a replica that is gone, unless requests there have yet to end.
+
+        Each start of a replica has a name of its own; kept for good, those of a year
+        would fill the memory.
+        """
+        load = self._loads.get(instance)
+        if load is not None and not load.in_flight:
+            del self._loads[instance]
+
+    def __len__(self) -> int:
+        """Return how many replicas are kept."""
+        return len(self._loads)
 
 
 def _coarse(failures: float) -> float:
--- a/berylshift/tests/test_entry_application.py
+++ b/berylshift/tests/test_entry_application.py
@@ -202,6 +202,42 @@
         self.assertGreaterEqual(reply.again, 0.8)
 
 
+class GoneReplicaTest(unittest.TestCase):
+    """What a process keeps of replicas that come and go."""
+
+    def test_replicas_that_are_gone_are_forgotten(self):
+        """Each start of a replica has a new name; a busy fleet has thousands a day."""
+
+        async def task(world):
+            for number in range(20):
+                replica = world.add_replica(f"brief-{number}")
+                await trio.sleep(0.3)
+                for ask in range(4):
+                    await world.ask("/look/x", f"r{number}-{ask}")
+                world.directory.remove_replica(replica.instance)
+                await trio.sleep(0.3)
+            app = world.hosts[0]
+            return len(app.loads), app.ports.client.kept_targets
+
+        self.assertEqual(run_entry(task), (2, 2))
+
+    def test_one_that_still_works_is_kept_until_its_request_ends(self):
+        async def task(world):
+            only = next(iter(world.replicas.values()))
+            only.work_seconds = 1.0
+            link = world.connect()
+            await link.send("/book/x")
+            await trio.sleep(0.1)
+            world.directory.remove_replica(only.instance)
+            await trio.sleep(0.2)
+            load = world.hosts[0].loads.of(only.instance)
+            before = load.in_flight
+            await link.read()
+            return before, load.in_flight
+
+        self.assertEqual(run_entry(task, plain=1), (1, 0))
+
+
 class PlannedStopTest(unittest.TestCase):
     """SIGTERM: not ready at once, no request cut, the end within the grace."""
 
