--- a/berylshift/connection/entry_status.py
+++ b/berylshift/connection/entry_status.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Callable
 
-from berylshift.connection.http_server import HttpRequest, Responder
+from berylshift.connection.http_request import HttpRequest
+from berylshift.connection.http_server import Responder
 
 TEXT_TYPE = {"content-type": "text/plain"}
 STATUS_OK = 200
--- a/berylshift/connection/http_server.py
+++ b/berylshift/connection/http_server.py
@@ -3,12 +3,19 @@
 import logging
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
-from urllib.parse import parse_qsl, unquote, urlsplit
 
 import h11
 import trio
 
 from berylshift.connection.errors import RequestRejectedError
+from berylshift.connection.http_request import (
+    STATUS_BAD_REQUEST,
+    Headers,
+    HttpRequest,
+    announced_length,
+    check_framing,
+    make_request,
+)
 from berylshift.connection.request_body import RequestBody
 
 logger = logging.getLogger(__name__)
@@ -23,12 +30,10 @@
 # How long the rest of a body is read after its answer: closing the connection before
 # would reset it, and the answer could be lost on its way.
 REST_SECONDS = 1.0
-STATUS_BAD_REQUEST = 400
 STATUS_TIMEOUT = 408
 STATUS_TOO_LARGE = 413
 STATUS_ERROR = 500
 STATUS_UNAVAILABLE = 503
-Headers = dict[str, str]
 
 
 @dataclass(frozen=True)
@@ -43,33 +48,6 @@
     connections: int = 2048
 
 
-@dataclass(frozen=True)
-class HttpRequest:
-    """One request; header names are in lower case.
-
-    ``target`` and ``raw_headers`` are path, query and headers as they were sent.
-    ``arriving`` is the body, which has ended unless the server hands on long ones.
-    """
-
-    method: str
-    path: str
-    query: dict[str, str]
-    headers: Headers
-    arriving: RequestBody
-    pairs: tuple[tuple[str, str], ...] = ()
-    target: bytes = b""
-    raw_headers: tuple[tuple[bytes, bytes], ...] = ()
-
-    @property
-    def body(self) -> bytes:
-        """Return the whole body."""
-        return self.arriving.whole()
-
-    def multi(self, name: str) -> list[str]:
-        """Return all values of a query parameter."""
-        return [value for key, value in self.pairs if key == name]
-
-
 class Responder:
     """Writes the one answer of a request."""
 
@@ -347,12 +325,12 @@
         head = await self._next_event()
         if not isinstance(head, h11.Request):
             return None
-        _check_framing(head)
-        body = RequestBody(_announced(head))
+        check_framing(head)
+        body = RequestBody(announced_length(head))
         self._check_size(body.length or 0)
         while not body.ended and body.size < self.server.held_bytes:
             await self._read_part(body)
-        return _request(head, body)
+        return make_request(head, body)
 
     async def _read_part(self, body: RequestBody) -> None:
         event = await self._next_event()
@@ -374,39 +352,3 @@
     """What came of the rest of a body; ``rejected``: why it can't be taken."""
 
     rejected: RequestRejectedError | None = None
-
-
-def _announced(head: h11.Request) -> int | None:
-    """Return the length that a request announces."""
-    value = dict(head.headers).get(b"content-length")
-    if value is not None:
-        return int(value)
-    chunked = any(name == b"transfer-encoding" for name, _ in head.headers)
-    return None if chunked else 0
-
-
-def _check_framing(head: h11.Request) -> None:
-    """Reject a request that states its length in two ways.
-
-    Whoever reads the other one of the two takes what follows for another request:
-    a body could so carry a request that nobody sent.
-    """
-    names = {name for name, _ in head.headers}
-    if b"transfer-encoding" in names and b"content-length" in names:
-        raise RequestRejectedError(STATUS_BAD_REQUEST, "two lengths")
-
-
-def _request(head: h11.Request, body: RequestBody) -> HttpRequest:
-    url = urlsplit(head.target.decode("ascii"))
-    headers = {name.decode(): value.decode("latin-1") for name, value in head.headers}
-    pairs = tuple(parse_qsl(url.query, keep_blank_values=True))
-    return HttpRequest(
-        method=head.method.decode("ascii"),
-        path=unquote(url.path),
-        query=dict(pairs),
-        headers=headers,
-        arriving=body,
-        pairs=pairs,
-        target=bytes(head.target),
-        raw_headers=tuple((bytes(name), bytes(val)) for name, val in head.headers),
-    )
--- a/berylshift/request/routed_front.py
+++ b/berylshift/request/routed_front.py
@@ -8,7 +8,8 @@
 import msgspec
 import trio
 
-from berylshift.connection.http_server import HttpRequest, Responder
+from berylshift.connection.http_request import HttpRequest
+from berylshift.connection.http_server import Responder
 from berylshift.ids import ServiceName
 from berylshift.messages.routed import Header, RoutedRequest
 from berylshift.process.fleet.route_holder import RouteHolder
--- a/berylshift/stand_ins/service_server.py
+++ b/berylshift/stand_ins/service_server.py
@@ -3,7 +3,8 @@
 import msgspec
 import trio
 
-from berylshift.connection.http_server import HttpRequest, Responder
+from berylshift.connection.http_request import HttpRequest
+from berylshift.connection.http_server import Responder
 from berylshift.connection.service_client import (
     ATTEMPT_HEADER,
     KEY_HEADER,
--- a/berylshift/stand_ins/store_server.py
+++ b/berylshift/stand_ins/store_server.py
@@ -5,7 +5,8 @@
 import msgspec
 import trio
 
-from berylshift.connection.http_server import HttpRequest, Responder
+from berylshift.connection.http_request import HttpRequest
+from berylshift.connection.http_server import Responder
 from berylshift.platform import names
 
 JSON_TYPE = {"content-type": "application/json"}
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -168,7 +168,7 @@
     Proof(
         "two lengths are rejected",
         "connection/http_server.py",
-        "        _check_framing(head)\n",
+        "        check_framing(head)\n",
         "",
         f"{RELAY}.PlainAnswerTest.test_two_lengths_are_rejected",
     ),
