--- a/berylshift/connection/peer_link.py
+++ b/berylshift/connection/peer_link.py
@@ -50,12 +50,21 @@
 
     async def send(self, address: str, message: Message) -> None:
         """Send a message; a datagram that can't go out is lost."""
-        data = self._codec.encode(message, self._most)
+        await self._send(address, self._codec.encode(message, self._most))
+
+    async def _send(self, address: str, data: bytes) -> None:
         try:
             await self._socket.sendto(data, split_address(address))
         except OSError:
             logger.debug("datagram not sent")
 
+    async def send_to_all(self, addresses: list[str], message: Message) -> int:
+        """Send a message, encoded once, to each address; return its bytes."""
+        data = self._codec.encode(message, self._most)
+        for address in addresses:
+            await self._send(address, data)
+        return len(data)
+
     async def receive(self, take: Callable[[Message], None]) -> None:
         """Give each message to ``take`` until cancelled."""
         while True:
--- a/berylshift/process/fleet/load_loop.py
+++ b/berylshift/process/fleet/load_loop.py
@@ -36,8 +36,8 @@
 class LoadLink(Protocol):
     """Sends and receives digests."""
 
-    async def send(self, address: str, message: LoadDigest) -> None:
-        """Send a digest; one that can't go out is lost."""
+    async def send_to_all(self, addresses: list[str], message: LoadDigest) -> int:
+        """Send a digest to each address; return its bytes. Some may be lost."""
 
     async def receive(self, take: Callable[[LoadDigest], None]) -> None:
         """Give each digest to ``take`` until cancelled."""
@@ -166,9 +166,12 @@
             digest = LoadDigest(
                 self._parts.host, self._sequence, entries, reads, phases
             )
-            for host, address in list(self._addresses.items()):
-                if self._is_due(host, now):
-                    await link.send(address, digest)
+            due = [
+                address
+                for host, address in self._addresses.items()
+                if self._is_due(host, now)
+            ]
+            await link.send_to_all(due, digest)
 
     def _interval(self) -> float:
         """Return the seconds between two digests: more hosts are told more seldom."""
--- a/berylshift/process/fleet/replica_set.py
+++ b/berylshift/process/fleet/replica_set.py
@@ -39,7 +39,8 @@
         self._listed: dict[InstanceId, Replica] = {}
         self._lapsed: dict[InstanceId, float] = {}
         self._by_service: dict[ServiceName, Pool] = {}
-        self._has_ordered = False
+        self._indexed_version = 0
+        self._index_again_at = float("inf")
         self._lost_at: float | None = None
         self._back_at = float("-inf")
         self.confirmed_at: float | None = None
@@ -101,16 +102,17 @@
         for instance in over:
             del self._lapsed[instance]
             self._listed.pop(instance, None)
-        if over or self._phases.to_tell(now) or self._has_ordered:
+        orders_changed = self._phases.version != self._indexed_version
+        if over or orders_changed or now >= self._index_again_at:
             self._index(now)
         return over
 
     def _index(self, now: float) -> None:
         found: dict[ServiceName, list[Replica]] = {}
-        self._has_ordered = False
+        self._indexed_version = self._phases.version
+        self._index_again_at = self._phases.next_change(now)
         for entry in self._listed.values():
             usable = self._phases.as_usable(entry, now)
-            self._has_ordered |= usable is not entry
             if usable is not None and not entry.draining:
                 found.setdefault(entry.service, []).append(usable)
         self._by_service = {name: Pool(members) for name, members in found.items()}
