Call the shutdown, the event queue and a prompt's run by their usual names

Departure, Agenda and Journey were words of our own for what the field calls graceful shutdown, event queue and run.

--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -15,7 +15,6 @@
 from berylshift.messages.engine_control import EngineControl
 from berylshift.messages.routed import Language
 from berylshift.process.fleet.arrival_budget import HOSTS_ASSUMED, ArrivalBudget
-from berylshift.process.fleet.departure import Departure
 from berylshift.process.fleet.directory_loop import DirectoryLoop
 from berylshift.process.fleet.expected_phases import ExpectedPhases
 from berylshift.process.fleet.load_loop import LoadLink, LoadLoop, LoadParts
@@ -25,6 +24,7 @@
 from berylshift.process.fleet.phase_planner import PhasePlanner
 from berylshift.process.fleet.replica_set import ReplicaSet
 from berylshift.process.fleet.route_holder import RouteHolder
+from berylshift.process.fleet.shutdown import Shutdown
 from berylshift.process.fleet.target_load import TargetLoads
 from berylshift.process.fleet.warm_parts import WarmParts
 from berylshift.request.placing_policies import PLACINGS, PlacingParts
@@ -91,7 +91,7 @@
         self.replicas = ReplicaSet(self.phases)
         self.loads = TargetLoads()
         self.leaving = False
-        self.departure = Departure(ports.clock)
+        self.shutdown = Shutdown(ports.clock)
         self._started = ports.clock.monotonic()
         self._pools: set[ServiceName] = set()
         self._budgets: dict[ServiceName, ArrivalBudget] = {}
@@ -117,7 +117,7 @@
             loads=self.loads,
             placer=PLACINGS[cfg.entry.placing](placing),
             reads=reads,
-            departure=self.departure,
+            shutdown=self.shutdown,
             budget=self.budget,
         )
         self.front = RoutedFront(
@@ -300,7 +300,7 @@
         in_flight = self.front.in_flight
         logger.info("leaving", extra={"in_flight": in_flight})
         grace = self.cfg.entry.grace - STOP_MARGIN_SECONDS
-        self.departure.begin(grace - LAST_ANSWER_SECONDS)
+        self.shutdown.begin(grace - LAST_ANSWER_SECONDS)
         with trio.move_on_after(grace) as scope:
             await trio.sleep(BALANCER_NOTICE_SECONDS)
             self.server.close_idle()
--- a/berylshift/model/engine.py
+++ b/berylshift/model/engine.py
@@ -8,7 +8,7 @@
 
 from berylshift.messages.replicas import EnginePhase, Replica
 from berylshift.messages.routed import Prompt, ReportedLoad
-from berylshift.model.agenda import Agenda
+from berylshift.model.event_queue import EventQueue
 from berylshift.model.figures import EngineFigures
 from berylshift.model.kept import KeptParts
 
@@ -41,9 +41,9 @@
 class ModelEngine:
     """One engine, in one phase at a time."""
 
-    def __init__(self, agenda: Agenda, figures: EngineFigures, replica: Replica):
+    def __init__(self, queue: EventQueue, figures: EngineFigures, replica: Replica):
         """Start empty and idle."""
-        self._agenda = agenda
+        self._queue = queue
         self._figures = figures
         self.replica = replica
         self.kept = KeptParts(figures.memory_tokens)
@@ -79,10 +79,10 @@
             self.read(stream.prompt, rank, lambda good: self._start(stream, good))
             return
         seconds = self._move_seconds(stream.prompt, source)
-        starts = max(self._agenda.monotonic(), self._link_free_at)
+        starts = max(self._queue.monotonic(), self._link_free_at)
         self._link_free_at = starts + seconds
         life = self._life
-        self._agenda.at(
+        self._queue.at(
             self._link_free_at, lambda: self._start(stream, life == self._life)
         )
 
@@ -147,7 +147,7 @@
         if self._reading is not None:
             seconds += self._read_piece(self._reading)
         life = self._life
-        self._agenda.after(
+        self._queue.after(
             seconds * self.slowness, lambda: self._end_turn(life == self._life)
         )
 
@@ -195,7 +195,7 @@
         self._reading = None
         self.kept.hold(reading.prompt)
         life = self._life
-        self._agenda.after(
+        self._queue.after(
             self._figures.read_latency * self.slowness,
             lambda: reading.done(life == self._life),
         )
--- a/berylshift/model/agenda.py
+++ b/berylshift/model/event_queue.py
@@ -8,7 +8,7 @@
 Call = Callable[[], None]
 
 
-class Agenda:
+class EventQueue:
     """Calls in the order of their times; a clock as well. Times are in seconds."""
 
     def __init__(self) -> None:
--- a/berylshift/model/fleet.py
+++ b/berylshift/model/fleet.py
@@ -6,11 +6,11 @@
 
 from berylshift.ids import DomainName, InstanceId, ServiceName
 from berylshift.messages.replicas import EnginePhase, Replica
-from berylshift.model.agenda import Agenda
 from berylshift.model.engine import ModelEngine
+from berylshift.model.event_queue import EventQueue
 from berylshift.model.figures import SiteFigures
 from berylshift.model.host import ModelHost
-from berylshift.model.journey import Journey
+from berylshift.model.prompt_run import PromptRun
 from berylshift.model.result import PlayResult, PromptEnd, summarize
 from berylshift.model.traffic import Burst, Traffic
 from berylshift.process.fleet.phase_planner import PhasePlanner
@@ -54,7 +54,7 @@
         """Build hosts and engines; nothing runs yet."""
         self._spec = spec
         self.site = spec.site
-        self.agenda = Agenda()
+        self.queue = EventQueue()
         self.ends: list[PromptEnd] = []
         self._rng = random.Random(spec.seed)
         self._incarnations = 0
@@ -62,13 +62,13 @@
         self._listed: dict[str, Replica] = {}
         for number, phase in enumerate(self._phases()):
             replica = self._replica(number, phase)
-            engine = ModelEngine(self.agenda, self.site.engine, replica)
+            engine = ModelEngine(self.queue, self.site.engine, replica)
             self.engines[replica.address] = engine
             self._listed[replica.address] = replica
         self.pool = Pool(list(self._listed.values()))
         self.hosts = [
             ModelHost(
-                self.agenda,
+                self.queue,
                 f"host-{number}",
                 self._domain(number),
                 spec.placing,
@@ -119,10 +119,10 @@
         )
         traffic = Traffic(site, self._rng)
         for arrival in traffic.arrivals(spec.seconds, spec.bursts):
-            self.agenda.at(arrival.at, Journey(self, arrival).begin)
+            self.queue.at(arrival.at, PromptRun(self, arrival).begin)
         for fault in spec.faults:
             self._plan_fault(fault)
-        self.agenda.run(spec.seconds + TAIL_SECONDS)
+        self.queue.run(spec.seconds + TAIL_SECONDS)
         again = sum(engine.again_tokens for engine in self.engines.values())
         return summarize(self.ends, again)
 
@@ -133,8 +133,8 @@
         begin, end = self._crash, self._restart
         if fault.slowness:
             begin, end = self._slow, self._quick
-        self.agenda.at(fault.at, lambda: begin(address, fault))
-        self.agenda.at(fault.at + fault.seconds, lambda: end(address))
+        self.queue.at(fault.at, lambda: begin(address, fault))
+        self.queue.at(fault.at + fault.seconds, lambda: end(address))
 
     def _slow(self, address: str, fault: Fault) -> None:
         self.engines[address].slowness = fault.slowness
@@ -146,7 +146,7 @@
         gone = self.engines[address].replica
         self.engines[address].crash()
         lapses = min(LAPSE_SECONDS, fault.seconds)
-        self.agenda.after(lapses, lambda: self._lapse(address, gone))
+        self.queue.after(lapses, lambda: self._lapse(address, gone))
 
     def _lapse(self, address: str, gone: Replica) -> None:
         if self._listed.get(address) is gone:
--- a/berylshift/model/host.py
+++ b/berylshift/model/host.py
@@ -4,7 +4,7 @@
 
 from berylshift.ids import DomainName
 from berylshift.messages.load_digest import LoadDigest
-from berylshift.model.agenda import Agenda
+from berylshift.model.event_queue import EventQueue
 from berylshift.process.fleet.load_loop import REPEAT_SECONDS, TELL_SECONDS
 from berylshift.process.fleet.peer_loads import PeerLoads
 from berylshift.process.fleet.target_load import TargetLoads
@@ -16,10 +16,10 @@
     """One host; it tells the others what a real one tells."""
 
     def __init__(
-        self, agenda: Agenda, name: str, domain: DomainName, placing: str, seed: int
+        self, queue: EventQueue, name: str, domain: DomainName, placing: str, seed: int
     ):
         """Place by the policy that ``placing`` names."""
-        self._agenda = agenda
+        self._queue = queue
         self.name = name
         self.domain = domain
         self.loads = TargetLoads()
@@ -36,10 +36,10 @@
     def join(self, others: list["ModelHost"]) -> None:
         """Begin to tell ``others``."""
         self._others = others
-        self._agenda.after(self.rng.uniform(0, TELL_SECONDS), self._tell)
+        self._queue.after(self.rng.uniform(0, TELL_SECONDS), self._tell)
 
     def _tell(self) -> None:
-        now = self._agenda.monotonic()
+        now = self._queue.monotonic()
         entries, reads = self.loads.entries(now), self.warm.to_tell(now)
         due = now - self._last_at >= REPEAT_SECONDS
         if entries != self._last or reads or due:
@@ -48,10 +48,10 @@
             digest = LoadDigest(self.name, self._sequence, entries, reads)
             for other in self._others:
                 other.hear(digest)
-        self._agenda.after(TELL_SECONDS, self._tell)
+        self._queue.after(TELL_SECONDS, self._tell)
 
     def hear(self, digest: LoadDigest) -> None:
         """Take over what another host tells."""
-        now = self._agenda.monotonic()
+        now = self._queue.monotonic()
         self.peers.take(digest, now)
         self.warm.heard(digest.reads, now)
--- a/berylshift/model/journey.py
+++ b/berylshift/model/prompt_run.py
@@ -24,13 +24,13 @@
 HONOURED_SHARE = 1 / 3
 
 
-class Journey:
+class PromptRun:
     """Serves one arrival; a refused caller comes back once."""
 
     def __init__(self, fleet: "ModelFleet", arrival: Arrival):
         """Start with nothing sent."""
         self._fleet = fleet
-        self._agenda = fleet.agenda
+        self._queue = fleet.queue
         self._arrival = arrival
         self._kind = arrival.kind
         self._urgency = urgency_of(arrival.kind.rank)
@@ -46,17 +46,17 @@
 
     def begin(self) -> None:
         """Place the prompt; refuse it at once if it would come too late."""
-        now = self._agenda.monotonic()
+        now = self._queue.monotonic()
         self._first_until = now + self._kind.patience
         self._tried.clear()
         self._reads = 0
-        self._agenda.after(HOST_SECONDS, self._read)
-        self._agenda.at(self._first_until, self._leave_if_waiting)
+        self._queue.after(HOST_SECONDS, self._read)
+        self._queue.at(self._first_until, self._leave_if_waiting)
 
     # Reading
 
     def _read(self) -> None:
-        now, host = self._agenda.monotonic(), self._host
+        now, host = self._queue.monotonic(), self._host
         pool, prompt = self._fleet.pool, self._arrival.prompt
         if self._over:
             return
@@ -76,7 +76,7 @@
         host.placer.note_sent(place, prompt, now)
         host.loads.sent(place.target.instance, place.tokens, self._urgency)
         engine = self._fleet.engines[place.target.address]
-        self._agenda.after(
+        self._queue.after(
             self._hop(place.target),
             lambda: engine.read(
                 prompt, self._kind.rank, lambda good: self._was_read(place, good)
@@ -84,7 +84,7 @@
         )
 
     def _was_read(self, place: Placement, good: bool) -> None:
-        self._agenda.after(
+        self._queue.after(
             self._hop(place.target), lambda: self._take_reading(place, good)
         )
 
@@ -102,7 +102,7 @@
     # Answering
 
     def _answer(self, source: Replica | None) -> None:
-        now, host = self._agenda.monotonic(), self._host
+        now, host = self._queue.monotonic(), self._host
         if self._over:
             return
         prompt = self._arrival.prompt
@@ -119,17 +119,17 @@
             lambda: self._event(place),
             lambda good: self._ended(place, stream, good),
         )
-        self._agenda.after(
+        self._queue.after(
             self._hop(place.target),
             lambda: engine.answer(stream, source, self._kind.rank),
         )
 
     def _event(self, place: Placement) -> None:
         way = self._way_back(place.target)
-        self._agenda.after(way, lambda: self._take_event(place))
+        self._queue.after(way, lambda: self._take_event(place))
 
     def _take_event(self, place: Placement) -> None:
-        now = self._agenda.monotonic()
+        now = self._queue.monotonic()
         if self._over:
             return
         if self._first is None:
@@ -147,12 +147,12 @@
         host.loads.ended(instance)
         self._note(place.target, good)
         way = self._way_back(place.target)
-        self._agenda.after(way, lambda: self._close(good))
+        self._queue.after(way, lambda: self._close(good))
 
     # Ends
 
     def _note(self, target: Replica, good: bool) -> None:
-        now, host = self._agenda.monotonic(), self._host
+        now, host = self._queue.monotonic(), self._host
         if good:
             host.loads.succeeded(target.instance, now)
             report = self._fleet.engines[target.address].report()
@@ -163,17 +163,17 @@
     def _refuse(self, seconds: float) -> None:
         """Refuse the prompt; its caller comes back if it has tries and time left."""
         self._refused += 1
-        now, rng = self._agenda.monotonic(), self._host.rng
+        now, rng = self._queue.monotonic(), self._host.rng
         wait = max(0.0, seconds) + rng.uniform(LEAST_RETRY_AFTER, MOST_RETRY_AFTER)
         left = self._arrival.at + self._kind.timeout - now
         if self._refused > self._kind.retries or left <= 0:
             self._close(False)
             return
         self._host = rng.choice(self._fleet.hosts)
-        self._agenda.after(min(wait, HONOURED_SHARE * left), self.begin)
+        self._queue.after(min(wait, HONOURED_SHARE * left), self.begin)
 
     def _leave_if_waiting(self) -> None:
-        late = self._agenda.monotonic() >= self._first_until
+        late = self._queue.monotonic() >= self._first_until
         if late and self._first is None:
             self._close(False)
 
--- a/berylshift/process/fleet/departure.py
+++ b/berylshift/process/fleet/shutdown.py
@@ -19,7 +19,7 @@
     deadline: float
 
 
-class Departure:
+class Shutdown:
     """Bounds requests by the end of the process, once that is known.
 
     While most hosts of a domain leave at once the balancer still sends requests to
--- a/berylshift/request/relay.py
+++ b/berylshift/request/relay.py
@@ -103,7 +103,7 @@
         """Serve the request; every path ends with one answer or a cut stream."""
         left = self._until - self._now() - ANSWER_SECONDS
         scope = trio.move_on_after(max(0.0, left))
-        with scope, self._parts.departure.bounding(scope):
+        with scope, self._parts.shutdown.bounding(scope):
             try:
                 verdict = await self._send_until_done()
             except HopelessError as exc:
--- a/berylshift/request/relay_parts.py
+++ b/berylshift/request/relay_parts.py
@@ -8,8 +8,8 @@
 from berylshift.ids import ServiceName
 from berylshift.messages.routed import Language
 from berylshift.process.fleet.arrival_budget import ArrivalBudget
-from berylshift.process.fleet.departure import Departure
 from berylshift.process.fleet.replica_set import ReplicaSet
+from berylshift.process.fleet.shutdown import Shutdown
 from berylshift.process.fleet.target_load import TargetLoads
 from berylshift.request.placement import Placing
 from berylshift.request.prompt_read import PromptReads
@@ -26,5 +26,5 @@
     loads: TargetLoads
     placer: Placing
     reads: PromptReads
-    departure: Departure
+    shutdown: Shutdown
     budget: Callable[[ServiceName], ArrivalBudget]
--- a/berylshift/request/routed_front.py
+++ b/berylshift/request/routed_front.py
@@ -93,7 +93,7 @@
             await self._refuse(responder, Refusal(STATUS_BAD_REQUEST, str(exc)))
             return
         table = self._routes.table
-        if not self._parts.departure.takes_new():
+        if not self._parts.shutdown.takes_new():
             await self._turn_away(req, responder, "this host is leaving", 0.0)
         elif table is None:
             reason = "no routes are known yet"
--- a/berylshift/tests/test_model_engine.py
+++ b/berylshift/tests/test_model_engine.py
@@ -6,8 +6,8 @@
 
 from berylshift.messages.replicas import EnginePhase, Replica
 from berylshift.messages.routed import Prompt, PromptPart
-from berylshift.model.agenda import Agenda
 from berylshift.model.engine import ModelEngine, Stream
+from berylshift.model.event_queue import EventQueue
 from berylshift.model.figures import EngineFigures
 from berylshift.model.kept import KeptParts
 
@@ -20,28 +20,28 @@
     return Prompt(parts, shared + own, 80)
 
 
-def engine(agenda: Agenda, phase: EnginePhase, figures=FIGURES) -> ModelEngine:
+def engine(queue: EventQueue, phase: EnginePhase, figures=FIGURES) -> ModelEngine:
     """Return an idle engine."""
     replica = Replica("i", "s", "10.0.0.1:80", "d1", figures.slots, False, phase)
-    return ModelEngine(agenda, figures, replica)
+    return ModelEngine(queue, figures, replica)
 
 
-class AgendaTest(unittest.TestCase):
+class EventQueueTest(unittest.TestCase):
     """Calls come in the order of their times."""
 
     def test_order(self):
-        agenda, seen = Agenda(), []
-        agenda.at(2.0, lambda: seen.append("late"))
-        agenda.at(1.0, lambda: seen.append("early"))
-        agenda.at(1.0, lambda: seen.append("early too"))
-        agenda.run(1.5)
+        queue, seen = EventQueue(), []
+        queue.at(2.0, lambda: seen.append("late"))
+        queue.at(1.0, lambda: seen.append("early"))
+        queue.at(1.0, lambda: seen.append("early too"))
+        queue.run(1.5)
         self.assertEqual(seen, ["early", "early too"])
-        self.assertEqual(agenda.monotonic(), 1.5)
+        self.assertEqual(queue.monotonic(), 1.5)
 
     def test_a_call_may_plan_another(self):
-        agenda, seen = Agenda(), []
-        agenda.after(1.0, lambda: agenda.after(1.0, lambda: seen.append(1)))
-        agenda.run(2.0)
+        queue, seen = EventQueue(), []
+        queue.after(1.0, lambda: queue.after(1.0, lambda: seen.append(1)))
+        queue.run(2.0)
         self.assertEqual(seen, [1])
 
 
@@ -49,40 +49,40 @@
     """Prompts at an engine that reads."""
 
     def setUp(self):
-        self.agenda = Agenda()
-        self.engine = engine(self.agenda, EnginePhase.PREFILL)
+        self.queue = EventQueue()
+        self.engine = engine(self.queue, EnginePhase.PREFILL)
         self.ends: list[tuple[str, float, bool]] = []
 
     def read(self, of: Prompt, rank: int = 1) -> None:
         name = of.parts[0].part
 
         def done(good: bool) -> None:
-            self.ends.append((name, round(self.agenda.monotonic(), 3), good))
+            self.ends.append((name, round(self.queue.monotonic(), 3), good))
 
         self.engine.read(of, rank, done)
 
     def test_kept_parts_are_not_read_again(self):
         self.read(prompt("a"))
-        self.agenda.run(1.0)
+        self.queue.run(1.0)
         self.read(prompt("a"))
-        self.agenda.run(2.0)
+        self.queue.run(2.0)
         self.assertEqual(self.ends, [("a", 0.1, True), ("a", 1.035, True)])
         self.assertEqual(self.engine.again_tokens, 4000)
 
     def test_the_more_urgent_begins_first(self):
         for name, rank in (("first", 2), ("patient", 2), ("urgent", 0)):
             self.read(prompt(name), rank)
-        self.agenda.run(1.0)
+        self.queue.run(1.0)
         self.assertEqual([name for name, _, _ in self.ends[1:]], ["urgent", "patient"])
 
     def test_a_crash_fails_what_is_under_way_and_forgets_what_was_kept(self):
         self.read(prompt("a"))
-        self.agenda.run(1.0)
+        self.queue.run(1.0)
         self.read(prompt("b"))
         self.read(prompt("c"))
-        self.agenda.run(1.05)
+        self.queue.run(1.05)
         self.engine.crash()
-        self.agenda.run(2.0)
+        self.queue.run(2.0)
         self.assertEqual(
             {end for end in self.ends[1:]},
             {
@@ -95,7 +95,7 @@
     def test_a_slow_engine_takes_longer(self):
         self.engine.slowness = 4.0
         self.read(prompt("a"))
-        self.agenda.run(1.0)
+        self.queue.run(1.0)
         self.assertEqual(self.ends, [("a", 0.4, True)])
 
 
@@ -103,9 +103,9 @@
     """Streams at an engine that answers."""
 
     def setUp(self):
-        self.agenda = Agenda()
+        self.queue = EventQueue()
         figures = msgspec.structs.replace(FIGURES, slots=2)
-        self.engine = engine(self.agenda, EnginePhase.DECODE, figures)
+        self.engine = engine(self.queue, EnginePhase.DECODE, figures)
         self.events: list[float] = []
         self.ends: list[float] = []
 
@@ -113,13 +113,13 @@
         return Stream(
             prompt("a"),
             events,
-            lambda: self.events.append(self.agenda.monotonic()),
-            lambda good: self.ends.append(self.agenda.monotonic()),
+            lambda: self.events.append(self.queue.monotonic()),
+            lambda good: self.ends.append(self.queue.monotonic()),
         )
 
     def test_each_event_takes_so_many_steps(self):
         self.engine.answer(self.stream(3), self.engine.replica, 1)
-        self.agenda.run(5.0)
+        self.queue.run(5.0)
         self.assertEqual(len(self.events), 3)
         step = 0.00455 + 0.000181 + 6140 * 3.66e-9
         self.assertAlmostEqual(self.events[2] - self.events[1], 7 * step, places=4)
@@ -127,17 +127,17 @@
     def test_a_third_stream_waits_for_a_slot(self):
         for _ in range(3):
             self.engine.answer(self.stream(2), self.engine.replica, 1)
-        self.agenda.run(0.02)
+        self.queue.run(0.02)
         self.assertEqual(self.engine.report().waiting, 1)
-        self.agenda.run(5.0)
+        self.queue.run(5.0)
         self.assertEqual(len(self.ends), 3)
 
     def test_moves_over_one_link_follow_each_other(self):
         slow = msgspec.structs.replace(FIGURES, link_bits=6140 * 35_136 * 8 / 0.5)
-        self.engine = engine(self.agenda, EnginePhase.DECODE, slow)
+        self.engine = engine(self.queue, EnginePhase.DECODE, slow)
         for _ in range(2):
             self.engine.answer(self.stream(1), self.engine.replica, 1)
-        self.agenda.run(5.0)
+        self.queue.run(5.0)
         self.assertAlmostEqual(self.ends[1] - self.ends[0], 0.5, delta=0.02)
 
 
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -69,13 +69,13 @@
     Proof(
         "a leaving host takes nothing that it can't finish",
         "request/routed_front.py",
-        "if not self._parts.departure.takes_new():",
+        "if not self._parts.shutdown.takes_new():",
         "if False:",
         "test_entry_application.PlannedStopTest",
     ),
     Proof(
         "a leaving host answers before it ends",
-        "process/fleet/departure.py",
+        "process/fleet/shutdown.py",
         "            work.deadline = min(work.deadline, self._ends_at)\n\n",
         "            pass\n\n",
         "test_entry_application.PlannedStopTest",
