--- a/berylshift/application.py
+++ b/berylshift/application.py
@@ -42,8 +42,8 @@
     ReplicaChooser,
     Router,
 )
-from berylshift.request.completion import CompletionParts
 from berylshift.request.decisions import DecisionLog
+from berylshift.request.engine_attempt import CompletionParts
 from berylshift.request.front import Front, FrontParts
 from berylshift.request.plain_send import PlainSend
 from berylshift.request.service_call import ServiceCalls, ServiceParts
--- a/berylshift/request/completion.py
+++ b/berylshift/request/completion.py
@@ -1,27 +1,23 @@
 """A model call from its placement to its last token, over one or more attempts."""
 
-import logging
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import aclosing
-from dataclasses import dataclass
-
 import trio
 from returns.result import Failure, Result, Success
 
-from berylshift.clock import Clock
 from berylshift.ids import AttemptId, PoolName, TargetName
-from berylshift.process.control.mix_meter import MixMeter
-from berylshift.process.knowledge.lengths import OutputLengths
 from berylshift.process.knowledge.prefixes import Prefixes, prefix_hashes
-from berylshift.process.limits.retry_budget import RetryBudget
 from berylshift.request.assembly import AnswerAssembler, Verdict
 from berylshift.request.attempts import (
     ATTEMPT_BOUNDS,
     target_preferred,
     targets_excluded,
 )
-from berylshift.request.choice import Knowledge, Plan, Refusal, Router, WorkItem
-from berylshift.request.decisions import DecisionLog
+from berylshift.request.choice import Plan, Refusal, WorkItem
+from berylshift.request.engine_attempt import (
+    AttemptFailedError,
+    AttemptRun,
+    Chunks,
+    CompletionParts,
+)
 from berylshift.request.messages import (
     AnswerSink,
     Ending,
@@ -29,54 +25,16 @@
     Outcome,
     Reason,
 )
-from berylshift.request.retry_rule import SendEnd, SendHistory, Sent, end_of
+from berylshift.request.retry_rule import SendEnd, SendHistory, Sent
 from berylshift.request.send_loop import LoopEnd, send_until_done
-from berylshift.settings import TargetSettings
 from berylshift.targets import (
     EngineCall,
-    EngineChunk,
-    EngineClient,
     KvSource,
-    TargetBrokenError,
-    TargetError,
 )
 from berylshift.utils import token_count
 from berylshift.version.rows import Row
-from berylshift.version.table import Table
-
-logger = logging.getLogger(__name__)
 
 REPLACE_PAUSE = 0.2
-Chunks = list[EngineChunk]
-Take = Callable[[Chunks], Awaitable[bool]]
-CANCEL_SECONDS = 1.0
-
-
-@dataclass
-class CompletionParts:
-    """What model calls work with."""
-
-    clock: Clock
-    client: EngineClient
-    know: Knowledge
-    router: Router
-    retries: RetryBudget
-    lengths: OutputLengths
-    decisions: DecisionLog
-    meter: MixMeter
-    table: Callable[[], Table]
-    may_route: Callable[[], bool]
-    cfg: TargetSettings
-    longest: float
-
-
-class _AttemptFailedError(Exception):
-    """An attempt ended early."""
-
-    def __init__(self, target: TargetName, end: SendEnd):
-        super().__init__(end)
-        self.target = target
-        self.end = end
 
 
 class Completion:
@@ -183,7 +141,7 @@
         """Make one attempt."""
         try:
             await self._attempt(plan)
-        except _AttemptFailedError as exc:
+        except AttemptFailedError as exc:
             self._parts.decisions.failed(self._call.request, exc.target, exc.end)
             return Sent(exc.target, exc.end)
         return Sent(plan.target.name, SendEnd.DONE)
@@ -201,18 +159,18 @@
         leaves = current is None or not current.takes_work
         leaves = leaves or self._parts.know.plans.is_moving(row.name)
         if leaves or not self._parts.may_route():
-            raise _AttemptFailedError(row.name, SendEnd.NOT_RUN)
+            raise AttemptFailedError(row.name, SendEnd.NOT_RUN)
 
     async def _prefill(self, row: Row, plan: Plan) -> KvSource:
         """Have the prompt prefilled; return where its KV cache can be had."""
         call = self._engine_call(prefill_only=True)
-        stream = _AttemptRun(self._parts, row, call, plan.prefill_tokens, self._call)
+        stream = AttemptRun(self._parts, row, call, plan.prefill_tokens, self._call)
         found: list[KvSource] = []
 
         async def take(chunks: Chunks) -> bool:
             for chunk in chunks:
                 if chunk.attempt != call.attempt:
-                    raise _AttemptFailedError(row.name, SendEnd.SPOILED)
+                    raise AttemptFailedError(row.name, SendEnd.SPOILED)
                 if chunk.kv is not None:
                     found.append(chunk.kv)
             return bool(found)
@@ -224,7 +182,7 @@
     async def _generate(self, row: Row, plan: Plan, kv: KvSource | None) -> None:
         call = self._engine_call(kv=kv)
         prefill = 0 if kv else plan.prefill_tokens
-        stream = _AttemptRun(self._parts, row, call, prefill, self._call)
+        stream = AttemptRun(self._parts, row, call, prefill, self._call)
         self._answer.begin(call.attempt)
         start = self._now()
         first_at: list[float] = []
@@ -251,9 +209,9 @@
         for chunk in chunks:
             verdict = self._answer.take(chunk)
             if verdict in (Verdict.FOREIGN, Verdict.GAP):
-                raise _AttemptFailedError(target, SendEnd.SPOILED)
+                raise AttemptFailedError(target, SendEnd.SPOILED)
             if verdict is Verdict.SHORT:
-                raise _AttemptFailedError(target, SendEnd.BROKEN)
+                raise AttemptFailedError(target, SendEnd.BROKEN)
         return verdict
 
     def _engine_call(
@@ -283,94 +241,3 @@
         if tokens > 1 and plan.output_tokens > 1:
             per_token = (predicted.end - predicted.first_token) / plan.output_tokens
             cost.learn_decode(role, per_token, (self._now() - first) / tokens)
-
-
-class _AttemptRun:
-    """One call to an engine, with its books kept whatever its end."""
-
-    def __init__(
-        self,
-        parts: CompletionParts,
-        row: Row,
-        call: EngineCall,
-        prefill_tokens: int,
-        asked: ModelCall,
-    ):
-        self._parts = parts
-        self._row = row
-        self._call = call
-        self._prefill_tokens = prefill_tokens
-        self._asked = asked
-        self._got_first = False
-
-    async def run(self, take: Take) -> None:
-        """Feed ``take`` with chunks until it says that the answer is whole."""
-        name, attempt = self._row.name, self._call.attempt
-        know = self._parts.know
-        fleet = self._asked.caller.fleet
-        now = self._now()
-        know.load.sent(name, attempt, fleet, self._prefill_tokens, now)
-        pool = PoolName(self._asked.model)
-        self._parts.meter.prefill(pool, self._prefill_tokens, now)
-        know.health.started(name)
-        try:
-            await self._read(take)
-            know.health.succeeded(name)
-        except _AttemptFailedError as exc:
-            await self._note_failure(exc)
-            raise
-        except BaseException:
-            know.health.cancelled(name)
-            await self._cancel()
-            raise
-        finally:
-            know.load.ended(name, attempt, self._now())
-
-    def _now(self) -> float:
-        return self._parts.clock.monotonic()
-
-    async def _note_failure(self, exc: _AttemptFailedError) -> None:
-        self._parts.know.health.failed(self._row.name, self._now())
-        if exc.end in (SendEnd.SILENT, SendEnd.SPOILED):
-            await self._cancel()
-
-    async def _read(self, take: Take) -> None:
-        cfg = self._parts.cfg
-        name = self._row.name
-        scope = trio.CancelScope(deadline=self._now() + cfg.first_token_timeout)
-        with scope:
-            try:
-                async with self._parts.client.generate(
-                    self._row.address, self._call
-                ) as batches:
-                    async with aclosing(batches):
-                        await self._take_all(batches, take, scope)
-                        return
-            except TargetError as exc:
-                raise _AttemptFailedError(name, end_of(exc)) from exc
-        raise _AttemptFailedError(name, SendEnd.SILENT)
-
-    async def _take_all(
-        self, batches: AsyncIterator[Chunks], take: Take, scope: trio.CancelScope
-    ) -> None:
-        """Feed ``take`` until the answer is whole; ``scope`` bounds the silences."""
-        async for chunks in batches:
-            self._note_first()
-            # The caller's pace is not the engine's fault.
-            scope.deadline = float("inf")
-            if await take(chunks):
-                return
-            scope.deadline = self._now() + self._parts.cfg.token_timeout
-        raise TargetBrokenError("ended before the answer was whole")
-
-    def _note_first(self) -> None:
-        if not self._got_first:
-            self._got_first = True
-            now = self._now()
-            self._parts.know.load.first_token(self._row.name, self._call.attempt, now)
-
-    async def _cancel(self) -> None:
-        """Tell the engine, so that it does not go on for nobody."""
-        with trio.move_on_after(CANCEL_SECONDS) as scope:
-            scope.shield = True
-            await self._parts.client.cancel(self._row.address, self._call.attempt)
--- a/berylshift/request/front.py
+++ b/berylshift/request/front.py
@@ -21,8 +21,9 @@
     WholeSink,
     completion_answer,
 )
-from berylshift.request.completion import Completion, CompletionParts
+from berylshift.request.completion import Completion
 from berylshift.request.decisions import DecisionLog
+from berylshift.request.engine_attempt import CompletionParts
 from berylshift.request.errors import BadRequestError
 from berylshift.request.messages import (
     DEADLINE_HEADER,
