Split the tests of planned stops off, and call schedules schedules

Change: test_entry_shutdown.py takes PlannedStopTest as it was; the other file and its settings are named for what they hold.

--- a/berylshift/tests/test_directory_machine.py
+++ b/berylshift/tests/test_directory_schedules.py
@@ -35,7 +35,7 @@
 # calls that follow.
 IN_FORCE_SECONDS = WAIT_SECONDS + TIMEOUT_SECONDS + 0.8
 LATE_SECONDS = 0.5
-MACHINE = settings(EXPLORE, max_examples=150)
+SCHEDULES = settings(EXPLORE, max_examples=150)
 
 
 class Trouble(Enum):
@@ -279,7 +279,7 @@
 class DirectoryScheduleTest(unittest.TestCase):
     """Any order of changes and troubles."""
 
-    @MACHINE
+    @SCHEDULES
     @given(st.lists(EVENTS, max_size=25))
     def test_hosts_in_touch_agree_with_the_store(self, events):
         run_virtual(Play().run, events)
--- /dev/null
+++ b/berylshift/tests/test_entry_shutdown.py
@@ -0,0 +1,133 @@
+"""Planned stops of whole entry hosts."""
+
+import unittest
+
+import trio
+
+from berylshift.stand_ins.entry_replica import Fault
+from berylshift.tests.entry_world import (
+    prompt_headers,
+    route,
+    routes,
+    run_entry,
+    stream_body,
+)
+from berylshift.version.routes import RouteKind
+
+
+class PlannedStopTest(unittest.TestCase):
+    """SIGTERM: not ready at once, no request cut, the end within the grace."""
+
+    def stop(self, before, after):
+        """Run ``before``, begin a stop, run ``after``; then wait for the stop's end.
+
+        Return whether the host was ready once the stop began, what ``after`` returned,
+        the stop's seconds, and whether it had ended before ``after``.
+        """
+
+        async def task(world):
+            app = world.hosts[0]
+            first = await before(world)
+            start = trio.current_time()
+            ended = trio.Event()
+
+            async def shutdown():
+                await app.on_shutdown()
+                ended.set()
+
+            world.nursery.start_soon(shutdown)
+            await trio.sleep(0.01)
+            ready = app.is_ready()
+            second = await after(world, first)
+            too_soon = ended.is_set()
+            await ended.wait()
+            return ready, second, trio.current_time() - start, too_soon
+
+        return run_entry(task, engines="d")
+
+    def test_a_stream_under_way_ends_whole(self):
+        async def before(world):
+            link = world.connect()
+            headers = prompt_headers(70, shared=0)
+            await link.send("/note/x", headers=headers, left_ms=6000)
+            await trio.sleep(0.2)
+            return link
+
+        async def after(world, link):
+            return await link.read()
+
+        ready, reply, seconds, too_soon = self.stop(before, after)
+        self.assertFalse(ready)
+        self.assertFalse(too_soon)
+        self.assertEqual((reply.body, reply.whole), (stream_body(1, 70), True))
+        self.assertLess(seconds, 8)
+
+    def test_what_comes_too_late_is_refused_and_the_rest_gets_an_answer(self):
+        """Most hosts leave at once, and the balancer still sends callers to each.
+
+        One that comes with 3 s left or more is served, and is told at once when its
+        booking's desk stays silent to the end. One that comes later is refused at
+        once, which is true: its booking was not run. Neither is cut.
+        """
+
+        async def before(world):
+            slow = route("slow", RouteKind.AT_MOST_ONCE, timeout=20.0)
+            world.directory.put_routes(routes(2, slow))
+            for replica in world.replicas.values():
+                replica.work_seconds = 30
+            await trio.sleep(0.1)
+            waiting = world.connect()
+            await waiting.send("/slow/x", "r1", left_ms=20_000)
+            await trio.sleep(0.1)
+            return waiting
+
+        async def after(world, waiting):
+            await trio.sleep(5)
+            late = await world.ask("/book/x", "r2")
+            arrived = {name for rep in world.replicas.values() for name in rep.arrivals}
+            early = await waiting.read()
+            return late, early, arrived
+
+        _, (late, early, arrived), seconds, _ = self.stop(before, after)
+        self.assertEqual((late.status, late.whole), (503, True))
+        self.assertGreater(late.again, 0)
+        self.assertEqual(arrived, {"r1"})
+        self.assertEqual((early.status, early.whole), (504, True))
+        self.assertLess(seconds, 8)
+
+    def test_callers_that_still_come_are_served(self):
+        """The balancer needs two seconds to see that the host is not ready."""
+
+        async def before(world):
+            return None
+
+        async def after(world, _):
+            statuses = []
+            for number in range(20):
+                await trio.sleep(0.1)
+                reply = await world.ask("/look/x", f"r{number}")
+                statuses.append((reply.status, reply.headers.get(b"connection")))
+            return statuses
+
+        _, statuses, seconds, _ = self.stop(before, after)
+        self.assertEqual(statuses, [(200, b"close")] * 20)
+        self.assertLess(seconds, 8)
+
+    def test_the_end_comes_within_the_grace_whatever_hangs(self):
+        async def before(world):
+            for replica in world.replicas.values():
+                replica.faults = [Fault.MUTE]
+            link = world.connect()
+            await link.send("/book/x", left_ms=60000)
+            await trio.sleep(0.1)
+            return link
+
+        async def after(world, link):
+            return None
+
+        _, _, seconds, _ = self.stop(before, after)
+        self.assertLess(seconds, 7.5)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -71,14 +71,14 @@
         "request/routed_front.py",
         "if not self._parts.shutdown.takes_new():",
         "if False:",
-        "test_entry_application.PlannedStopTest",
+        "test_entry_shutdown.PlannedStopTest",
     ),
     Proof(
         "a leaving host answers before it ends",
         "process/fleet/shutdown.py",
         "            work.deadline = min(work.deadline, self._ends_at)\n\n",
         "            pass\n\n",
-        "test_entry_application.PlannedStopTest",
+        "test_entry_shutdown.PlannedStopTest",
     ),
     Proof(
         "half a body does not look whole",
@@ -100,7 +100,7 @@
         "process/fleet/replica_set.py",
         "gone |= self._listed.keys() -",
         "gone |= set() & self._listed.keys() -",
-        "test_directory_machine.DirectoryScheduleTest",
+        "test_directory_schedules.DirectoryScheduleTest",
     ),
     Proof(
         "an answer must bear its signature",
@@ -257,14 +257,14 @@
         "entry_application.py",
         "        if self.leaving or self.routes.table is None:\n",
         "        if self.routes.table is None:\n",
-        "test_entry_application.PlannedStopTest",
+        "test_entry_shutdown.PlannedStopTest",
     ),
     Proof(
         "a planned stop waits for what is under way",
         "entry_application.py",
         "            await self._wait_until_quiet()\n",
         "",
-        "test_entry_application.PlannedStopTest.test_a_stream_under_way_ends_whole",
+        "test_entry_shutdown.PlannedStopTest.test_a_stream_under_way_ends_whole",
     ),
     Proof(
         "a lease is over on a clock that counts a freeze",
