Use the project's words, and drop what nothing uses

Change: names and comments only, the two unused things go, the comment says what the log was. Left: the published names in stand-ins, their tests and the demonstration, which speak the platform's protocol.

--- a/berylshift/clock.py
+++ b/berylshift/clock.py
@@ -26,7 +26,7 @@
     """The event loop's clock; virtual wherever the loop's clock is virtual."""
 
     def __init__(self, epoch: datetime | None = None):
-        """Keep the calendar start; ``None`` takes the machine's calendar."""
+        """Keep the calendar start; ``None`` takes the host's calendar."""
         self._epoch = epoch
 
     def monotonic(self) -> float:
--- a/berylshift/connection/peer_link.py
+++ b/berylshift/connection/peer_link.py
@@ -58,12 +58,11 @@
         except OSError:
             logger.debug("datagram not sent")
 
-    async def send_to_all(self, addresses: list[str], message: Message) -> int:
-        """Send a message, encoded once, to each address; return its bytes."""
+    async def send_to_all(self, addresses: list[str], message: Message) -> None:
+        """Send a message, encoded once, to each address."""
         data = self._codec.encode(message, self._most)
         for address in addresses:
             await self._send(address, data)
-        return len(data)
 
     async def receive(self, take: Callable[[Message], None]) -> None:
         """Give each message to ``take`` until cancelled."""
--- a/berylshift/log.py
+++ b/berylshift/log.py
@@ -55,7 +55,7 @@
         return not self._rest
 
 
-class _Allowance:
+class _LineQuota:
     """Lines that one message text may still write."""
 
     def __init__(self, now: float):
@@ -82,17 +82,17 @@
         super().__init__()
         self._sink = sink
         self._clock = clock
-        self._allowances: dict[str, _Allowance] = {}
+        self._quotas: dict[str, _LineQuota] = {}
         self.dropped = 0
 
     def emit(self, record: logging.LogRecord) -> None:
         """Write a record if its message has lines left."""
         now = self._clock()
-        allowance = self._allowances.setdefault(str(record.msg), _Allowance(now))
-        if not allowance.take(now):
+        quota = self._quotas.setdefault(str(record.msg), _LineQuota(now))
+        if not quota.take(now):
             return
-        if allowance.left_out:
-            record.left_out = allowance.left_out
+        if quota.left_out:
+            record.left_out = quota.left_out
         if self.dropped:
             record.dropped = self.dropped
         try:
@@ -101,7 +101,7 @@
             self.handleError(record)
             return
         if self._sink.write(data):
-            allowance.left_out = 0
+            quota.left_out = 0
             self.dropped = 0
         else:
             self.dropped += 1
--- a/berylshift/model/event_queue.py
+++ b/berylshift/model/event_queue.py
@@ -3,13 +3,12 @@
 import heapq
 import itertools
 from collections.abc import Callable
-from datetime import UTC, datetime, timedelta
 
 Call = Callable[[], None]
 
 
 class EventQueue:
-    """Calls in the order of their times; a clock as well. Times are in seconds."""
+    """Calls in the order of their times, in seconds."""
 
     def __init__(self) -> None:
         """Start at time zero with nothing to do."""
@@ -21,10 +20,6 @@
         """Return the virtual time."""
         return self._now
 
-    def now(self) -> datetime:
-        """Return the first day of 2026 plus the virtual time."""
-        return datetime(2026, 1, 1, tzinfo=UTC) + timedelta(seconds=self._now)
-
     def at(self, time: float, call: Call) -> None:
         """Do ``call`` at a time; one that is over means now."""
         entry = (max(time, self._now), next(self._count), call)
--- a/berylshift/process/fleet/load_loop.py
+++ b/berylshift/process/fleet/load_loop.py
@@ -36,8 +36,8 @@
 class LoadLink(Protocol):
     """Sends and receives digests."""
 
-    async def send_to_all(self, addresses: list[str], message: LoadDigest) -> int:
-        """Send a digest to each address; return its bytes. Some may be lost."""
+    async def send_to_all(self, addresses: list[str], message: LoadDigest) -> None:
+        """Send a digest to each address; some may be lost."""
 
     async def receive(self, take: Callable[[LoadDigest], None]) -> None:
         """Give each digest to ``take`` until cancelled."""
--- a/berylshift/process/fleet/shutdown.py
+++ b/berylshift/process/fleet/shutdown.py
@@ -7,7 +7,7 @@
 from berylshift.clock import Clock
 
 # A request that comes with less than this left before the end is not taken: the
-# longest stream of a calm day takes 1.6 s (log of a host, 64 requests), and its caller
+# longest of 64 requests at one host took 1.6 s (log of a played day), and its caller
 # has time for another host. Where a stop is given little time, half of it counts.
 NEEDED_SECONDS = 3.0
 NEEDED_SHARE = 0.5
--- a/berylshift/stand_ins/fake_platform.py
+++ b/berylshift/stand_ins/fake_platform.py
@@ -43,7 +43,7 @@
 
 @dataclass
 class RateBucket:
-    """A token bucket that holds one second's allowance."""
+    """A token bucket that holds one second's quota."""
 
     tokens: float = 0.0
     filled_at: float | None = None
@@ -163,14 +163,14 @@
         return listed
 
     def weight_info(self, model: str, version: str) -> WeightInfo:
-        """Return a model version's size and what is left of the allowance."""
+        """Return a model version's size and what is left of the quota."""
         self._admit(self._read_bucket, self.script.reads_per_second)
         return WeightInfo(
             model, version, DEFAULT_WEIGHT_BYTES, self._weight_bytes_left()
         )
 
     def take_weights(self, model: str, version: str) -> WeightInfo:
-        """Hand out a model version's weights, as far as the allowance goes."""
+        """Hand out a model version's weights, as far as the quota goes."""
         info = self.weight_info(model, version)
         if info.bytes_left < info.size_bytes:
             raise StoreThrottledError("weights are rate-limited")
--- a/berylshift/store/interfaces.py
+++ b/berylshift/store/interfaces.py
@@ -86,7 +86,7 @@
 
 
 class WeightInfo(msgspec.Struct, frozen=True):
-    """Weights of one model version; ``bytes_left`` is this minute's allowance."""
+    """Weights of one model version; ``bytes_left`` is this minute's quota."""
 
     model: str
     version: str
--- a/berylshift/tests/entry_world.py
+++ b/berylshift/tests/entry_world.py
@@ -98,12 +98,11 @@
         self._take = None
         links.append(self)
 
-    async def send_to_all(self, addresses: list[str], message: LoadDigest) -> int:
+    async def send_to_all(self, addresses: list[str], message: LoadDigest) -> None:
         """Give a digest to all others; addresses do not matter here."""
         for link in self._links:
             if link is not self and link._take is not None:
                 link._take(message)
-        return 0
 
     async def receive(self, take) -> None:
         """Hear until cancelled."""
--- a/berylshift/tests/support.py
+++ b/berylshift/tests/support.py
@@ -12,7 +12,7 @@
 from berylshift.version.rows import OrderCheck, Row, RowKind
 from berylshift.version.table import Table
 
-# The same exploration each time, on any machine.
+# The same exploration each time, on any computer.
 EXPLORE = settings(
     derandomize=True,
     max_examples=200,
--- a/berylshift/tests/test_platform_batch.py
+++ b/berylshift/tests/test_platform_batch.py
@@ -122,7 +122,7 @@
 
         self.assertEqual(self.run_virtual(task), (15, 5))
 
-    def test_weights_are_handed_out_as_far_as_the_allowance_goes(self):
+    def test_weights_are_handed_out_as_far_as_the_quota_goes(self):
         async def task():
             script = PlatformScript(weight_bytes_per_minute=20_000_000_000)
             fake = FakePlatform(LoopClock(), script)
--- a/berylshift/tools/run_tests.py
+++ b/berylshift/tools/run_tests.py
@@ -14,7 +14,7 @@
 KNOWN_RED = Path("KNOWN-RED.txt")
 MOST_KNOWN_RED = 3
 TESTS = "berylshift.tests"
-# The slowest test takes 3 s on an idle machine; one that takes 40 times as long hangs.
+# The slowest test takes 3 s on an idle computer; one that takes 40 times as long hangs.
 TEST_SECONDS = 120.0
 # What a test that swallows its time-out gets on top, before the run itself is ended.
 LAST_SECONDS = 30.0
