Bound the wait for a target, never the write to its caller

Cause: the patience for an engine's word was a cancel scope round the whole exchange. When it ended in the turn of the loop in which the word came, the word was passed on and its write cut: h11 counted the head as sent, no byte of it had left, and the next engine's chunks reached the caller without a head. The same cut an event, the end mark, a whole answer, and text of the product's own interface. Ruled out: a late answer on a kept connection (ids compared); a host's end. Change: SilenceLimit bounds the wait alone; a word that has come is taken. An answer counts as begun only once nothing waits before its write.

--- a/berylshift/request/answer_stream.py
+++ b/berylshift/request/answer_stream.py
@@ -1,5 +1,7 @@
 """The answer of one routed request towards its caller, across several sends."""
 
+import trio
+
 from berylshift.clock import Clock
 from berylshift.connection.http_server import Responder
 from berylshift.messages.routed import AnswerHead
@@ -32,7 +34,7 @@
 
     async def whole(self, head: AnswerHead, body: bytes) -> None:
         """Send a whole answer."""
-        self.started = True
+        await self._begin()
         out = self._responder
         await out.begin_raw(head.status, list(head.headers), len(body))
         if body:
@@ -56,10 +58,10 @@
         self._note_time()
         self.events += len(events)
         await self._start()
+        await self._responder.send(b"".join(event.data for event in events))
         for event in events:
             if event.id is not None:
                 self.last_event = event.id
-        await self._responder.send(b"".join(event.data for event in events))
 
     def _note_time(self) -> None:
         """Keep what callers judge a stream by: its first event and its pauses."""
@@ -80,6 +82,16 @@
     async def _start(self) -> None:
         if self.started or self._head is None:
             return
-        self.started = True
+        await self._begin()
         headers = list(self._head.headers)
         await self._responder.begin_raw(self._head.status, headers, None)
+
+    async def _begin(self) -> None:
+        """Take the answer as started, unless its time is already over.
+
+        A cancellation that is due would otherwise be met in the write: the answer
+        would count as started, and its caller could not be told any more, without a
+        byte on its way. From here to the write nothing waits.
+        """
+        await trio.lowlevel.checkpoint_if_cancelled()
+        self.started = True
--- a/berylshift/request/engine_attempt.py
+++ b/berylshift/request/engine_attempt.py
@@ -1,7 +1,7 @@
 """One attempt of a model call at an engine, with its books kept whatever its end."""
 
 from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import aclosing
+from contextlib import AsyncExitStack, aclosing
 from dataclasses import dataclass
 
 import trio
@@ -17,6 +17,7 @@
     ModelCall,
 )
 from berylshift.request.retry_rule import SendEnd, end_of
+from berylshift.request.silence import NEVER, SilenceLimit, TargetSilentError
 from berylshift.settings import TargetSettings
 from berylshift.targets import (
     EngineCall,
@@ -114,30 +115,29 @@
     async def _read(self, take: Take) -> None:
         cfg = self._parts.cfg
         name = self._row.name
-        scope = trio.CancelScope(deadline=self._now() + cfg.first_token_timeout)
-        with scope:
-            try:
-                async with self._parts.client.generate(
-                    self._row.address, self._call
-                ) as batches:
-                    async with aclosing(batches):
-                        await self._take_all(batches, take, scope)
-                        return
-            except TargetError as exc:
-                raise AttemptFailedError(name, end_of(exc)) from exc
-        raise AttemptFailedError(name, SendEnd.SILENT)
+        limit = SilenceLimit(NEVER)
+        limit.allow(cfg.first_token_timeout)
+        call = self._parts.client.generate(self._row.address, self._call)
+        try:
+            async with AsyncExitStack() as stack:
+                batches = await limit.bound(stack.enter_async_context(call))
+                async with aclosing(batches):
+                    await self._take_all(batches, take, limit)
+        except TargetSilentError as exc:
+            raise AttemptFailedError(name, SendEnd.SILENT) from exc
+        except TargetError as exc:
+            raise AttemptFailedError(name, end_of(exc)) from exc
 
     async def _take_all(
-        self, batches: AsyncIterator[Chunks], take: Take, scope: trio.CancelScope
+        self, batches: AsyncIterator[Chunks], take: Take, limit: SilenceLimit
     ) -> None:
-        """Feed ``take`` until the answer is whole; ``scope`` bounds the silences."""
-        async for chunks in batches:
+        """Feed ``take`` until the answer is whole; ``limit`` bounds the silences."""
+        while chunks := await limit.bound(anext(batches, None)):
             self._note_first()
-            # The caller's pace is not the engine's fault.
-            scope.deadline = float("inf")
             if await take(chunks):
                 return
-            scope.deadline = self._now() + self._parts.cfg.token_timeout
+            # The caller's pace is not the engine's fault.
+            limit.allow(self._parts.cfg.token_timeout)
         raise TargetBrokenError("ended before the answer was whole")
 
     def _note_first(self) -> None:
--- a/berylshift/request/single_send.py
+++ b/berylshift/request/single_send.py
@@ -1,7 +1,8 @@
 """One send of a request to a replica, and what its answer comes to."""
 
+from contextlib import AsyncExitStack, aclosing
+
 import msgspec
-import trio
 
 from berylshift.connection.errors import ConnectFailedError, ConnectionLayerError
 from berylshift.connection.target_client import TargetAnswer, TargetRequest
@@ -12,6 +13,7 @@
 from berylshift.request.answer_stream import AnswerStream, StreamBrokenError
 from berylshift.request.relay_parts import RelayParts
 from berylshift.request.retry_rule import SendEnd, SendHistory
+from berylshift.request.silence import NEVER, SilenceLimit, TargetSilentError
 from berylshift.version.routes import Route, RouteKind
 
 FIRST_ERROR_STATUS = 400
@@ -82,10 +84,14 @@
         return end
 
     async def _exchange(self, out: TargetRequest, reading: Reading) -> SendEnd:
+        limit = SilenceLimit(NEVER)
+        limit.allow(self._patience())
         try:
-            with trio.move_on_after(self._patience()) as scope:
-                async with self._parts.client.exchange(out) as answer:
-                    return await self._take_answer(out.instance, answer, scope, reading)
+            async with AsyncExitStack() as stack:
+                exchange = self._parts.client.exchange(out)
+                answer = await limit.bound(stack.enter_async_context(exchange))
+                return await self._take_answer(out.instance, answer, limit, reading)
+        except TargetSilentError:
             return SendEnd.SILENT
         except ConnectFailedError:
             return SendEnd.NOT_REACHED
@@ -98,7 +104,7 @@
         While the body still comes, a replica's silence may be its caller's.
         """
         if not self._may_go_elsewhere() or not self._req.body.ended:
-            return float("inf")
+            return NEVER
         stream = self._route.kind is RouteKind.STREAM
         factor = STREAM_PATIENCE if stream else PATIENCE
         return max(LEAST_PATIENCE, factor * self._route.objective)
@@ -111,12 +117,12 @@
         self,
         instance: InstanceId,
         answer: TargetAnswer,
-        scope: trio.CancelScope,
+        limit: SilenceLimit,
         reading: Reading,
     ) -> SendEnd:
         head = self._parts.language.read_answer(answer.status, answer.headers)
         if head.request is not None and head.request != self._req.id:
-            await answer.skip()
+            await limit.bound(answer.skip())
             head = self._parts.language.read_answer(answer.status, answer.headers)
         if head.request is not None and head.request != self._req.id:
             answer.usable = False
@@ -127,18 +133,20 @@
             now = self._parts.clock.monotonic()
             self._parts.loads.heard(instance, head.load, now)
         if head.not_run:
-            await answer.read(MOST_REFUSAL_BYTES)
+            await limit.bound(answer.read(MOST_REFUSAL_BYTES))
             return SendEnd.NOT_RUN
         if not head.genuine:
             answer.usable = False
             return SendEnd.SPOILED
         streams = self._route.kind is RouteKind.STREAM
         if streams and head.status < FIRST_ERROR_STATUS:
-            return await self._take_stream(answer, head, scope, reading)
-        return await self._take_whole(answer, head)
+            return await self._take_stream(answer, head, limit, reading)
+        return await self._take_whole(answer, head, limit)
 
-    async def _take_whole(self, answer: TargetAnswer, head: AnswerHead) -> SendEnd:
-        body = await answer.read(MOST_WHOLE_BYTES)
+    async def _take_whole(
+        self, answer: TargetAnswer, head: AnswerHead, limit: SilenceLimit
+    ) -> SendEnd:
+        body = await limit.bound(answer.read(MOST_WHOLE_BYTES))
         if head.status >= FIRST_SERVER_ERROR or self._out.started:
             self.failure = FailedAnswer(head, body)
             return SendEnd.FAILED
@@ -149,16 +157,16 @@
         self,
         answer: TargetAnswer,
         head: AnswerHead,
-        scope: trio.CancelScope,
+        limit: SilenceLimit,
         reading: Reading,
     ) -> SendEnd:
         self._out.open(head)
-        async for data in answer.chunks():
-            if self._may_go_elsewhere():
-                scope.deadline = trio.current_time() + GAP_PATIENCE_SECONDS
-            else:
-                scope.deadline = float("inf")
-            reading.done()
-            await self._out.feed(data)
+        async with aclosing(answer.chunks()) as chunks:
+            while (data := await limit.bound(anext(chunks, None))) is not None:
+                reading.done()
+                await self._out.feed(data)
+                # The caller's pace is not the engine's fault.
+                goes_on = self._may_go_elsewhere()
+                limit.allow(GAP_PATIENCE_SECONDS if goes_on else NEVER)
         await self._out.close()
         return SendEnd.DONE
