Learn what engines take for their work

Hypothesis: hosts refuse by a predicted time that is off by four times on engines that are four times as quick; with the right speeds they refuse less. Cause: read rate, running request, slot and move were constants of one engine. Constants removed: READ_RATE, DECODE_READ_RATE, SECONDS_PER_RUNNING, SECONDS_PER_SLOT, MOVE_SECONDS_PER_TOKEN, APART_, AWAY_, SECOND_SECONDS, DOMAIN_SECONDS_PER_TOKEN.

--- a/bench/placing.py
+++ b/bench/placing.py
@@ -7,6 +7,7 @@
 from berylshift.messages.load_digest import LoadDigest, LoadEntry, Urgency, target_hash
 from berylshift.messages.replicas import EnginePhase, Replica
 from berylshift.messages.routed import Prompt, PromptPart
+from berylshift.process.fleet.engine_speeds import EngineSpeeds
 from berylshift.process.fleet.peer_loads import PeerLoads
 from berylshift.process.fleet.pools import Pool
 from berylshift.process.fleet.target_load import TargetLoads
@@ -56,7 +57,8 @@
     """Return the microseconds of placing one prompt: reader and answerer."""
     rng = random.Random(1)
     pool = make_pool(engines)
-    placer = Placer(TargetLoads(), make_peers(hosts, pool, rng), WarmParts(), "d1", rng)
+    peers = make_peers(hosts, pool, rng)
+    placer = Placer(TargetLoads(), peers, WarmParts(), EngineSpeeds(), "d1", rng)
     prompts = [
         Prompt((PromptPart(f"p{n}", 13_000), PromptPart("own", 3_000)), 16_000, 80)
         for n in range(PARTS)
--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -16,6 +16,7 @@
 from berylshift.messages.routed import Language
 from berylshift.process.fleet.arrival_budget import HOSTS_ASSUMED, ArrivalBudget
 from berylshift.process.fleet.directory_loop import DirectoryLoop
+from berylshift.process.fleet.engine_speeds import EngineSpeeds
 from berylshift.process.fleet.expected_phases import ExpectedPhases
 from berylshift.process.fleet.load_loop import LoadLink, LoadLoop, LoadParts
 from berylshift.process.fleet.order_lease import OrderLease
@@ -36,7 +37,7 @@
 from berylshift.store.host_rows import HostRows
 from berylshift.store.lease_rows import LeaseRows
 from berylshift.telemetry import Telemetry
-from berylshift.version.routes import RouteTable
+from berylshift.version.routes import EngineFacts, RouteTable
 
 logger = logging.getLogger(__name__)
 
@@ -98,8 +99,14 @@
         self._nursery: trio.Nursery | None = None
         self.peers = PeerLoads(cfg.host.name)
         self.warm = WarmParts()
+        self.speeds = EngineSpeeds(self._engine_facts)
         placing = PlacingParts(
-            self.loads, self.peers, self.warm, DomainName(cfg.host.domain), ports.rng
+            self.loads,
+            self.peers,
+            self.warm,
+            self.speeds,
+            DomainName(cfg.host.domain),
+            ports.rng,
         )
         reads = PromptReads(
             ports.language,
@@ -115,6 +122,7 @@
             client=ports.client,
             replicas=self.replicas,
             loads=self.loads,
+            speeds=self.speeds,
             placer=PLACINGS[cfg.entry.placing](placing),
             reads=reads,
             shutdown=self.shutdown,
@@ -164,6 +172,12 @@
         found.hosts = self._hosts_that_share()
         return found
 
+    def _engine_facts(self, service: ServiceName) -> EngineFacts | None:
+        """Return what the routes in force say of a service's engines."""
+        table = self.routes.table
+        found = None if table is None else table.services.get(service)
+        return None if found is None else found.engine
+
     def _forget_replica(self, instance: InstanceId) -> None:
         """Drop what is kept of a replica that is gone."""
         self.loads.forget(instance)
--- a/berylshift/model/figures.py
+++ b/berylshift/model/figures.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from berylshift.ids import RouteName
+from berylshift.version.routes import EngineFacts
 
 # How unevenly shared parts are asked for: 497 prompts of a played day touched about 65
 # of 128 parts, as tokens read for the first time tell.
@@ -34,6 +35,16 @@
     switch_seconds: float = 3.0
     tokens_per_event: int = 7
 
+    @property
+    def facts(self) -> EngineFacts:
+        """Return what a configuration says of such engines."""
+        return EngineFacts(
+            self.slots,
+            self.memory_tokens,
+            round(self.kv_bytes),
+            self.link_bits / 1e6,
+        )
+
 
 class PartFigures(msgspec.Struct, frozen=True):
     """A shared part: tokens (mean, spread, most), how many there are, their skew."""
--- a/berylshift/model/fleet.py
+++ b/berylshift/model/fleet.py
@@ -73,6 +73,7 @@
                 self._domain(number),
                 spec.placing,
                 self._rng.getrandbits(32),
+                self.site.engine.facts,
             )
             for number in range(self.site.hosts)
         ]
--- a/berylshift/model/host.py
+++ b/berylshift/model/host.py
@@ -5,20 +5,28 @@
 from berylshift.ids import DomainName
 from berylshift.messages.load_digest import LoadDigest
 from berylshift.model.event_queue import EventQueue
+from berylshift.process.fleet.engine_speeds import EngineSpeeds
 from berylshift.process.fleet.load_loop import REPEAT_SECONDS, TELL_SECONDS
 from berylshift.process.fleet.peer_loads import PeerLoads
 from berylshift.process.fleet.target_load import TargetLoads
 from berylshift.process.fleet.warm_parts import WarmParts
 from berylshift.request.placing_policies import PLACINGS, PlacingParts
+from berylshift.version.routes import EngineFacts
 
 
 class ModelHost:
     """One host; it tells the others what a real one tells."""
 
     def __init__(
-        self, queue: EventQueue, name: str, domain: DomainName, placing: str, seed: int
+        self,
+        queue: EventQueue,
+        name: str,
+        domain: DomainName,
+        placing: str,
+        seed: int,
+        facts: EngineFacts,
     ):
-        """Place by the policy that ``placing`` names."""
+        """Place by the policy that ``placing`` names; ``facts`` are configured."""
         self._queue = queue
         self.name = name
         self.domain = domain
@@ -26,7 +34,10 @@
         self.peers = PeerLoads(name)
         self.warm = WarmParts()
         self.rng = random.Random(seed)
-        parts = PlacingParts(self.loads, self.peers, self.warm, domain, self.rng)
+        self.speeds = EngineSpeeds(lambda service: facts)
+        parts = PlacingParts(
+            self.loads, self.peers, self.warm, self.speeds, domain, self.rng
+        )
         self.placer = PLACINGS[placing](parts)
         self._others: list[ModelHost] = []
         self._sequence = 0
--- a/berylshift/model/prompt_run.py
+++ b/berylshift/model/prompt_run.py
@@ -43,6 +43,8 @@
         self._pause = 0.0
         self._over = False
         self._first_until = 0.0
+        self._sent_at = 0.0
+        self._source: Replica | None = None
 
     def begin(self) -> None:
         """Place the prompt; refuse it at once if it would come too late."""
@@ -73,6 +75,7 @@
             self._refuse(seconds - self._kind.patience)
             return
         self._reads += 1
+        self._sent_at = now
         host.placer.note_sent(place, prompt, now)
         host.loads.sent(place.target.instance, place.tokens, self._urgency)
         engine = self._fleet.engines[place.target.address]
@@ -94,6 +97,10 @@
         host.loads.ended(instance)
         self._note(place.target, good)
         if good:
+            seconds = self._queue.monotonic() - self._sent_at
+            host.speeds.was_read(
+                place.target.service, place.tokens, place.ahead, seconds
+            )
             self._answer(place.target)
         else:
             self._tried.append(instance)
@@ -111,6 +118,7 @@
             self._refuse(0.0)
             return
         instance = place.target.instance
+        self._sent_at, self._source = now, source
         host.loads.sent(instance, place.tokens, self._urgency)
         engine = self._fleet.engines[place.target.address]
         stream = Stream(
@@ -136,6 +144,10 @@
             self._first = now - self._arrival.at
             host = self._host
             host.loads.read(place.target.instance, place.tokens, self._urgency)
+            if self._source is not None:
+                tokens = self._arrival.prompt.tokens
+                seconds = now - self._sent_at
+                host.speeds.began(place.target.service, tokens, place.ahead, seconds)
         else:
             self._pause = max(self._pause, now - self._last)
         self._last = now
@@ -145,6 +157,9 @@
         if self._first is None:
             host.loads.read(instance, place.tokens, self._urgency)
         host.loads.ended(instance)
+        if good and self._first is not None:
+            seconds = self._queue.monotonic() - self._sent_at
+            host.speeds.answered(place.target.service, seconds)
         self._note(place.target, good)
         way = self._way_back(place.target)
         self._queue.after(way, lambda: self._close(good))
--- a/berylshift/request/placement.py
+++ b/berylshift/request/placement.py
@@ -17,6 +17,7 @@
 from berylshift.messages.load_digest import Urgency
 from berylshift.messages.replicas import Replica
 from berylshift.messages.routed import Prompt
+from berylshift.process.fleet.engine_speeds import EngineSpeeds
 from berylshift.process.fleet.peer_loads import PeerLoads
 from berylshift.process.fleet.pools import Pool
 from berylshift.process.fleet.target_load import TargetLoad, TargetLoads
@@ -27,49 +28,43 @@
 # Replicas looked at in a pool; of more than these, so many are drawn. Two drawn ones
 # already avoid long queues; a dozen make the worst of them unlikely.
 LOOKED_AT = 12
-# Parts that no engine keeps are read at one of their homes unless both are this much
-# busier than another engine: hosts that have not heard of each other yet meet there
-# (0.6 s against 0.1 s and 2 s: mean worth of four days 0.681, 0.663, 0.675).
-AWAY_SECONDS = 0.6
+# Parts that no engine keeps are read at one of their homes unless both are this many
+# tokens busier than another engine: hosts that have not heard of each other yet meet
+# there (37,000 against 6,000 and 123,000: mean worth of four days 0.681, 0.663, 0.675).
+AWAY_TOKENS = 37_000
 # The same for the second home: all hosts meet at the first one as long as it is idle.
-SECOND_SECONDS = 0.1
+SECOND_TOKENS = 6_000
 # Prompts up to this size may be read by the engine that answers: two of its pieces,
 # which stop its streams for 67 ms of the 300 ms that a pause may last.
 DIRECT_TOKENS = 2048
-# What a prompt read apart loses on its way to the engine that answers.
-APART_SECONDS = 0.1
+# What a prompt read apart loses on its way to the engine that answers, as tokens that
+# are read meanwhile.
+APART_TOKENS = 6_000
 # What reading shared parts anew costs others, as a multiple of its own time: the
 # engine's queue grows by it, and other prompts' parts yield their memory. 1.5 against
 # 4: the slowest kind's first event p95 1.4 s, not 1.7 s (model, heavy day, 8 seeds);
 # mean worth of twelve played days 0.659 and 0.652, with the bound below.
 SHARED_WEIGHT = 1.5
-# Tokens an engine that reads prompts takes a second; one that answers reads at half
-# the speed, between the tokens of other requests (the engines' published figures).
-READ_RATE = 61_400.0
-DECODE_READ_RATE = READ_RATE / 2
+# An engine that answers reads at half the speed, between the tokens of other requests
+# (the engines' published interface).
+ANSWERING_READ_SHARE = 0.5
 # Tokens' worth of reading that each pair of a new token and one before it costs:
-# reading slows as the context grows (0.525 ms a million pairs by their sheet).
-TOKENS_PER_PAIR = 0.525e-9 * READ_RATE
+# reading slows as the context grows. Two engines' sheets, of which one reads four
+# times as fast, say 3.22e-5 and 3.26e-5.
+TOKENS_PER_PAIR = 3.2e-5
 # Prompt tokens that a request waiting at an engine is taken to have.
 WAITING_TOKENS = 4_000
 # Tokens of less urgent prompts that a more urgent one is taken to wait for at most: an
 # engine finishes the prompt that it reads (8,000 against 0: worth 0.939 and 0.928;
 # model, swings, 8 seeds).
 BEGUN_TOKENS = 8_000
-# Seconds that a decode step grows with each request that runs beside.
-SECONDS_PER_RUNNING = 0.002
-# Seconds until one of an engine's slots is free while all are taken: 64 streams of
-# about 120 tokens and 16 ms a step.
-SECONDS_PER_SLOT = 0.03
-# Moving a KV cache: set-up, and the time a token takes at 370 Gbit/s and 35 kB; twice
-# that between domains.
-MOVE_SECONDS = 0.006
-MOVE_SECONDS_PER_TOKEN = 0.8e-6
+# How much longer a KV cache takes to another domain (the engines' published interface).
+AWAY_MOVE_FACTOR = 2
 # Seconds of waiting that a hop to another domain is worth avoiding: callers lose 2 ms,
 # and bytes between domains are dear. A prompt's text goes to two engines, so it weighs
-# by its size: 0.07 s for 12,000 tokens.
+# by its size, as this part of the time in which it is read.
 DOMAIN_SECONDS = 0.01
-DOMAIN_SECONDS_PER_TOKEN = 5e-6
+DOMAIN_READ_SHARE = 0.3
 # Seconds that one severe failure just now weighs.
 FAILURE_SECONDS = 0.4
 # Seconds of work of one request at a plain service.
@@ -90,6 +85,8 @@
     """A replica, why, the seconds predicted there, and the tokens it has to read.
 
     ``weight`` is what the choice goes by: the seconds, and what others pay for it.
+    ``ahead`` is what is known to be before it: tokens at an engine that reads,
+    requests at one that answers.
     """
 
     target: Replica
@@ -97,6 +94,7 @@
     seconds: float
     tokens: int = 0
     weight: float = 0.0
+    ahead: float = 0.0
 
 
 class Placing(Protocol):
@@ -139,10 +137,12 @@
         loads: TargetLoads,
         peers: PeerLoads,
         warm: WarmParts,
+        speeds: EngineSpeeds,
         domain: DomainName,
         rng: random.Random,
     ):
         """Choose for a host in ``domain``."""
+        self._speeds = speeds
         self._loads = loads
         self._peers = peers
         self._warm = warm
@@ -179,7 +179,7 @@
         if best is None or prompt.tokens > DIRECT_TOKENS:
             return best
         direct = self.answerer(pool, prompt, None, avoid, now)
-        apart = best.seconds + APART_SECONDS
+        apart = best.seconds + APART_TOKENS / self._rate(best.target)
         if direct is not None and direct.seconds < apart:
             return None
         return best
@@ -244,25 +244,15 @@
         kept = self._kept(replica, prompt, now)
         tokens = reading_work(prompt.tokens, kept)
         backlog = self._backlog(replica, urgency, now)
-        seconds = (backlog + tokens) / READ_RATE
+        rate = self._rate(replica)
+        seconds = (backlog + tokens) / rate
         reason = self._reason(replica, homes, kept)
-        weight = seconds + self._burden(prompt, kept, most_kept, reason)
+        weight = seconds + _burden(prompt, kept, most_kept, reason) / rate
         weight += self._way(replica, prompt.tokens) + self._distrust(replica, now)
-        return Placement(replica, reason, seconds, tokens, weight)
-
-    def _burden(
-        self, prompt: Prompt, kept: int, most_kept: int, reason: Reason
-    ) -> float:
-        """Return the seconds that others pay for a reading."""
-        again = reading_work(prompt.tokens, kept) - reading_work(
-            prompt.tokens, most_kept
-        )
-        burden = SHARED_WEIGHT * again / READ_RATE
-        if prompt.shared_tokens < HOME_TOKENS:
-            return burden
-        if reason is Reason.SECOND_HOME:
-            return burden + SECOND_SECONDS
-        return burden + (AWAY_SECONDS if reason is Reason.LEAST_LOADED else 0.0)
+        return Placement(replica, reason, seconds, tokens, weight, backlog)
+
+    def _rate(self, replica: Replica) -> float:
+        return self._speeds.read_rate(replica.service)
 
     def _reason(
         self, replica: Replica, homes: tuple[Replica, ...], kept: int
@@ -300,21 +290,23 @@
     def _answering(
         self, replica: Replica, prompt: Prompt, reader: Replica | None, now: float
     ) -> Placement:
-        load = self._loads.of(replica.instance)
+        load, service = self._loads.of(replica.instance), replica.service
         running = self._running(replica, load, now)
-        seconds = running * SECONDS_PER_RUNNING
-        seconds += max(0.0, running + 1 - replica.slots) * SECONDS_PER_SLOT
+        seconds = running * self._speeds.running_seconds(service)
+        waiting = max(0.0, running + 1 - replica.slots)
+        seconds += waiting * self._speeds.slot_seconds(service, replica.slots)
         backlog = sum(load.reading) + sum(self._peers.reading(replica.instance, now))
         tokens = 0
         if reader is None:
             tokens = reading_work(prompt.tokens, 0)
         else:
-            move = MOVE_SECONDS + prompt.tokens * MOVE_SECONDS_PER_TOKEN
-            seconds += move if reader.domain == replica.domain else 2 * move
-        seconds += (backlog + tokens) / DECODE_READ_RATE
+            move = self._speeds.move_seconds(service, prompt.tokens)
+            near = reader.domain == replica.domain
+            seconds += move if near else AWAY_MOVE_FACTOR * move
+        seconds += (backlog + tokens) / (ANSWERING_READ_SHARE * self._rate(replica))
         weight = seconds + self._way(replica, prompt.tokens)
         weight += self._distrust(replica, now)
-        return Placement(replica, Reason.LEAST_LOADED, seconds, tokens, weight)
+        return Placement(replica, Reason.LEAST_LOADED, seconds, tokens, weight, running)
 
     def _plain_place(self, replica: Replica, now: float) -> Placement:
         load = self._loads.of(replica.instance)
@@ -332,7 +324,8 @@
         jitter = JITTER_SECONDS * self._rng.random()
         if replica.domain == self._domain:
             return jitter
-        return DOMAIN_SECONDS + DOMAIN_SECONDS_PER_TOKEN * tokens + jitter
+        read_seconds = tokens / self._rate(replica)
+        return DOMAIN_SECONDS + DOMAIN_READ_SHARE * read_seconds + jitter
 
     def _distrust(self, replica: Replica, now: float) -> float:
         """Return the seconds that recent failures weigh.
@@ -345,6 +338,17 @@
         return FAILURE_SECONDS * max(failures, told)
 
 
+def _burden(prompt: Prompt, kept: int, most_kept: int, reason: Reason) -> float:
+    """Return what others pay for a reading, as tokens that are read meanwhile."""
+    least = reading_work(prompt.tokens, most_kept)
+    burden = SHARED_WEIGHT * (reading_work(prompt.tokens, kept) - least)
+    if prompt.shared_tokens < HOME_TOKENS:
+        return burden
+    if reason is Reason.SECOND_HOME:
+        return burden + SECOND_TOKENS
+    return burden + (AWAY_TOKENS if reason is Reason.LEAST_LOADED else 0.0)
+
+
 def reading_work(tokens: int, kept: int) -> int:
     """Return the work of reading a prompt of which ``kept`` tokens are kept.
 
--- a/berylshift/request/placing_policies.py
+++ b/berylshift/request/placing_policies.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from berylshift.ids import DomainName
+from berylshift.process.fleet.engine_speeds import EngineSpeeds
 from berylshift.process.fleet.peer_loads import PeerLoads
 from berylshift.process.fleet.target_load import TargetLoads
 from berylshift.process.fleet.warm_parts import WarmParts
@@ -24,16 +25,23 @@
     loads: TargetLoads
     peers: PeerLoads
     warm: WarmParts
+    speeds: EngineSpeeds
     domain: DomainName
     rng: random.Random
 
 
+def _make(kind: type[Placer], parts: PlacingParts) -> Placer:
+    return kind(
+        parts.loads, parts.peers, parts.warm, parts.speeds, parts.domain, parts.rng
+    )
+
+
 def _warm(parts: PlacingParts) -> Placing:
-    return Placer(parts.loads, parts.peers, parts.warm, parts.domain, parts.rng)
+    return _make(Placer, parts)
 
 
 def _no_homes(parts: PlacingParts) -> Placing:
-    return NoHomesPlacer(parts.loads, parts.peers, parts.warm, parts.domain, parts.rng)
+    return _make(NoHomesPlacer, parts)
 
 
 def _round_robin(parts: PlacingParts) -> Placing:
--- a/berylshift/request/relay.py
+++ b/berylshift/request/relay.py
@@ -255,7 +255,8 @@
         if req.prompt is None:
             return SendEnd.NOT_REACHED
         self._open_place = place
-        self._parts.placer.note_sent(place, req.prompt, self._now())
+        sent_at = self._now()
+        self._parts.placer.note_sent(place, req.prompt, sent_at)
         found = await self._parts.reads.read(
             req.id,
             place,
@@ -268,6 +269,10 @@
         self._note_send(place, f"read {place.reason} {found.end}")
         if found.source is None:
             self._judge(instance, found.end)
+        else:
+            self._parts.speeds.was_read(
+                self.service, place.tokens, place.ahead, self._now() - sent_at
+            )
         self._source, self._source_uses = found.source, 0
         return found.end
 
@@ -309,6 +314,7 @@
         loads.sent(instance, place.tokens, self._urgency)
         reading = Reading(loads, instance, place.tokens, self._urgency)
         self._open_place = place
+        sent_at, had_begun = self._now(), self._out.started
         try:
             out = self._outgoing(place.target, source)
             end = await self._sender.run(out, reading)
@@ -319,8 +325,20 @@
         self._open_place = None
         self._note_send(place, f"{place.reason} {end}")
         self._judge(instance, end)
+        if end is SendEnd.DONE and not had_begun:
+            self._learn(place, source, sent_at)
         return Sent(instance, end)
 
+    def _learn(self, place: Placement, source: KvSource | None, sent_at: float) -> None:
+        """Learn from a whole answer to a prompt what its engine took for it."""
+        if self._req.prompt is None or self._out.first_at is None:
+            return
+        speeds, waited = self._parts.speeds, self._out.first_at - sent_at
+        speeds.answered(self.service, self._now() - sent_at)
+        if source is not None:
+            tokens = self._req.prompt.tokens
+            speeds.began(self.service, tokens, place.ahead, waited)
+
     def _use_source(self, end: SendEnd) -> None:
         """Keep the cache for another engine if this one did not take it.
 
--- a/berylshift/request/relay_parts.py
+++ b/berylshift/request/relay_parts.py
@@ -8,6 +8,7 @@
 from berylshift.ids import ServiceName
 from berylshift.messages.routed import Language
 from berylshift.process.fleet.arrival_budget import ArrivalBudget
+from berylshift.process.fleet.engine_speeds import EngineSpeeds
 from berylshift.process.fleet.replica_set import ReplicaSet
 from berylshift.process.fleet.shutdown import Shutdown
 from berylshift.process.fleet.target_load import TargetLoads
@@ -24,6 +25,7 @@
     client: TargetClient
     replicas: ReplicaSet
     loads: TargetLoads
+    speeds: EngineSpeeds
     placer: Placing
     reads: PromptReads
     shutdown: Shutdown
--- a/berylshift/tests/test_request_placement.py
+++ b/berylshift/tests/test_request_placement.py
@@ -7,6 +7,7 @@
 from berylshift.messages.load_digest import LoadDigest, LoadEntry, Urgency, target_hash
 from berylshift.messages.replicas import EnginePhase, Replica
 from berylshift.messages.routed import Prompt, PromptPart, ReportedLoad
+from berylshift.process.fleet.engine_speeds import PRIOR_READ_RATE, EngineSpeeds
 from berylshift.process.fleet.peer_loads import PeerLoads
 from berylshift.process.fleet.pools import Pool
 from berylshift.process.fleet.target_load import SEVERE, TargetLoads
@@ -15,7 +16,6 @@
     BEGUN_TOKENS,
     DIRECT_TOKENS,
     LOOKED_AT,
-    READ_RATE,
     Placer,
     Reason,
     reading_work,
@@ -56,7 +56,8 @@
 
     def make_placer(self, seed: int) -> Placer:
         rng = random.Random(seed)
-        return Placer(self.loads, self.peers, self.warm, "d1", rng)
+        speeds = EngineSpeeds()
+        return Placer(self.loads, self.peers, self.warm, speeds, "d1", rng)
 
     def reader(self, of: Prompt, engines=None, avoid=(), now: float = 0.0):
         pool = Pool(ENGINES if engines is None else engines)
@@ -161,7 +162,7 @@
         pool = Pool([home])
         urgent = self.placer.reader(pool, prompt(), Urgency.URGENT, (), 0.0)
         patient = self.placer.reader(pool, prompt(), Urgency.PATIENT, (), 0.0)
-        skipped = (60_000 - BEGUN_TOKENS) / READ_RATE
+        skipped = (60_000 - BEGUN_TOKENS) / PRIOR_READ_RATE
         self.assertAlmostEqual(patient.seconds - urgent.seconds, skipped, delta=0.005)
 
     def test_an_urgent_prompt_avoids_an_engine_that_reads_a_long_one(self):
--- a/berylshift/tests/test_request_placement_baselines.py
+++ b/berylshift/tests/test_request_placement_baselines.py
@@ -5,6 +5,7 @@
 
 from berylshift.messages.load_digest import Urgency
 from berylshift.messages.routed import ReportedLoad
+from berylshift.process.fleet.engine_speeds import EngineSpeeds
 from berylshift.process.fleet.peer_loads import PeerLoads
 from berylshift.process.fleet.pools import Pool
 from berylshift.process.fleet.target_load import TargetLoads
@@ -20,7 +21,12 @@
     def setUp(self):
         self.loads = TargetLoads()
         self.parts = PlacingParts(
-            self.loads, PeerLoads("me"), WarmParts(), "d1", random.Random(1)
+            self.loads,
+            PeerLoads("me"),
+            WarmParts(),
+            EngineSpeeds(),
+            "d1",
+            random.Random(1),
         )
         self.pool = Pool(ENGINES)
 
--- a/berylshift/tests/test_request_silence.py
+++ b/berylshift/tests/test_request_silence.py
@@ -116,6 +116,7 @@
         client=LateClient(late),
         replicas=None,
         loads=TargetLoads(),
+        speeds=None,
         placer=None,
         reads=None,
         shutdown=None,
