Take an engine for warm only if it keeps all shared parts

Hypothesis: the first of a prompt's shared parts is one of four and kept by every engine, so every engine counts as warm, prompts of one set of parts are scattered over all of them, and each reads the rest anew. Change: warm is who keeps all shared parts; test first, red before.

--- a/berylshift/request/placement.py
+++ b/berylshift/request/placement.py
@@ -246,7 +246,7 @@
         backlog = self._backlog(replica, urgency, now)
         rate = self._rate(replica)
         seconds = (backlog + tokens) / rate
-        reason = self._reason(replica, homes, kept)
+        reason = self._reason(replica, homes, kept >= prompt.shared_tokens)
         weight = seconds + _burden(prompt, kept, most_kept, reason) / rate
         weight += self._way(replica, prompt.tokens) + self._distrust(replica, now)
         return Placement(replica, reason, seconds, tokens, weight, backlog)
@@ -255,7 +255,7 @@
         return self._speeds.read_rate(replica.service)
 
     def _reason(
-        self, replica: Replica, homes: tuple[Replica, ...], kept: int
+        self, replica: Replica, homes: tuple[Replica, ...], kept: bool
     ) -> Reason:
         if homes and replica is homes[0]:
             return Reason.HOME
--- a/berylshift/tests/test_request_placement.py
+++ b/berylshift/tests/test_request_placement.py
@@ -151,6 +151,21 @@
         beside = self.placer.reader(Pool([place.target]), two, Urgency.USUAL, (), 0.0)
         self.assertEqual(beside.tokens, reading_work(7_500, 2_500))
 
+    def test_a_leading_part_alone_does_not_draw_a_prompt_from_its_home(self):
+        """All prompts begin with one of a few large parts; every engine keeps them.
+
+        The home is a little busier than the others. The rest of the shared parts is
+        there alone: anywhere else it is read anew, for this prompt and its next ones.
+        """
+        root, branch = PromptPart("root", 2_500), PromptPart("branch", 4_000)
+        of = Prompt((root, branch, PromptPart("x", 1_000)), 7_500, 80)
+        home = home_of(of, READERS)
+        for engine in READERS:
+            self.warm.sent("root", engine.instance, 0.0)
+        self.busy(home.instance, 5_000)
+        place = self.reader(of)
+        self.assertEqual((place.target, place.reason), (home, Reason.HOME))
+
     def test_others_work_is_forgotten_when_they_fall_silent(self):
         home = self.warm_home()
         self.busy(home.instance, 200_000)
