Account for each engine's memory in place of a fixed time

Hypothesis: parts are taken for kept for 16 s; an engine whose memory turns over in 3 s reads them anew where the host counts on them. Change: each host keeps the account of each engine's memory: shared parts with their tokens, the longest unused go first beyond 0.8 of what the configuration says the memory holds; hosts tell the tokens with the part. LIFE_SECONDS is gone.

--- a/berylshift/connection/load_codec.py
+++ b/berylshift/connection/load_codec.py
@@ -68,6 +68,7 @@
     for slot, read in zip(reads, message.reads, strict=True):
         slot.part = read.part
         slot.target = read.target
+        slot.tokens = _units(read.tokens)
     phases = packed.init("phases", len(message.phases))
     for slot, told in zip(phases, message.phases, strict=True):
         slot.target = told.target
@@ -95,7 +96,10 @@
         )
         for slot in packed.entries
     )
-    reads = tuple(PartRead(slot.part, slot.target) for slot in packed.reads)
+    reads = tuple(
+        PartRead(slot.part, slot.target, slot.tokens * TOKEN_UNIT)
+        for slot in packed.reads
+    )
     phases = tuple(
         PhaseTold(
             slot.target,
--- a/berylshift/connection/load_digest.capnp
+++ b/berylshift/connection/load_digest.capnp
@@ -20,6 +20,8 @@
 struct PartRead {
   part @0 :UInt32;
   target @1 :UInt32;
+  # In units of 16 tokens.
+  tokens @2 :UInt16;
 }
 
 struct Entry {
--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -181,6 +181,7 @@
     def _forget_replica(self, instance: InstanceId) -> None:
         """Drop what is kept of a replica that is gone."""
         self.loads.forget(instance)
+        self.warm.forget(instance)
         self.ports.client.forget(instance)
 
     def _feed_wait(self) -> float:
--- a/berylshift/messages/load_digest.py
+++ b/berylshift/messages/load_digest.py
@@ -35,10 +35,11 @@
 
 
 class PartRead(msgspec.Struct, frozen=True):
-    """A shared part that an engine reads; both by their short hashes."""
+    """A shared part of ``tokens`` that an engine reads; both by their short hashes."""
 
     part: int
     target: int
+    tokens: int
 
 
 class PhaseTold(msgspec.Struct, frozen=True):
--- a/berylshift/model/host.py
+++ b/berylshift/model/host.py
@@ -65,4 +65,4 @@
         """Take over what another host tells."""
         now = self._queue.monotonic()
         self.peers.take(digest, now)
-        self.warm.heard(digest.reads, now)
+        self.warm.heard(digest.reads)
--- a/berylshift/process/fleet/engine_speeds.py
+++ b/berylshift/process/fleet/engine_speeds.py
@@ -32,6 +32,8 @@
 PRIOR_READ_RATE = 61_400.0
 PRIOR_RUNNING_SECONDS = 0.002
 PRIOR_ANSWER_SECONDS = 1.9
+# An engine's memory, in tokens, where no configuration tells it.
+PRIOR_MEMORY_TOKENS = 400_000
 # What moving a KV cache takes beside its bytes: two messages and a set-up.
 MOVE_SECONDS = 0.003
 BITS_A_BYTE = 8
@@ -129,6 +131,11 @@
         bits = tokens * facts.kv_token_bytes * BITS_A_BYTE
         return MOVE_SECONDS + bits / (facts.link_mbps * MEGA)
 
+    def memory_tokens(self, service: ServiceName) -> int:
+        """Return the tokens that an engine's memory holds."""
+        facts = self._facts(service)
+        return PRIOR_MEMORY_TOKENS if facts is None else facts.kv_tokens
+
     # What is learned
 
     def was_read(
--- a/berylshift/process/fleet/load_loop.py
+++ b/berylshift/process/fleet/load_loop.py
@@ -145,7 +145,7 @@
         if not known:
             self._stranger.set()
         self._parts.peers.take(digest, now)
-        self._parts.warm.heard(digest.reads, now)
+        self._parts.warm.heard(digest.reads)
         self._parts.phases.heard(digest.phases, now)
 
     async def _tell(self, link: LoadLink) -> None:
--- a/berylshift/process/fleet/warm_parts.py
+++ b/berylshift/process/fleet/warm_parts.py
@@ -4,6 +4,11 @@
 engine that has just started or taken over a home keeps nothing. Prompts taken for cheap
 there pile up behind each other. Each host therefore tells where it sends parts, some
 bytes each; that also spreads parts that are asked for often over more engines.
+
+How long an engine keeps a part depends on what else it reads. Each host keeps the same
+account as the engine's memory: parts by their last use, with their tokens; what is
+beyond the memory has gone. A fixed time in its place is right for one load of one
+engine: believed for too long, parts are read anew where they were taken for kept.
 """
 
 from collections import OrderedDict, deque
@@ -13,12 +18,12 @@
 from berylshift.ids import InstanceId, PartId
 from berylshift.messages.load_digest import PartRead, target_hash
 
-# How long an engine is taken to keep a part after its last use. Longer than its memory
-# lasts under load, which costs less than reading anew what is kept (16 s against 10 s
-# and 6 s: mean worth of four days 0.687, 0.681, 0.673).
-LIFE_SECONDS = 16.0
+# The part of an engine's memory that shared parts fill: the prompts that are being
+# read, and those that wait to be taken, hold the rest.
+SHARED_ROOM = 0.8
 # Reads are told for this long, in three datagrams: one or two may be lost.
 TOLD_SECONDS = 0.25
+# Parts on all engines together, for a bound on this process's own memory.
 MOST_KEPT = 16384
 MOST_TOLD = 32
 
@@ -28,48 +33,108 @@
     return xxhash.xxh32_intdigest(part.encode())
 
 
+class EngineMemory:
+    """The parts that one engine keeps, the longest unused one first."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._parts: OrderedDict[int, int] = OrderedDict()
+        self._tokens = 0
+
+    def use(self, part: int, tokens: int) -> bool:
+        """Note the use of a part; return whether it is new."""
+        former = self._parts.get(part)
+        self._tokens += tokens - (former or 0)
+        self._parts[part] = tokens
+        self._parts.move_to_end(part)
+        return former is None
+
+    def drop_oldest(self) -> int:
+        """Let the longest unused part go; return it."""
+        part, tokens = self._parts.popitem(last=False)
+        self._tokens -= tokens
+        return part
+
+    def is_over(self, room: float) -> bool:
+        """Return whether the parts need more than ``room`` tokens."""
+        return self._tokens > room and bool(self._parts)
+
+    def __contains__(self, part: int) -> bool:
+        """Return whether a part is kept."""
+        return part in self._parts
+
+    def __bool__(self) -> bool:
+        """Return whether anything is kept."""
+        return bool(self._parts)
+
+
 class WarmParts:
     """Parts by engine; times in seconds."""
 
     def __init__(self) -> None:
         """Start knowing nothing."""
-        self._at: OrderedDict[int, dict[int, float]] = OrderedDict()
+        self._engines: OrderedDict[int, EngineMemory] = OrderedDict()
+        self._keepers: dict[int, set[int]] = {}
         self._own: deque[tuple[float, PartRead]] = deque()
+        self._count = 0
 
-    def sent(self, part: PartId, instance: InstanceId, now: float) -> None:
+    def sent(self, part: PartId, tokens: int, instance: InstanceId, now: float) -> None:
         """Note that this host sends a part to an engine.
 
         It counts at once: a second prompt that follows the first one there waits for
         the part to be read, and does not read it again.
         """
-        read = PartRead(part_hash(part), target_hash(instance))
-        self._keep(read, now)
+        read = PartRead(part_hash(part), target_hash(instance), tokens)
+        self._use(read)
         self._own.append((now, read))
 
-    def heard(self, reads: tuple[PartRead, ...], now: float) -> None:
+    def heard(self, reads: tuple[PartRead, ...]) -> None:
         """Take over another host's reads."""
         for read in reads:
-            self._keep(read, now)
-
-    def _keep(self, read: PartRead, now: float) -> None:
-        engines = self._at.setdefault(read.part, {})
-        engines[read.target] = now
-        self._at.move_to_end(read.part)
-        while len(self._at) > MOST_KEPT:
-            self._at.popitem(last=False)
-
-    def keeps(self, part: PartId, instance: InstanceId, now: float) -> bool:
-        """Return whether an engine is likely to keep a part."""
-        at = self._at.get(part_hash(part), {}).get(target_hash(instance))
-        return at is not None and now - at < LIFE_SECONDS
-
-    def keepers(self, part: PartId, now: float) -> list[int]:
-        """Return the engines that are likely to keep a part, by their short hashes."""
-        engines = self._at.get(part_hash(part), {})
-        old = [target for target, at in engines.items() if now - at >= LIFE_SECONDS]
-        for target in old:
-            del engines[target]
-        return list(engines)
+            self._use(read)
+
+    def _use(self, read: PartRead) -> None:
+        engine = self._engines.get(read.target)
+        if engine is None:
+            engine = self._engines[read.target] = EngineMemory()
+        self._engines.move_to_end(read.target)
+        if engine.use(read.part, read.tokens):
+            self._keepers.setdefault(read.part, set()).add(read.target)
+            self._count += 1
+        while self._count > MOST_KEPT:
+            self._drop_oldest(next(iter(self._engines)))
+
+    def _drop_oldest(self, target: int) -> None:
+        """Let the longest unused part of an engine go."""
+        engine = self._engines[target]
+        part = engine.drop_oldest()
+        self._count -= 1
+        keepers = self._keepers[part]
+        keepers.discard(target)
+        if not keepers:
+            del self._keepers[part]
+        if not engine:
+            del self._engines[target]
+
+    def keeps(self, part: PartId, instance: InstanceId, room: float) -> bool:
+        """Return whether an engine with memory for ``room`` tokens keeps a part."""
+        target = target_hash(instance)
+        while target in self._engines:
+            engine = self._engines[target]
+            if not engine.is_over(SHARED_ROOM * room):
+                return part_hash(part) in engine
+            self._drop_oldest(target)
+        return False
+
+    def keepers(self, part: PartId) -> list[int]:
+        """Return the engines that may keep a part, by their short hashes."""
+        return list(self._keepers.get(part_hash(part), ()))
+
+    def forget(self, instance: InstanceId) -> None:
+        """Drop what is known of an engine that is gone."""
+        target = target_hash(instance)
+        while target in self._engines:
+            self._drop_oldest(target)
 
     def to_tell(self, now: float) -> tuple[PartRead, ...]:
         """Return this host's reads that are still told to the others."""
--- a/berylshift/request/placement.py
+++ b/berylshift/request/placement.py
@@ -169,8 +169,8 @@
     ) -> Placement | None:
         """Return the engine that should read a prompt; ``None``: none reads apart."""
         homes = self._homes(pool, prompt)
-        found = self._candidates(pool, prompt, homes, now)
-        most_kept = max((self._kept(rep, prompt, now) for rep in found), default=0)
+        found = self._candidates(pool, prompt, homes)
+        most_kept = max((self._kept(rep, prompt) for rep in found), default=0)
         places = [
             self._reading(rep, prompt, urgency, homes, most_kept, now)
             for rep in _without(found, avoid)
@@ -209,7 +209,7 @@
         return pool.homes(prompt.shared[-1].part)
 
     def _candidates(
-        self, pool: Pool, prompt: Prompt, homes: tuple[Replica, ...], now: float
+        self, pool: Pool, prompt: Prompt, homes: tuple[Replica, ...]
     ) -> list[Replica]:
         """Return the reading engines worth looking at.
 
@@ -220,7 +220,7 @@
             return pool.readers
         found = {rep.instance: rep for rep in (*homes, *self._some(pool.readers))}
         if homes:
-            for hashed in self._warm.keepers(prompt.shared[-1].part, now):
+            for hashed in self._warm.keepers(prompt.shared[-1].part):
                 keeper = pool.reader(hashed)
                 if keeper is not None:
                     found[keeper.instance] = keeper
@@ -241,7 +241,7 @@
         most_kept: int,
         now: float,
     ) -> Placement:
-        kept = self._kept(replica, prompt, now)
+        kept = self._kept(replica, prompt)
         tokens = reading_work(prompt.tokens, kept)
         backlog = self._backlog(replica, urgency, now)
         rate = self._rate(replica)
@@ -255,19 +255,26 @@
         return self._speeds.read_rate(replica.service)
 
     def _reason(
-        self, replica: Replica, homes: tuple[Replica, ...], kept: bool
+        self, replica: Replica, homes: tuple[Replica, ...], keeps_all: bool
     ) -> Reason:
+        """Return why an engine is looked at.
+
+        Warm is one that keeps all shared parts. The first of them are shared by most
+        prompts and kept by every engine: taken for warmth, they scatter the prompts of
+        one set of parts over all engines, and each of these reads the parts anew.
+        """
         if homes and replica is homes[0]:
             return Reason.HOME
-        if homes and kept:
+        if homes and keeps_all:
             return Reason.WARM
         return Reason.SECOND_HOME if replica in homes else Reason.LEAST_LOADED
 
-    def _kept(self, replica: Replica, prompt: Prompt, now: float) -> int:
+    def _kept(self, replica: Replica, prompt: Prompt) -> int:
         """Return the tokens that an engine is likely to keep of a prompt."""
         kept = 0
+        room = self._speeds.memory_tokens(replica.service)
         for part in prompt.shared:
-            if not self._warm.keeps(part.part, replica.instance, now):
+            if not self._warm.keeps(part.part, replica.instance, room):
                 break
             kept += part.tokens
         return kept
@@ -276,7 +283,7 @@
         """Note that a prompt goes where a placement says."""
         if prompt.shared_tokens >= HOME_TOKENS:
             for part in prompt.shared:
-                self._warm.sent(part.part, place.target.instance, now)
+                self._warm.sent(part.part, part.tokens, place.target.instance, now)
 
     def _backlog(self, replica: Replica, urgency: Urgency, now: float) -> float:
         """Return the tokens that are read before a new prompt's, as far as known."""
--- a/berylshift/request/placement_baselines.py
+++ b/berylshift/request/placement_baselines.py
@@ -105,7 +105,7 @@
     def _homes(self, pool: Pool, prompt: Prompt) -> tuple[Replica, ...]:
         return ()
 
-    def _kept(self, replica: Replica, prompt: Prompt, now: float) -> int:
+    def _kept(self, replica: Replica, prompt: Prompt) -> int:
         return 0
 
     def note_sent(self, place: Placement, prompt: Prompt, now: float) -> None:
