Choose readings in a module of their own, for hosts and model alike

Cause: the order by standing stood twice, in the relay and in the model's prompts, and could be tested only with a network or by whole plays. Change: ReadingChooser decides where a prompt is read, its standing, and the seconds until a first piece; relay and model ask it. The relay is 40 lines shorter. Tests: a rush before one engine (who is first, who is refused, who overtakes), three proofs more, all red without their safeguard.

--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -23,7 +23,6 @@
 from berylshift.process.fleet.peer_loads import PeerLoads
 from berylshift.process.fleet.phase_loop import PhaseLoop
 from berylshift.process.fleet.phase_planner import PhasePlanner
-from berylshift.process.fleet.reading_flow import ReadingFlow
 from berylshift.process.fleet.replica_set import ReplicaSet
 from berylshift.process.fleet.route_holder import RouteHolder
 from berylshift.process.fleet.shutdown import Shutdown
@@ -31,6 +30,7 @@
 from berylshift.process.fleet.warm_parts import WarmParts
 from berylshift.request.placing_policies import PLACINGS, PlacingParts
 from berylshift.request.prompt_read import PromptReads
+from berylshift.request.reading_choice import ReadingChooser
 from berylshift.request.relay_parts import RelayParts
 from berylshift.request.routed_front import RoutedFront
 from berylshift.settings import Settings
@@ -109,6 +109,7 @@
             DomainName(cfg.host.domain),
             ports.rng,
         )
+        placer = PLACINGS[cfg.entry.placing](placing)
         reads = PromptReads(
             ports.language,
             ports.client,
@@ -124,12 +125,11 @@
             replicas=self.replicas,
             loads=self.loads,
             speeds=self.speeds,
-            placer=PLACINGS[cfg.entry.placing](placing),
+            placer=placer,
             reads=reads,
             shutdown=self.shutdown,
             budget=self.budget,
-            flow=ReadingFlow(),
-            hosts=self._hosts_that_share,
+            readings=ReadingChooser(placer, self.speeds, self._hosts_that_share),
         )
         self.front = RoutedFront(
             parts, self.routes, ports.rng, self.telemetry.request_ended
--- a/berylshift/messages/load_digest.py
+++ b/berylshift/messages/load_digest.py
@@ -1,5 +1,6 @@
 """What one entry host tells the others of its work at replicas."""
 
+import functools
 from enum import IntEnum
 
 import msgspec
@@ -8,6 +9,8 @@
 from berylshift.ids import InstanceId
 from berylshift.messages.replicas import EnginePhase
 
+# Hashes kept at hand: each placement asks for those of a dozen engines several times.
+HASHES_KEPT = 8192
 # Prompt tokens yet to be read: urgent, usual, patient.
 ReadingTokens = tuple[int, int, int]
 
@@ -60,6 +63,7 @@
     phases: tuple[PhaseTold, ...] = ()
 
 
+@functools.lru_cache(HASHES_KEPT)
 def target_hash(instance: InstanceId) -> int:
     """Return the 32-bit hash that stands for an instance in digests."""
     return xxhash.xxh32_intdigest(instance.encode())
--- a/berylshift/model/figures.py
+++ b/berylshift/model/figures.py
@@ -2,9 +2,11 @@
 
 import msgspec
 
-from berylshift.ids import RouteName
+from berylshift.ids import RouteName, ServiceName
 from berylshift.version.routes import EngineFacts
 
+# The one service of a modelled fleet.
+SERVICE = ServiceName("model")
 # How unevenly shared parts are asked for: 497 prompts of a played day touched about 65
 # of 128 parts, as tokens read for the first time tell.
 SKEW = 1.4
--- a/berylshift/model/fleet.py
+++ b/berylshift/model/fleet.py
@@ -4,11 +4,11 @@
 
 import msgspec
 
-from berylshift.ids import DomainName, InstanceId, ServiceName
+from berylshift.ids import DomainName, InstanceId
 from berylshift.messages.replicas import EnginePhase, Replica
 from berylshift.model.engine import ModelEngine
 from berylshift.model.event_queue import EventQueue
-from berylshift.model.figures import SiteFigures
+from berylshift.model.figures import SERVICE, SiteFigures
 from berylshift.model.host import ModelHost
 from berylshift.model.prompt_run import PromptRun
 from berylshift.model.result import PlayResult, PromptEnd, summarize
@@ -16,7 +16,6 @@
 from berylshift.process.fleet.phase_planner import PhasePlanner
 from berylshift.process.fleet.pools import Pool
 
-SERVICE = ServiceName("model")
 # A host and an engine of one domain.
 NEAR_SECONDS = 0.0002
 # An engine that has crashed is listed until its entry lapses.
--- a/berylshift/model/host.py
+++ b/berylshift/model/host.py
@@ -8,10 +8,10 @@
 from berylshift.process.fleet.engine_speeds import EngineSpeeds
 from berylshift.process.fleet.load_loop import REPEAT_SECONDS, TELL_SECONDS
 from berylshift.process.fleet.peer_loads import PeerLoads
-from berylshift.process.fleet.reading_flow import ReadingFlow
 from berylshift.process.fleet.target_load import TargetLoads
 from berylshift.process.fleet.warm_parts import WarmParts
 from berylshift.request.placing_policies import PLACINGS, PlacingParts
+from berylshift.request.reading_choice import ReadingChooser
 from berylshift.version.routes import EngineFacts
 
 
@@ -34,7 +34,6 @@
         self.loads = TargetLoads()
         self.peers = PeerLoads(name)
         self.warm = WarmParts()
-        self.flow = ReadingFlow()
         self.rng = random.Random(seed)
         self.speeds = EngineSpeeds(lambda service: facts)
         parts = PlacingParts(
@@ -42,6 +41,9 @@
         )
         self.placer = PLACINGS[placing](parts)
         self._others: list[ModelHost] = []
+        self.readings = ReadingChooser(
+            self.placer, self.speeds, lambda: len(self._others) + 1
+        )
         self._sequence = 0
         self._last: object = None
         self._last_at = float("-inf")
--- a/berylshift/model/prompt_run.py
+++ b/berylshift/model/prompt_run.py
@@ -6,20 +6,16 @@
 from berylshift.messages.load_digest import Urgency
 from berylshift.messages.replicas import Replica
 from berylshift.model.engine import Stream
+from berylshift.model.figures import SERVICE
 from berylshift.model.host import ModelHost
 from berylshift.model.result import PromptEnd
 from berylshift.model.traffic import Arrival
 from berylshift.process.fleet.target_load import MILD, SEVERE
 from berylshift.request.placement import Placement
+from berylshift.request.reading_choice import ReadingAsk
 from berylshift.request.relay import MOST_READS
 from berylshift.request.routed_front import LEAST_RETRY_AFTER, MOST_RETRY_AFTER
-from berylshift.request.standing import (
-    Standing,
-    late_wait,
-    rank_of,
-    standing_of,
-    urgency_in,
-)
+from berylshift.request.standing import Standing, rank_of, urgency_in
 
 if TYPE_CHECKING:
     from berylshift.model.fleet import ModelFleet
@@ -78,27 +74,26 @@
         if self._reads >= MOST_READS:
             self._refuse(0.0)
             return
-        self._standing = Standing.ON_TIME
-        place = host.placer.reader(pool, prompt, self._urgency, self._tried, now)
-        if place is None:
+        ask = ReadingAsk(
+            goal=self._kind,
+            service=SERVICE,
+            pool=pool,
+            prompt=prompt,
+            waited=now - self._began_at,
+            avoid=self._tried,
+        )
+        choice = host.readings.choose(ask, now)
+        self._standing = choice.standing if choice else Standing.ON_TIME
+        if choice is None:
             self._answer(None)
             return
-        after = host.placer.answerer(pool, prompt, place.target, (), now)
-        answer_seconds = after.seconds if after is not None else 0.0
-        seconds = place.seconds + answer_seconds
-        self._standing = standing_of(self._kind, now - self._began_at + seconds)
-        if self._standing is Standing.LATE:
-            place = host.placer.reader(pool, prompt, self._urgency, self._tried, now)
-            wait = late_wait(place.seconds, self._on_time_share(place, now))
-            seconds = wait + answer_seconds
-        if now + seconds > self._first_until:
-            self._refuse(seconds - self._kind.patience)
+        if now + choice.seconds > self._first_until:
+            self._refuse(choice.seconds - self._kind.patience)
             return
+        place = choice.place
         self._reads += 1
         self._sent_at = now
-        host.placer.note_sent(place, prompt, now)
-        if self._standing is Standing.ON_TIME:
-            host.flow.sent(place.target.service, place.tokens, now)
+        host.readings.sent(ask, choice, now)
         host.loads.sent(place.target.instance, place.tokens, self._urgency)
         engine = self._fleet.engines[place.target.address]
         rank = rank_of(self._kind, self._standing)
@@ -107,13 +102,6 @@
             lambda: engine.read(prompt, rank, lambda good: self._was_read(place, good)),
         )
 
-    def _on_time_share(self, place: Placement, now: float) -> float:
-        """Return the part of the engines' time that prompts on time take."""
-        host, service = self._host, place.target.service
-        flow = host.flow.rate(service, now) * len(self._fleet.hosts)
-        readers = len(self._fleet.pool.readers)
-        return flow / max(1.0, readers * host.speeds.read_rate(service))
-
     def _was_read(self, place: Placement, good: bool) -> None:
         self._queue.after(
             self._hop(place.target), lambda: self._take_reading(place, good)
--- a/berylshift/process/fleet/warm_parts.py
+++ b/berylshift/process/fleet/warm_parts.py
@@ -11,12 +11,13 @@
 engine: believed for too long, parts are read anew where they were taken for kept.
 """
 
+import functools
 from collections import OrderedDict, deque
 
 import xxhash
 
 from berylshift.ids import InstanceId, PartId
-from berylshift.messages.load_digest import PartRead, target_hash
+from berylshift.messages.load_digest import HASHES_KEPT, PartRead, target_hash
 
 # The part of an engine's memory that shared parts fill: the prompts that are being
 # read, and those that wait to be taken, hold the rest.
@@ -28,6 +29,7 @@
 MOST_TOLD = 32
 
 
+@functools.lru_cache(HASHES_KEPT)
 def part_hash(part: PartId) -> int:
     """Return the 32-bit hash that stands for a part in digests."""
     return xxhash.xxh32_intdigest(part.encode())
--- a/berylshift/request/relay.py
+++ b/berylshift/request/relay.py
@@ -10,24 +10,19 @@
 from berylshift.ids import InstanceId, ServiceName
 from berylshift.messages.load_digest import Urgency
 from berylshift.messages.replicas import Replica
-from berylshift.messages.routed import Dispatch, RoutedRequest
+from berylshift.messages.routed import Dispatch, Prompt, RoutedRequest
 from berylshift.process.fleet.pools import Pool
 from berylshift.process.fleet.target_load import MILD, SEVERE
 from berylshift.request.answer_stream import AnswerStream
 from berylshift.request.messages import Outcome
 from berylshift.request.placement import Placement
 from berylshift.request.prompt_read import KvSource
+from berylshift.request.reading_choice import ReadingAsk, ReadingChoice
 from berylshift.request.relay_parts import RelayParts
 from berylshift.request.retry_rule import SendEnd, SendHistory, Sent, bounds_of
 from berylshift.request.send_loop import LoopEnd, send_until_done
 from berylshift.request.single_send import FailedAnswer, Reading, SingleSend
-from berylshift.request.standing import (
-    Standing,
-    late_wait,
-    rank_of,
-    standing_of,
-    urgency_in,
-)
+from berylshift.request.standing import Standing, rank_of, urgency_in
 from berylshift.version.routes import Route
 
 # What is left of a caller's time when its answer is given up on, so that the answer
@@ -211,7 +206,7 @@
         if self._answerer(None) is None:
             return None
         if self._source is None and not self._out.started:
-            if not await self._read_prompt():
+            if not await self._read_prompt(self._req.prompt):
                 return None
         source = None if self._out.started else self._source
         place = self._answerer(source and source.engine)
@@ -238,18 +233,19 @@
 
     # Reading a prompt apart
 
-    async def _read_prompt(self) -> bool:
+    async def _read_prompt(self, prompt: Prompt) -> bool:
         """Have an engine read the prompt, unless the answering one is to.
 
         Return whether the request may go on. The first reading is free, if it is
         accepted; further ones and those that fail are further sends to the service.
         """
         tried: list[InstanceId] = []
-        while (place := self._reader(tried)) is not None:
+        while (choice := self._choose_reader(prompt, tried)) is not None:
             if self._reads and not self._budget.take(self._now()):
                 return False
-            tried.append(place.target.instance)
-            end = await self._read_at(place)
+            self._parts.readings.sent(self._ask(prompt, tried), choice, self._now())
+            tried.append(choice.place.target.instance)
+            end = await self._read_at(choice.place)
             if end is SendEnd.DONE:
                 return True
             if self._reads == 1 and end is not SendEnd.NOT_REACHED:
@@ -260,20 +256,14 @@
 
     async def _read_at(self, place: Placement) -> SendEnd:
         """Have one engine read the prompt; keep its cache for the answering one."""
-        req, instance = self._req, place.target.instance
-        if req.prompt is None:
-            return SendEnd.NOT_REACHED
+        instance, sent_at = place.target.instance, self._now()
         self._open_place = place
-        sent_at = self._now()
-        self._parts.placer.note_sent(place, req.prompt, sent_at)
-        if self._standing is Standing.ON_TIME:
-            self._parts.flow.sent(self.service, place.tokens, sent_at)
         found = await self._parts.reads.read(
-            req.id,
+            self._req.id,
             place,
             self._urgency,
             self._outgoing(place.target, prefill_only=True),
-            self._first_until - self._now(),
+            self._first_until - sent_at,
         )
         self._reads += found.end is not SendEnd.NOT_REACHED
         self._open_place = None
@@ -293,47 +283,28 @@
             self._parts.reads.release(self._source)
             self._source = None
 
-    def _reader(self, tried: list[InstanceId]) -> Placement | None:
-        """Return where to read; raise ``HopelessError`` if it would be too late.
-
-        A prompt that can't be on time, even before all that is less urgent, stands
-        behind those that can.
-        """
-        self._standing = Standing.ON_TIME
-        place = self._reader_now(tried)
-        if place is None:
-            return None
-        waited = self._now() - self._started
-        seconds = place.seconds + self._answer_seconds(place)
-        self._standing = standing_of(self._route, waited + seconds)
-        wait = place.seconds
-        if self._standing is Standing.LATE:
-            place = self._reader_now(tried) or place
-            wait = late_wait(place.seconds, self._on_time_share())
-        self._check_hope(wait + self._answer_seconds(place))
-        return place
-
-    def _on_time_share(self) -> float:
-        """Return the part of the engines' time that prompts on time take."""
-        parts, now = self._parts, self._now()
-        flow = parts.flow.rate(self.service, now) * parts.hosts()
-        readers = len(self._pool().readers)
-        return flow / max(1.0, readers * parts.speeds.read_rate(self.service))
-
-    def _reader_now(self, tried: list[InstanceId]) -> Placement | None:
-        """Return where to read by the prompt's present standing."""
-        prompt = self._req.prompt
-        if prompt is None:
-            return None
-        return self._parts.placer.reader(
-            self._pool(), prompt, self._urgency, tried, self._now()
+    def _choose_reader(
+        self, prompt: Prompt, tried: list[InstanceId]
+    ) -> ReadingChoice | None:
+        """Return where to read; raise ``HopelessError`` if it would be too late."""
+        ask = self._ask(prompt, tried)
+        choice = self._parts.readings.choose(ask, self._now())
+        self._standing = choice.standing if choice else Standing.ON_TIME
+        if choice is not None:
+            self._check_hope(choice.seconds)
+        return choice
+
+    def _ask(self, prompt: Prompt, tried: list[InstanceId]) -> ReadingAsk:
+        return ReadingAsk(
+            goal=self._route,
+            service=self.service,
+            pool=self._pool(),
+            prompt=prompt,
+            waited=self._now() - self._started,
+            avoid=tried,
+            avoid_answering=self._tried,
         )
 
-    def _answer_seconds(self, reading: Placement) -> float:
-        """Return the seconds predicted from a read prompt to a first piece."""
-        answering = self._answerer(reading.target)
-        return answering.seconds if answering is not None else 0.0
-
     @property
     def _urgency(self) -> Urgency:
         return urgency_in(self._route, self._standing)
--- a/berylshift/request/relay_parts.py
+++ b/berylshift/request/relay_parts.py
@@ -9,21 +9,17 @@
 from berylshift.messages.routed import Language
 from berylshift.process.fleet.arrival_budget import ArrivalBudget
 from berylshift.process.fleet.engine_speeds import EngineSpeeds
-from berylshift.process.fleet.reading_flow import ReadingFlow
 from berylshift.process.fleet.replica_set import ReplicaSet
 from berylshift.process.fleet.shutdown import Shutdown
 from berylshift.process.fleet.target_load import TargetLoads
 from berylshift.request.placement import Placing
 from berylshift.request.prompt_read import PromptReads
+from berylshift.request.reading_choice import ReadingChooser
 
 
 @dataclass
 class RelayParts:
-    """The parts; ``budget`` gives a service's share of further sends.
-
-    ``hosts`` gives how many hosts send to the same engines; ``flow`` is what goes
-    before late prompts there.
-    """
+    """The parts; ``budget`` gives a service's share of further sends."""
 
     clock: Clock
     language: Language
@@ -35,5 +31,4 @@
     reads: PromptReads
     shutdown: Shutdown
     budget: Callable[[ServiceName], ArrivalBudget]
-    flow: ReadingFlow
-    hosts: Callable[[], int]
+    readings: ReadingChooser
--- a/berylshift/tests/test_request_silence.py
+++ b/berylshift/tests/test_request_silence.py
@@ -121,8 +121,7 @@
         reads=None,
         shutdown=None,
         budget=None,
-        flow=None,
-        hosts=None,
+        readings=None,
     )
 
 
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -362,6 +362,27 @@
         "if False:",
         "test_platform_adapter.EntryTest",
     ),
+    Proof(
+        "prompts that can be on time go before those that can't",
+        "request/reading_choice.py",
+        "if standing_of(ask.goal, ask.waited + seconds) is Standing.ON_TIME:",
+        "if True:",
+        "test_request_reading_choice.RushTest",
+    ),
+    Proof(
+        "what is beyond an engine's memory is not taken for kept",
+        "process/fleet/warm_parts.py",
+        "return self._tokens > room and bool(self._parts)",
+        "return False",
+        "test_fleet_knowledge.WarmPartsTest",
+    ),
+    Proof(
+        "warm is who keeps all shared parts",
+        "request/placement.py",
+        "self._reason(replica, homes, kept >= prompt.shared_tokens)",
+        "self._reason(replica, homes, kept > 0)",
+        "test_request_placement.SpillTest",
+    ),
 )
 
 
