--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -54,8 +54,8 @@
         "the answer's id is compared",
         "request/single_send.py",
         "if head.request is not None and head.request != self._req.id:\n"
-        "            await answer.skip()",
-        "if False:\n            await answer.skip()",
+        "            await limit.bound(answer.skip())",
+        "if False:\n            await limit.bound(answer.skip())",
         f"{RELAY}.KeptConnectionTest.test_late_second_answer_reaches_nobody",
     ),
     Proof(
