--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 # FLEETBENCH: the users' program; SITES: the site files to play the days on.
 days:
 	@if [ -x "$(FLEETBENCH)" ]; then \
-	  for site in $(SITES); do for day in days/*.toml; do \
+	  for site in $(SITES); do for day in deploy/days/*.toml; do \
 	    $(FLEETBENCH) run $$site $$day | grep -E "^(rules broken|[a-z-]+ +[0-9]+/)"; \
 	  done; done; \
 	else \
--- a/berylshift/tests/test_tools_log_reader.py
+++ b/berylshift/tests/test_tools_log_reader.py
@@ -8,6 +8,7 @@
 from cleo.testers.command_tester import CommandTester
 
 from berylshift.tools.log_reader import explain, read_lines
+from berylshift.tools.log_summary import read_requests, summarize
 from berylshift.tools.session import Exit
 from berylshift.tools.status_commands import ExplainCommand
 
@@ -63,5 +64,86 @@
         self.assertEqual(unreadable, Exit.BAD_INPUT)
 
 
+def ended(at: str, request: str, outcome: str, *sends: str, **values) -> str:
+    """Return the line of a request that ended."""
+    return line(
+        at,
+        "h1",
+        "request ended",
+        request=request,
+        outcome=outcome,
+        sends=list(sends),
+        **{"route": "check", "detail": "", "ms": 50.0, "first_ms": 40.0, **values},
+    )
+
+
+READ = "i-1 read home done predicted=20ms tokens=9000 again=6300 ahead=0 standing=late"
+DAY = [
+    ended("10:00:00,100", "r1", "answered", f"{READ} 40ms"),
+    ended(
+        "10:00:00,900",
+        "r2",
+        "answered",
+        "i-1 read warm done predicted=30ms tokens=2000 again=0 ahead=0"
+        " standing=on-time 30ms",
+        "i-2 least-loaded done predicted=5ms tokens=0 again=0 ahead=3"
+        " standing=on-time 45ms",
+        first_ms=60.0,
+    ),
+    ended("10:00:01,500", "r3", "hopeless", detail="first piece in 2.31 s"),
+    ended("10:00:01,600", "r4", "hopeless", "no budget", detail="first piece in 4 s"),
+    line("10:00:02,200", "h1", "turned away", request="r5", reason="leaving"),
+    line("10:00:02,000", "h1", "store lost", feed="routes"),
+]
+
+
+class SummaryTest(unittest.TestCase):
+    """Many requests at once."""
+
+    def setUp(self):
+        tables = summarize(read_requests(read_lines(DAY)))
+        self.rows = {table.title: table.rows for table in tables}
+
+    def test_outcomes_and_waits(self):
+        found = self.rows["Outcomes and waits by route"]
+        away = ["-", "1", "turned away 1", "-", "-", "-"]
+        check = ["check", "4", "answered 2, hopeless 2", "50", "40", "60"]
+        self.assertEqual(found, [away, check])
+
+    def test_reasons_that_differ_by_a_number_are_one(self):
+        found = self.rows["Not answered, by reason"]
+        self.assertEqual(found[0], ["check", "hopeless", "first piece in N s", "2"])
+        self.assertEqual(found[1], ["-", "turned away", "leaving", "1"])
+
+    def test_sends_and_readings(self):
+        sends = {tuple(row[1:4]): row[5] for row in self.rows["Sends"]}
+        self.assertEqual(sends["read", "home", "late"], "1")
+        self.assertEqual(sends["answer", "least-loaded", "on-time"], "1")
+        (reads,) = self.rows["Prompts read apart"]
+        self.assertEqual(reads[:4], ["check", "2", "11000", "6300"])
+        self.assertEqual(reads[4], "0.75")
+
+    def test_seconds(self):
+        found = [row[:4] for row in self.rows["By second of the first line"]]
+        self.assertEqual(
+            found, [["0", "2", "2", "1"], ["1", "2", "0", "0"], ["2", "1", "0", "0"]]
+        )
+
+    def test_command(self):
+        with tempfile.TemporaryDirectory() as name:
+            path, empty = Path(name, "hosts.log"), Path(name, "empty.log")
+            path.write_text("\n".join(DAY), encoding="utf-8")
+            empty.write_text("", encoding="utf-8")
+            tester = CommandTester(ExplainCommand())
+            ends = [
+                tester.execute(f"--summary --log {path}"),
+                tester.execute(f"--summary --log {empty}"),
+                tester.execute("--summary"),
+                tester.execute(f"r1 --summary --log {path}"),
+            ]
+        wanted = [Exit.OK, Exit.NOT_DONE, Exit.BAD_INPUT, Exit.BAD_INPUT]
+        self.assertEqual(ends, wanted)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/berylshift/tools/status_commands.py
+++ b/berylshift/tools/status_commands.py
@@ -12,6 +12,7 @@
 from berylshift.request.messages import Decision
 from berylshift.store.interfaces import HostEntry
 from berylshift.tools.log_reader import LogLine, explain, read_lines
+from berylshift.tools.log_summary import read_requests, summarize
 from berylshift.tools.session import (
     CONFIG,
     PLATFORM,
@@ -131,17 +132,24 @@
     """Prints why a request went where it went."""
 
     name = "explain"
-    description = "Print the decisions of a request."
-    arguments = [argument("request", "The request's id, as its caller knows it.")]
+    description = "Print the decisions of a request, or sum up those of many."
+    arguments = [
+        argument("request", "The request's id, as its caller knows it.", optional=True)
+    ]
     options = [
         CONFIG,
         PLATFORM,
         option("log", "l", "Read hosts' logs from a file; - is input.", flag=False),
+        option("summary", "s", "Sum up all requests of the logs."),
     ]
 
     def handle(self) -> int:
         """Explain from logs where they are given, else from the hosts' memory."""
         path = self.option("log")
+        summary, request = self.option("summary"), self.argument("request")
+        if bool(request) == summary or (summary and not path):
+            self.line_error("<error>name a request, or --summary of a --log</error>")
+            return Exit.BAD_INPUT
         if not path:
             return super().handle()
         try:
@@ -149,7 +157,9 @@
         except OSError as exc:
             self.line_error(f"<error>{path}: {exc.strerror}</error>")
             return Exit.BAD_INPUT
-        found = explain(lines, self.argument("request"))
+        if summary:
+            return self._sum_up(lines)
+        found = explain(lines, request)
         for line in found:
             self.line(line)
         if found:
@@ -157,6 +167,19 @@
         self.line_error("<error>these logs do not name the request</error>")
         return Exit.NOT_DONE
 
+    def _sum_up(self, lines: list[LogLine]) -> int:
+        requests = read_requests(lines)
+        if not requests:
+            self.line_error("<error>these logs name no request</error>")
+            return Exit.NOT_DONE
+        for part in summarize(requests):
+            self.line(part.title)
+            table = self.table()
+            table.set_headers(part.columns)
+            table.set_rows(part.rows)
+            table.render()
+        return Exit.OK
+
     def _read(self, path: str) -> list[LogLine]:
         if path == "-":
             return read_lines(sys.stdin)
