Say in logs and metrics whose time ended a request

Cause: a stream cut by its host's stop and one cut by its route's or caller's time wrote the same line (outcome cut, detail "time is up"), and a request that the end of the process cancelled was logged as one whose caller had left.

No request is decided otherwise.

Ruled out: telling them apart by times alone. The route's time less 20 ms and the stop's end can fall together.

--- a/berylshift/connection/http_server.py
+++ b/berylshift/connection/http_server.py
@@ -56,6 +56,7 @@
         self._link = link
         self.started = False
         self.finished = False
+        self.caller_left = False
 
     async def full(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a whole answer with its length."""
@@ -220,7 +221,8 @@
         responder = Responder(self)
         rest = _Rest()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._watch, req.arriving, rest, nursery.cancel_scope)
+            scope = nursery.cancel_scope
+            nursery.start_soon(self._watch, req.arriving, rest, responder, scope)
             await self._handle(req, responder)
             await self._take_rest(req.arriving)
             nursery.cancel_scope.cancel()
@@ -247,7 +249,11 @@
                 await self.refuse(STATUS_ERROR, "internal error", "unknown")
 
     async def _watch(
-        self, body: RequestBody, rest: "_Rest", scope: trio.CancelScope
+        self,
+        body: RequestBody,
+        rest: "_Rest",
+        responder: Responder,
+        scope: trio.CancelScope,
     ) -> None:
         """Read the rest of the body, then notice when the caller leaves.
 
@@ -261,6 +267,7 @@
             body.break_off()
         else:
             await self._wait_for_leaving()
+        responder.caller_left = True
         scope.cancel()
 
     async def _read_rest(self, body: RequestBody) -> None:
--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -315,9 +315,10 @@
         """
         self.leaving = True
         self.server.draining = True
-        in_flight = self.front.in_flight
-        logger.info("leaving", extra={"in_flight": in_flight})
         grace = self.cfg.entry.grace - STOP_MARGIN_SECONDS
+        logger.info(
+            "leaving", extra={"in_flight": self.front.in_flight, "ends_in": grace}
+        )
         self.shutdown.begin(grace - LAST_ANSWER_SECONDS)
         with trio.move_on_after(grace) as scope:
             await trio.sleep(BALANCER_NOTICE_SECONDS)
--- a/berylshift/process/fleet/shutdown.py
+++ b/berylshift/process/fleet/shutdown.py
@@ -31,21 +31,38 @@
     def __init__(self, clock: Clock):
         """Start without an end in sight."""
         self._clock = clock
+        self._begun_at: float | None = None
         self._ends_at = float("inf")
         self._needed = NEEDED_SECONDS
         self._open: set[Bounded] = set()
 
     def begin(self, seconds: float) -> None:
         """End all requests within ``seconds``."""
-        self._ends_at = self._clock.monotonic() + seconds
+        self._begun_at = self._clock.monotonic()
+        self._ends_at = self._begun_at + seconds
         self._needed = min(NEEDED_SECONDS, NEEDED_SHARE * seconds)
         for work in self._open:
             work.deadline = min(work.deadline, self._ends_at)
 
     def takes_new(self, seconds: float) -> bool:
         """Return whether a request that lasts ``seconds`` at most has time enough."""
-        left = self._ends_at - self._clock.monotonic()
-        return left >= min(seconds, self._needed)
+        return self.seconds_left >= min(seconds, self._needed)
+
+    @property
+    def running_for(self) -> float | None:
+        """Return the seconds since the stop began, ``None`` if there is none."""
+        if self._begun_at is None:
+            return None
+        return self._clock.monotonic() - self._begun_at
+
+    @property
+    def seconds_left(self) -> float:
+        """Return the seconds until all requests end."""
+        return self._ends_at - self._clock.monotonic()
+
+    def comes_before(self, deadline: float) -> bool:
+        """Return whether the end comes before ``deadline``, on the loop's clock."""
+        return self._ends_at < deadline
 
     @contextmanager
     def bounding(self, work: Bounded) -> Iterator[None]:
--- a/berylshift/request/relay.py
+++ b/berylshift/request/relay.py
@@ -13,6 +13,7 @@
 from berylshift.messages.routed import Dispatch, Prompt, RoutedRequest
 from berylshift.process.fleet.pools import Pool
 from berylshift.process.fleet.target_load import MILD, SEVERE
+from berylshift.request.allowance import TimeBound, allowance_of
 from berylshift.request.answer_stream import AnswerStream
 from berylshift.request.messages import Outcome
 from berylshift.request.placement import Placement
@@ -45,16 +46,21 @@
     FAILED = "failed"
     TIMED_OUT = "timed-out"
     CALLER_LEFT = "caller-left"
+    GIVEN_UP = "given-up"
 
 
 @dataclass
 class Result:
-    """How a request ended, for the log; ``again``: seconds until it may come back."""
+    """How a request ended, for the log; ``again``: seconds until it may come back.
+
+    ``bound`` is set if it ended for want of time, and says whose time that was.
+    """
 
     verdict: Verdict
     detail: str = ""
     sends: list[str] = field(default_factory=list)
     again: float = 0.0
+    bound: TimeBound | None = None
 
 
 class HopelessError(Exception):
@@ -95,11 +101,9 @@
         self._reads = 0
         self._standing = Standing.ON_TIME
         self._started = parts.clock.monotonic()
-        wait = route.timeout
-        if req.seconds_left is not None:
-            wait = min(wait, req.seconds_left)
-        self._until = self._started + wait
-        self._first_until = self._started + min(wait, route.patience)
+        self._allowance = allowance_of(route, req)
+        self._until = self._started + self._allowance.seconds
+        self._first_until = self._started + min(self._allowance.seconds, route.patience)
 
     async def run(self) -> Result:
         """Serve the request; every path ends with one answer or a cut stream."""
@@ -116,8 +120,16 @@
         if self._open_place is not None:
             self._note_send(self._open_place, f"{self._open_place.reason} open")
         if self._out.started:
-            return Result(Verdict.CUT, "time is up", self._sends)
-        return Result(Verdict.TIMED_OUT, self._last_end(), self._sends)
+            return Result(Verdict.CUT, "time is up", self._sends, bound=self._bound())
+        return Result(
+            Verdict.TIMED_OUT, self._last_end(), self._sends, bound=self._bound()
+        )
+
+    def _bound(self) -> TimeBound:
+        """Return whose time ended the request."""
+        if self._parts.shutdown.comes_before(self._until - ANSWER_SECONDS):
+            return TimeBound.STOP
+        return self._allowance.bound
 
     def _hopeless(self, exc: HopelessError) -> Result:
         """Return the end of a request that no engine can answer in time.
--- a/berylshift/request/routed_front.py
+++ b/berylshift/request/routed_front.py
@@ -10,9 +10,10 @@
 
 from berylshift.connection.http_request import HttpRequest
 from berylshift.connection.http_server import Responder
-from berylshift.ids import ServiceName
+from berylshift.ids import RouteName, ServiceName
 from berylshift.messages.routed import Header, RoutedRequest
 from berylshift.process.fleet.route_holder import RouteHolder
+from berylshift.request.allowance import TimeBound
 from berylshift.request.errors import BadRequestError
 from berylshift.request.relay import Relay, Result, Verdict
 from berylshift.request.relay_parts import RelayParts
@@ -46,6 +47,15 @@
     again: float | None = None
 
 
+class Ended(msgspec.Struct, frozen=True):
+    """How a routed request ended, for the metrics; ``bound``: whose time was up."""
+
+    route: RouteName
+    verdict: Verdict
+    seconds: float
+    bound: TimeBound | None = None
+
+
 class RoutedFront:
     """Handles callers' routed requests."""
 
@@ -54,9 +64,9 @@
         parts: RelayParts,
         routes: RouteHolder,
         rng: random.Random,
-        observe: Callable[[str, str, float], None],
+        observe: Callable[[Ended], None],
     ):
-        """Route by ``routes``; tell ``observe`` route, verdict and seconds."""
+        """Route by ``routes``; tell ``observe`` how each request ended."""
         self._parts = parts
         self._routes = routes
         self._rng = rng
@@ -128,6 +138,7 @@
                 "reason": reason,
                 "outcome": refusal.status,
                 "again": refusal.again,
+                "stopping_for": _rounded(self._parts.shutdown.running_for),
             },
         )
         await self._refuse(responder, refusal)
@@ -139,7 +150,9 @@
         service = self._service(route)
         relay = Relay(self._parts, req, route, service, responder)
         started = clock.monotonic()
-        result = Result(Verdict.CALLER_LEFT)
+        # What stands if the request is cancelled from outside: its caller left, or
+        # the process ends before the request does.
+        result = Result(Verdict.GIVEN_UP)
         try:
             result = await relay.run()
             await self._conclude(relay, result, responder)
@@ -147,9 +160,11 @@
             result = Result(Verdict.CALLER_LEFT, sends=result.sends)
             raise
         finally:
+            if result.verdict is Verdict.GIVEN_UP and responder.caller_left:
+                result = Result(Verdict.CALLER_LEFT, sends=result.sends)
             seconds = clock.monotonic() - started
             self._log(relay, route, result, seconds)
-            self._observe(route.name, result.verdict, seconds)
+            self._observe(Ended(route.name, result.verdict, seconds, result.bound))
 
     def _log_no_route(self, req: RoutedRequest, host: str, path: str) -> None:
         table, now = self._routes.table, self._parts.clock.monotonic()
@@ -225,6 +240,8 @@
                 "outcome": result.verdict,
                 "detail": result.detail,
                 "sends": result.sends,
+                "bound": result.bound,
+                "stopping_for": _rounded(self._parts.shutdown.running_for),
                 "ms": round(seconds * 1000, 1),
                 "first_ms": relay.first_ms,
                 "pause_ms": relay.pause_ms,
--- a/berylshift/telemetry.py
+++ b/berylshift/telemetry.py
@@ -8,6 +8,8 @@
     generate_latest,
 )
 
+from berylshift.request.routed_front import Ended
+
 # Upper bounds in seconds; they span a plain call's work to a long stream.
 SECONDS_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
 
@@ -31,12 +33,20 @@
             buckets=SECONDS_BUCKETS,
             registry=self.registry,
         )
+        self._out_of_time = Counter(
+            "berylshift_requests_out_of_time",
+            "Requests that ended unfinished, by whose time was up.",
+            ["route", "bound"],
+            registry=self.registry,
+        )
         self._gauges: dict[str, Gauge] = {}
 
-    def request_ended(self, route: str, outcome: str, seconds: float) -> None:
+    def request_ended(self, ended: Ended) -> None:
         """Count a request."""
-        self._requests.labels(route, outcome).inc()
-        self._seconds.labels(route).observe(seconds)
+        self._requests.labels(ended.route, ended.verdict).inc()
+        self._seconds.labels(ended.route).observe(ended.seconds)
+        if ended.bound is not None:
+            self._out_of_time.labels(ended.route, ended.bound).inc()
 
     def gauge(self, name: str, text: str, value: float) -> None:
         """Set a gauge."""
--- a/berylshift/tests/test_entry_shutdown.py
+++ b/berylshift/tests/test_entry_shutdown.py
@@ -6,27 +6,44 @@
 
 from berylshift.stand_ins.entry_replica import Fault
 from berylshift.tests.entry_world import (
+    ENGINES,
     prompt_headers,
     route,
     routes,
     run_entry,
     stream_body,
 )
-from berylshift.version.routes import RouteKind
+from berylshift.version.routes import RouteKind, ServiceShare
+
+PROMPTED = {"shares": (ServiceShare(ENGINES, 1),), "prompted": True}
+FRONT_LOG = "berylshift.request.routed_front"
+
+
+def endings(logs):
+    """Return outcome, whose time was up, and the stop's seconds of each request."""
+    return [
+        (rec.outcome, rec.bound, rec.stopping_for)
+        for rec in logs.records
+        if rec.getMessage() == "request ended"
+    ]
 
 
 class PlannedStopTest(unittest.TestCase):
     """SIGTERM: not ready at once, no request cut, the end within the grace."""
 
-    def stop(self, before, after):
+    def stop(self, before, after, *more):
         """Run ``before``, begin a stop, run ``after``; then wait for the stop's end.
 
+        ``more`` are routes beside the usual ones.
         Return whether the host was ready once the stop began, what ``after`` returned,
         the stop's seconds, and whether it had ended before ``after``.
         """
 
         async def task(world):
             app = world.hosts[0]
+            if more:
+                world.directory.put_routes(routes(2, *more))
+                await trio.sleep(0.1)
             first = await before(world)
             start = trio.current_time()
             ended = trio.Event()
@@ -151,6 +168,69 @@
         _, _, seconds, _ = self.stop(before, after)
         self.assertLess(seconds, 7.5)
 
+    def test_logs_tell_that_the_stop_ended_a_request(self):
+        """A caller's stream ends early: it was open when its host got SIGTERM.
+
+        The host's line must say that the stop ended it, and not the caller's time.
+        """
+
+        async def before(world):
+            link = world.connect()
+            await self.send_long_stream(link)
+            await trio.sleep(0.2)
+            return link
+
+        async def after(world, link):
+            return await link.read()
+
+        long = route("long", RouteKind.STREAM, timeout=20.0, **PROMPTED)
+        with self.assertLogs(FRONT_LOG, "INFO") as logs:
+            self.stop(before, after, long)
+        self.assertEqual(endings(logs), [("cut", "stop", 7.0)])
+
+    def test_logs_tell_that_the_routes_time_ended_a_request(self):
+        """The same cut, but the route's time was up: no stop is to blame."""
+
+        async def task(world):
+            long = route("long", RouteKind.STREAM, timeout=2.0, **PROMPTED)
+            world.directory.put_routes(routes(2, long))
+            await trio.sleep(0.1)
+            link = world.connect()
+            await self.send_long_stream(link)
+            await link.read()
+
+        with self.assertLogs(FRONT_LOG, "INFO") as logs:
+            run_entry(task, engines="d")
+        self.assertEqual(endings(logs), [("cut", "route", None)])
+
+    def test_logs_tell_a_caller_that_left_from_a_process_that_ended(self):
+        """Both cancel the request; only the second is the host's doing."""
+
+        async def leave(world, link):
+            await link.close()
+            await trio.sleep(0.1)
+
+        async def end(world, link):
+            world.nursery.cancel_scope.cancel()
+
+        for how, outcome in ((leave, "caller-left"), (end, "given-up")):
+
+            async def task(world, how=how):
+                link = world.connect()
+                headers = prompt_headers(70, shared=0)
+                await link.send("/note/x", headers=headers)
+                await trio.sleep(0.2)
+                await how(world, link)
+
+            with self.subTest(outcome), self.assertLogs(FRONT_LOG, "INFO") as logs:
+                run_entry(task, engines="d")
+            self.assertEqual(endings(logs), [(outcome, None, None)])
+
+    async def send_long_stream(self, link):
+        """Ask for a stream of 10 s with 20 s left."""
+        headers = prompt_headers(200, shared=0)
+        await link.send("/long/x", headers=headers, left_ms=20_000)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/berylshift/tools/log_summary.py
+++ b/berylshift/tools/log_summary.py
@@ -3,7 +3,7 @@
 import re
 import statistics
 from collections import Counter, defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from datetime import datetime
 
 import msgspec
@@ -85,13 +85,19 @@
         second=second,
         route=str(values.get("route", "-")),
         outcome=line.message if refused else str(values.get("outcome")),
-        detail=str(values.get("reason" if refused else "detail", "")),
+        detail=_why(values, "reason" if refused else "detail"),
         ms=float(values.get("ms") or 0.0),
         first_ms=values.get("first_ms"),
         sends=tuple(_sends(values.get("sends", ()))),
     )
 
 
+def _why(values: Mapping[str, object], key: str) -> str:
+    """Return why a request ended, and whose time was up where that ended it."""
+    detail, bound = str(values.get(key, "")), values.get("bound")
+    return f"{detail} ({bound})" if bound else detail
+
+
 def _sends(texts: Iterable[str]) -> Iterable[LoggedSend]:
     """Yield the sends; a text of another form (a spent budget) is none."""
     for text in texts:
