--- a/berylshift/tests/test_entry_shutdown.py
+++ b/berylshift/tests/test_entry_shutdown.py
@@ -135,6 +135,54 @@
         _, found, _, _ = self.stop(before, after)
         self.assertEqual(found, ((503, True), 200))
 
+    def test_what_was_taken_is_never_given_up(self):
+        """A caller's stream breaks off in the middle although its host had a choice.
+
+        Most hosts of a domain stop at once, so the balancer still uses each of them. A
+        long prompt comes seconds after SIGTERM and is taken; its stream is well within
+        the time of route and caller when the host ends and cuts it.
+
+        Evidence: wherever the request begins, it is cut at the end of the stop (`bound`
+        stop in its line), never at its own; the same request to a host that does not
+        stop is whole. The host took it by how long most requests last, which nothing
+        ties to its own end. It must refuse at once what it may not have time for.
+        """
+        broken = []
+        for timeout in (1.0, 2.0, 4.0, 6.0, 8.0):
+            for come in (0.0, 0.5, 1.5, 2.4, 2.6, 3.7, 5.0, 6.5):
+                reply, seconds = self.ask_while_stopping(timeout, come)
+                refused = reply.status == 503 and seconds < 0.1 and reply.again > 0
+                if not (refused or (reply.status == 200 and reply.whole)):
+                    broken.append((timeout, come, reply.status, round(seconds, 1)))
+        self.assertEqual(broken, [])
+
+    def ask_while_stopping(self, timeout, come):
+        """Ask a stopping host for a stream that lasts nearly its whole time.
+
+        Return the reply and the seconds that it took.
+        """
+
+        async def before(world):
+            for replica in world.replicas.values():
+                replica.piece_seconds = 0.9 * timeout / 10
+            link = world.connect()
+            await link.send("/long/x", headers=prompt_headers(400, shared=0))
+            await trio.sleep(0.1)
+            # Its host does not fall quiet before the stop's end.
+            return link
+
+        async def after(world, _):
+            await trio.sleep(come)
+            start = trio.current_time()
+            headers = prompt_headers(10, shared=0)
+            reply = await world.ask("/asked/x", "r2", headers=headers, left_ms=20_000)
+            return reply, trio.current_time() - start
+
+        long = route("long", RouteKind.STREAM, timeout=30.0, **PROMPTED)
+        asked = route("asked", RouteKind.STREAM, timeout=timeout, **PROMPTED)
+        _, found, _, _ = self.stop(before, after, long, asked)
+        return found
+
     def test_callers_that_still_come_are_served(self):
         """The balancer needs two seconds to see that the host is not ready."""
 
