Show a request that is cut as a stopping host falls quiet

Cause: the wait for quiet looks at what is in flight, sleeps 50 ms, and ends by the clock without looking again; then the daemon cancels all connections. Work that is shorter than 50 ms and falls between two looks is never seen.

The support holds connections as a kernel keeps them, and a host's process as the daemon runs it.

--- /dev/null
+++ b/berylshift/tests/ledger.py
@@ -0,0 +1,198 @@
+"""Callers' connections as a kernel keeps them, and a host's process as the daemon runs.
+
+Pipes in memory give up bytes that a cancelled reader had taken, and wake it before the
+loop looks. Here both are as with sockets: a call is tried at once and a cancelled one
+has done nothing; what has come is seen when the loop looks next; a connection that is
+closed with bytes unread is reset, and a reset takes along what its peer has not read
+(RFC 9112, section 9.6).
+"""
+
+from collections.abc import Callable
+
+import trio
+
+from berylshift.entry_application import EntryApplication
+from berylshift.tests.entry_world import CallerLink
+
+# Bytes that one end may send ahead of the other's reading.
+WINDOW_BYTES = 65536
+MOST_WAITING = 1024
+
+
+class KernelEnd(trio.abc.HalfCloseableStream):
+    """One end of a connection; ``taken`` and ``put`` count its bytes.
+
+    ``on_put`` is called after each write, in the turn of the loop in which it was made.
+    """
+
+    def __init__(self, window: int):
+        """Let the peer send ``window`` bytes ahead."""
+        self.peer: KernelEnd = self
+        self.taken = 0
+        self.put = 0
+        self.closed = False
+        self.was_reset = False
+        self.on_put: Callable[[bytes], None] | None = None
+        self._window = window
+        self._unread = bytearray()
+        self._ended = False
+        self._news = trio.Event()
+
+    async def send_all(self, data: bytes) -> None:
+        """Send bytes; waits while the peer's window is full."""
+        rest = bytes(data)
+        while rest:
+            rest = rest[await self._call(self.put_now, rest) :]
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        """Return bytes, or nothing at the end."""
+        return await self._call(self._take, max_bytes or WINDOW_BYTES)
+
+    async def wait_send_all_might_not_block(self) -> None:
+        """Wait until sending is possible."""
+        await trio.lowlevel.checkpoint()
+
+    async def send_eof(self) -> None:
+        """Close the sending half."""
+        self.peer._ended = True
+        self.peer._tell()
+        await trio.lowlevel.checkpoint()
+
+    async def aclose(self) -> None:
+        """Close both halves; without having read all, reset the connection."""
+        self.close()
+        await trio.lowlevel.checkpoint()
+
+    def close(self) -> None:
+        """Close as the end of a process does."""
+        if self.closed:
+            return
+        self.closed = True
+        if self._unread:
+            self.peer.reset()
+        self.peer._ended = True
+        self._tell()
+        self.peer._tell()
+
+    def reset(self) -> None:
+        """Take the reset that the peer sent: what was not read yet is gone."""
+        self.was_reset = True
+        self._unread.clear()
+        self._tell()
+
+    def put_now(self, data: bytes) -> int | None:
+        """Hand bytes to the kernel; return how many it took, ``None``: not now."""
+        self._check()
+        peer = self.peer
+        if peer.closed:
+            self.reset()
+            return len(data)
+        room = peer._window - len(peer._unread)
+        if room <= 0:
+            return None
+        part = data[:room]
+        peer._unread += part
+        self.put += len(part)
+        peer._tell()
+        if self.on_put is not None:
+            self.on_put(part)
+        return len(part)
+
+    def _take(self, most: int) -> bytes | None:
+        self._check()
+        if not self._unread:
+            return b"" if self._ended else None
+        part = bytes(self._unread[:most])
+        del self._unread[:most]
+        self.taken += len(part)
+        self.peer._tell()
+        return part
+
+    def _check(self) -> None:
+        if self.closed:
+            raise trio.ClosedResourceError("closed by its own side")
+        if self.was_reset:
+            raise trio.BrokenResourceError("reset")
+
+    async def _call(self, step, arg):
+        """Carry out ``step`` as the loop does a call of the kernel."""
+        await trio.lowlevel.checkpoint_if_cancelled()
+        done = step(arg)
+        if done is not None:
+            await trio.lowlevel.cancel_shielded_checkpoint()
+            return done
+        while done is None:
+            await self._news.wait()
+            done = step(arg)
+        return done
+
+    def _tell(self) -> None:
+        """Have the loop see the news when it looks next."""
+        news, self._news = self._news, trio.Event()
+        trio.lowlevel.current_trio_token().run_sync_soon(news.set)
+
+
+def kernel_pair(window: int = WINDOW_BYTES) -> tuple[KernelEnd, KernelEnd]:
+    """Return both ends; the first lets its peer send ``window`` bytes ahead."""
+    one, other = KernelEnd(window), KernelEnd(WINDOW_BYTES)
+    one.peer, other.peer = other, one
+    return one, other
+
+
+class HostProcess:
+    """A host's process: accepts, serves, stops and ends as the daemon does."""
+
+    def __init__(self, app: EntryApplication):
+        """Run ``app``, whose own loops the world runs."""
+        self.app = app
+        self.stop = trio.Event()
+        self.ended = trio.Event()
+        self.fault: BaseException | None = None
+        self._arrive, self._waiting = trio.open_memory_channel(MOST_WAITING)
+
+    async def run(self) -> None:
+        """Serve until the stop has been carried out; note what else ended it."""
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.app.server.serve, self)
+                await self.stop.wait()
+                await self.app.on_shutdown()
+                nursery.cancel_scope.cancel()
+            self.app.on_stop()
+        except Exception as exc:
+            self.fault = exc
+        finally:
+            self.ended.set()
+            self._refuse_waiting()
+
+    async def accept(self) -> KernelEnd:
+        """Return the next connection, as a listener does."""
+        return await self._waiting.receive()
+
+    def connect(self, window: int = WINDOW_BYTES) -> CallerLink:
+        """Return a new connection to the host; ``OSError``: its process has ended."""
+        if self.ended.is_set():
+            raise OSError("connection refused")
+        near, far = kernel_pair(window)
+        self._arrive.send_nowait(far)
+        return CallerLink(near)
+
+    def _refuse_waiting(self) -> None:
+        while True:
+            try:
+                self._waiting.receive_nowait().close()
+            except (trio.WouldBlock, trio.EndOfChannel):
+                return
+
+
+async def start_process(world, host: int = 0) -> HostProcess:
+    """Have one of a world's hosts serve as a process."""
+    process = HostProcess(world.hosts[host])
+    world.nursery.start_soon(process.run)
+    await trio.lowlevel.checkpoint()
+    return process
+
+
+def pass_time(seconds: float) -> None:
+    """Let time go by within a turn of the loop: the host gets no processor time."""
+    trio.lowlevel.current_clock().jump(seconds)
--- /dev/null
+++ b/berylshift/tests/test_entry_ledger.py
@@ -0,0 +1,63 @@
+"""Each whole request that a host has read gets one complete answer or refusal."""
+
+import unittest
+
+import trio
+
+from berylshift.tests.entry_world import Reply, route, routes, run_entry
+from berylshift.tests.ledger import HostProcess, start_process
+from berylshift.version.routes import RouteKind
+
+NOTHING = Reply(0, {}, b"", False)
+
+
+async def ask(process: HostProcess, path: str, **more) -> tuple[Reply, bool]:
+    """Ask on a new connection; return the reply and whether the host has read all."""
+    try:
+        link = process.connect()
+    except OSError:
+        return NOTHING, False
+    try:
+        await link.send(path, **more)
+    except trio.BrokenResourceError:
+        return NOTHING, False
+    reply = await link.read()
+    return reply, link.stream.peer.taken == link.stream.put
+
+
+class QuietEndTest(unittest.TestCase):
+    """A planned stop ends when nothing is in flight for half a second."""
+
+    def ask_after_the_word(self, seconds: float) -> tuple[int, bool, bool]:
+        async def task(world):
+            for replica in world.replicas.values():
+                replica.work_seconds = 0.2
+            short = route("short", RouteKind.AT_MOST_ONCE, timeout=2.0)
+            world.directory.put_routes(routes(2, short))
+            await trio.sleep(0.1)
+            process = await start_process(world)
+            process.stop.set()
+            await trio.sleep(seconds)
+            reply, read = await ask(process, "/short/x")
+            return reply.status, reply.whole, read
+
+        return run_entry(task)
+
+    def test_a_request_that_comes_as_the_host_falls_quiet_is_answered(self):
+        """Most hosts leave, so callers still reach one that has been told to stop.
+
+        It has had nothing to do for half a second and looks every 50 ms. A booking
+        comes after the last look and goes to its desk; the host ends without having
+        looked again. The caller's connection closes; the booking may have been made.
+        """
+        lost = []
+        for number in range(25):
+            seconds = 2.9 + number * 0.01
+            status, whole, read = self.ask_after_the_word(seconds)
+            if read and not (status == 200 and whole):
+                lost.append((round(seconds, 2), status, whole))
+        self.assertEqual(lost, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
