Have a stopping host look once more before it ends

Cause: the wait for quiet slept after its last look at what was in flight, and the daemon then cancelled all connections; a request that came in those 50 ms was read, sent to its replica and cut. Requests shorter than 50 ms between two looks did not count, nor did those that were still being read.

Change: the server counts requests from their first byte to their answer's end and the wait goes by that count, without sampling; nothing waits between its last look and the end. A host that never falls quiet stops taking requests when all of them end, 7.0 s after SIGTERM with 8 s of grace, and gives the last answers 0.2 s: a caller that comes then finds its connection closed unread, and may come back with a booking too.

Ruled out: more looks; each leaves its own gap.

--- a/berylshift/connection/http_server.py
+++ b/berylshift/connection/http_server.py
@@ -1,7 +1,8 @@
 """HTTP/1.1 server on trio streams, by h11; one task for each connection."""
 
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 import h11
@@ -122,7 +123,11 @@
         self.held_bytes = HELD_BYTES if hands_on_bodies else float("inf")
         self.limits = limits or ServerLimits()
         self.draining = False
+        self.taking = True
         self.open_connections = 0
+        self._under_way = 0
+        self._begun = 0
+        self._all_ended = trio.Event()
         self._idle: set[trio.CancelScope] = set()
 
     async def serve(self, listener: trio.SocketListener) -> None:
@@ -137,7 +142,9 @@
         self.open_connections += 1
         link = _Link(self, stream)
         try:
-            if self.open_connections > self.limits.connections:
+            if not self.taking:
+                logger.info("connection closed unread", extra={"reason": "stopping"})
+            elif self.open_connections > self.limits.connections:
                 await link.refuse(STATUS_UNAVAILABLE, "too many connections")
             else:
                 await link.run()
@@ -147,6 +154,39 @@
             self.open_connections -= 1
             await trio.aclose_forcefully(stream)
 
+    @contextmanager
+    def request_under_way(self) -> Iterator[None]:
+        """Count the block as a request: from its first byte to its answer's end."""
+        self._begun += 1
+        self._under_way += 1
+        try:
+            yield
+        finally:
+            self._under_way -= 1
+            if not self._under_way:
+                self._all_ended.set()
+                self._all_ended = trio.Event()
+
+    async def wait_until_quiet(self, seconds: float) -> None:
+        """Return once no request has been under way for ``seconds``.
+
+        Nothing waits between the last look and the return. With a wait in between, a
+        request that comes then is read and sent on, and the process ends under it:
+        its caller gets neither an answer nor a refusal. Requests that are still being
+        read count, since a caller may not repeat what was read in part.
+        """
+        seen = -1
+        while self._under_way or self._begun != seen:
+            while self._under_way:
+                await self._all_ended.wait()
+            seen = self._begun
+            await trio.sleep(seconds)
+
+    def stop_taking(self) -> None:
+        """Begin no further request; a caller sees that its next one was not read."""
+        self.taking = False
+        self.close_idle()
+
     def close_idle(self) -> None:
         """Close the connections that wait for a next request."""
         for scope in self._idle:
@@ -190,16 +230,18 @@
             raise trio.BrokenResourceError("caller reads too slowly")
 
     async def run(self) -> None:
-        try:
-            while await self._serve_one():
-                self.conn.start_next_cycle()
-        except RequestRejectedError as exc:
-            await self.refuse(exc.status, exc.reason)
+        while await self._wait_for_bytes() and await self._serve_one():
+            self.conn.start_next_cycle()
 
     async def _serve_one(self) -> bool:
         """Serve a request; return whether the connection may go on."""
-        req = await self._read_request()
-        return req is not None and await self._answer(req)
+        with self.server.request_under_way():
+            try:
+                req = await self._read_request()
+                return req is not None and await self._answer(req)
+            except RequestRejectedError as exc:
+                await self.refuse(exc.status, exc.reason)
+                return False
 
     async def refuse(self, status: int, reason: str, outcome: str = "not-run") -> None:
         if self.conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
@@ -305,8 +347,6 @@
             self.conn.receive_data(await self._receive())
 
     async def _read_request(self) -> HttpRequest | None:
-        if not await self._wait_for_bytes():
-            return None
         self.read_until = trio.current_time() + self.server.limits.request_seconds
         with trio.move_on_at(self.read_until):
             return await self._read_held()
@@ -314,6 +354,8 @@
 
     async def _wait_for_bytes(self) -> bool:
         """Wait for a request's first byte; it is time that may be cut short."""
+        if not self.server.taking:
+            return False
         if self.conn.trailing_data[0]:
             return True
         scope = self.server.idle_scope()
--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -49,7 +49,6 @@
 # The pause after news of replicas; well within the time that a leaving one is given.
 REST_SECONDS_A_HOST = 0.01
 LONGEST_REST_SECONDS = 0.8
-EMPTY_CHECK_SECONDS = 0.05
 GAUGE_SECONDS = 5.0
 # The balancer asks every second and takes a host out after two misses.
 BALANCER_NOTICE_SECONDS = 2.5
@@ -319,20 +318,22 @@
         logger.info(
             "leaving", extra={"in_flight": self.front.in_flight, "ends_in": grace}
         )
-        self.shutdown.begin(grace - LAST_ANSWER_SECONDS)
-        with trio.move_on_after(grace) as scope:
+        requests_end = grace - LAST_ANSWER_SECONDS
+        self.shutdown.begin(requests_end)
+        with trio.move_on_after(requests_end) as scope:
             await trio.sleep(BALANCER_NOTICE_SECONDS)
             self.server.close_idle()
-            await self._wait_until_quiet()
+            await self.server.wait_until_quiet(QUIET_SECONDS)
         if scope.cancelled_caught:
-            logger.error("stopped", extra={"in_flight": self.front.in_flight})
+            await self._give_last_answers()
 
-    async def _wait_until_quiet(self) -> None:
-        quiet_since = trio.current_time()
-        while trio.current_time() - quiet_since < QUIET_SECONDS:
-            if self.front.in_flight:
-                quiet_since = trio.current_time()
-            await trio.sleep(EMPTY_CHECK_SECONDS)
+    async def _give_last_answers(self) -> None:
+        """Let what all requests' end has answered reach its callers."""
+        self.server.stop_taking()
+        with trio.move_on_after(LAST_ANSWER_SECONDS) as scope:
+            await self.server.wait_until_quiet(0)
+        if scope.cancelled_caught:
+            logger.error("stopped", extra={"in_flight": self.front.in_flight})
 
     def on_stop(self) -> None:
         """Note that the process ends."""
--- a/berylshift/tests/test_entry_ledger.py
+++ b/berylshift/tests/test_entry_ledger.py
@@ -28,14 +28,27 @@
 class QuietEndTest(unittest.TestCase):
     """A planned stop ends when nothing is in flight for half a second."""
 
-    def ask_after_the_word(self, seconds: float) -> tuple[int, bool, bool]:
+    def ask_after_the_word(
+        self, seconds: float, busy: bool = False
+    ) -> tuple[int, bool, bool]:
+        """Ask a host that was told to stop; return status, wholeness, all was read.
+
+        A ``busy`` one has a request under way that lasts longer than the stop.
+        """
+
         async def task(world):
-            for replica in world.replicas.values():
-                replica.work_seconds = 0.2
             short = route("short", RouteKind.AT_MOST_ONCE, timeout=2.0)
-            world.directory.put_routes(routes(2, short))
+            long = route("long", RouteKind.AT_MOST_ONCE, timeout=30.0)
+            world.directory.put_routes(routes(2, short, long))
             await trio.sleep(0.1)
             process = await start_process(world)
+            if busy:
+                for replica in world.replicas.values():
+                    replica.work_seconds = 30.0
+                await process.connect().send("/long/x", "r0", left_ms=30_000)
+                await trio.sleep(0.1)
+            for replica in world.replicas.values():
+                replica.work_seconds = 0.2
             process.stop.set()
             await trio.sleep(seconds)
             reply, read = await ask(process, "/short/x")
@@ -58,6 +71,21 @@
                 lost.append((round(seconds, 2), status, whole))
         self.assertEqual(lost, [])
 
+    def test_a_request_that_comes_at_the_hard_end_is_refused_or_unread(self):
+        """A host that never falls quiet ends all the same, 7.2 s after the word.
+
+        Callers come around that moment. Each is refused, or finds its connection closed
+        before the host has read of its request: then it may come back with a booking
+        too. None is read and left without a word.
+        """
+        lost = []
+        for number in range(36):
+            seconds = 6.9 + number * 0.01
+            status, whole, read = self.ask_after_the_word(seconds, busy=True)
+            if read and not (status == 503 and whole):
+                lost.append((round(seconds, 2), status, whole))
+        self.assertEqual(lost, [])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -262,10 +262,17 @@
     Proof(
         "a planned stop waits for what is under way",
         "entry_application.py",
-        "            await self._wait_until_quiet()\n",
+        "            await self.server.wait_until_quiet(QUIET_SECONDS)\n",
         "",
         "test_entry_shutdown.PlannedStopTest.test_a_stream_under_way_ends_whole",
     ),
+    Proof(
+        "a stop ends without a wait after its last look",
+        "connection/http_server.py",
+        "        while self._under_way or self._begun != seen:\n",
+        "        while seen < 0:\n",
+        "test_entry_ledger.QuietEndTest",
+    ),
     Proof(
         "a lease is over on a clock that counts a freeze",
         "process/fleet/order_lease.py",
