Show three ways in which one connection ends a host's process

In each a booking is under way on another connection of the same host, and is cut:

- a caller asks for `GET //[`, which urlsplit can't take apart: ValueError leaves the connection, the listener's nursery and the process;
- a handler fails and its 500 can't be written, as the caller has stopped to read: the error leaves the connection's nursery as a group, which the connection's `except` does not match;
- accept() fails since all descriptors are used: trio passes that error on.

Cause: what breaks on one connection is caught by a list of kinds of error, and anything else is the whole process's end.

The first needs a caller that sends such a target; the third more connections than descriptors.

--- a/berylshift/tests/test_entry_ledger.py
+++ b/berylshift/tests/test_entry_ledger.py
@@ -1,5 +1,6 @@
 """Each whole request that a host has read gets one complete answer or refusal."""
 
+import errno
 import unittest
 
 import trio
@@ -87,5 +88,81 @@
         self.assertEqual(lost, [])
 
 
+class OwnEndTest(unittest.TestCase):
+    """Whatever one caller's connection does, the host's process goes on."""
+
+    def check_goes_on(self, disturb):
+        """Have a booking under way while ``disturb(process)`` runs."""
+
+        async def task(world):
+            for replica in world.replicas.values():
+                replica.work_seconds = 0.5
+            process = await start_process(world)
+            link = process.connect()
+            await link.send("/book/x")
+            await trio.sleep(0.1)
+            await disturb(process)
+            reply = await link.read()
+            return process.fault, reply.status, reply.whole
+
+        self.assertEqual(run_entry(task), (None, 200, True))
+
+    def test_a_target_that_is_no_address_costs_its_caller_alone(self):
+        """One caller asks for ``//[``, which no reader of addresses can take apart.
+
+        The fault passes through its connection to the listener and ends the process:
+        all callers' connections close, those with bookings under way too.
+        """
+
+        async def disturb(process):
+            link = process.connect()
+            await link.stream.send_all(
+                b"GET //[ HTTP/1.1\r\nhost: shop.example\r\n\r\n"
+            )
+            await trio.sleep(0.1)
+
+        self.check_goes_on(disturb)
+
+    def test_a_refusal_that_can_not_be_written_costs_its_caller_alone(self):
+        """A fault in the host's own code meets a caller that has stopped to read.
+
+        The refusal finds no room in the caller's window until the time for writes is
+        over. That leaves the connection's tasks as a group, which the connection does
+        not take for a broken one: the listener ends, and with it the process.
+        """
+
+        async def disturb(process):
+            async def fail(http, responder):
+                raise ValueError("a fault of the host's own")
+
+            process.app.server.handler = fail
+            link = process.connect(window=16)
+            await link.send("/book/x")
+            await trio.sleep(process.app.server.limits.write_seconds + 1)
+
+        self.check_goes_on(disturb)
+
+    def test_a_host_without_a_free_descriptor_goes_on(self):
+        """Callers and replicas have used all descriptors when one more caller comes.
+
+        The system can't accept it now. The listener ends by the error and the process
+        with it, while callers' bookings are under way.
+        """
+
+        async def disturb(process):
+            accept = process.accept
+
+            async def fail():
+                process.accept = accept
+                raise OSError(errno.EMFILE, "too many open files")
+
+            process.accept = fail
+            process.connect()
+            process.connect()
+            await trio.sleep(0.1)
+
+        self.check_goes_on(disturb)
+
+
 if __name__ == "__main__":
     unittest.main()
