Have what breaks on one connection cost no other caller

Cause: a connection took only errors of the transport for its own; any other, and any group of errors, ended the listener and the process.

Change: a connection logs whatever else fails on it and ends alone; a target that is no address is answered 400; a listener without a free descriptor waits 50 ms and goes on.

Ruled out: naming more kinds of error. Nurseries pass them on in groups, so what may come can't be listed.

--- a/berylshift/connection/http_request.py
+++ b/berylshift/connection/http_request.py
@@ -60,8 +60,11 @@
 
 
 def make_request(head: h11.Request, body: RequestBody) -> HttpRequest:
-    """Return the request of a head and its body."""
-    url = urlsplit(head.target.decode("ascii"))
+    """Return the request of a head and its body; reject a target that is no address."""
+    try:
+        url = urlsplit(head.target.decode("ascii"))
+    except ValueError as exc:
+        raise RequestRejectedError(STATUS_BAD_REQUEST, "bad target") from exc
     headers = {name.decode(): value.decode("latin-1") for name, value in head.headers}
     pairs = tuple(parse_qsl(url.query, keep_blank_values=True))
     return HttpRequest(
--- a/berylshift/connection/http_server.py
+++ b/berylshift/connection/http_server.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 server on trio streams, by h11; one task for each connection."""
 
+import errno
 import logging
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
@@ -31,6 +32,10 @@
 # How long the rest of a body is read after its answer: closing the connection before
 # would reset it, and the answer could be lost on its way.
 REST_SECONDS = 1.0
+# What accept fails with while descriptors or memory are used up; they are free again
+# when other connections end, and a caller waits a second for its connection.
+NO_ROOM = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+NO_ROOM_SECONDS = 0.05
 STATUS_TIMEOUT = 408
 STATUS_TOO_LARGE = 413
 STATUS_ERROR = 500
@@ -134,11 +139,31 @@
         """Accept connections until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
-                stream = await listener.accept()
+                stream = await self._accept(listener)
                 nursery.start_soon(self.serve_stream, stream)
 
+    async def _accept(self, listener: trio.SocketListener) -> trio.abc.Stream:
+        """Return the next connection; wait while the system has no room for one.
+
+        The error would end the listener and the process with it, and so cut all
+        requests under way. The connection stays in the listener's queue meanwhile.
+        """
+        while True:
+            try:
+                return await listener.accept()
+            except OSError as exc:
+                if exc.errno not in NO_ROOM:
+                    raise
+                logger.warning("no room to accept", extra={"reason": str(exc)})
+                await trio.sleep(NO_ROOM_SECONDS)
+
     async def serve_stream(self, stream: trio.abc.Stream) -> None:
-        """Serve one connection; whatever breaks costs this connection only."""
+        """Serve one connection; whatever breaks costs this connection only.
+
+        Any error that passed on from here would end the process, and all callers'
+        requests with it. A nursery passes errors on in groups, so kinds of error do not
+        tell what may pass.
+        """
         self.open_connections += 1
         link = _Link(self, stream)
         try:
@@ -150,6 +175,8 @@
                 await link.run()
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
             logger.debug("connection broken by its peer")
+        except Exception:
+            logger.exception("connection failed")
         finally:
             self.open_connections -= 1
             await trio.aclose_forcefully(stream)
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -273,6 +273,21 @@
         "        while seen < 0:\n",
         "test_entry_ledger.QuietEndTest",
     ),
+    Proof(
+        "a connection's error costs no other caller",
+        "connection/http_server.py",
+        '        except Exception:\n            logger.exception("connection',
+        '        except MemoryError:\n            logger.exception("connection',
+        "test_entry_ledger.OwnEndTest"
+        ".test_a_refusal_that_can_not_be_written_costs_its_caller_alone",
+    ),
+    Proof(
+        "a host without a free descriptor goes on",
+        "connection/http_server.py",
+        "                if exc.errno not in NO_ROOM:\n",
+        "                if exc.errno:\n",
+        "test_entry_ledger.OwnEndTest.test_a_host_without_a_free_descriptor_goes_on",
+    ),
     Proof(
         "a lease is over on a clock that counts a freeze",
         "process/fleet/order_lease.py",
