Show ready answers that are cut between two of their writes

Cause: head, body and end mark are written apart, and the time that the host gives a request ends all of it. After a write the loop takes a turn; a time that is over by then is met by the next write.

Connections to replicas are now as a kernel keeps them, too.

--- a/berylshift/tests/ledger.py
+++ b/berylshift/tests/ledger.py
@@ -12,11 +12,15 @@
 import trio
 
 from berylshift.entry_application import EntryApplication
-from berylshift.tests.entry_world import CallerLink
+from berylshift.messages.replicas import EnginePhase
+from berylshift.tests.entry_world import ENGINES, CallerLink, EntryWorld, routes
+from berylshift.tests.support import run_virtual
 
 # Bytes that one end may send ahead of the other's reading.
 WINDOW_BYTES = 65536
 MOST_WAITING = 1024
+# What a connection takes, and how much later a host looks at what has come.
+LATER_SECONDS = 0.001
 
 
 class KernelEnd(trio.abc.HalfCloseableStream):
@@ -58,6 +62,16 @@
         self.peer._tell()
         await trio.lowlevel.checkpoint()
 
+    @property
+    def send_stream(self) -> "KernelEnd":
+        """Return what closes the sending half: a kernel closes both at once."""
+        return self
+
+    @property
+    def receive_stream(self) -> "KernelEnd":
+        """Return what closes the receiving half."""
+        return self
+
     async def aclose(self) -> None:
         """Close both halves; without having read all, reset the connection."""
         self.close()
@@ -108,6 +122,10 @@
         self.peer._tell()
         return part
 
+    def _look(self, _) -> bool | None:
+        self._check()
+        return True if self._unread or self._ended else None
+
     def _check(self) -> None:
         if self.closed:
             raise trio.ClosedResourceError("closed by its own side")
@@ -132,13 +150,60 @@
         trio.lowlevel.current_trio_token().run_sync_soon(news.set)
 
 
-def kernel_pair(window: int = WINDOW_BYTES) -> tuple[KernelEnd, KernelEnd]:
-    """Return both ends; the first lets its peer send ``window`` bytes ahead."""
-    one, other = KernelEnd(window), KernelEnd(WINDOW_BYTES)
+def kernel_pair(
+    window: int = WINDOW_BYTES, near: type[KernelEnd] = KernelEnd
+) -> tuple[KernelEnd, KernelEnd]:
+    """Return both ends; the ``near`` one lets its peer send ``window`` bytes ahead."""
+    one, other = near(window), KernelEnd(WINDOW_BYTES)
     one.peer, other.peer = other, one
     return one, other
 
 
+class LateLook(KernelEnd):
+    """Looks a little after something has come, and so sees more of it at once."""
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        """Return bytes, or nothing at the end."""
+        await self._call(self._look, None)
+        await trio.sleep(LATER_SECONDS)
+        return await super().receive_some(max_bytes)
+
+
+class LedgerWorld(EntryWorld):
+    """Hosts whose connections to replicas are as a kernel keeps them, too."""
+
+    async def dial(self, address: str) -> KernelEnd:
+        """Connect to a replica."""
+        self.dials += 1
+        await trio.sleep(LATER_SECONDS)
+        replica = self.replicas.get(address)
+        if replica is None or not replica.alive:
+            raise OSError("connection refused")
+        near, far = kernel_pair(near=LateLook)
+        self.nursery.start_soon(replica.serve, far)
+        return near
+
+
+def run_ledger(task, engines: str = "", hosts: int = 1):
+    """Run ``task(world)``; ``engines``: how many that answer, a letter each."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            world = LedgerWorld(nursery)
+            world.directory.put_routes(routes())
+            for number in range(2):
+                world.add_replica(f"plain-{number + 1}")
+            for number in range(len(engines)):
+                world.add_replica(f"engine-{number + 1}", ENGINES, EnginePhase.DECODE)
+            for _ in range(hosts):
+                await world.add_host()
+            result = await task(world)
+            nursery.cancel_scope.cancel()
+        return result
+
+    return run_virtual(main)
+
+
 class HostProcess:
     """A host's process: accepts, serves, stops and ends as the daemon does."""
 
--- a/berylshift/tests/test_entry_ledger.py
+++ b/berylshift/tests/test_entry_ledger.py
@@ -5,8 +5,14 @@
 
 import trio
 
-from berylshift.tests.entry_world import Reply, route, routes, run_entry
-from berylshift.tests.ledger import HostProcess, start_process
+from berylshift.tests.entry_world import (
+    Reply,
+    prompt_headers,
+    route,
+    routes,
+    stream_body,
+)
+from berylshift.tests.ledger import HostProcess, pass_time, run_ledger, start_process
 from berylshift.version.routes import RouteKind
 
 NOTHING = Reply(0, {}, b"", False)
@@ -55,7 +61,7 @@
             reply, read = await ask(process, "/short/x")
             return reply.status, reply.whole, read
 
-        return run_entry(task)
+        return run_ledger(task)
 
     def test_a_request_that_comes_as_the_host_falls_quiet_is_answered(self):
         """Most hosts leave, so callers still reach one that has been told to stop.
@@ -105,7 +111,7 @@
             reply = await link.read()
             return process.fault, reply.status, reply.whole
 
-        self.assertEqual(run_entry(task), (None, 200, True))
+        self.assertEqual(run_ledger(task), (None, 200, True))
 
     def test_a_target_that_is_no_address_costs_its_caller_alone(self):
         """One caller asks for ``//[``, which no reader of addresses can take apart.
@@ -164,5 +170,87 @@
         self.check_goes_on(disturb)
 
 
+class ReadyAnswerTest(unittest.TestCase):
+    """An answer that is there is delivered, whatever time ends between two writes."""
+
+    def pass_time_after(self, link, mark: bytes, seconds: float) -> None:
+        """Have the host without processor time once it has written ``mark``."""
+
+        def on_put(data: bytes) -> None:
+            if mark in data:
+                link.stream.peer.on_put = None
+                pass_time(seconds)
+
+        link.stream.peer.on_put = on_put
+
+    def answer(self, work: float, left_ms: int, stop_at: float | None = None):
+        """Ask a service that works ``work`` seconds; 30 ms pass behind the head.
+
+        Return status and wholeness of the reply, and the caller's seconds until then.
+        """
+
+        async def task(world):
+            for replica in world.replicas.values():
+                replica.work_seconds = work
+            long = route("long", RouteKind.AT_MOST_ONCE, timeout=20.0)
+            world.directory.put_routes(routes(2, long))
+            await trio.sleep(0.1)
+            process = await start_process(world)
+            link = process.connect()
+            start = trio.current_time()
+            await link.send("/long/x", left_ms=left_ms)
+            self.pass_time_after(link, b"HTTP/1.1 200", 0.03)
+            if stop_at is not None:
+                await trio.sleep(stop_at)
+                process.stop.set()
+            reply = await link.read()
+            return reply.status, reply.whole, trio.current_time() - start
+
+        return run_ledger(task)
+
+    def test_the_body_follows_its_head_when_the_time_is_nearly_over(self):
+        """A booking is made, its answer is ready 30 ms before the caller's time ends.
+
+        The head is on its way when the host has no processor time for 30 ms. Then the
+        time that the host gives the request is over, and the body is not written: the
+        caller gets a head with the length of a body that never comes.
+        """
+        status, whole, seconds = self.answer(work=0.965, left_ms=1000)
+        self.assertLess(seconds, 1.0)
+        self.assertEqual((status, whole), (200, True))
+
+    def test_the_body_follows_its_head_when_the_host_ends(self):
+        """The same as the last answers of a planned stop are written, 7 s after it.
+
+        The caller has 12 s left, and the host 0.2 s that it keeps for last answers.
+        """
+        status, whole, seconds = self.answer(work=8.98, left_ms=21000, stop_at=2.0)
+        self.assertLess(seconds, 9.2)
+        self.assertEqual((status, whole), (200, True))
+
+    def test_the_end_mark_follows_the_last_event(self):
+        """All events of a caller's stream are there, and the end mark with the last.
+
+        The time that the host gives the stream ends as the last event is written, and
+        the end mark stays behind: the caller must take its whole answer for cut.
+        """
+
+        async def task(world):
+            process = await start_process(world)
+            link = process.connect()
+            headers = prompt_headers(4, shared=0)
+            for replica in world.replicas.values():
+                replica.piece_seconds = 0.24
+            start = trio.current_time()
+            await link.send("/note/x", headers=headers, left_ms=1000)
+            self.pass_time_after(link, b"piece-4", 0.03)
+            reply = await link.read()
+            return reply.body, reply.whole, trio.current_time() - start
+
+        body, whole, seconds = run_ledger(task, engines="d")
+        self.assertLess(seconds, 1.0)
+        self.assertEqual((body, whole), (stream_body(1, 4), True))
+
+
 if __name__ == "__main__":
     unittest.main()
