Deliver an answer that has come, whatever ends while it is written

Cause: the time that a host gives a request also ended the writes to its caller. Head, body and end mark were three writes; a time that was over after one of them was met by the next, and the caller got half of an answer that was there.

Change: a write that has begun is not cancelled by anything around it. It has its own bounds: the time that callers may leave an answer unread, 0.25 s beyond the request's time, and the end of the server. A whole answer or refusal is one write in place of three. The check before an answer's first byte is gone: it gave up answers that had come, for a 504.

Ruled out: lifting the time while an answer is written; a time that is over in the turn in which the word comes has cancelled already.

The writer of answers has a module of its own.

--- a/berylshift/connection/admin.py
+++ b/berylshift/connection/admin.py
@@ -6,7 +6,7 @@
 
 from berylshift.application import Application
 from berylshift.connection.http_request import HttpRequest
-from berylshift.connection.http_server import Responder
+from berylshift.connection.responder import Responder
 from berylshift.connection.status import make_status
 from berylshift.ids import RequestId
 
--- a/berylshift/connection/entry_status.py
+++ b/berylshift/connection/entry_status.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from berylshift.connection.http_request import HttpRequest
-from berylshift.connection.http_server import Responder
+from berylshift.connection.responder import Responder
 
 TEXT_TYPE = {"content-type": "text/plain"}
 STATUS_OK = 200
--- a/berylshift/connection/http_server.py
+++ b/berylshift/connection/http_server.py
@@ -12,13 +12,13 @@
 from berylshift.connection.errors import RequestRejectedError
 from berylshift.connection.http_request import (
     STATUS_BAD_REQUEST,
-    Headers,
     HttpRequest,
     announced_length,
     check_framing,
     make_request,
 )
 from berylshift.connection.request_body import RequestBody
+from berylshift.connection.responder import NEVER, Responder
 
 logger = logging.getLogger(__name__)
 
@@ -54,60 +54,6 @@
     connections: int = 2048
 
 
-class Responder:
-    """Writes the one answer of a request."""
-
-    def __init__(self, link: "_Link"):
-        """Write to ``link``."""
-        self._link = link
-        self.started = False
-        self.finished = False
-        self.caller_left = False
-
-    async def full(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a whole answer with its length."""
-        sized = {**headers, "content-length": str(len(body))}
-        await self._begin(status, sized)
-        if body:
-            await self._link.send(h11.Data(data=body))
-        await self.end()
-
-    async def start(self, status: int, headers: Headers) -> None:
-        """Send the head of a chunked answer."""
-        await self._begin(status, {**headers, "transfer-encoding": "chunked"})
-
-    async def begin_raw(
-        self, status: int, headers: list[tuple[bytes, bytes]], length: int | None
-    ) -> None:
-        """Send the head of an answer of ``length`` bytes; ``None``: chunked."""
-        if length is None:
-            framing = (b"transfer-encoding", b"chunked")
-        else:
-            framing = (b"content-length", b"%d" % length)
-        if self._link.server.draining:
-            headers = [*headers, (b"connection", b"close")]
-        self.started = True
-        await self._link.send(
-            h11.Response(status_code=status, headers=[*headers, framing])
-        )
-
-    async def send(self, data: bytes) -> None:
-        """Send one chunk; waits while the caller reads slowly."""
-        await self._link.send(h11.Data(data=data))
-
-    async def end(self) -> None:
-        """Send the end marker, by which the caller knows the answer is whole."""
-        await self._link.send(h11.EndOfMessage())
-        self.finished = True
-
-    async def _begin(self, status: int, headers: Headers) -> None:
-        self.started = True
-        if self._link.server.draining:
-            headers = {**headers, "connection": "close"}
-        head = h11.Response(status_code=status, headers=list(headers.items()))
-        await self._link.send(head)
-
-
 Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
 
 
@@ -134,13 +80,38 @@
         self._begun = 0
         self._all_ended = trio.Event()
         self._idle: set[trio.CancelScope] = set()
+        self._writes: set[trio.CancelScope] = set()
+        self._writes_until = NEVER
 
     async def serve(self, listener: trio.SocketListener) -> None:
-        """Accept connections until cancelled."""
+        """Accept connections until cancelled; writes end with it."""
         async with trio.open_nursery() as nursery:
-            while True:
-                stream = await self._accept(listener)
-                nursery.start_soon(self.serve_stream, stream)
+            try:
+                while True:
+                    stream = await self._accept(listener)
+                    nursery.start_soon(self.serve_stream, stream)
+            finally:
+                self._end_writes()
+
+    def _end_writes(self) -> None:
+        """Bound all writes by now, so that none holds up the end of the process."""
+        self._writes_until = trio.current_time()
+        for scope in self._writes:
+            scope.deadline = self._writes_until
+
+    @contextmanager
+    def write_scope(self, until: float) -> Iterator[trio.CancelScope]:
+        """Shield the block, for the bounds of a write to a caller."""
+        bound = trio.current_time() + self.limits.write_seconds
+        scope = trio.CancelScope(
+            shield=True, deadline=min(bound, until, self._writes_until)
+        )
+        self._writes.add(scope)
+        try:
+            with scope:
+                yield scope
+        finally:
+            self._writes.discard(scope)
 
     async def _accept(self, listener: trio.SocketListener) -> trio.abc.Stream:
         """Return the next connection; wait while the system has no room for one.
@@ -247,11 +218,22 @@
         size = self.server.limits.header_bytes
         self.conn = h11.Connection(h11.SERVER, max_incomplete_event_size=size)
 
-    async def send(self, event: h11.Event) -> None:
-        data = self.conn.send(event)
+    @property
+    def closing(self) -> bool:
+        """Return whether the connection is closed after its next answer."""
+        return self.server.draining
+
+    async def send(self, *events: h11.Event, until: float = NEVER) -> None:
+        """Write ``events`` by ``until``, whatever is cancelled around it.
+
+        What h11 has taken counts as sent: a write that is cancelled before its bytes
+        have left can't be made good by any later one, and the caller gets half an
+        answer or none. Its own bounds end the write of a caller that reads slowly.
+        """
+        data = b"".join(self.conn.send(event) or b"" for event in events)
         if not data:
             return
-        with trio.move_on_after(self.server.limits.write_seconds) as scope:
+        with self.server.write_scope(until) as scope:
             await self.stream.send_all(data)
         if scope.cancelled_caught:
             raise trio.BrokenResourceError("caller reads too slowly")
@@ -271,6 +253,7 @@
                 return False
 
     async def refuse(self, status: int, reason: str, outcome: str = "not-run") -> None:
+        """Answer a request that no handler answers."""
         if self.conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         body = b'{"title":"%s"}' % reason.encode()
@@ -281,9 +264,8 @@
             ("retry-after", "1"),
             ("connection", "close"),
         ]
-        await self.send(h11.Response(status_code=status, headers=headers))
-        await self.send(h11.Data(data=body))
-        await self.send(h11.EndOfMessage())
+        head = h11.Response(status_code=status, headers=headers)
+        await self.send(head, h11.Data(data=body), h11.EndOfMessage())
 
     async def _answer(self, req: HttpRequest) -> bool:
         """Run the handler; return whether the connection may go on."""
--- a/berylshift/request/answer.py
+++ b/berylshift/request/answer.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from berylshift.connection.http_server import Responder
+from berylshift.connection.responder import Responder
 from berylshift.ids import RequestId
 from berylshift.request.messages import (
     OUTCOME_HEADER,
--- a/berylshift/request/answer_stream.py
+++ b/berylshift/request/answer_stream.py
@@ -1,9 +1,7 @@
 """The answer of one routed request towards its caller, across several sends."""
 
-import trio
-
 from berylshift.clock import Clock
-from berylshift.connection.http_server import Responder
+from berylshift.connection.responder import Responder
 from berylshift.messages.routed import AnswerHead
 from berylshift.request.event_splitter import EventSplitter, EventTooLongError
 
@@ -32,14 +30,14 @@
         self.events = 0
         self._last_at = 0.0
 
+    def bound_writes(self, until: float) -> None:
+        """Have no write last beyond ``until`` on the loop's clock."""
+        self._responder.late_until = until
+
     async def whole(self, head: AnswerHead, body: bytes) -> None:
         """Send a whole answer."""
-        await self._begin()
-        out = self._responder
-        await out.begin_raw(head.status, list(head.headers), len(body))
-        if body:
-            await out.send(body)
-        await out.end()
+        self.started = True
+        await self._responder.full_raw(head.status, list(head.headers), body)
 
     def open(self, head: AnswerHead) -> None:
         """Take the head of a stream; a resumed one keeps its first head."""
@@ -82,16 +80,6 @@
     async def _start(self) -> None:
         if self.started or self._head is None:
             return
-        await self._begin()
-        headers = list(self._head.headers)
-        await self._responder.begin_raw(self._head.status, headers, None)
-
-    async def _begin(self) -> None:
-        """Take the answer as started, unless its time is already over.
-
-        A cancellation that is due would otherwise be met in the write: the answer
-        would count as started, and its caller could not be told any more, without a
-        byte on its way. From here to the write nothing waits.
-        """
-        await trio.lowlevel.checkpoint_if_cancelled()
         self.started = True
+        headers = list(self._head.headers)
+        await self._responder.start_raw(self._head.status, headers)
--- a/berylshift/request/front.py
+++ b/berylshift/request/front.py
@@ -10,7 +10,7 @@
 
 from berylshift.clock import Clock
 from berylshift.connection.http_request import HttpRequest
-from berylshift.connection.http_server import Responder
+from berylshift.connection.responder import Responder
 from berylshift.ids import CustomerName, FleetName, RequestId, WorkName
 from berylshift.metrics import Metrics
 from berylshift.process.limits.customer_limits import CustomerLimits
--- a/berylshift/request/relay.py
+++ b/berylshift/request/relay.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from berylshift.connection.http_server import Responder
+from berylshift.connection.responder import Responder
 from berylshift.connection.target_client import TargetRequest
 from berylshift.ids import InstanceId, ServiceName
 from berylshift.messages.load_digest import Urgency
@@ -29,6 +29,10 @@
 # What is left of a caller's time when its answer is given up on, so that the answer
 # arrives before the caller leaves.
 ANSWER_SECONDS = 0.02
+# What a write to the caller may take beyond the request's time. A window of 64 KB
+# leaves a link of 10 Mbit/s in 50 ms; a caller that reads no more holds its engine's
+# slot no longer than this.
+LATE_WRITE_SECONDS = 0.25
 # Engines that may be asked to read one prompt.
 MOST_READS = 2
 # Engines that may be told of one cache. One that refuses may be full, or unable to
@@ -108,6 +112,7 @@
     async def run(self) -> Result:
         """Serve the request; every path ends with one answer or a cut stream."""
         left = self._until - self._now() - ANSWER_SECONDS
+        self._out.bound_writes(self._until + LATE_WRITE_SECONDS)
         scope = trio.move_on_after(max(0.0, left))
         with scope, self._parts.shutdown.bounding(scope):
             try:
--- a/berylshift/request/routed_front.py
+++ b/berylshift/request/routed_front.py
@@ -9,7 +9,7 @@
 import trio
 
 from berylshift.connection.http_request import HttpRequest
-from berylshift.connection.http_server import Responder
+from berylshift.connection.responder import Responder
 from berylshift.ids import RouteName, ServiceName
 from berylshift.messages.routed import Header, RoutedRequest
 from berylshift.process.fleet.route_holder import RouteHolder
@@ -204,10 +204,7 @@
 
     async def _pass_on(self, failed: FailedAnswer, responder: Responder) -> None:
         head, body = failed.head, failed.body
-        await responder.begin_raw(head.status, list(head.headers), len(body))
-        if body:
-            await responder.send(body)
-        await responder.end()
+        await responder.full_raw(head.status, list(head.headers), body)
 
     def _timed_out(self, relay: Relay) -> Refusal:
         if relay.may_have_run:
@@ -223,9 +220,7 @@
         headers = [PROBLEM_TYPE]
         if refusal.again is not None:
             headers.append((b"retry-after", b"%.2f" % refusal.again))
-        await responder.begin_raw(refusal.status, headers, len(body))
-        await responder.send(body)
-        await responder.end()
+        await responder.full_raw(refusal.status, headers, body)
 
     def _log(self, relay: Relay, route: Route, result: Result, seconds: float) -> None:
         now = self._parts.clock.monotonic()
--- a/berylshift/stand_ins/engine_server.py
+++ b/berylshift/stand_ins/engine_server.py
@@ -6,7 +6,7 @@
 from berylshift.connection.errors import ConnectionLayerError
 from berylshift.connection.http_client import HttpClient, Outgoing
 from berylshift.connection.http_request import HttpRequest
-from berylshift.connection.http_server import Responder
+from berylshift.connection.responder import Responder
 from berylshift.ids import AttemptId
 from berylshift.stand_ins.engine_costs import EngineScript
 from berylshift.stand_ins.engine_runner import EngineRunner, StreamReader
--- a/berylshift/stand_ins/service_server.py
+++ b/berylshift/stand_ins/service_server.py
@@ -4,7 +4,7 @@
 import trio
 
 from berylshift.connection.http_request import HttpRequest
-from berylshift.connection.http_server import Responder
+from berylshift.connection.responder import Responder
 from berylshift.connection.service_client import (
     ATTEMPT_HEADER,
     KEY_HEADER,
--- a/berylshift/stand_ins/store_server.py
+++ b/berylshift/stand_ins/store_server.py
@@ -6,7 +6,7 @@
 import trio
 
 from berylshift.connection.http_request import HttpRequest
-from berylshift.connection.http_server import Responder
+from berylshift.connection.responder import Responder
 from berylshift.platform import names
 
 JSON_TYPE = {"content-type": "application/json"}
