Make the own interface's server where its planned stop is carried out

Cause: the application carries a planned stop out but could not see its own callers' connections: the daemon held the server and closed what was idle in the moment before it cancelled everything. Change: the application makes the server, as the platform's application does; the order of what happens at a stop is as before. Conclusion: no change of behaviour.

--- a/berylshift/application.py
+++ b/berylshift/application.py
@@ -7,6 +7,7 @@
 import trio
 
 from berylshift.clock import Clock
+from berylshift.connection.http_server import HttpServer, ServerLimits
 from berylshift.ids import DomainName, HostName
 from berylshift.metrics import Metrics
 from berylshift.process.control.mix_meter import MixMeter
@@ -47,7 +48,12 @@
 from berylshift.request.front import Front, FrontParts
 from berylshift.request.plain_send import PlainSend
 from berylshift.request.service_call import ServiceCalls, ServiceParts
-from berylshift.settings import Credential, PolicySettings, Settings
+from berylshift.settings import (
+    CallerSettings,
+    Credential,
+    PolicySettings,
+    Settings,
+)
 from berylshift.store.batch import TableGate
 from berylshift.store.interfaces import (
     HostEntry,
@@ -143,6 +149,7 @@
         self.readiness = Readiness(host, self.holder, self.fresh, clock)
         self.gate = self._make_gate()
         self.front = self._make_front(callers)
+        self.server = HttpServer(self.front.handle, _limits(cfg.callers))
         self._make_loops(addresses)
 
     def _make_gate(self) -> TableGate:
@@ -329,6 +336,7 @@
         The balancer is told first, and given time to see it: a request that it
         sends meanwhile is served like any other.
         """
+        self.server.draining = True
         self.readiness.phase = Phase.LEAVING
         self.peer_loop.leaving = True
         self.host_loop.entry = _leaving(self.host_loop.entry)
@@ -342,6 +350,7 @@
             logger.error("stopped with work in flight")
         with trio.move_on_after(self.cfg.platform.timeout):
             await self.pool_loop.release()
+        self.server.close_idle()
 
     def _has_work(self) -> bool:
         confirmations = self.services.open_confirmations + len(self.pending)
@@ -352,6 +361,17 @@
         logger.info("stopped", extra={"incarnation": self.incarnation})
 
 
+def _limits(cfg: CallerSettings) -> ServerLimits:
+    return ServerLimits(
+        header_bytes=cfg.header_bytes,
+        body_bytes=cfg.body_bytes,
+        request_seconds=cfg.request_seconds,
+        idle_seconds=cfg.idle_seconds,
+        write_seconds=cfg.write_seconds,
+        connections=cfg.connections,
+    )
+
+
 def _leaving(entry: HostEntry) -> HostEntry:
     return HostEntry(
         host=entry.host,
--- a/berylshift/daemon.py
+++ b/berylshift/daemon.py
@@ -19,7 +19,7 @@
 from berylshift.connection.datagram_tag import LARGEST_DATAGRAM
 from berylshift.connection.engine_client import HttpEngineClient
 from berylshift.connection.http_client import HttpClient
-from berylshift.connection.http_server import HttpServer, ServerLimits
+from berylshift.connection.http_server import HttpServer
 from berylshift.connection.load_codec import LoadCodec
 from berylshift.connection.peer_codec import PeerCodec
 from berylshift.connection.peer_link import UdpPeerLink
@@ -96,17 +96,6 @@
     )
 
 
-def _limits(cfg: Settings) -> ServerLimits:
-    return ServerLimits(
-        header_bytes=cfg.callers.header_bytes,
-        body_bytes=cfg.callers.body_bytes,
-        request_seconds=cfg.callers.request_seconds,
-        idle_seconds=cfg.callers.idle_seconds,
-        write_seconds=cfg.callers.write_seconds,
-        connections=cfg.callers.connections,
-    )
-
-
 async def serve(cfg: Settings, creds: Credentials) -> None:
     """Serve until SIGTERM, then shut down gracefully."""
     most = min(LARGEST_DATAGRAM, cfg.peers.byte_budget // (2 * cfg.peers.fanout))
@@ -116,7 +105,6 @@
     admin_listener = open_listener(cfg.host.admin_address)
     addresses = Addresses(peer_address, bound_address(admin_listener))
     app = Application(cfg, make_ports(cfg, creds, link), addresses, creds.callers)
-    server = HttpServer(app.front.handle, _limits(cfg))
     admin = HttpServer(Admin(app, creds.cluster_key).handle)
     stop = trio.Event()
     app.on_start()
@@ -124,11 +112,9 @@
         await nursery.start(watch_signals, _no_reload, stop)
         nursery.start_soon(app.run)
         nursery.start_soon(admin.serve, admin_listener)
-        nursery.start_soon(server.serve, listener)
+        nursery.start_soon(app.server.serve, listener)
         await stop.wait()
-        server.draining = True
         await app.on_shutdown()
-        server.close_idle()
         nursery.cancel_scope.cancel()
     link.close()
     app.on_stop()
