Ask of a sender's process by its host whether it is gone

Cause: the desk of orders asks about an incarnation; the pools' loop handed it the members' own question, which takes the host as well. The first holder that found another process's open order to an engine that ignores old numbers raised TypeError, which ends the process with all requests in it. Ruled out: the state machine of orders, which brings a world of its own and was right. Change: the loop takes the host from the incarnation's name. Measured: test_an_order_of_a_killed_host_is_accounted_for_by_its_successor was red (TypeError) and is green.

--- a/berylshift/process/control/pool_loop.py
+++ b/berylshift/process/control/pool_loop.py
@@ -7,7 +7,7 @@
 import trio
 
 from berylshift.clock import Clock
-from berylshift.ids import Epoch, PoolName, TargetName
+from berylshift.ids import Epoch, Incarnation, PoolName, TargetName
 from berylshift.process.control.leases import (
     EpochRow,
     Lease,
@@ -31,7 +31,7 @@
 from berylshift.process.control.roles import make_planner
 from berylshift.process.knowledge.load import LoadView
 from berylshift.process.limits.store_budget import Priority
-from berylshift.process.membership.members import Membership
+from berylshift.process.membership.members import Membership, host_of
 from berylshift.process.table.follower import TableHolder
 from berylshift.settings import Settings
 from berylshift.store.batch import TableGate
@@ -136,14 +136,16 @@
             parts = self._parts
             cfg = parts.cfg.leases
             lease = Lease(pool, parts.members.incarnation, cfg.term, cfg.margin)
-            orders = OrderDesk(
-                parts.members.incarnation, self._copies, parts.members.gone
-            )
+            orders = OrderDesk(parts.members.incarnation, self._copies, self._is_gone)
             planner = make_planner(parts.cfg.policy.planner, parts.cfg.policy)
             desk = PoolDesk(parts.cfg, orders, planner)
             self._pools[pool] = _Pool(lease, desk)
         return self._pools[pool]
 
+    def _is_gone(self, incarnation: Incarnation) -> bool:
+        """Return whether a process is known to be over."""
+        return self._parts.members.gone(host_of(incarnation), incarnation)
+
     async def _tick(
         self, pool: PoolName, rows: list[Row], rank: int, nursery: trio.Nursery
     ) -> None:
