Finish orders and give up leases before a host of the own interface ends

Cause: giving up the leases did not wait for the loop that renews them, so the two writes met and the lease stayed a gone process's; nor for an order on its way, which was cut, and whose engine, if it ignores old numbers, nobody may order anew until another process runs on that host. Ruled out: the lease's own rules (a conflict is read again, which nobody was left to do); the engine. It may take the time of one order and four calls to the store.

--- a/berylshift/application.py
+++ b/berylshift/application.py
@@ -12,7 +12,7 @@
 from berylshift.metrics import Metrics
 from berylshift.process.control.mix_meter import MixMeter
 from berylshift.process.control.plans import Plans
-from berylshift.process.control.pool_loop import PoolLoop, PoolParts
+from berylshift.process.control.pool_loop import ORDER_SECONDS, PoolLoop, PoolParts
 from berylshift.process.knowledge.cost import CostModel
 from berylshift.process.knowledge.health import Health
 from berylshift.process.knowledge.lengths import OutputLengths
@@ -71,6 +71,8 @@
 logger = logging.getLogger(__name__)
 
 EMPTY_CHECK_SECONDS = 0.1
+# Calls to the store, one after another, that a loop may need to give its leases up.
+RELEASE_CALLS = 4
 GAUGE_SECONDS = 5.0
 LONGEST_AGE = 3600.0
 
@@ -348,7 +350,8 @@
                 await trio.sleep(EMPTY_CHECK_SECONDS)
         if scope.cancelled_caught:
             logger.error("stopped with work in flight")
-        with trio.move_on_after(self.cfg.platform.timeout):
+        calls = RELEASE_CALLS * self.cfg.platform.timeout
+        with trio.move_on_after(ORDER_SECONDS + calls):
             await self.pool_loop.release()
         self.server.close_idle()
 
--- a/berylshift/process/control/pool_loop.py
+++ b/berylshift/process/control/pool_loop.py
@@ -58,6 +58,8 @@
 
 CANDIDATES = 3
 ORDER_SECONDS = 3.0
+# How often a host that leaves looks whether its orders have ended.
+ORDERS_CHECK_SECONDS = 0.05
 
 
 @dataclass
@@ -94,24 +96,39 @@
         self._copies = CopyBook()
         self._to_settle: dict[TargetName, JournalRow] = {}
         self._leaving = False
+        self._sending = 0
+        self._looking = trio.Lock()
 
     async def run(self) -> None:
         """Look at each pool every interval until cancelled."""
         async with trio.open_nursery() as nursery:
             while not self._leaving:
-                for pool, rows in self._by_pool().items():
-                    rank = self._parts.members.rank(pool)
-                    if rank < CANDIDATES:
-                        await self._tick(pool, rows, rank, nursery)
-                await self._settle()
+                async with self._looking:
+                    await self._look(nursery)
                 await trio.sleep(self._parts.cfg.leases.interval)
 
+    async def _look(self, nursery: trio.Nursery) -> None:
+        for pool, rows in self._by_pool().items():
+            rank = self._parts.members.rank(pool)
+            if rank < CANDIDATES and not self._leaving:
+                await self._tick(pool, rows, rank, nursery)
+        await self._settle()
+
     async def release(self) -> None:
-        """Give up the leases held; others need not wait for their terms."""
+        """Finish what is under way, then give up the leases held.
+
+        Others then need not wait for their terms, nor for this host's successor to
+        account for an order that only this process can know to have ended.
+        """
         self._leaving = True
-        for state in self._pools.values():
-            if state.lease.holds(self._now()) is not None:
-                await self._write_lease(state.lease, state.lease.released(), False)
+        # A look under way would renew, or take again, what is given up meanwhile.
+        async with self._looking:
+            while self._sending:
+                await trio.sleep(ORDERS_CHECK_SECONDS)
+            await self._settle()
+            for state in self._pools.values():
+                if state.lease.holds(self._now()) is not None:
+                    await self._write_lease(state.lease, state.lease.released(), False)
 
     def held(self) -> list[PoolName]:
         """Return the pools whose leases this process holds now."""
@@ -217,6 +234,8 @@
         plan = _decode(stored[0], PlanRow) or PlanRow(0, [])
         self._parts.plans.offer(pool, plan, now)
         state.notes.plan_seen(plan, now)
+        if self._leaving:
+            return
         notes = [
             self._note(state, row, found, now)
             for row, found in zip(rows, stored[1:], strict=True)
@@ -270,11 +289,20 @@
                 return
         if step.send:
             journal = step.journal or step.note.journal
+            self._sending += 1
             nursery.start_soon(self._send, state.lease, step.note, journal)
 
     # Orders
 
     async def _send(self, lease: Lease, note: EngineNote, journal: JournalRow) -> None:
+        try:
+            await self._send_copy(lease, note, journal)
+        finally:
+            self._sending -= 1
+
+    async def _send_copy(
+        self, lease: Lease, note: EngineNote, journal: JournalRow
+    ) -> None:
         """Send one copy, if the lease is still held."""
         engine, order = note.row.name, journal.order
         if lease.holds(self._now()) is None or self._copies.open(engine):
