Have a host of the own interface answer all it has taken before it ends

Cause: a stopping host took all that came while its balancer learned of it, waited for a fixed time and then ended whatever was open; what it waited for was handlers alone. Ruled out: a relation between the settings alone (a stream has no bound of its own, and a confirmation's deadline says nothing of its send). Change: the end of the stop bounds all calls from SIGTERM on. A model call or look-up that is not done then ends with its outcome; a confirmation is begun only while the end of its send and its record are sure to come in time, and is else refused by its row. The stop waits for each request from its first byte on, and gives the leases up before that wait. What it costs: with the default times nothing is refused sooner; with shutdown.longest below 7 s confirmations that come during the notice are refused, not run.

--- a/berylshift/application.py
+++ b/berylshift/application.py
@@ -13,6 +13,7 @@
 from berylshift.process.control.mix_meter import MixMeter
 from berylshift.process.control.plans import Plans
 from berylshift.process.control.pool_loop import ORDER_SECONDS, PoolLoop, PoolParts
+from berylshift.process.fleet.shutdown import Shutdown
 from berylshift.process.knowledge.cost import CostModel
 from berylshift.process.knowledge.health import Health
 from berylshift.process.knowledge.lengths import OutputLengths
@@ -47,7 +48,11 @@
 from berylshift.request.engine_attempt import CompletionParts
 from berylshift.request.front import Front, FrontParts
 from berylshift.request.plain_send import PlainSend
-from berylshift.request.service_call import ServiceCalls, ServiceParts
+from berylshift.request.service_call import (
+    RECORD_SECONDS,
+    ServiceCalls,
+    ServiceParts,
+)
 from berylshift.settings import (
     CallerSettings,
     Credential,
@@ -73,6 +78,9 @@
 EMPTY_CHECK_SECONDS = 0.1
 # Calls to the store, one after another, that a loop may need to give its leases up.
 RELEASE_CALLS = 4
+# What is left after the time of a stop to tell the last callers how they ended: an
+# engine is told first, for a second at most, that its answer is given up.
+LAST_ANSWER_SECONDS = 2.0
 GAUGE_SECONDS = 5.0
 LONGEST_AGE = 3600.0
 
@@ -149,6 +157,8 @@
         )
         self.members = Membership(host, self.incarnation, cfg.peers.silent_after, rng)
         self.readiness = Readiness(host, self.holder, self.fresh, clock)
+        self.shutdown = Shutdown(clock)
+        self.last_sends = Shutdown(clock)
         self.gate = self._make_gate()
         self.front = self._make_front(callers)
         self.server = HttpServer(self.front.handle, _limits(cfg.callers))
@@ -182,6 +192,7 @@
             may_route=self.readiness.may_route,
             cfg=cfg.targets,
             longest=cfg.callers.longest_request,
+            shutdown=self.shutdown,
         )
         sender = PlainSend(
             clock=ports.clock,
@@ -200,6 +211,8 @@
             gate=self.gate,
             pending=self.pending,
             rng=ports.rng,
+            shutdown=self.shutdown,
+            last_sends=self.last_sends,
         )
         self.services = ServiceCalls(services)
         parts = FrontParts(
@@ -336,28 +349,59 @@
         """Carry out a planned stop; return once nothing is in flight.
 
         The balancer is told first, and given time to see it: a request that it
-        sends meanwhile is served like any other.
+        sends meanwhile is served like any other. What is not done when the time of
+        the stop is over gets its final answer then.
         """
+        cfg = self.cfg.shutdown
+        self._bound_work(cfg.balancer_notice + cfg.longest)
         self.server.draining = True
         self.readiness.phase = Phase.LEAVING
         self.peer_loop.leaving = True
         self.host_loop.entry = _leaving(self.host_loop.entry)
         logger.info("leaving", extra={"in_flight": self.front.in_flight})
-        await trio.sleep(self.cfg.shutdown.balancer_notice)
+        await trio.sleep(cfg.balancer_notice)
         self.readiness.phase = Phase.CLOSED
-        with trio.move_on_after(self.cfg.shutdown.longest) as scope:
-            while self._has_work():
-                await trio.sleep(EMPTY_CHECK_SECONDS)
+        with trio.move_on_after(cfg.longest) as scope:
+            await self._release_leases()
+            await self._wait_until_done()
         if scope.cancelled_caught:
-            logger.error("stopped with work in flight")
+            await self._give_last_answers()
+
+    def _bound_work(self, seconds: float) -> None:
+        """Have all requests end within ``seconds``.
+
+        A confirmation that is sent must be seen to end and be recorded, so the last
+        one goes out as long before as that may take.
+        """
+        self.shutdown.begin(seconds)
+        sent_and_recorded = self.cfg.targets.service_timeout + RECORD_SECONDS
+        self.last_sends.begin(seconds - sent_and_recorded)
+
+    async def _release_leases(self) -> None:
+        """Give the leases up before the wait for requests, which may be long."""
         calls = RELEASE_CALLS * self.cfg.platform.timeout
         with trio.move_on_after(ORDER_SECONDS + calls):
             await self.pool_loop.release()
-        self.server.close_idle()
 
-    def _has_work(self) -> bool:
-        confirmations = self.services.open_confirmations + len(self.pending)
-        return bool(self.front.in_flight or confirmations)
+    async def _wait_until_done(self) -> None:
+        """Return once nothing is under way, requests still being read included."""
+        while self.services.open_confirmations or self.pending:
+            await trio.sleep(EMPTY_CHECK_SECONDS)
+        await self._wait_until_answered()
+
+    async def _wait_until_answered(self) -> None:
+        while self.front.in_flight:
+            await trio.sleep(EMPTY_CHECK_SECONDS)
+        # The last, since nothing may wait between its last look and the end.
+        await self.server.wait_until_quiet(0)
+
+    async def _give_last_answers(self) -> None:
+        """Let what the end of the stop has answered reach its callers."""
+        self.server.stop_taking()
+        with trio.move_on_after(LAST_ANSWER_SECONDS) as scope:
+            await self._wait_until_answered()
+        if scope.cancelled_caught:
+            logger.error("stopped with work in flight")
 
     def on_stop(self) -> None:
         """Note that the process ends."""
--- a/berylshift/request/completion.py
+++ b/berylshift/request/completion.py
@@ -55,6 +55,14 @@
 
     async def run(self) -> Ending:
         """Return how the call ended; all text has gone to the sink by then."""
+        scope = trio.CancelScope()
+        with scope, self._parts.shutdown.bounding(scope):
+            return await self._run()
+        # The process ends sooner than the answer: its caller is told so.
+        outcome = self._history.outcome
+        return Ending(outcome, Reason.DRAINING, "", 1.0, self._answer.tokens)
+
+    async def _run(self) -> Ending:
         parts = self._parts
         end = await send_until_done(
             self, ATTEMPT_BOUNDS, self._history, parts.retries, parts.clock
@@ -139,11 +147,14 @@
 
     async def _try(self, plan: Plan) -> Sent:
         """Make one attempt."""
+        self._history.open = True
         try:
             await self._attempt(plan)
         except AttemptFailedError as exc:
+            self._history.open = False
             self._parts.decisions.failed(self._call.request, exc.target, exc.end)
             return Sent(exc.target, exc.end)
+        self._history.open = False
         return Sent(plan.target.name, SendEnd.DONE)
 
     async def _attempt(self, plan: Plan) -> None:
--- a/berylshift/request/confirmation.py
+++ b/berylshift/request/confirmation.py
@@ -82,7 +82,7 @@
     UNAVAILABLE = "the store refused"
 
 
-@dataclass
+@dataclass(eq=False)
 class Confirmation:
     """State of one arrival with a key; times in monotonic seconds."""
 
--- a/berylshift/request/engine_attempt.py
+++ b/berylshift/request/engine_attempt.py
@@ -9,6 +9,7 @@
 from berylshift.clock import Clock
 from berylshift.ids import PoolName, TargetName
 from berylshift.process.control.mix_meter import MixMeter
+from berylshift.process.fleet.shutdown import Shutdown
 from berylshift.process.knowledge.lengths import OutputLengths
 from berylshift.process.limits.retry_budget import RetryBudget
 from berylshift.request.choice import Knowledge, Router
@@ -50,6 +51,7 @@
     may_route: Callable[[], bool]
     cfg: TargetSettings
     longest: float
+    shutdown: Shutdown
 
 
 class AttemptFailedError(Exception):
--- a/berylshift/request/lookup.py
+++ b/berylshift/request/lookup.py
@@ -36,6 +36,11 @@
             return PlainEnding(done, found.status, found.headers, found.body)
         return PlainEnding(self._failed(end))
 
+    def given_up(self) -> PlainEnding:
+        """Return how the call ended where the process ends sooner than it."""
+        outcome = self._history.outcome
+        return PlainEnding(Ending(outcome, Reason.DRAINING, "", COME_BACK_SECONDS))
+
     async def send(self) -> Sent | None:
         """Send once, to a replica that has not failed yet."""
         placed = self._sender.place(self._call, targets_excluded(self._history))
@@ -44,7 +49,9 @@
             return None
         number = len(self._history.sends) + 1
         attempt = AttemptId(f"{self._call.request}.{number}")
+        self._history.open = True
         found = await self._sender.run(placed, self._call, attempt)
+        self._history.open = False
         self._answer = found.answer
         return Sent(placed.target.name, found.end)
 
--- a/berylshift/request/service_call.py
+++ b/berylshift/request/service_call.py
@@ -9,6 +9,7 @@
 
 from berylshift.clock import Clock
 from berylshift.ids import AttemptId, TargetName
+from berylshift.process.fleet.shutdown import Shutdown
 from berylshift.process.limits.retry_budget import RetryBudget
 from berylshift.process.limits.store_budget import Priority
 from berylshift.process.records.pending_records import PendingRecords
@@ -40,11 +41,13 @@
 RECORD_SECONDS = 2.0
 STORE_PAUSE = 0.05
 REFUSE_SECONDS = 0.25
+# When a caller whose confirmation a leaving host does not begin may come back.
+LEAVING_SECONDS = 1.0
 
 
 @dataclass
 class ServiceParts:
-    """What service calls work with."""
+    """What service calls work with; ``last_sends``: when the last confirmation goes."""
 
     clock: Clock
     sender: PlainSend
@@ -52,6 +55,8 @@
     gate: TableGate
     pending: PendingRecords
     rng: random.Random
+    shutdown: Shutdown
+    last_sends: Shutdown
 
 
 class ServiceCalls:
@@ -72,9 +77,16 @@
     async def run(self, call: PlainCall) -> PlainEnding:
         """Return how the call ended."""
         if call.idempotent:
-            return await Lookup(self._parts.sender, call, self._parts.retries).run()
+            return await self._look_up(call)
         return await self._confirm_apart(call)
 
+    async def _look_up(self, call: PlainCall) -> PlainEnding:
+        lookup = Lookup(self._parts.sender, call, self._parts.retries)
+        scope = trio.CancelScope()
+        with scope, self._parts.shutdown.bounding(scope):
+            return await lookup.run()
+        return lookup.given_up()
+
     async def _confirm_apart(self, call: PlainCall) -> PlainEnding:
         """Confirm in a task that lives for the process, not for the request.
 
@@ -126,8 +138,13 @@
         state = self._new_state(call)
         key = confirmation.row_key(call.caller.customer, call.key)
         tried: set[TargetName] = set()
-        while state.step is not Step.ANSWER:
-            await self._carry_out(state, call, key, tried)
+        with self._parts.last_sends.bounding(state):
+            if self._parts.clock.monotonic() >= state.deadline:
+                # The process would end before it has seen the call end.
+                leaving = Ending(Outcome.NOT_RUN, Reason.DRAINING, "", LEAVING_SECONDS)
+                return await self.refuse(call, leaving)
+            while state.step is not Step.ANSWER:
+                await self._carry_out(state, call, key, tried)
         if state.leaves_row:
             row = state.row(confirmation.RowState.ABANDONED)
             self._parts.pending.add(key, row)
@@ -147,10 +164,12 @@
         match state.step:
             case Step.INSERT | Step.TAKE:
                 row = state.row(confirmation.RowState.STARTED)
-                event = await self._put(key, state.revision, row, call.deadline)
+                event = await self._put(key, state.revision, row, state.deadline)
                 state.inserted(event, clock.monotonic())
             case Step.READ:
-                await self._read(state, key)
+                scope = trio.CancelScope()
+                with scope, self._parts.last_sends.bounding(scope):
+                    await self._read(state, key)
             case Step.WAIT:
                 await trio.sleep(confirmation.POLL_SECONDS)
                 state.waited()
@@ -164,7 +183,8 @@
     ) -> Event:
         """Write the row; wait for the store no longer than the deadline."""
         write = Write(key, as_raw(row))
-        with trio.move_on_at(until):
+        scope = trio.CancelScope(deadline=until)
+        with scope, self._parts.last_sends.bounding(scope):
             try:
                 answer = await self._parts.gate.put_row(Condition(key, revision), write)
                 return Event.COMMITTED if answer.committed else Event.CONFLICT
