--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -412,6 +412,57 @@
         "self._reason(replica, homes, kept > 0)",
         "test_request_placement.SpillTest",
     ),
+    Proof(
+        "a leaving host of the own interface answers before it ends",
+        "request/completion.py",
+        "with scope, self._parts.shutdown.bounding(scope):",
+        "with scope:",
+        "test_shutdown.AnswerTest",
+    ),
+    Proof(
+        "a look-up that outlasts a stop is answered",
+        "request/service_call.py",
+        "with scope, self._parts.shutdown.bounding(scope):",
+        "with scope:",
+        "test_shutdown.LookupTest",
+    ),
+    Proof(
+        "no confirmation is sent whose end the host will not see",
+        "application.py",
+        "self.last_sends.begin(seconds - sent_and_recorded)",
+        "self.last_sends.begin(seconds)",
+        "test_shutdown.ConfirmationTest",
+    ),
+    Proof(
+        "a stop of the own interface waits for requests that still come",
+        "application.py",
+        "        await self.server.wait_until_quiet(0)\n",
+        "",
+        "test_shutdown.LastRequestTest",
+    ),
+    Proof(
+        "a lease is given up after the look under way",
+        "process/control/pool_loop.py",
+        "        async with self._looking:\n            while self._sending:",
+        "        if True:\n            while self._sending:",
+        "test_shutdown.HolderTest.test_a_lease_is_given_up_whatever_its_loop_is_at",
+    ),
+    Proof(
+        "an order under way is waited for before the end",
+        "process/control/pool_loop.py",
+        "while self._sending:",
+        "while False:",
+        "test_shutdown.HolderTest."
+        "test_an_order_under_way_is_accounted_for_before_the_end",
+    ),
+    Proof(
+        "a sender that is gone is known to be gone",
+        "process/control/pool_loop.py",
+        "return self._parts.members.gone(host_of(incarnation), incarnation)",
+        "return False",
+        "test_shutdown.HolderTest."
+        "test_an_order_of_a_killed_host_is_accounted_for_by_its_successor",
+    ),
 )
 
 
