Have a stopping host give no orders

Cause: the loop that orders engines went on while its host stopped, took the lease for orders and ended with it.

Change: nothing is due at a host that stops; the lease it holds runs out as before, and another host takes the next one.

Ruled out: giving the lease up at the end. Orders may still take effect then.

The test of two hosts, red before, is green: the lease is the staying host's one second after the other has gone. 20 tests of orders and the application passed.

--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -249,6 +249,7 @@
             calm=self.is_calm,
             hosts=self._hosts_that_share,
             holder=cfg.host.name,
+            leaving=lambda: self.leaving,
         )
 
     def adopt(self, cfg: Settings) -> None:
--- a/berylshift/process/fleet/phase_loop.py
+++ b/berylshift/process/fleet/phase_loop.py
@@ -49,8 +49,9 @@
         calm: Callable[[], bool],
         hosts: Callable[[], int],
         holder: str,
+        leaving: Callable[[], bool],
     ):
-        """Order as ``holder``; ``calm`` says that there is no traffic."""
+        """Order as ``holder``, unless it is ``leaving``; ``calm``: no traffic."""
         self._hosts = hosts
         self._service = service
         self._planner = planner
@@ -62,6 +63,7 @@
         self._rng = rng
         self._calm = calm
         self._holder = holder
+        self._leaving = leaving
 
     async def run(self) -> None:
         """Look at the pool until cancelled."""
@@ -81,7 +83,13 @@
                 await trio.sleep(RETRY_SECONDS)
 
     def _due(self) -> tuple[PhaseChange, ...]:
-        """Return the changes due; none while former ones may still take effect."""
+        """Return the changes due; none while former ones may still take effect.
+
+        None at a host that leaves, either: it would end with a lease that all others
+        then have to wait for, and perhaps with an order half sent.
+        """
+        if self._leaving():
+            return ()
         now = self._clock.monotonic()
         engines = self._replicas.as_ordered(self._service, now)
         if any(rep.phase is EnginePhase.NONE for rep in engines):
