--- a/berylshift/request/silence.py
+++ b/berylshift/connection/silence.py
@@ -1,4 +1,4 @@
-"""Bounds how long a target may be silent, and nothing else."""
+"""Bounds how long the other end may be silent, and nothing else."""
 
 from collections.abc import Awaitable
 from typing import TypeVar
@@ -10,14 +10,14 @@
 NEVER = float("inf")
 
 
-class TargetSilentError(Exception):
-    """The target said nothing within its time."""
+class SilentError(Exception):
+    """The other end said nothing within its time."""
 
 
 class SilenceLimit:
-    """The time by which a target's next word is due, on the loop's clock in seconds.
+    """The time by which the next word is due, on the loop's clock in seconds.
 
-    It covers the wait for the target alone. Where the word comes at the very moment
+    It covers the wait for the other end alone. Where the word comes at the very moment
     at which the time ends, a limit that also covered what is done with the word
     would end the write to the caller: the head counts as sent without a byte of it
     having left, and the next target's chunks reach the caller without a head. A word
@@ -33,7 +33,7 @@
         self._until = trio.current_time() + seconds
 
     async def bound(self, wait: Awaitable[Word]) -> Word:
-        """Return what ``wait`` gives; raise ``TargetSilentError`` at the time's end."""
+        """Return what ``wait`` gives; raise ``SilentError`` at the time's end."""
         with trio.move_on_at(self._until):
             return await wait
-        raise TargetSilentError
+        raise SilentError
--- a/berylshift/request/engine_attempt.py
+++ b/berylshift/request/engine_attempt.py
@@ -7,6 +7,7 @@
 import trio
 
 from berylshift.clock import Clock
+from berylshift.connection.silence import NEVER, SilenceLimit, SilentError
 from berylshift.ids import PoolName, TargetName
 from berylshift.process.control.mix_meter import MixMeter
 from berylshift.process.knowledge.lengths import OutputLengths
@@ -17,7 +18,6 @@
     ModelCall,
 )
 from berylshift.request.retry_rule import SendEnd, end_of
-from berylshift.request.silence import NEVER, SilenceLimit, TargetSilentError
 from berylshift.settings import TargetSettings
 from berylshift.targets import (
     EngineCall,
@@ -123,7 +123,7 @@
                 batches = await limit.bound(stack.enter_async_context(call))
                 async with aclosing(batches):
                     await self._take_all(batches, take, limit)
-        except TargetSilentError as exc:
+        except SilentError as exc:
             raise AttemptFailedError(name, SendEnd.SILENT) from exc
         except TargetError as exc:
             raise AttemptFailedError(name, end_of(exc)) from exc
--- a/berylshift/request/single_send.py
+++ b/berylshift/request/single_send.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from berylshift.connection.errors import ConnectFailedError, ConnectionLayerError
+from berylshift.connection.silence import NEVER, SilenceLimit, SilentError
 from berylshift.connection.target_client import TargetAnswer, TargetRequest
 from berylshift.ids import InstanceId
 from berylshift.messages.load_digest import Urgency
@@ -13,7 +14,6 @@
 from berylshift.request.answer_stream import AnswerStream, StreamBrokenError
 from berylshift.request.relay_parts import RelayParts
 from berylshift.request.retry_rule import SendEnd, SendHistory
-from berylshift.request.silence import NEVER, SilenceLimit, TargetSilentError
 from berylshift.version.routes import Route, RouteKind
 
 FIRST_ERROR_STATUS = 400
@@ -91,7 +91,7 @@
                 exchange = self._parts.client.exchange(out)
                 answer = await limit.bound(stack.enter_async_context(exchange))
                 return await self._take_answer(out.instance, answer, limit, reading)
-        except TargetSilentError:
+        except SilentError:
             return SendEnd.SILENT
         except ConnectFailedError:
             return SendEnd.NOT_REACHED
