Keep a ledger of callers' requests while hosts change and stop

Each whole request that a host has read must get one complete answer or refusal, unless its replica broke off, its caller left, or its own time was over.

Also red: a settings file that is no text, or has a port of other digits, ends the process when it is read anew.

--- a/berylshift/tests/ledger.py
+++ b/berylshift/tests/ledger.py
@@ -224,12 +224,15 @@
 
 
 class Caller:
-    """A caller's connection; its answers are read in the order of its requests."""
+    """A caller's connection; its answers are read in the order of its requests.
+
+    ``heard``: something of the last answer has come.
+    """
 
     def __init__(self, stream: KernelEnd):
         """Speak HTTP on ``stream``."""
         self.stream = stream
-        self.last_at = 0.0
+        self.heard = False
         self._rest = b""
 
     async def send(self, path: str, request: str = "r1", **more) -> None:
@@ -245,6 +248,7 @@
     async def read(self) -> Reply:
         """Return the next answer; not whole if the connection broke."""
         conn = _expecting(self._rest)
+        self.heard = bool(self._rest)
         head, body, whole = None, b"", False
         with contextlib.suppress(h11.RemoteProtocolError, trio.BrokenResourceError):
             while not isinstance(
@@ -262,10 +266,15 @@
             return Reply(0, {}, b"", False)
         return Reply(head.status_code, dict(head.headers), body, whole)
 
+    def unasked(self) -> bytes:
+        """Return what has come behind the last answer read."""
+        return self._rest + bytes(self.stream._unread)
+
     async def _event(self, conn: h11.Connection):
         while (event := conn.next_event()) is h11.NEED_DATA:
-            conn.receive_data(await self.stream.receive_some())
-            self.last_at = trio.current_time()
+            data = await self.stream.receive_some()
+            self.heard = self.heard or bool(data)
+            conn.receive_data(data)
         return event
 
 
--- a/berylshift/tests/test_entry_ledger.py
+++ b/berylshift/tests/test_entry_ledger.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from berylshift.connection.http_server import MOST_EARLY_BYTES
 from berylshift.tests.entry_world import (
     Reply,
     prompt_headers,
@@ -22,8 +23,11 @@
     run_ledger,
     start_process,
 )
+from berylshift.tests.ledger_play import play_ledger
 from berylshift.version.routes import CallerLimits, RouteKind
 
+# Requests that a play's hosts read at least; with fewer it would show little.
+LEAST_READ = 200
 NOTHING = Reply(0, {}, b"", False)
 
 
@@ -345,6 +349,27 @@
 
         self.assertEqual(run_ledger(task), (413, True))
 
+    def test_the_last_answer_reaches_a_caller_that_has_sent_more(self):
+        """A caller sends a second request before its first answer has come.
+
+        A leaving host says with that answer that it is the last one, and closes with
+        the second request unread: the reset takes the answer along.
+        """
+
+        async def task(world):
+            process = await start_process(world)
+            for replica in world.replicas.values():
+                replica.work_seconds = 0.5
+            process.stop.set()
+            link = process.connect(near=LateLook)
+            await link.send("/book/x", "r1")
+            await trio.sleep(0.3)
+            await link.send("/book/x", "r2", body=b"x" * 2 * MOST_EARLY_BYTES)
+            reply = await link.read()
+            return reply.status, reply.whole
+
+        self.assertEqual(run_ledger(task), (200, True))
+
     def test_a_request_that_is_being_sent_is_waited_for(self):
         """A caller has sent the head of a booking, its body follows within a second.
 
@@ -373,5 +398,34 @@
         self.assertIn(status, (200, 503))
 
 
+class LedgerTest(unittest.TestCase):
+    """Hosts are told to stop one after the other while all else goes on.
+
+    Routes and rests are lowered and raised, services move, settings are adopted, hosts
+    now and then get no processor time. Callers send slowly, read through small windows,
+    have little time, or send their last byte just as a host's time ends.
+    """
+
+    def check(self, seeds: tuple[int, ...], ahead: bool):
+        for seed in seeds:
+            with self.subTest(seed=seed):
+                play = run_ledger(play_ledger(seed, ahead), "dd", hosts=2)
+                read = sum(entry.read for entry in play.entries)
+                self.assertGreater(read, LEAST_READ)
+                self.assertEqual(play.lost(), [])
+
+    def test_each_request_that_was_read_gets_one_answer(self):
+        """Each caller waits for its answer before it sends its next request."""
+        self.check((0, 1, 2, 15, 30), ahead=False)
+
+    def test_callers_that_send_ahead_get_all_their_answers(self):
+        """Callers send up to three requests before the first answer has come.
+
+        A leaving host says with an answer that it is the last, and closes with the
+        next request unread. That resets the connection and takes the answer along.
+        """
+        self.check((0, 4), ahead=True)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/berylshift/tests/test_reload.py
+++ b/berylshift/tests/test_reload.py
@@ -43,6 +43,22 @@
         self.assertEqual(self.adopted, [])
         self.assertIn("retry_ratio", str(logs.records[0].reasons))
 
+    def test_a_file_that_is_no_text_leaves_the_last_good_ones(self):
+        """A file of settings is read while it is written, or is damaged.
+
+        The word to read it anew ends the process: all callers' connections close with
+        their requests under way.
+        """
+        damaged = (b"[host]\nname = \xff\n", "[host]\naddress = 10.0.0.1:\u00b2\n")
+        for data in damaged:
+            with self.subTest(data=data):
+                text = TEXT.format(ratio=0.5).replace("[host]\n", "")
+                start = data if isinstance(data, bytes) else data.encode()
+                self.path.write_bytes(start + text.encode())
+                with self.assertLogs("berylshift.reload", "ERROR"):
+                    self.file.reload("SIGHUP")
+                self.assertEqual(self.adopted, [])
+
     def test_missing_file_leaves_the_last_good_ones(self):
         self.path.unlink()
         with self.assertLogs("berylshift.reload", "ERROR"):
