Show last answers that are cut by their number, and an odd handle that ends a host

A handle with a space, from an engine that reads prompts, makes the call that frees the cache raise in the background tasks, which ends them and with them the process.

--- a/berylshift/tests/test_entry_ledger.py
+++ b/berylshift/tests/test_entry_ledger.py
@@ -8,15 +8,19 @@
 import trio
 
 from berylshift.connection.http_server import MOST_EARLY_BYTES
+from berylshift.messages.replicas import EnginePhase
+from berylshift.stand_ins.entry_replica import Fault
 from berylshift.tests.entry_world import (
     Reply,
     prompt_headers,
     route,
     routes,
+    run_entry,
     stream_body,
 )
 from berylshift.tests.ledger import (
     HostProcess,
+    KernelEnd,
     LateLook,
     pass_time,
     request_bytes,
@@ -178,6 +182,24 @@
 
         self.check_goes_on(disturb)
 
+    def test_an_odd_handle_costs_its_request_alone(self):
+        """An engine that reads prompts gives its cache a name with a space in it.
+
+        The engine that answers does not take the cache, so the host frees it: the name
+        fits into no target, and the fault ends the background work and the process.
+        """
+
+        async def task(world):
+            for replica in world.replicas.values():
+                if replica.phase is EnginePhase.DECODE:
+                    replica.faults = [Fault.REFUSE] * 4
+            # The double names its caches after the request.
+            reply = await world.ask("/note/x", "r 1", headers=prompt_headers())
+            await trio.sleep(1)
+            return reply.whole, len(world.replicas)
+
+        self.assertEqual(run_entry(task, plain=0, engines="pd"), (True, 2))
+
 
 class ReadyAnswerTest(unittest.TestCase):
     """An answer that is there is delivered, whatever time ends between two writes."""
@@ -261,6 +283,51 @@
         self.assertEqual((body, whole), (stream_body(1, 4), True))
 
 
+class LastAnswersTest(unittest.TestCase):
+    """All that is open at the end of a stop is answered within 0.2 s."""
+
+    def slow_down(self, end: KernelEnd) -> None:
+        """Have each head that the host writes take some time of its processor."""
+
+        def on_put(data: bytes) -> None:
+            if data.startswith(b"HTTP/1.1"):
+                pass_time(0.0025)
+
+        end.on_put = on_put
+
+    def test_all_of_many_open_requests_are_told(self):
+        """A hundred callers wait for desks that stay silent when their host leaves.
+
+        All are to be told at once, 7 s after the word. Each takes the host 2.5 ms of
+        its processor; the time for all of them does not depend on how many they are,
+        and when it is over they are cut between head and body.
+        """
+
+        async def task(world):
+            long = route("long", RouteKind.AT_MOST_ONCE, timeout=20.0)
+            world.directory.put_routes(routes(2, long))
+            for replica in world.replicas.values():
+                replica.work_seconds = 30
+            await trio.sleep(0.1)
+            process = await start_process(world)
+            replies = []
+
+            async def wait(number: int):
+                link = process.connect()
+                await link.send("/long/x", f"r{number}", left_ms=20_000)
+                self.slow_down(link.stream.peer)
+                replies.append(await link.read())
+
+            async with trio.open_nursery() as nursery:
+                for number in range(100):
+                    nursery.start_soon(wait, number)
+                await trio.sleep(0.5)
+                process.stop.set()
+            return sum(reply.whole for reply in replies)
+
+        self.assertEqual(run_ledger(task), 100)
+
+
 class ClosedUnreadTest(unittest.TestCase):
     """A connection that the host closes although its caller has something on it."""
 
