Give the ledger's callers a moment between two connections

Cause: a caller whose connection was closed at once made its next one without any time passing; at a host that takes no further requests that had no end, and a test hung.

Change: a caller that got nothing (more) waits 10 ms before its next connection.

--- a/berylshift/tests/ledger_play.py
+++ b/berylshift/tests/ledger_play.py
@@ -34,6 +34,9 @@
 
 PLAY_SECONDS = 12.0
 CALLERS = 12
+# What a caller's next connection takes when its last one gave it nothing more; without
+# it, one that is closed at once would be followed by others before any time passes.
+CONNECT_SECONDS = 0.01
 # Work that any host may finish before it ends: a stop gives 7 s, 4.5 s of which a
 # request may need that is still taken.
 LONGEST_WORK = 2.2
@@ -218,6 +221,7 @@
                 continue
             for _ in range(self.rng.choice([1, 1, 3, 8])):
                 if caller.stream.was_reset or not await self._exchange(caller):
+                    await trio.sleep(CONNECT_SECONDS)
                     break
                 await trio.sleep(self._rest())
             self._close(caller)
