Keep the last good settings whatever is wrong with the file

Cause: a file that is no UTF-8, or a port written in digits that int() does not know, raised out of the reading; the signal or the watch then ended the process and all callers' connections with it.

Ruled out: mending the reading alone; a damaged file may fail in other ways, so the reload takes any error for a rejection.

Change: both are faults that say why, also at the start; what else the reading raises is logged as 'settings rejected' and changes nothing.

--- a/berylshift/reload.py
+++ b/berylshift/reload.py
@@ -46,15 +46,21 @@
     def reload(self, cause: str) -> None:
         """Read the file anew; what can't be read leaves the last good settings."""
         self._stamp = _stamp(self._path)
-        match read_settings(self._path):
+        try:
+            found = read_settings(self._path)
+        except Exception as exc:
+            # A file may be damaged in any way; raised, it would end the process.
+            self._reject(cause, [repr(exc)])
+            return
+        match found:
             case Failure(faults):
-                reasons = [str(fault) for fault in faults]
-                logger.error(
-                    "settings rejected", extra={"cause": cause, "reasons": reasons}
-                )
+                self._reject(cause, [str(fault) for fault in faults])
             case Success(cfg):
                 self._take(cfg, cause)
 
+    def _reject(self, cause: str, reasons: list[str]) -> None:
+        logger.error("settings rejected", extra={"cause": cause, "reasons": reasons})
+
     def _take(self, cfg: Settings, cause: str) -> None:
         changed = [
             name
--- a/berylshift/settings.py
+++ b/berylshift/settings.py
@@ -231,6 +231,8 @@
         text = Path(path).read_text(encoding="utf-8")
     except OSError as exc:
         return Failure([SettingFault("", "", path, f"can't be read: {exc.strerror}")])
+    except UnicodeDecodeError as exc:
+        return Failure([SettingFault("", "", path, f"is no UTF-8: {exc}")])
     return parse_settings(text)
 
 
@@ -241,7 +243,7 @@
     parser = configparser.ConfigParser(interpolation=None)
     try:
         parser.read_string(Path(path).read_text(encoding="utf-8"))
-    except (OSError, configparser.Error) as exc:
+    except (OSError, UnicodeDecodeError, configparser.Error) as exc:
         return Failure([SettingFault("", "", path, f"can't be read: {exc}")])
     given = dict(parser["platform"]) if "platform" in parser else {}
     faults = _unknown({"platform": given})
@@ -275,7 +277,9 @@
     for section, key in ADDRESSES:
         value = getattr(getattr(settings, section), key)
         # This host may have the kernel choose a port to listen on.
-        if not valid_address(value, least_port=0 if section == "host" else 1):
+        least_port = 0 if section == "host" else 1
+        # Digits such as "\u00b2" count as digits, but int() has no number for them.
+        if not (value.isascii() and valid_address(value, least_port)):
             faults.append(SettingFault(section, key, value, "must be IP:PORT"))
     for (section, key), allowed in CHOICES.items():
         value = getattr(getattr(settings, section), key)
