Have a fault in background work end that work alone

Cause: an engine's name for its cache went into a target as it was; where HTTP has no such target, h11's own error left the background task, its nursery and the process. Work given away as the host ended was raised in the request that gave it.

Ruled out: checking handles where they are read; headers of sends may carry them too, and any other fault in the background would still end the process.

Change: the client turns what HTTP can't write into its error for sends of which no byte left; a background task logs what breaks in it and ends alone; with the nursery closed it is logged and dropped.

--- a/berylshift/connection/target_client.py
+++ b/berylshift/connection/target_client.py
@@ -150,7 +150,12 @@
     ) -> trio.Event:
         """Start sending; the event is set once all was handed to the kernel."""
         body = out.body
-        head = _encode_head(wire.conn, out)
+        try:
+            head = _encode_head(wire.conn, out)
+        except h11.LocalProtocolError as exc:
+            # Handles and sources come from engines: HTTP may have no room for them.
+            # Nothing was sent, and callers know the errors of this layer only.
+            raise ConnectFailedError(f"request can't be written: {exc}") from exc
         sent = trio.Event()
         small = len(head) + body.size <= AT_ONCE_BYTES
         if body.ended and (small or self._senders is None):
--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -203,8 +203,22 @@
         return self.load_loop.known_hosts or HOSTS_ASSUMED
 
     def _in_background(self, task, *args) -> None:
-        if self._nursery is not None:
-            self._nursery.start_soon(task, *args)
+        """Run a task that no request waits for; what breaks in it ends it alone."""
+
+        async def run() -> None:
+            try:
+                await task(*args)
+            except Exception:
+                # Passed on, it would end the process and all callers' requests.
+                logger.exception("background task failed")
+
+        if self._nursery is None:
+            return
+        try:
+            self._nursery.start_soon(run)
+        except RuntimeError:
+            # The process ends; raised here, it would end the answer under way.
+            logger.info("background task dropped", extra={"reason": "stopping"})
 
     def _on_routes(self, table: RouteTable) -> None:
         """Take over the bounds on callers that came with the routes."""
--- a/berylshift/tests/test_entry_ledger.py
+++ b/berylshift/tests/test_entry_ledger.py
@@ -200,6 +200,34 @@
 
         self.assertEqual(run_entry(task, plain=0, engines="pd"), (True, 2))
 
+    def test_a_background_task_costs_nothing_but_itself(self):
+        """A fault in work that no request waits for, and such work as the host ends.
+
+        The first would end the process. The second would be raised in the request that
+        gives it away, whose answer is ready.
+        """
+
+        async def task(world):
+            app = world.hosts[0]
+
+            async def fail():
+                raise ValueError("a fault of the host's own")
+
+            app._in_background(fail)
+            await trio.sleep(0.1)
+            on = await world.ask("/book/x")
+            async with trio.open_nursery() as app._nursery:
+                pass
+            app._in_background(trio.sleep, 1)
+            return on.status
+
+        with self.assertLogs("berylshift.entry_application", "INFO") as logs:
+            self.assertEqual(run_entry(task), 200)
+        told = [record.getMessage() for record in logs.records]
+        self.assertEqual(
+            told[-2:], ["background task failed", "background task dropped"]
+        )
+
 
 class ReadyAnswerTest(unittest.TestCase):
     """An answer that is there is delivered, whatever time ends between two writes."""
