Have connections at rest follow a longer bound

Cause: the bound was set once, as a rest began. Callers go by the last bound that they know and came back on connections that the older one had closed.

Ruled out: moving deadlines both ways; a lower bound would close connections under callers that do not know it yet.

Change: each rest keeps its start, and new limits move its deadline, never to before what it was.

--- a/berylshift/connection/http_server.py
+++ b/berylshift/connection/http_server.py
@@ -72,17 +72,34 @@
         """
         self.handler = handler
         self.held_bytes = HELD_BYTES if hands_on_bodies else float("inf")
-        self.limits = limits or ServerLimits()
+        self._limits = limits or ServerLimits()
         self.draining = False
         self.taking = True
         self.open_connections = 0
         self._under_way = 0
         self._begun = 0
         self._all_ended = trio.Event()
-        self._idle: set[trio.CancelScope] = set()
+        # Connections at rest, by the scope of their wait, with the start of the rest.
+        self._idle: dict[trio.CancelScope, float] = {}
         self._writes: set[trio.CancelScope] = set()
         self._writes_until = NEVER
 
+    @property
+    def limits(self) -> ServerLimits:
+        """Return the bounds in force."""
+        return self._limits
+
+    @limits.setter
+    def limits(self, limits: ServerLimits) -> None:
+        """Take over bounds, for the connections at rest too.
+
+        Callers go by the newest bound that they know, on connections too that were at
+        rest before. A lower one ends no rest early: not all callers may know it yet.
+        """
+        self._limits = limits
+        for scope, start in self._idle.items():
+            scope.deadline = max(scope.deadline, start + limits.idle_seconds)
+
     async def serve(self, listener: trio.SocketListener) -> None:
         """Accept connections until cancelled; writes end with it."""
         async with trio.open_nursery() as nursery:
@@ -192,16 +209,14 @@
 
     def idle_scope(self) -> trio.CancelScope:
         """Return a scope for the wait for a next request."""
-        scope = trio.CancelScope(deadline=trio.current_time() + self._idle_seconds())
-        self._idle.add(scope)
+        start = trio.current_time()
+        scope = trio.CancelScope(deadline=start + self.limits.idle_seconds)
+        self._idle[scope] = start
         return scope
 
     def leave_idle(self, scope: trio.CancelScope) -> None:
         """Forget a scope that ``idle_scope`` returned."""
-        self._idle.discard(scope)
-
-    def _idle_seconds(self) -> float:
-        return self.limits.idle_seconds
+        self._idle.pop(scope, None)
 
 
 @dataclass
