Look once more at a connection at rest before closing it

Cause: the end of a rest closed the connection without looking; a request that lay in the kernel by then was reset, though the host had seconds left.

Ruled out: a grace after each rest; what has come is there without waiting. A host that takes nothing more does not look: unread, the request may be repeated.

--- a/berylshift/connection/http_server.py
+++ b/berylshift/connection/http_server.py
@@ -32,6 +32,8 @@
 # How long the rest of a body is read after its answer: closing the connection before
 # would reset it, and the answer could be lost on its way.
 REST_SECONDS = 1.0
+# What the last look at a connection may take: what has come is there without waiting.
+LAST_LOOK_SECONDS = 0.001
 # What accept fails with while descriptors or memory are used up; they are free again
 # when other connections end, and a caller waits a second for its connection.
 NO_ROOM = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
@@ -389,10 +391,22 @@
                 data = await self._receive()
         finally:
             self.server.leave_idle(scope)
+        if scope.cancelled_caught and self.server.taking:
+            data = await self._look_once_more()
         if data:
             self.conn.receive_data(data)
         return bool(data)
 
+    async def _look_once_more(self) -> bytes:
+        """Return what has come by the end of a rest.
+
+        It may lie in the kernel while the loop has not looked yet; closed now, the
+        connection would be reset under a request.
+        """
+        with trio.CancelScope(shield=True, deadline=_last_look()):
+            return await self._receive()
+        return b""
+
     async def _read_held(self) -> HttpRequest | None:
         """Read the head and as much of the body as is held before it is handled."""
         head = await self._next_event()
@@ -425,3 +439,8 @@
     """What came of the rest of a body; ``rejected``: why it can't be taken."""
 
     rejected: RequestRejectedError | None = None
+
+
+def _last_look() -> float:
+    """Return when a look that begins now is over."""
+    return trio.current_time() + LAST_LOOK_SECONDS
