Read on after a last answer before closing

Cause: a connection closed with bytes unread is reset, and the reset may erase the refusal or answer just written (RFC 9112, 9.6): too many connections, a body over the bound, a caller that has sent its next request.

Ruled out: reading the refused request first; bodies over the bound are as long as their callers like. Counting it as a request; it would hold a stop up.

Change: after a last answer the sending half is closed and what comes is read and dropped for a second, for 256 connections at most at a time, which do not count towards the bound on connections. When the process ends, what has come is dropped without waiting.

--- a/berylshift/connection/http_server.py
+++ b/berylshift/connection/http_server.py
@@ -32,6 +32,9 @@
 # How long the rest of a body is read after its answer: closing the connection before
 # would reset it, and the answer could be lost on its way.
 REST_SECONDS = 1.0
+# Connections that are read on for that long at one time; further ones are closed at
+# once, so that callers who are refused can't use up the descriptors.
+MOST_LINGERING = 256
 # What the last look at a connection may take: what has come is there without waiting.
 LAST_LOOK_SECONDS = 0.001
 # What accept fails with while descriptors or memory are used up; they are free again
@@ -81,6 +84,7 @@
         self._under_way = 0
         self._begun = 0
         self._all_ended = trio.Event()
+        self._lingering = 0
         # Connections at rest, by the scope of their wait, with the start of the rest.
         self._idle: dict[trio.CancelScope, float] = {}
         self._writes: set[trio.CancelScope] = set()
@@ -154,22 +158,51 @@
         requests with it. A nursery passes errors on in groups, so kinds of error do not
         tell what may pass.
         """
+        try:
+            if await self._serve_counted(stream):
+                await self._linger(stream)
+        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+            logger.debug("connection broken by its peer")
+        except Exception:
+            logger.exception("connection failed")
+        finally:
+            await trio.aclose_forcefully(stream)
+
+    async def _serve_counted(self, stream: trio.abc.Stream) -> bool:
+        """Serve a connection; return whether an answer was the last thing on it."""
         self.open_connections += 1
         link = _Link(self, stream)
         try:
             if not self.taking:
                 logger.info("connection closed unread", extra={"reason": "stopping"})
-            elif self.open_connections > self.limits.connections:
+                return False
+            if self.open_connections > self.limits.connections:
                 await link.refuse(STATUS_UNAVAILABLE, "too many connections")
-            else:
-                await link.run()
-        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
-            logger.debug("connection broken by its peer")
-        except Exception:
-            logger.exception("connection failed")
+                return True
+            return await link.run()
         finally:
             self.open_connections -= 1
-            await trio.aclose_forcefully(stream)
+
+    async def _linger(self, stream: trio.abc.Stream) -> None:
+        """Read on for a while what follows the last answer, and drop it.
+
+        Closed with bytes unread, a connection is reset, and the reset may take along
+        the answer on its way. It is no request: nothing waits for it to end.
+        """
+        if self._lingering >= MOST_LINGERING:
+            return
+        self._lingering += 1
+        try:
+            with trio.move_on_after(REST_SECONDS):
+                await stream.send_eof()
+                await _drop(stream)
+        except trio.Cancelled:
+            # The process ends. What has come resets the connection as well then.
+            with trio.CancelScope(shield=True, deadline=_last_look()):
+                await _drop(stream)
+            raise
+        finally:
+            self._lingering -= 1
 
     @contextmanager
     def request_under_way(self) -> Iterator[None]:
@@ -255,9 +288,13 @@
         if scope.cancelled_caught:
             raise trio.BrokenResourceError("caller reads too slowly")
 
-    async def run(self) -> None:
-        while await self._wait_for_bytes() and await self._serve_one():
+    async def run(self) -> bool:
+        """Serve requests; return whether an answer was the last thing, not a rest."""
+        while await self._wait_for_bytes():
+            if not await self._serve_one():
+                return True
             self.conn.start_next_cycle()
+        return False
 
     async def _serve_one(self) -> bool:
         """Serve a request; return whether the connection may go on."""
@@ -444,3 +481,9 @@
 def _last_look() -> float:
     """Return when a look that begins now is over."""
     return trio.current_time() + LAST_LOOK_SECONDS
+
+
+async def _drop(stream: trio.abc.Stream) -> None:
+    """Read to the end, for nothing."""
+    while await stream.receive_some(READ_BYTES):
+        pass
