--- a/berylshift/connection/http_server.py
+++ b/berylshift/connection/http_server.py
@@ -32,6 +32,11 @@
 # How long the rest of a body is read after its answer: closing the connection before
 # would reset it, and the answer could be lost on its way.
 REST_SECONDS = 1.0
+# Connections that are read on for that long at one time; further ones are closed at
+# once, so that callers who are refused can't use up the descriptors.
+MOST_LINGERING = 256
+# What the last look at a connection may take: what has come is there without waiting.
+LAST_LOOK_SECONDS = 0.001
 # What accept fails with while descriptors or memory are used up; they are free again
 # when other connections end, and a caller waits a second for its connection.
 NO_ROOM = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
@@ -72,17 +77,35 @@
         """
         self.handler = handler
         self.held_bytes = HELD_BYTES if hands_on_bodies else float("inf")
-        self.limits = limits or ServerLimits()
+        self._limits = limits or ServerLimits()
         self.draining = False
         self.taking = True
         self.open_connections = 0
         self._under_way = 0
         self._begun = 0
         self._all_ended = trio.Event()
-        self._idle: set[trio.CancelScope] = set()
+        self._lingering = 0
+        # Connections at rest, by the scope of their wait, with the start of the rest.
+        self._idle: dict[trio.CancelScope, float] = {}
         self._writes: set[trio.CancelScope] = set()
         self._writes_until = NEVER
 
+    @property
+    def limits(self) -> ServerLimits:
+        """Return the bounds in force."""
+        return self._limits
+
+    @limits.setter
+    def limits(self, limits: ServerLimits) -> None:
+        """Take over bounds, for the connections at rest too.
+
+        Callers go by the newest bound that they know, on connections too that were at
+        rest before. A lower one ends no rest early: not all callers may know it yet.
+        """
+        self._limits = limits
+        for scope, start in self._idle.items():
+            scope.deadline = max(scope.deadline, start + limits.idle_seconds)
+
     async def serve(self, listener: trio.SocketListener) -> None:
         """Accept connections until cancelled; writes end with it."""
         async with trio.open_nursery() as nursery:
@@ -135,22 +158,51 @@
         requests with it. A nursery passes errors on in groups, so kinds of error do not
         tell what may pass.
         """
+        try:
+            if await self._serve_counted(stream):
+                await self._linger(stream)
+        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+            logger.debug("connection broken by its peer")
+        except Exception:
+            logger.exception("connection failed")
+        finally:
+            await trio.aclose_forcefully(stream)
+
+    async def _serve_counted(self, stream: trio.abc.Stream) -> bool:
+        """Serve a connection; return whether an answer was the last thing on it."""
         self.open_connections += 1
         link = _Link(self, stream)
         try:
             if not self.taking:
                 logger.info("connection closed unread", extra={"reason": "stopping"})
-            elif self.open_connections > self.limits.connections:
+                return False
+            if self.open_connections > self.limits.connections:
                 await link.refuse(STATUS_UNAVAILABLE, "too many connections")
-            else:
-                await link.run()
-        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
-            logger.debug("connection broken by its peer")
-        except Exception:
-            logger.exception("connection failed")
+                return True
+            return await link.run()
         finally:
             self.open_connections -= 1
-            await trio.aclose_forcefully(stream)
+
+    async def _linger(self, stream: trio.abc.Stream) -> None:
+        """Read on for a while what follows the last answer, and drop it.
+
+        Closed with bytes unread, a connection is reset, and the reset may take along
+        the answer on its way. It is no request: nothing waits for it to end.
+        """
+        if self._lingering >= MOST_LINGERING:
+            return
+        self._lingering += 1
+        try:
+            with trio.move_on_after(REST_SECONDS):
+                await stream.send_eof()
+                await _drop(stream)
+        except trio.Cancelled:
+            # The process ends. What has come resets the connection as well then.
+            with trio.CancelScope(shield=True, deadline=_last_look()):
+                await _drop(stream)
+            raise
+        finally:
+            self._lingering -= 1
 
     @contextmanager
     def request_under_way(self) -> Iterator[None]:
@@ -192,16 +244,14 @@
 
     def idle_scope(self) -> trio.CancelScope:
         """Return a scope for the wait for a next request."""
-        scope = trio.CancelScope(deadline=trio.current_time() + self._idle_seconds())
-        self._idle.add(scope)
+        start = trio.current_time()
+        scope = trio.CancelScope(deadline=start + self.limits.idle_seconds)
+        self._idle[scope] = start
         return scope
 
     def leave_idle(self, scope: trio.CancelScope) -> None:
         """Forget a scope that ``idle_scope`` returned."""
-        self._idle.discard(scope)
-
-    def _idle_seconds(self) -> float:
-        return self.limits.idle_seconds
+        self._idle.pop(scope, None)
 
 
 @dataclass
@@ -238,9 +288,13 @@
         if scope.cancelled_caught:
             raise trio.BrokenResourceError("caller reads too slowly")
 
-    async def run(self) -> None:
-        while await self._wait_for_bytes() and await self._serve_one():
+    async def run(self) -> bool:
+        """Serve requests; return whether an answer was the last thing, not a rest."""
+        while await self._wait_for_bytes():
+            if not await self._serve_one():
+                return True
             self.conn.start_next_cycle()
+        return False
 
     async def _serve_one(self) -> bool:
         """Serve a request; return whether the connection may go on."""
@@ -374,10 +428,22 @@
                 data = await self._receive()
         finally:
             self.server.leave_idle(scope)
+        if scope.cancelled_caught and self.server.taking:
+            data = await self._look_once_more()
         if data:
             self.conn.receive_data(data)
         return bool(data)
 
+    async def _look_once_more(self) -> bytes:
+        """Return what has come by the end of a rest.
+
+        It may lie in the kernel while the loop has not looked yet; closed now, the
+        connection would be reset under a request.
+        """
+        with trio.CancelScope(shield=True, deadline=_last_look()):
+            return await self._receive()
+        return b""
+
     async def _read_held(self) -> HttpRequest | None:
         """Read the head and as much of the body as is held before it is handled."""
         head = await self._next_event()
@@ -410,3 +476,14 @@
     """What came of the rest of a body; ``rejected``: why it can't be taken."""
 
     rejected: RequestRejectedError | None = None
+
+
+def _last_look() -> float:
+    """Return when a look that begins now is over."""
+    return trio.current_time() + LAST_LOOK_SECONDS
+
+
+async def _drop(stream: trio.abc.Stream) -> None:
+    """Read to the end, for nothing."""
+    while await stream.receive_some(READ_BYTES):
+        pass
--- a/berylshift/tests/test_entry_ledger.py
+++ b/berylshift/tests/test_entry_ledger.py
@@ -1,20 +1,37 @@
 """Each whole request that a host has read gets one complete answer or refusal."""
 
+import contextlib
 import errno
 import unittest
+from dataclasses import replace
 
 import trio
 
+from berylshift.connection.http_server import MOST_EARLY_BYTES
+from berylshift.messages.replicas import EnginePhase
+from berylshift.stand_ins.entry_replica import Fault
 from berylshift.tests.entry_world import (
     Reply,
     prompt_headers,
     route,
     routes,
+    run_entry,
     stream_body,
 )
-from berylshift.tests.ledger import HostProcess, pass_time, run_ledger, start_process
-from berylshift.version.routes import RouteKind
+from berylshift.tests.ledger import (
+    HostProcess,
+    KernelEnd,
+    LateLook,
+    pass_time,
+    request_bytes,
+    run_ledger,
+    start_process,
+)
+from berylshift.tests.ledger_play import play_ledger
+from berylshift.version.routes import CallerLimits, RouteKind
 
+# Requests that a play's hosts read at least; with fewer it would show little.
+LEAST_READ = 200
 NOTHING = Reply(0, {}, b"", False)
 
 
@@ -24,11 +41,7 @@
         link = process.connect()
     except OSError:
         return NOTHING, False
-    try:
-        await link.send(path, **more)
-    except trio.BrokenResourceError:
-        return NOTHING, False
-    reply = await link.read()
+    reply = await link.ask(path, **more)
     return reply, link.stream.peer.taken == link.stream.put
 
 
@@ -169,6 +182,52 @@
 
         self.check_goes_on(disturb)
 
+    def test_an_odd_handle_costs_its_request_alone(self):
+        """An engine that reads prompts gives its cache a name with a space in it.
+
+        The engine that answers does not take the cache, so the host frees it: the name
+        fits into no target, and the fault ends the background work and the process.
+        """
+
+        async def task(world):
+            for replica in world.replicas.values():
+                if replica.phase is EnginePhase.DECODE:
+                    replica.faults = [Fault.REFUSE] * 4
+            # The double names its caches after the request.
+            reply = await world.ask("/note/x", "r 1", headers=prompt_headers())
+            await trio.sleep(1)
+            return reply.whole, len(world.replicas)
+
+        self.assertEqual(run_entry(task, plain=0, engines="pd"), (True, 2))
+
+    def test_a_background_task_costs_nothing_but_itself(self):
+        """A fault in work that no request waits for, and such work as the host ends.
+
+        The first would end the process. The second would be raised in the request that
+        gives it away, whose answer is ready.
+        """
+
+        async def task(world):
+            app = world.hosts[0]
+
+            async def fail():
+                raise ValueError("a fault of the host's own")
+
+            app._in_background(fail)
+            await trio.sleep(0.1)
+            on = await world.ask("/book/x")
+            async with trio.open_nursery() as app._nursery:
+                pass
+            app._in_background(trio.sleep, 1)
+            return on.status
+
+        with self.assertLogs("berylshift.entry_application", "INFO") as logs:
+            self.assertEqual(run_entry(task), 200)
+        told = [record.getMessage() for record in logs.records]
+        self.assertEqual(
+            told[-2:], ["background task failed", "background task dropped"]
+        )
+
 
 class ReadyAnswerTest(unittest.TestCase):
     """An answer that is there is delivered, whatever time ends between two writes."""
@@ -252,5 +311,216 @@
         self.assertEqual((body, whole), (stream_body(1, 4), True))
 
 
+class LastAnswersTest(unittest.TestCase):
+    """All that is open at the end of a stop is answered within 0.2 s."""
+
+    def slow_down(self, end: KernelEnd) -> None:
+        """Have each head that the host writes take some time of its processor."""
+
+        def on_put(data: bytes) -> None:
+            if data.startswith(b"HTTP/1.1"):
+                pass_time(0.0025)
+
+        end.on_put = on_put
+
+    def test_all_of_many_open_requests_are_told(self):
+        """A hundred callers wait for desks that stay silent when their host leaves.
+
+        All are to be told at once, 7 s after the word. Each takes the host 2.5 ms of
+        its processor; the time for all of them does not depend on how many they are,
+        and when it is over they are cut between head and body.
+        """
+
+        async def task(world):
+            long = route("long", RouteKind.AT_MOST_ONCE, timeout=20.0)
+            world.directory.put_routes(routes(2, long))
+            for replica in world.replicas.values():
+                replica.work_seconds = 30
+            await trio.sleep(0.1)
+            process = await start_process(world)
+            replies = []
+
+            async def wait(number: int):
+                link = process.connect()
+                await link.send("/long/x", f"r{number}", left_ms=20_000)
+                self.slow_down(link.stream.peer)
+                replies.append(await link.read())
+
+            async with trio.open_nursery() as nursery:
+                for number in range(100):
+                    nursery.start_soon(wait, number)
+                await trio.sleep(0.5)
+                process.stop.set()
+            return sum(reply.whole for reply in replies)
+
+        self.assertEqual(run_ledger(task), 100)
+
+
+class ClosedUnreadTest(unittest.TestCase):
+    """A connection that the host closes although its caller has something on it."""
+
+    async def rest(self, process: HostProcess):
+        """Return a connection at rest after one answer."""
+        link = process.connect()
+        await link.ask("/book/x", "r1")
+        await trio.sleep(0.1)
+        return link
+
+    def test_a_request_that_has_come_is_read_before_a_stop_closes(self):
+        """A host that leaves closes its connections at rest 2.5 s after the word.
+
+        A caller's next request lies in the kernel by then; the loop has not looked
+        yet. The connection is reset under it, though the host has 4.5 s left.
+        """
+
+        async def task(world):
+            short = route("short", RouteKind.AT_MOST_ONCE, timeout=2.0)
+            world.directory.put_routes(routes(2, short))
+            await trio.sleep(0.1)
+            process = await start_process(world)
+            link = await self.rest(process)
+            close_idle = process.app.server.close_idle
+
+            def close_late():
+                link.stream.put_now(request_bytes("/short/x", "r2"))
+                close_idle()
+
+            process.app.server.close_idle = close_late
+            process.stop.set()
+            reply = await link.read()
+            return reply.status, reply.whole
+
+        self.assertEqual(run_ledger(task), (200, True))
+
+    def test_a_longer_rest_holds_for_connections_at_rest(self):
+        """The operator raises the bound on connections at rest from 15 to 60 s.
+
+        Callers use connections again within four fifths of the last bound, 48 s. One
+        that was at rest when the bound changed is closed by the old one.
+        """
+
+        async def task(world):
+            process = await start_process(world)
+            link = await self.rest(process)
+            newer = routes(2)
+            newer.limits = CallerLimits(idle_seconds=60.0)
+            world.directory.put_routes(newer)
+            await trio.sleep(40)
+            reply = await link.ask("/book/x", "r2")
+            return reply.status, reply.whole
+
+        self.assertEqual(run_ledger(task), (200, True))
+
+    def test_a_refusal_for_lack_of_room_reaches_its_caller(self):
+        """A caller connects to a host that holds as many connections as it may.
+
+        It is refused before its request is read, and the connection is closed with
+        the request unread: that resets it, and the reset takes the refusal along.
+        """
+
+        async def task(world):
+            process = await start_process(world)
+            app = process.app
+            app.server.limits = replace(app.server.limits, connections=1)
+            await self.rest(process)
+            reply = await process.connect(near=LateLook).ask("/book/x", "r2")
+            return reply.status, reply.whole
+
+        self.assertEqual(run_ledger(task), (503, True))
+
+    def test_a_refusal_of_a_long_body_reaches_its_caller(self):
+        """A caller announces a body over the bound and sends it.
+
+        It is refused by its head, and the connection is closed with the body unread.
+        The reset takes the refusal along, and the caller comes back with the same.
+        """
+
+        async def task(world):
+            process = await start_process(world)
+            body = b"x" * (process.app.server.limits.body_bytes + 1)
+            link = process.connect()
+            reply = await link.ask("/book/x", body=body)
+            return reply.status, reply.whole
+
+        self.assertEqual(run_ledger(task), (413, True))
+
+    def test_the_last_answer_reaches_a_caller_that_has_sent_more(self):
+        """A caller sends a second request before its first answer has come.
+
+        A leaving host says with that answer that it is the last one, and closes with
+        the second request unread: the reset takes the answer along.
+        """
+
+        async def task(world):
+            process = await start_process(world)
+            for replica in world.replicas.values():
+                replica.work_seconds = 0.5
+            process.stop.set()
+            link = process.connect(near=LateLook)
+            await link.send("/book/x", "r1")
+            await trio.sleep(0.3)
+            await link.send("/book/x", "r2", body=b"x" * 2 * MOST_EARLY_BYTES)
+            reply = await link.read()
+            return reply.status, reply.whole
+
+        self.assertEqual(run_ledger(task), (200, True))
+
+    def test_a_request_that_is_being_sent_is_waited_for(self):
+        """A caller has sent the head of a booking, its body follows within a second.
+
+        The host that it reached is leaving and ends meanwhile, 4 s before it must.
+        The caller may not repeat the booking: the host has read some of it.
+        """
+
+        async def task(world):
+            short = route("short", RouteKind.AT_MOST_ONCE, timeout=2.0)
+            world.directory.put_routes(routes(2, short))
+            await trio.sleep(0.1)
+            process = await start_process(world)
+            process.stop.set()
+            await trio.sleep(2.4)
+            link = process.connect()
+            data = request_bytes("/short/x", "r1")
+            await link.stream.send_all(data[:-3])
+            await trio.sleep(0.9)
+            with contextlib.suppress(trio.BrokenResourceError):
+                await link.stream.send_all(data[-3:])
+            reply = await link.read()
+            return reply.whole, reply.status
+
+        whole, status = run_ledger(task)
+        self.assertTrue(whole)
+        self.assertIn(status, (200, 503))
+
+
+class LedgerTest(unittest.TestCase):
+    """Hosts are told to stop one after the other while all else goes on.
+
+    Routes and rests are lowered and raised, services move, settings are adopted, hosts
+    now and then get no processor time. Callers send slowly, read through small windows,
+    have little time, or send their last byte just as a host's time ends.
+    """
+
+    def check(self, seeds: tuple[int, ...], ahead: bool):
+        for seed in seeds:
+            with self.subTest(seed=seed):
+                play = run_ledger(play_ledger(seed, ahead), "dd", hosts=2)
+                read = sum(entry.read for entry in play.entries)
+                self.assertGreater(read, LEAST_READ)
+                self.assertEqual(play.lost(), [])
+
+    def test_each_request_that_was_read_gets_one_answer(self):
+        """Each caller waits for its answer before it sends its next request."""
+        self.check((0, 1, 2, 15, 30), ahead=False)
+
+    def test_callers_that_send_ahead_get_all_their_answers(self):
+        """Callers send up to three requests before the first answer has come.
+
+        A leaving host says with an answer that it is the last, and closes with the
+        next request unread. That resets the connection and takes the answer along.
+        """
+        self.check((0, 4), ahead=True)
+
+
 if __name__ == "__main__":
     unittest.main()
