Have a host end with nothing read that has no answer

Cause: a connection that was woken in the turn in which a stop's quiet end cancels all had its request read and cut; and a request of which half had come when all requests of a stop end was closed without a word.

Ruled out: a look at the count alone; such a connection counts only once it runs. A flag that stays; a host that goes on after a wait would take nothing more.

Change: at the end of the wait for quiet nothing is taken for two turns of the loop, and what was begun in them is waited for. When taking stops, requests that are being read are refused as not run.

Figures: the new test of eight callers in the last turn is red without the first change, the one of a half request without the second.

--- a/berylshift/connection/http_server.py
+++ b/berylshift/connection/http_server.py
@@ -87,6 +87,7 @@
         self._lingering = 0
         # Connections at rest, by the scope of their wait, with the start of the rest.
         self._idle: dict[trio.CancelScope, float] = {}
+        self._reading: set[trio.CancelScope] = set()
         self._writes: set[trio.CancelScope] = set()
         self._writes_until = NEVER
 
@@ -231,11 +232,34 @@
                 await self._all_ended.wait()
             seen = self._begun
             await trio.sleep(seconds)
+        await self._finish_woken()
+
+    async def _finish_woken(self) -> None:
+        """Take nothing for a moment, and return once what was being taken has ended.
+
+        A connection that was woken in this very turn reads its request whatever is
+        cancelled by now. Those woken have run after two turns of the loop.
+        """
+        taking = self.taking
+        self.stop_taking()
+        try:
+            for _ in range(2):
+                await trio.lowlevel.checkpoint()
+            while self._under_way:
+                await self._all_ended.wait()
+        finally:
+            self.taking = taking
 
     def stop_taking(self) -> None:
-        """Begin no further request; a caller sees that its next one was not read."""
+        """Begin no further request; a caller sees that its next one was not read.
+
+        Requests of which some was read are refused: they were sent nowhere, and
+        without a word their callers could not tell.
+        """
         self.taking = False
         self.close_idle()
+        for scope in self._reading:
+            scope.cancel()
 
     def close_idle(self) -> None:
         """Close the connections that wait for a next request."""
@@ -253,6 +277,19 @@
         """Forget a scope that ``idle_scope`` returned."""
         self._idle.pop(scope, None)
 
+    @contextmanager
+    def reading_scope(self, until: float) -> Iterator[trio.CancelScope]:
+        """Bound the reading of a request, also by the end of taking."""
+        if not self.taking:
+            until = min(until, _last_look())
+        scope = trio.CancelScope(deadline=until)
+        self._reading.add(scope)
+        try:
+            with scope:
+                yield scope
+        finally:
+            self._reading.discard(scope)
+
 
 @dataclass
 class _Link:
@@ -411,8 +448,10 @@
 
     async def _read_request(self) -> HttpRequest | None:
         self.read_until = trio.current_time() + self.server.limits.request_seconds
-        with trio.move_on_at(self.read_until):
+        with self.server.reading_scope(self.read_until):
             return await self._read_held()
+        if not self.server.taking:
+            raise RequestRejectedError(STATUS_UNAVAILABLE, "leaving")
         raise RequestRejectedError(STATUS_TIMEOUT, "request was sent too slowly")
 
     async def _wait_for_bytes(self) -> bool:
--- a/berylshift/tests/test_entry_ledger.py
+++ b/berylshift/tests/test_entry_ledger.py
@@ -106,6 +106,35 @@
                 lost.append((round(seconds, 2), status, whole))
         self.assertEqual(lost, [])
 
+    def test_requests_that_come_in_the_turn_in_which_the_host_ends(self):
+        """Eight callers send bookings on new connections 5 ms before a quiet host ends.
+
+        The host has no processor time for 10 ms. Then its loop sees the bookings and
+        the end at once: connections that it has woken read, and are cut unanswered.
+        """
+
+        async def task(world):
+            short = route("short", RouteKind.AT_MOST_ONCE, timeout=2.0)
+            world.directory.put_routes(routes(2, short))
+            await trio.sleep(0.1)
+            process = await start_process(world)
+            process.stop.set()
+            await trio.sleep(2.9)
+            links = [process.connect() for _ in range(8)]
+            await trio.sleep(0.095)
+            for number, link in enumerate(links):
+                link.stream.put_now(request_bytes("/short/x", f"r{number}"))
+            pass_time(0.01)
+            found = []
+            for link in links:
+                reply = await link.read()
+                read = link.stream.peer.taken == link.stream.put
+                found.append((read, reply.status, reply.whole))
+            return found
+
+        for read, status, whole in run_ledger(task):
+            self.assertEqual((status, whole), (200, True) if read else (0, False))
+
 
 class OwnEndTest(unittest.TestCase):
     """Whatever one caller's connection does, the host's process goes on."""
@@ -465,6 +494,99 @@
 
         self.assertEqual(run_ledger(task), (200, True))
 
+    def test_a_lower_bound_ends_no_rest_early(self):
+        """The operator lowers the bound on connections at rest from 15 to 1 s.
+
+        A caller that still goes by the older bound sends its next request after 10 s
+        on a connection that was at rest when the bound changed.
+        """
+
+        async def task(world):
+            process = await start_process(world)
+            link = await self.rest(process)
+            newer = routes(2)
+            newer.limits = CallerLimits(idle_seconds=1.0)
+            world.directory.put_routes(newer)
+            await trio.sleep(10)
+            reply = await link.ask("/book/x", "r2")
+            return reply.status, reply.whole
+
+        self.assertEqual(run_ledger(task), (200, True))
+
+    def test_a_refused_caller_that_stays_does_not_hold_a_stop_up(self):
+        """A caller was refused and neither reads on nor closes its connection.
+
+        Its host reads on for a second, but that is no request: told to stop, it falls
+        quiet as if that caller were not there, and ends 3 s after the word.
+        """
+
+        async def task(world):
+            process = await start_process(world)
+            process.stop.set()
+            start = trio.current_time()
+            await trio.sleep(2.4)
+            link = process.connect()
+            await link.stream.send_all(b"no request at all\r\n\r\n")
+            await process.ended.wait()
+            reply = await link.read()
+            return reply.status, reply.whole, trio.current_time() - start < 3.1
+
+        self.assertEqual(run_ledger(task), (400, True, True))
+
+    def test_the_last_answer_survives_the_end_of_the_process(self):
+        """A stopping host ends at 7.2 s; its last answers went out at 7.0 s.
+
+        Their callers have sent next requests, which the host does not read. The end of
+        the process would reset the connections, and erase what is not read yet.
+        """
+
+        async def task(world):
+            long = route("long", RouteKind.AT_MOST_ONCE, timeout=30.0)
+            world.directory.put_routes(routes(2, long))
+            for replica in world.replicas.values():
+                replica.work_seconds = 30.0
+            await trio.sleep(0.1)
+            process = await start_process(world)
+            link = process.connect()
+            await link.send("/long/x", "r1", left_ms=30_000)
+            await trio.sleep(0.1)
+            process.stop.set()
+            await trio.sleep(1)
+            rest = request_bytes("/long/x", "r2", body=b"x" * 32 * MOST_EARLY_BYTES)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(link.stream.send_all, rest)
+                await process.ended.wait()
+            reply = await link.read()
+            return reply.status, reply.whole
+
+        self.assertEqual(run_ledger(task), (504, True))
+
+    def test_a_request_that_is_still_being_sent_at_the_hard_end_is_refused(self):
+        """A caller has sent half of a booking when all requests of its host end.
+
+        Another caller's long request has kept the host until then. The half was sent
+        nowhere; closed without a word, the caller could not tell, and may not repeat.
+        """
+
+        async def task(world):
+            long = route("long", RouteKind.AT_MOST_ONCE, timeout=30.0)
+            world.directory.put_routes(routes(2, long))
+            for replica in world.replicas.values():
+                replica.work_seconds = 30.0
+            await trio.sleep(0.1)
+            process = await start_process(world)
+            await process.connect().send("/long/x", "r0", left_ms=30_000)
+            await trio.sleep(0.1)
+            process.stop.set()
+            await trio.sleep(6.5)
+            link = process.connect()
+            await link.stream.send_all(request_bytes("/book/x", "r1")[:-3])
+            reply = await link.read()
+            outcome = reply.headers.get(b"berylshift-outcome")
+            return reply.status, reply.whole, outcome
+
+        self.assertEqual(run_ledger(task), (503, True, b"not-run"))
+
     def test_a_request_that_is_being_sent_is_waited_for(self):
         """A caller has sent the head of a booking, its body follows within a second.
 
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -269,8 +269,17 @@
     Proof(
         "a stop ends without a wait after its last look",
         "connection/http_server.py",
-        "        while self._under_way or self._begun != seen:\n",
-        "        while seen < 0:\n",
+        "        while self._under_way or self._begun != seen:\n"
+        "            while self._under_way:\n"
+        "                await self._all_ended.wait()\n"
+        "            seen = self._begun\n"
+        "            await trio.sleep(seconds)\n"
+        "        await self._finish_woken()\n",
+        "        while seen < 0:\n"
+        "            while self._under_way:\n"
+        "                await self._all_ended.wait()\n"
+        "            seen = self._begun\n"
+        "            await trio.sleep(seconds)\n",
         "test_entry_ledger.QuietEndTest",
     ),
     Proof(
@@ -281,6 +290,61 @@
         "test_entry_ledger.OwnEndTest"
         ".test_a_refusal_that_can_not_be_written_costs_its_caller_alone",
     ),
+    Proof(
+        "a request read in the turn of a stop's end is answered",
+        "connection/http_server.py",
+        "        await self._finish_woken()\n",
+        "",
+        "test_entry_ledger.QuietEndTest"
+        ".test_requests_that_come_in_the_turn_in_which_the_host_ends",
+    ),
+    Proof(
+        "a request that has come is read before its connection closes",
+        "connection/http_server.py",
+        "scope.cancelled_caught and self.server.taking",
+        "False",
+        "test_entry_ledger.ClosedUnreadTest"
+        ".test_a_request_that_has_come_is_read_before_a_stop_closes",
+    ),
+    Proof(
+        "a longer rest holds for connections at rest",
+        "connection/http_server.py",
+        "max(scope.deadline, start + limits.idle_seconds)",
+        "scope.deadline",
+        "test_entry_ledger.ClosedUnreadTest"
+        ".test_a_longer_rest_holds_for_connections_at_rest",
+    ),
+    Proof(
+        "a shorter rest ends none early",
+        "connection/http_server.py",
+        "max(scope.deadline, start + limits.idle_seconds)",
+        "start + limits.idle_seconds",
+        "test_entry_ledger.ClosedUnreadTest.test_a_lower_bound_ends_no_rest_early",
+    ),
+    Proof(
+        "no reset erases a refusal",
+        "connection/http_server.py",
+        "                await self._linger(stream)\n",
+        "                pass\n",
+        "test_entry_ledger.ClosedUnreadTest"
+        ".test_a_refusal_for_lack_of_room_reaches_its_caller",
+    ),
+    Proof(
+        "the end of a process erases no last answer",
+        "connection/http_server.py",
+        "                await _drop(stream)\n            raise",
+        "                pass\n            raise",
+        "test_entry_ledger.ClosedUnreadTest"
+        ".test_the_last_answer_survives_the_end_of_the_process",
+    ),
+    Proof(
+        "what is half read at a stop's end is refused",
+        "connection/http_server.py",
+        "        for scope in self._reading:\n",
+        "        for scope in ():\n",
+        "test_entry_ledger.ClosedUnreadTest"
+        ".test_a_request_that_is_still_being_sent_at_the_hard_end_is_refused",
+    ),
     Proof(
         "a host without a free descriptor goes on",
         "connection/http_server.py",
