--- a/berylshift/connection/http_server.py
+++ b/berylshift/connection/http_server.py
@@ -251,17 +251,6 @@
         for scope in self._idle:
             scope.cancel()
 
-    @contextmanager
-    def reading(self, until: float) -> Iterator[None]:
-        """End the block ``until`` then, or once no more requests are taken."""
-        scope = trio.CancelScope(deadline=until)
-        self._reading.add(scope)
-        try:
-            with scope:
-                yield
-        finally:
-            self._reading.discard(scope)
-
     def idle_scope(self) -> trio.CancelScope:
         """Return a scope for the wait for a next request."""
         start = trio.current_time()
@@ -273,6 +262,19 @@
         """Forget a scope that ``idle_scope`` returned."""
         self._idle.pop(scope, None)
 
+    @contextmanager
+    def reading_scope(self, until: float) -> Iterator[trio.CancelScope]:
+        """Bound the reading of a request, also by the end of taking."""
+        if not self.taking:
+            until = min(until, _last_look())
+        scope = trio.CancelScope(deadline=until)
+        self._reading.add(scope)
+        try:
+            with scope:
+                yield scope
+        finally:
+            self._reading.discard(scope)
+
 
 @dataclass
 class _Link:
@@ -445,7 +447,7 @@
 
     async def _read_request(self) -> HttpRequest | None:
         self.read_until = trio.current_time() + self.server.limits.request_seconds
-        with self.server.reading(self.read_until):
+        with self.server.reading_scope(self.read_until):
             return await self._read_held()
         if not self.server.taking:
             raise RequestRejectedError(STATUS_UNAVAILABLE, "this host is leaving")
