Give a server's connections a module of their own

Change: server_link.py has one connection, server_limits.py the bounds and what both share, http_server.py the rest. No statement differs. Proofs name the new module; the one on a caller that leaves took a text that had come to stand twice, and now names the right one.

--- a/berylshift/tests/test_entry_ledger.py
+++ b/berylshift/tests/test_entry_ledger.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from berylshift.connection.http_server import MOST_EARLY_BYTES
+from berylshift.connection.server_link import MOST_EARLY_BYTES
 from berylshift.messages.replicas import EnginePhase
 from berylshift.stand_ins.entry_replica import Fault
 from berylshift.tests.entry_world import (
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -96,7 +96,7 @@
     ),
     Proof(
         "a body is read at its target's pace",
-        "connection/http_server.py",
+        "connection/server_link.py",
         "                await body.wait_for_room()\n",
         "",
         "test_request_bodies.HandedOnTest."
@@ -139,7 +139,7 @@
     ),
     Proof(
         "the replica's request ends with its caller's",
-        "connection/http_server.py",
+        "connection/server_link.py",
         "        scope.cancel()\n",
         "",
         f"{RELAY}.CallerLeavesTest",
@@ -174,7 +174,7 @@
     ),
     Proof(
         "two lengths are rejected",
-        "connection/http_server.py",
+        "connection/server_link.py",
         "        check_framing(head)\n",
         "",
         f"{RELAY}.PlainAnswerTest.test_two_lengths_are_rejected",
@@ -275,14 +275,14 @@
     ),
     Proof(
         "an answer to HEAD goes out without a body",
-        "connection/http_server.py",
+        "connection/server_link.py",
         "        if not self.headless:\n",
         "        if True:\n",
         "test_entry_ledger.HeadlessTest",
     ),
     Proof(
         "a caller that has left ends the write to it",
-        "connection/http_server.py",
+        "connection/server_link.py",
         "        self.writing.cancel()\n",
         "",
         "test_entry_ledger.SlowCallerTest"
@@ -308,7 +308,7 @@
     ),
     Proof(
         "a request that has come is read before its connection closes",
-        "connection/http_server.py",
+        "connection/server_link.py",
         "scope.cancelled_caught and self.server.taking",
         "False",
         "test_entry_ledger.ClosedUnreadTest"
@@ -340,7 +340,7 @@
     Proof(
         "the end of a process erases no last answer",
         "connection/http_server.py",
-        "                await _drop(stream)\n            raise",
+        "                await drop_rest(stream)\n            raise",
         "                pass\n            raise",
         "test_entry_ledger.ClosedUnreadTest"
         ".test_the_last_answer_survives_the_end_of_the_process",
@@ -429,15 +429,15 @@
     Proof(
         "an answer that has come is written whatever ends meanwhile",
         "connection/http_server.py",
-        "shield=True, deadline=",
-        "shield=False, deadline=",
+        "shield=True, deadline=min(",
+        "shield=False, deadline=min(",
         "test_request_silence.GivenUpTest",
     ),
     Proof(
         "no time ends between an answer's head and its body",
         "connection/http_server.py",
-        "shield=True, deadline=",
-        "shield=False, deadline=",
+        "shield=True, deadline=min(",
+        "shield=False, deadline=min(",
         "test_entry_ledger.ReadyAnswerTest",
     ),
     Proof(
