--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -328,7 +328,7 @@
         """Carry out a planned stop; return once nothing is in flight.
 
         The balancer needs some seconds to see that the host is not ready: what it
-        sends meanwhile is served like any other request.
+        sends meanwhile is served if it ends in time, and told to come back otherwise.
         """
         self.leaving = True
         self.server.draining = True
