--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -278,14 +278,14 @@
         "connection/server_link.py",
         "        if not self.headless:\n",
         "        if True:\n",
-        "test_entry_ledger.HeadlessTest",
+        "test_entry_writes.HeadlessTest",
     ),
     Proof(
         "a caller that has left ends the write to it",
         "connection/server_link.py",
         "        self.writing.cancel()\n",
         "",
-        "test_entry_ledger.SlowCallerTest"
+        "test_entry_writes.SlowCallerTest"
         ".test_a_caller_that_ends_its_side_frees_its_engine",
     ),
     Proof(
@@ -293,7 +293,7 @@
         "connection/http_server.py",
         '        except Exception:\n            logger.exception("connection',
         '        except MemoryError:\n            logger.exception("connection',
-        "test_entry_ledger.OwnEndTest"
+        "test_entry_own_end.OwnEndTest"
         ".test_a_refusal_that_can_not_be_written_costs_its_caller_alone",
     ),
     Proof(
@@ -311,7 +311,7 @@
         "connection/server_link.py",
         "scope.cancelled_caught and self.server.taking",
         "False",
-        "test_entry_ledger.ClosedUnreadTest"
+        "test_entry_connections.ClosedUnreadTest"
         ".test_a_request_that_has_come_is_read_before_a_stop_closes",
     ),
     Proof(
@@ -319,7 +319,7 @@
         "connection/http_server.py",
         "max(scope.deadline, start + limits.idle_seconds)",
         "scope.deadline",
-        "test_entry_ledger.ClosedUnreadTest"
+        "test_entry_connections.ClosedUnreadTest"
         ".test_a_longer_rest_holds_for_connections_at_rest",
     ),
     Proof(
@@ -327,14 +327,14 @@
         "connection/http_server.py",
         "max(scope.deadline, start + limits.idle_seconds)",
         "start + limits.idle_seconds",
-        "test_entry_ledger.ClosedUnreadTest.test_a_lower_bound_ends_no_rest_early",
+        "test_entry_connections.ClosedUnreadTest.test_a_lower_bound_ends_no_rest_early",
     ),
     Proof(
         "no reset erases a refusal",
         "connection/http_server.py",
         "                await self._linger(stream)\n",
         "                pass\n",
-        "test_entry_ledger.ClosedUnreadTest"
+        "test_entry_connections.ClosedUnreadTest"
         ".test_a_refusal_for_lack_of_room_reaches_its_caller",
     ),
     Proof(
@@ -342,7 +342,7 @@
         "connection/http_server.py",
         "                await drop_rest(stream)\n            raise",
         "                pass\n            raise",
-        "test_entry_ledger.ClosedUnreadTest"
+        "test_entry_connections.ClosedUnreadTest"
         ".test_the_last_answer_survives_the_end_of_the_process",
     ),
     Proof(
@@ -350,7 +350,7 @@
         "connection/http_server.py",
         "        for scope in self._reading:\n",
         "        for scope in ():\n",
-        "test_entry_ledger.ClosedUnreadTest"
+        "test_entry_connections.ClosedUnreadTest"
         ".test_a_request_that_is_still_being_sent_at_the_hard_end_is_refused",
     ),
     Proof(
@@ -358,7 +358,7 @@
         "connection/http_server.py",
         "                if exc.errno not in NO_ROOM:\n",
         "                if exc.errno:\n",
-        "test_entry_ledger.OwnEndTest.test_a_host_without_a_free_descriptor_goes_on",
+        "test_entry_own_end.OwnEndTest.test_a_host_without_a_free_descriptor_goes_on",
     ),
     Proof(
         "a lease is over on a clock that counts a freeze",
@@ -438,7 +438,7 @@
         "connection/http_server.py",
         "shield=True, deadline=min(",
         "shield=False, deadline=min(",
-        "test_entry_ledger.ReadyAnswerTest",
+        "test_entry_writes.ReadyAnswerTest",
     ),
     Proof(
         "each start of a replica is an instance of its own",
