Load only the interface that a host serves

Change: the command line loads serve_own or serve_entry once the settings say which; each is the composition root of its interface.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -11,6 +11,7 @@
     policies,
     relay,
     slopes,
+    start,
     store_writes,
 )
 
@@ -23,6 +24,7 @@
     "placing": placing.main,
     "relay": relay.main,
     "policies": policies.main,
+    "start": start.main,
 }
 
 
--- /dev/null
+++ b/berylshift/serve_entry.py
@@ -0,0 +1,80 @@
+"""Serves the platform's routes: wires the entry application to the real outside."""
+
+import random
+from collections.abc import Callable
+
+import trio
+
+from berylshift.clock import LoopClock, boot_seconds
+from berylshift.connection.datagram_tag import LARGEST_DATAGRAM
+from berylshift.connection.http_client import HttpClient
+from berylshift.connection.listeners import open_listener
+from berylshift.connection.load_codec import LoadCodec
+from berylshift.connection.peer_link import UdpPeerLink
+from berylshift.connection.target_client import TargetClient
+from berylshift.entry_application import EntryApplication, EntryPorts
+from berylshift.platform.engines import PlatformEngines
+from berylshift.platform.exchange import PlatformLanguage
+from berylshift.platform.store import (
+    PlatformDirectory,
+    PlatformHosts,
+    PlatformLeases,
+)
+from berylshift.reload import SettingsFile
+from berylshift.settings import Settings
+from berylshift.signals import watch_signals
+from berylshift.store.calls import StoreCalls
+from berylshift.utils import split_address
+
+
+def make_entry_ports(
+    cfg: Settings, link_of: Callable[[LoadCodec], UdpPeerLink]
+) -> EntryPorts:
+    """Return the platform as an entry host meets it."""
+    connect = cfg.targets.connect_timeout
+    calls = StoreCalls(
+        HttpClient(connect_seconds=cfg.directory.timeout),
+        cfg.directory.address,
+        cfg.directory.timeout,
+    )
+    client = TargetClient(connect)
+    return EntryPorts(
+        clock=LoopClock(),
+        rng=random.Random(),
+        directory=PlatformDirectory(calls),
+        language=PlatformLanguage(),
+        client=client,
+        leases=PlatformLeases(calls),
+        engines=PlatformEngines(client, cfg.targets.report_timeout),
+        boot_clock=boot_seconds,
+        hosts=PlatformHosts(calls),
+        make_link=lambda key: link_of(LoadCodec(key)),
+    )
+
+
+async def serve_entry(cfg: Settings, path: str) -> None:
+    """Serve the platform's routes until SIGTERM, then shut down gracefully."""
+    listener = open_listener(cfg.host.address)
+    status_listener = open_listener(cfg.entry.status_address)
+    sock = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
+    await sock.bind(split_address(cfg.host.peer_address))
+    ports = make_entry_ports(
+        cfg, lambda codec: UdpPeerLink(codec, LARGEST_DATAGRAM, sock)
+    )
+    app = EntryApplication(cfg, ports)
+    settings_file = SettingsFile(path, cfg, app.adopt)
+    stop = trio.Event()
+    app.on_start()
+    async with trio.open_nursery() as nursery:
+        await nursery.start(watch_signals, settings_file.reload, stop)
+        nursery.start_soon(app.run)
+        nursery.start_soon(app.status_server.serve, status_listener)
+        nursery.start_soon(app.server.serve, listener)
+        if cfg.entry.metrics_address:
+            metrics_listener = open_listener(cfg.entry.metrics_address)
+            nursery.start_soon(app.status_server.serve, metrics_listener)
+        nursery.start_soon(settings_file.watch)
+        await stop.wait()
+        await app.on_shutdown()
+        nursery.cancel_scope.cancel()
+    app.on_stop()
--- /dev/null
+++ b/berylshift/serve_own.py
@@ -0,0 +1,78 @@
+"""Serves the own interface: wires the application to the real outside."""
+
+import logging
+import random
+
+import trio
+
+from berylshift.application import Addresses, Application, Ports
+from berylshift.clock import LoopClock
+from berylshift.connection.admin import Admin
+from berylshift.connection.datagram_tag import LARGEST_DATAGRAM
+from berylshift.connection.engine_client import HttpEngineClient
+from berylshift.connection.http_client import HttpClient
+from berylshift.connection.http_server import HttpServer
+from berylshift.connection.listeners import bound_address, open_listener
+from berylshift.connection.peer_codec import PeerCodec
+from berylshift.connection.peer_link import UdpPeerLink
+from berylshift.connection.peer_tables import HttpPeerTables
+from berylshift.connection.service_client import HttpServiceClient
+from berylshift.metrics import make_metrics
+from berylshift.settings import Credentials, Settings
+from berylshift.signals import watch_signals
+from berylshift.store.http import (
+    HttpHostList,
+    HttpObjectStore,
+    HttpTableService,
+    HttpWeightStore,
+)
+
+logger = logging.getLogger(__name__)
+
+
+def make_ports(cfg: Settings, creds: Credentials, link: UdpPeerLink) -> Ports:
+    """Return the real outside, by HTTP and UDP."""
+    client = HttpClient(connect_seconds=cfg.targets.connect_timeout)
+    store, timeout = cfg.platform, cfg.platform.timeout
+    return Ports(
+        clock=LoopClock(),
+        rng=random.Random(),
+        metrics=make_metrics(cfg.observability.statsd),
+        table_service=HttpTableService(client, store.table, timeout),
+        objects=HttpObjectStore(client, store.objects, timeout),
+        hosts=HttpHostList(client, store.hosts, timeout),
+        weights=HttpWeightStore(client, store.weights, timeout),
+        engines=HttpEngineClient(client, cfg.targets.credential),
+        services=HttpServiceClient(client, cfg.targets.credential),
+        link=link,
+        peer_tables=HttpPeerTables(client, creds.cluster_key),
+    )
+
+
+async def serve(cfg: Settings, creds: Credentials) -> None:
+    """Serve until SIGTERM, then shut down gracefully."""
+    most = min(LARGEST_DATAGRAM, cfg.peers.byte_budget // (2 * cfg.peers.fanout))
+    link = UdpPeerLink(PeerCodec(creds.cluster_key), most)
+    peer_address = await link.bind(cfg.host.peer_address)
+    listener = open_listener(cfg.host.address)
+    admin_listener = open_listener(cfg.host.admin_address)
+    addresses = Addresses(peer_address, bound_address(admin_listener))
+    app = Application(cfg, make_ports(cfg, creds, link), addresses, creds.callers)
+    admin = HttpServer(Admin(app, creds.cluster_key).handle)
+    stop = trio.Event()
+    app.on_start()
+    async with trio.open_nursery() as nursery:
+        await nursery.start(watch_signals, _no_reload, stop)
+        nursery.start_soon(app.run)
+        nursery.start_soon(admin.serve, admin_listener)
+        nursery.start_soon(app.server.serve, listener)
+        await stop.wait()
+        await app.on_shutdown()
+        nursery.cancel_scope.cancel()
+    link.close()
+    app.on_stop()
+
+
+def _no_reload(cause: str) -> None:
+    """Note a wish that this kind of daemon can't fulfil."""
+    logger.warning("settings are read at start only", extra={"cause": cause})
--- a/berylshift/stand_ins/__main__.py
+++ b/berylshift/stand_ins/__main__.py
@@ -14,7 +14,7 @@
 
 from berylshift.clock import LoopClock
 from berylshift.connection.http_server import Handler, HttpServer
-from berylshift.daemon import bound_address, open_listener
+from berylshift.connection.listeners import bound_address, open_listener
 from berylshift.messages.replicas import EnginePhase
 from berylshift.stand_ins.engine_costs import EngineCosts
 from berylshift.stand_ins.engine_runner import EngineRunner
--- a/berylshift/tests/test_platform_adapter.py
+++ b/berylshift/tests/test_platform_adapter.py
@@ -361,8 +361,8 @@
         "berylshift.store.",
         "berylshift.version.routes",
     )
-    # The daemon wires the adapter; the demonstration plays callers and operators.
-    WIRING = {"daemon.py", "demo_entry.py"}
+    # The composition root wires the adapter; the demonstration plays callers and operators.
+    WIRING = {"serve_entry.py", "demo_entry.py"}
 
     def imports(self, path: Path) -> set[str]:
         found = set()
--- a/berylshift/tools/demo_entry.py
+++ b/berylshift/tools/demo_entry.py
@@ -113,10 +113,10 @@
         await self.put_routes()
         started = trio.current_time()
         for number in range(hosts):
-            await self._start_host(number)
+            await self.start_host(number)
         with trio.fail_after(READY_SECONDS):
             for host in self.hosts:
-                while not await self._is_ready(host):
+                while not await self.is_ready(host):
                     await trio.sleep(READY_POLL_SECONDS)
         self.host_ready_seconds = trio.current_time() - started
 
@@ -138,7 +138,8 @@
         }
         await self._write(names.REPLICA_TABLE, name, entry)
 
-    async def _start_host(self, number: int) -> None:
+    async def start_host(self, number: int) -> Host:
+        """Start a host's process; return its addresses."""
         name = f"entry-{number + 1}"
         ports = [await _free_port() for _ in range(3)]
         text = SETTINGS.format(
@@ -149,8 +150,10 @@
         await self.programs.start(name, "berylshift.daemon", "--config", str(path))
         host = Host(name, f"127.0.0.1:{ports[0]}", f"127.0.0.1:{ports[2]}")
         self.hosts.append(host)
+        return host
 
-    async def _is_ready(self, host: Host) -> bool:
+    async def is_ready(self, host: Host) -> bool:
+        """Return whether a host says that it takes callers."""
         out = Outgoing(host.status, "GET", "/ready", {}, reuse=False)
         try:
             async with self.client.request(out) as resp:
--- a/berylshift/tools/demo_fleet.py
+++ b/berylshift/tools/demo_fleet.py
@@ -11,7 +11,7 @@
 
 from berylshift.clock import LoopClock
 from berylshift.connection.http_client import HttpClient
-from berylshift.daemon import bound_address, open_listener
+from berylshift.connection.listeners import bound_address, open_listener
 from berylshift.ids import ChangeId
 from berylshift.process.limits.store_budget import StoreBudget
 from berylshift.replay.trace import EventKind, TraceEvent
