--- a/berylshift/tests/test_platform_adapter.py
+++ b/berylshift/tests/test_platform_adapter.py
@@ -361,7 +361,7 @@
         "berylshift.store.",
         "berylshift.version.routes",
     )
-    # The composition root wires the adapter; the demonstration plays callers and operators.
+    # The composition root wires the adapter; the demonstration plays callers.
     WIRING = {"serve_entry.py", "demo_entry.py"}
 
     def imports(self, path: Path) -> set[str]:
