Gather digests in each domain, and read the store for many hosts by few

Cause: digests went from each host to each other one (195 x 194, 126 heard a second by each), and every host followed both feeds of the store.

Change: above the number of hosts that can be told directly every 0.2 s within the byte budget, one host in each domain collects and tells sums; few hosts follow the feeds, the others go by their word, whose age shows by the store's own clock, and read by themselves when it is too old. The bounds come from the platform's own times for routes and leaving replicas.

--- a/berylshift/connection/load_codec.py
+++ b/berylshift/connection/load_codec.py
@@ -10,10 +10,13 @@
     Tagger,
 )
 from berylshift.messages.load_digest import (
+    FeedWord,
     LoadDigest,
     LoadEntry,
     PartRead,
     PhaseTold,
+    Scope,
+    StoreWord,
 )
 from berylshift.messages.replicas import EnginePhase
 
@@ -41,7 +44,7 @@
             body = _pack(message, keep)
             if len(body) + TAG_BYTES <= most or keep == 0:
                 return self._tagger.seal(body)
-            keep //= 2
+            keep = keep * 3 // 4
 
     def decode(self, data: bytes) -> LoadDigest:
         """Return the digest; raise ``BadDatagramError``."""
@@ -54,8 +57,15 @@
 
 def _pack(message: LoadDigest, keep: int) -> bytes:
     packed = _schema.LoadDigest.new_message(
-        host=message.host, sequence=message.sequence
+        host=message.host,
+        sequence=message.sequence,
+        scope=int(message.scope),
+        domain=message.domain,
+        hosts=min(MOST_U16, message.hosts),
+        follows=message.follows,
     )
+    if message.word is not None:
+        _pack_word(packed.init("word"), message.word)
     entries = packed.init("entries", keep)
     for slot, entry in zip(entries, message.entries, strict=False):
         slot.target = entry.target
@@ -64,6 +74,7 @@
         slot.usual = _units(entry.reading[1])
         slot.patient = _units(entry.reading[2])
         slot.failures = min(MOST_U8, int(entry.failures / FAILURE_UNIT))
+        slot.second = min(MOST_U8, int(entry.second / FAILURE_UNIT))
     reads = packed.init("reads", len(message.reads))
     for slot, read in zip(reads, message.reads, strict=True):
         slot.part = read.part
@@ -77,6 +88,22 @@
     return packed.to_bytes_packed()
 
 
+def _pack_word(slot, word: StoreWord) -> None:
+    for part, feed in ((slot.routes, word.routes), (slot.replicas, word.replicas)):
+        part.changed = feed.changed
+        part.revision = feed.revision
+        part.storeMs = feed.store_ms
+    slot.backMs = word.back_ms
+
+
+def _unpack_word(slot) -> StoreWord:
+    routes, replicas = (
+        FeedWord(part.changed, part.revision, part.storeMs)
+        for part in (slot.routes, slot.replicas)
+    )
+    return StoreWord(routes, replicas, slot.backMs)
+
+
 def _units(tokens: int) -> int:
     return min(MOST_U16, -(-max(0, tokens) // TOKEN_UNIT))
 
@@ -93,6 +120,7 @@
                 slot.patient * TOKEN_UNIT,
             ),
             failures=slot.failures * FAILURE_UNIT,
+            second=slot.second * FAILURE_UNIT,
         )
         for slot in packed.entries
     )
@@ -108,4 +136,15 @@
         )
         for slot in packed.phases
     )
-    return LoadDigest(packed.host, packed.sequence, entries, reads, phases)
+    return LoadDigest(
+        packed.host,
+        packed.sequence,
+        entries,
+        reads,
+        phases,
+        Scope(packed.scope),
+        packed.domain,
+        packed.hosts,
+        packed.follows,
+        _unpack_word(packed.word) if packed._has("word") else None,
+    )
--- a/berylshift/connection/load_digest.capnp
+++ b/berylshift/connection/load_digest.capnp
@@ -7,6 +7,27 @@
   entries @2 :List(Entry);
   reads @3 :List(PartRead);
   phases @4 :List(PhaseTold);
+  # Whose work: 0 one host's, 1 a failure domain's, 2 all hosts'.
+  scope @5 :UInt8;
+  domain @6 :Text;
+  # Hosts whose work it is.
+  hosts @7 :UInt16;
+  # Whether the sender reads the store's feeds for the others.
+  follows @8 :Bool;
+  word @9 :StoreWord;
+}
+
+struct FeedWord {
+  changed @0 :UInt64;
+  revision @1 :UInt64;
+  # The store's steady clock.
+  storeMs @2 :UInt64;
+}
+
+struct StoreWord {
+  routes @0 :FeedWord;
+  replicas @1 :FeedWord;
+  backMs @2 :UInt64;
 }
 
 struct PhaseTold {
@@ -34,4 +55,6 @@
   patient @4 :UInt16;
   # Recent failures, in units of 1/32.
   failures @5 :UInt8;
+  # What a second host holds against it, in the same unit.
+  second @6 :UInt8;
 }
--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -27,6 +27,7 @@
 from berylshift.process.fleet.replica_set import ReplicaSet
 from berylshift.process.fleet.route_holder import RouteHolder
 from berylshift.process.fleet.shutdown import Shutdown
+from berylshift.process.fleet.store_watch import StoreWatch
 from berylshift.process.fleet.target_load import TargetLoads
 from berylshift.process.fleet.warm_parts import WarmParts
 from berylshift.request.placing_policies import PLACINGS, PlacingParts
@@ -45,8 +46,6 @@
 
 # How long a system that starts for the first time may be without callers.
 FIRST_START_SECONDS = 15.0
-# Feeds that each host follows.
-FEEDS = 2
 # The pause after news of replicas; well within the time that a leaving one is given.
 REST_SECONDS_A_HOST = 0.01
 LONGEST_REST_SECONDS = 0.8
@@ -99,7 +98,9 @@
         self._pools: set[ServiceName] = set()
         self._budgets: dict[ServiceName, ArrivalBudget] = {}
         self._nursery: trio.Nursery | None = None
-        self.peers = PeerLoads(cfg.host.name)
+        self.peers = PeerLoads(cfg.host.name, cfg.host.domain)
+        in_force = min(cfg.directory.in_force_ms, cfg.directory.leaving_ms) / 1000
+        self.watch = StoreWatch(in_force, ports.boot_clock)
         self.warm = WarmParts()
         self.speeds = EngineSpeeds(self._engine_facts)
         placing = PlacingParts(
@@ -145,8 +146,9 @@
             self.replicas,
             ports.clock,
             ports.rng,
-            self._feed_wait,
+            self.watch,
             self._feed_rest,
+            lambda: self.load_loop.known_hosts or 1,
             self._forget_replica,
         )
 
@@ -154,16 +156,19 @@
         cfg, ports = self.cfg, self.ports
         parts = LoadParts(
             host=cfg.host.name,
+            domain=cfg.host.domain,
             address=cfg.host.peer_address,
             rows=ports.hosts,
             loads=self.loads,
             peers=self.peers,
             warm=self.warm,
             phases=self.phases,
+            watch=self.watch,
             make_link=ports.make_link,
             clock=ports.clock,
             rng=ports.rng,
             byte_budget=cfg.peers.byte_budget,
+            on_news=lambda: self.follower.heard_news(),
         )
         return LoadLoop(parts)
 
@@ -189,13 +194,6 @@
         self.warm.forget(instance)
         self.ports.client.forget(instance)
 
-    def _feed_wait(self) -> float:
-        """Return how long a quiet feed waits; calls to the store cost all hosts."""
-        cfg = self.cfg.directory
-        known = self.load_loop.known_hosts or 1
-        shared = FEEDS * known / cfg.calls_per_second
-        return min(cfg.longest_wait, max(cfg.wait, shared))
-
     def _feed_rest(self) -> float:
         """Return the pause after news of replicas: the more hosts, the longer."""
         known = self.load_loop.known_hosts or 1
--- a/berylshift/messages/load_digest.py
+++ b/berylshift/messages/load_digest.py
@@ -6,7 +6,7 @@
 import msgspec
 import xxhash
 
-from berylshift.ids import InstanceId
+from berylshift.ids import InstanceId, Revision
 from berylshift.messages.replicas import EnginePhase
 
 # Hashes kept at hand: each placement asks for those of a dozen engines several times.
@@ -28,13 +28,26 @@
     return Urgency(min(rank, Urgency.PATIENT))
 
 
+class Scope(IntEnum):
+    """Whose work a digest holds: one host's, a failure domain's, or all hosts'."""
+
+    HOST = 0
+    DOMAIN = 1
+    FLEET = 2
+
+
 class LoadEntry(msgspec.Struct, frozen=True):
-    """Work of one host at one replica; ``target`` is the short hash of its name."""
+    """Work at one replica; ``target`` is the short hash of its name.
+
+    ``failures`` is the most that one host holds against the replica, ``second`` the
+    most that another one does; one host's digest has no second.
+    """
 
     target: int
     in_flight: int
     reading: ReadingTokens
     failures: float
+    second: float = 0.0
 
 
 class PartRead(msgspec.Struct, frozen=True):
@@ -53,14 +66,47 @@
     age: float
 
 
+class FeedWord(msgspec.Struct, frozen=True):
+    """What a reader of one of the store's feeds knows of it.
+
+    Nothing has changed after revision ``changed`` as of ``store_ms``, the store's
+    steady clock in milliseconds; the store was at ``revision`` then.
+    """
+
+    changed: Revision
+    revision: Revision
+    store_ms: int
+
+
+class StoreWord(msgspec.Struct, frozen=True):
+    """What a host knows of both feeds.
+
+    ``back_ms`` is when the store was last back after an outage, on its own clock; 0:
+    none is known.
+    """
+
+    routes: FeedWord
+    replicas: FeedWord
+    back_ms: int = 0
+
+
 class LoadDigest(msgspec.Struct, frozen=True):
-    """All work of one host; a higher ``sequence`` replaces a lower one."""
+    """Work that ``host`` tells; a higher ``sequence`` replaces a lower one.
+
+    ``domain`` is the sender's; ``hosts`` is how many hosts the work is of. A sender
+    that ``follows`` reads the store's feeds for the others.
+    """
 
     host: str
     sequence: int
     entries: tuple[LoadEntry, ...]
     reads: tuple[PartRead, ...] = ()
     phases: tuple[PhaseTold, ...] = ()
+    scope: Scope = Scope.HOST
+    domain: str = ""
+    hosts: int = 1
+    follows: bool = False
+    word: StoreWord | None = None
 
 
 @functools.lru_cache(HASHES_KEPT)
--- a/berylshift/messages/replicas.py
+++ b/berylshift/messages/replicas.py
@@ -55,19 +55,25 @@
 
 
 class RouteSnapshot(msgspec.Struct, frozen=True):
-    """The routes as of a store revision; ``None``: there are none yet."""
+    """The routes as of a store revision; ``None``: there are none, or none newer.
+
+    ``store_ms`` is the store's steady clock as it answered; 0: it did not say.
+    """
 
     table: RouteTable | None
     revision: Revision
+    store_ms: int = 0
 
 
 class ReplicaChanges(msgspec.Struct, frozen=True):
     """Replicas put and removed up to a store revision; ``whole``: all there are.
 
-    ``removed``: names that no usable entry stands under any more.
+    ``removed``: names that no usable entry stands under any more. ``store_ms`` is the
+    store's steady clock as it answered; 0: it did not say.
     """
 
     put: tuple[Replica, ...]
     removed: tuple[ReplicaName, ...]
     revision: Revision
     whole: bool = False
+    store_ms: int = 0
--- a/berylshift/platform/store.py
+++ b/berylshift/platform/store.py
@@ -108,7 +108,8 @@
         rows = [row for page in pages for row in page.rows]
         revision = Revision(pages[0].row_version)
         put, _ = _replicas(rows)
-        return ReplicaChanges(put, (), revision, whole=True)
+        # The first page's clock: what the later ones hold may be newer, not older.
+        return ReplicaChanges(put, (), revision, True, pages[0].now_ms)
 
     async def await_replicas(self, after: Revision, seconds: float) -> ReplicaChanges:
         """Return what changed after a revision.
@@ -120,7 +121,8 @@
         newest = {row.key: row for row in found.rows}.values()
         gone = tuple(ReplicaName(row.key) for row in newest if row.deleted)
         put, unusable = _replicas([row for row in newest if not row.deleted])
-        return ReplicaChanges(put, gone + unusable, Revision(found.row_version))
+        revision = Revision(found.row_version)
+        return ReplicaChanges(put, gone + unusable, revision, False, found.now_ms)
 
     async def _get(self, table: str, start: str) -> _Rows:
         query = {"table": table, "part": "", "limit": PAGE_ROWS}
@@ -271,7 +273,7 @@
         if row.key == key and not row.deleted:
             newest = row
     table = None if newest is None else read_routes(newest.data())
-    return RouteSnapshot(table, revision)
+    return RouteSnapshot(table, revision, found.now_ms)
 
 
 def _replicas(
--- a/berylshift/process/fleet/directory_loop.py
+++ b/berylshift/process/fleet/directory_loop.py
@@ -7,9 +7,10 @@
 import trio
 
 from berylshift.clock import Clock
-from berylshift.ids import InstanceId, Revision
+from berylshift.ids import InstanceId
 from berylshift.process.fleet.replica_set import ReplicaSet
 from berylshift.process.fleet.route_holder import RouteHolder
+from berylshift.process.fleet.store_watch import Feed, StoreWatch
 from berylshift.store.directory import (
     Directory,
     HistoryLostError,
@@ -21,6 +22,12 @@
 
 FIRST_BACKOFF_SECONDS = 0.1
 LONGEST_BACKOFF_SECONDS = 0.6
+# While the store is away, hosts that do not follow for others try this much more seldom
+# for each host there is: together they call as often as fifty hosts do at 0.6 s. They
+# are woken by the word of a host that got through.
+BACKOFF_SECONDS_A_HOST = 0.012
+# Hosts that hear of news together read it within so long for each host, not at once.
+SPREAD_SECONDS_A_HOST = 0.0005
 EXPIRE_SECONDS = 0.1
 
 
@@ -29,6 +36,7 @@
 
     A feed that falls silent for good looks like one without news. The wait asked
     for is short enough that its time-out shows the silence before a change is due.
+    A feed that another host follows is read only when ``watch`` says so.
     """
 
     def __init__(
@@ -38,11 +46,12 @@
         replicas: ReplicaSet,
         clock: Clock,
         rng: random.Random,
-        wait: Callable[[], float],
+        watch: StoreWatch,
         rest: Callable[[], float],
+        hosts: Callable[[], int] = lambda: 1,
         gone: Callable[[InstanceId], None] = lambda instance: None,
     ):
-        """Follow with feeds that wait ``wait()`` seconds at most.
+        """Follow as ``watch`` says; ``hosts()`` share the store.
 
         ``gone`` is told of each replica that is no longer listed.
 
@@ -56,28 +65,44 @@
         self._replicas = replicas
         self._clock = clock
         self._rng = rng
-        self._wait = wait
-        self._routes_at: Revision | None = None
-        self._replicas_at: Revision | None = None
+        self._watch = watch
+        self._hosts = hosts
+        self._heard = trio.Event()
 
     async def run(self) -> None:
         """Follow until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._follow, "routes", self._step_routes)
-            nursery.start_soon(self._follow, "replicas", self._step_replicas)
+            nursery.start_soon(self._follow, Feed.ROUTES, self._step_routes)
+            nursery.start_soon(self._follow, Feed.REPLICAS, self._step_replicas)
             nursery.start_soon(self._expire)
 
-    async def _follow(self, what: str, step: Callable[[], Awaitable[None]]) -> None:
+    def heard_news(self) -> None:
+        """Look again whether a feed has to be read: another host told of news."""
+        self._heard.set()
+        self._heard = trio.Event()
+
+    async def _until_due(self, feed: Feed) -> None:
+        """Wait until a feed has to be read by this host."""
+        while (seconds := self._watch.due_in(feed)) > 0:
+            with trio.move_on_after(seconds):
+                await self._heard.wait()
+                await trio.sleep(
+                    self._rng.uniform(0, SPREAD_SECONDS_A_HOST * self._hosts())
+                )
+
+    async def _follow(self, feed: Feed, step: Callable[[], Awaitable[None]]) -> None:
         failures = 0
+        what = feed.value
         while True:
+            await self._until_due(feed)
             try:
                 await step()
             except HistoryLostError as exc:
-                self._forget(what)
+                self._watch.forget(feed)
                 logger.info("feed cut", extra={"feed": what, "reason": str(exc)})
                 continue
             except MalformedEntryError as exc:
-                self._forget(what)
+                self._watch.forget(feed)
                 logger.error("entry rejected", extra={"reason": str(exc)})
                 await trio.sleep(LONGEST_BACKOFF_SECONDS)
                 continue
@@ -88,43 +113,48 @@
                     )
                 failures += 1
                 self._replicas.store_lost(self._clock.monotonic())
-                await trio.sleep(self._backoff(failures))
+                with trio.move_on_after(self._backoff(failures)):
+                    await self._heard.wait()
+                    await trio.sleep(FIRST_BACKOFF_SECONDS * self._rng.random())
                 continue
             if failures:
                 logger.info("store regained", extra={"feed": what, "tries": failures})
                 # What the feed left out meanwhile is seen by reading all of it.
-                self._forget(what)
+                self._watch.forget(feed)
             failures = 0
 
-    def _forget(self, what: str) -> None:
-        if what == "routes":
-            self._routes_at = None
-        else:
-            self._replicas_at = None
-
     def _backoff(self, failures: int) -> float:
-        longest = min(LONGEST_BACKOFF_SECONDS, FIRST_BACKOFF_SECONDS * 2**failures)
+        """Return the seconds until the store is asked again."""
+        most = LONGEST_BACKOFF_SECONDS
+        if not self._watch.follows:
+            most = max(most, BACKOFF_SECONDS_A_HOST * self._hosts())
+        longest = min(most, FIRST_BACKOFF_SECONDS * 2**failures)
         return longest * self._rng.uniform(0.5, 1.0)
 
     async def _step_routes(self) -> None:
-        if self._routes_at is None:
-            snapshot = await self._directory.read_routes()
+        after = self._watch.position(Feed.ROUTES)
+        if after is None:
+            found = await self._directory.read_routes()
         else:
-            snapshot = await self._directory.await_routes(self._routes_at, self._wait())
-        self._routes.take(snapshot.table, self._clock.monotonic())
-        self._routes_at = snapshot.revision
-        if snapshot.table is None and self._routes.table is None:
+            wait = self._watch.wait(Feed.ROUTES)
+            found = await self._directory.await_routes(after, wait)
+        self._routes.take(found.table, self._clock.monotonic())
+        news = after is None or found.table is not None
+        self._watch.read(Feed.ROUTES, found.revision, found.store_ms, news)
+        if found.table is None and self._routes.table is None:
             await trio.sleep(FIRST_BACKOFF_SECONDS)
 
     async def _step_replicas(self) -> None:
-        if self._replicas_at is None:
+        after = self._watch.position(Feed.REPLICAS)
+        if after is None:
             changes = await self._directory.read_replicas()
         else:
-            changes = await self._directory.await_replicas(
-                self._replicas_at, self._wait()
-            )
+            wait = self._watch.wait(Feed.REPLICAS)
+            changes = await self._directory.await_replicas(after, wait)
+        self._note_return(changes.store_ms)
         change = self._replicas.apply(changes, self._clock.monotonic())
-        self._replicas_at = changes.revision
+        news = bool(after is None or changes.put or changes.removed)
+        self._watch.read(Feed.REPLICAS, changes.revision, changes.store_ms, news)
         for instance in change.removed:
             self._gone(instance)
         if not change.empty:
@@ -141,10 +171,34 @@
         if changes.put or changes.removed:
             await trio.sleep(self._rest())
 
+    def _note_return(self, store_ms: int) -> None:
+        """Tell others of an outage's end, or go by what they told of one.
+
+        Entries that lapsed during an outage are missed when it ends. A host that did
+        not call the store meanwhile would take their replicas for gone.
+        """
+        if self._replicas.is_store_lost:
+            self._watch.back(store_ms)
+            return
+        age = self._watch.back_age()
+        if age is not None:
+            self._replicas.store_was_back(self._clock.monotonic() - age)
+
+    def _confirm(self, now: float) -> None:
+        """Have the age that is logged follow other hosts' word."""
+        routes = self._watch.confirmed_age(Feed.ROUTES)
+        if routes is not None:
+            self._routes.confirm(now - routes)
+        replicas = self._watch.confirmed_age(Feed.REPLICAS)
+        if replicas is not None:
+            self._replicas.confirm(now - replicas)
+
     async def _expire(self) -> None:
         while True:
             await trio.sleep(EXPIRE_SECONDS)
-            over = self._replicas.expire(self._clock.monotonic())
+            now = self._clock.monotonic()
+            self._confirm(now)
+            over = self._replicas.expire(now)
             for instance in over:
                 self._gone(instance)
             if over:
--- a/berylshift/process/fleet/load_loop.py
+++ b/berylshift/process/fleet/load_loop.py
@@ -9,24 +9,19 @@
 import trio
 
 from berylshift.clock import Clock
-from berylshift.messages.load_digest import LoadDigest, LoadEntry
+from berylshift.messages.load_digest import LoadDigest
 from berylshift.process.fleet.expected_phases import ExpectedPhases
+from berylshift.process.fleet.host_list import HostList
 from berylshift.process.fleet.peer_loads import MEMBER_SECONDS, PeerLoads
+from berylshift.process.fleet.store_watch import StoreWatch
 from berylshift.process.fleet.target_load import TargetLoads
+from berylshift.process.fleet.telling import Teller, TellerParts
 from berylshift.process.fleet.warm_parts import WarmParts
 from berylshift.store.host_rows import HostRecord, HostRows
 from berylshift.store.interfaces import PlatformError
 
 logger = logging.getLogger(__name__)
 
-# Shorter than the time in which a usual prompt is read: a queue is seen as it grows.
-TELL_SECONDS = 0.08
-# A digest of a dozen engines on the wire, with its headers, in bytes.
-DIGEST_BYTES = 130
-# An unchanged digest is said again this often, so that it does not lapse.
-REPEAT_SECONDS = 0.4
-# A host that is not heard of is told only this often.
-PROBE_SECONDS = 3.0
 # How often the hosts' rows are read. New hosts are heard of by their own datagrams,
 # which have the rows read at once.
 HOSTS_SECONDS = 30.0
@@ -48,16 +43,20 @@
     """What the loop works with."""
 
     host: str
+    domain: str
     address: str
     rows: HostRows
     loads: TargetLoads
     peers: PeerLoads
     warm: WarmParts
     phases: ExpectedPhases
+    watch: StoreWatch
     make_link: Callable[[str], LoadLink]
     clock: Clock
     rng: random.Random
     byte_budget: int
+    # Told that the store has something new for this host to read.
+    on_news: Callable[[], None]
 
 
 class LoadLoop:
@@ -66,14 +65,21 @@
     def __init__(self, parts: LoadParts):
         """Work with ``parts``."""
         self._parts = parts
-        self._addresses: dict[str, str] = {}
-        self._told_at: dict[str, float] = {}
-        self._listed_since: dict[str, float] = {}
-        self._read_once = False
+        self._hosts = HostList(parts.host, parts.domain)
         self._stranger = trio.Event()
-        self._sequence = 0
-        self._last: tuple[LoadEntry, ...] = ()
-        self._last_at = float("-inf")
+        teller_parts = TellerParts(
+            host=parts.host,
+            domain=parts.domain,
+            loads=parts.loads,
+            peers=parts.peers,
+            warm=parts.warm,
+            phases=parts.phases,
+            watch=parts.watch,
+            hosts=self._hosts,
+            rng=parts.rng,
+            byte_budget=parts.byte_budget,
+        )
+        self._teller = Teller(teller_parts, self._on_role)
 
     @property
     def known_hosts(self) -> int | None:
@@ -82,15 +88,13 @@
         A host that is listed counts until it has had time to be heard of: rows of
         hosts long gone stay in the store.
         """
-        if not self._read_once:
+        if not self._hosts.was_read:
             return None
         now = self._parts.clock.monotonic()
         peers = self._parts.peers
-        unheard = sum(
-            now - since < MEMBER_SECONDS and not peers.heard(host, now)
-            for host, since in self._listed_since.items()
-        )
-        return 1 + peers.members(now) + unheard
+        young = self._hosts.young(now, MEMBER_SECONDS)
+        unheard = sum(not peers.heard(host, now) for host in young)
+        return 1 + max(peers.heard_hosts(now) + unheard, peers.members(now))
 
     async def run(self) -> None:
         """Join the other hosts, then tell and hear until cancelled."""
@@ -104,10 +108,11 @@
     async def _join(self) -> str:
         parts = self._parts
         proposal = f"{parts.rng.getrandbits(128):032x}"
+        record = HostRecord(parts.host, parts.address, parts.domain)
         while True:
             try:
                 key = await parts.rows.shared_key(proposal)
-                await parts.rows.announce(HostRecord(parts.host, parts.address))
+                await parts.rows.announce(record)
                 return key
             except PlatformError as exc:
                 logger.info("not joined yet", extra={"reason": str(exc)})
@@ -117,7 +122,7 @@
         while True:
             try:
                 await self._read_hosts()
-                wait = HOSTS_SECONDS if self._addresses else RETRY_SECONDS
+                wait = HOSTS_SECONDS if len(self._hosts) else RETRY_SECONDS
             except PlatformError as exc:
                 logger.info("hosts not read", extra={"reason": str(exc)})
                 wait = RETRY_SECONDS
@@ -128,60 +133,22 @@
             self._stranger = trio.Event()
 
     async def _read_hosts(self) -> None:
-        found = await self._parts.rows.hosts()
-        addresses = {rec.host: rec.address for rec in found}
-        addresses.pop(self._parts.host, None)
-        if addresses.keys() != self._addresses.keys():
-            logger.info("hosts known", extra={"hosts": sorted(addresses)})
-        self._addresses = addresses
-        now = self._parts.clock.monotonic()
-        for host in addresses:
-            self._listed_since.setdefault(host, now)
-        self._read_once = True
+        records = await self._parts.rows.hosts()
+        if self._hosts.replace(records, self._parts.clock.monotonic()):
+            self._teller.listed()
+            logger.info("hosts known", extra={"hosts": self._hosts.names()})
+
+    def _on_role(self, role: str, holds: bool) -> None:
+        logger.info("role taken" if holds else "role left", extra={"role": role})
 
     def _hear(self, digest: LoadDigest) -> None:
-        now = self._parts.clock.monotonic()
-        known = digest.host in self._addresses or digest.host == self._parts.host
-        if not known:
+        if digest.host not in self._hosts and self._teller.minds_stranger(digest):
             self._stranger.set()
-        self._parts.peers.take(digest, now)
-        self._parts.warm.heard(digest.reads)
-        self._parts.phases.heard(digest.phases, now)
+        if self._teller.hear(digest, self._parts.clock.monotonic()):
+            self._parts.on_news()
 
     async def _tell(self, link: LoadLink) -> None:
         while True:
-            await trio.sleep(self._interval())
-            now = self._parts.clock.monotonic()
-            entries = self._parts.loads.entries(now)
-            reads = self._parts.warm.to_tell(now)
-            phases = self._parts.phases.to_tell(now)
-            changed = entries != self._last or bool(reads)
-            if not changed and now - self._last_at < REPEAT_SECONDS:
-                continue
-            idle = not entries and not phases
-            if not changed and idle and now - self._last_at < PROBE_SECONDS:
-                continue
-            self._last, self._last_at = entries, now
-            self._sequence += 1
-            digest = LoadDigest(
-                self._parts.host, self._sequence, entries, reads, phases
-            )
-            due = [
-                address
-                for host, address in self._addresses.items()
-                if self._is_due(host, now)
-            ]
-            await link.send_to_all(due, digest)
-
-    def _interval(self) -> float:
-        """Return the seconds between two digests: more hosts are told more seldom."""
-        wanted = len(self._addresses) * DIGEST_BYTES / self._parts.byte_budget
-        return max(TELL_SECONDS, wanted)
-
-    def _is_due(self, host: str, now: float) -> bool:
-        if self._parts.peers.heard(host, now):
-            return True
-        if now - self._told_at.get(host, float("-inf")) < PROBE_SECONDS:
-            return False
-        self._told_at[host] = now
-        return True
+            await trio.sleep(self._teller.interval)
+            for telling in self._teller.due(self._parts.clock.monotonic()):
+                await link.send_to_all(telling.addresses, telling.digest)
--- a/berylshift/process/fleet/replica_set.py
+++ b/berylshift/process/fleet/replica_set.py
@@ -56,6 +56,15 @@
         if self._lost_at is None:
             self._lost_at = now
 
+    @property
+    def is_store_lost(self) -> bool:
+        """Return whether the store has not answered since it was lost."""
+        return self._lost_at is not None
+
+    def store_was_back(self, at: float) -> None:
+        """Note when the store was back after an outage that another host saw."""
+        self._back_at = max(self._back_at, at)
+
     def apply(self, changes: ReplicaChanges, now: float) -> SetChange:
         """Take an update over."""
         if self._lost_at is not None:
@@ -159,6 +168,11 @@
         """Return the replicas that may take new work of a service."""
         return self._by_service.get(service, EMPTY_POOL)
 
+    def confirm(self, at: float) -> None:
+        """Note that nothing newer was there at ``at``, by another host's word."""
+        if self.confirmed_at is not None:
+            self.confirmed_at = max(self.confirmed_at, at)
+
     def age(self, now: float) -> float | None:
         """Return the seconds since the store last confirmed the replicas."""
         return None if self.confirmed_at is None else now - self.confirmed_at
--- a/berylshift/process/fleet/route_holder.py
+++ b/berylshift/process/fleet/route_holder.py
@@ -42,6 +42,11 @@
             self._on_change(table)
         return True
 
+    def confirm(self, at: float) -> None:
+        """Note that nothing newer was there at ``at``, by another host's word."""
+        if self.confirmed_at is not None:
+            self.confirmed_at = max(self.confirmed_at, at)
+
     def age(self, now: float) -> float | None:
         """Return the seconds since the store last confirmed the routes."""
         return None if self.confirmed_at is None else now - self.confirmed_at
--- a/berylshift/settings.py
+++ b/berylshift/settings.py
@@ -131,17 +131,16 @@
 class DirectorySettings(msgspec.Struct, frozen=True, kw_only=True):
     """Where routes and replicas are read; ``own`` is this project's own table.
 
-    ``wait`` is how long a feed may stay without news: a silent one shows after
-    ``wait`` and ``timeout``, which together stay near the bound on a change. Many hosts
-    wait longer, up to ``longest_wait``, so that all together stay near
-    ``calls_per_second``.
+    ``in_force_ms`` is the time within which accepted routes are in force on all hosts,
+    ``leaving_ms`` that within which a leaving replica gets no new work, both counted
+    from the platform's acknowledgement. How long a feed may stay without news, and how
+    old another host's word of it may be, follow from the shorter one.
     """
 
     kind: str = "own"
     address: str = "127.0.0.1:9000"
-    wait: Seconds = 1.5
-    longest_wait: Seconds = 3.5
-    calls_per_second: Annotated[float, Meta(gt=0, le=100000)] = 50.0
+    in_force_ms: Annotated[int, Meta(ge=500, le=86400000)] = 3000
+    leaving_ms: Annotated[int, Meta(ge=500, le=86400000)] = 3000
     timeout: Seconds = 0.6
 
 
--- a/berylshift/stand_ins/fake_directory.py
+++ b/berylshift/stand_ins/fake_directory.py
@@ -12,6 +12,9 @@
 from berylshift.store.lease_rows import ABSENT, LeaseRecord, LeaseRow
 from berylshift.version.routes import RouteTable
 
+# The store's clock runs on since its own start, not since the hosts'.
+STORE_CLOCK_AHEAD_SECONDS = 7_000.0
+
 
 class FakeDirectory:
     """Routes and replicas; ``down``, ``silent`` and ``forget`` are its faults."""
@@ -54,6 +57,10 @@
         self._history_from = self._revision
         self._tell()
 
+    def _now_ms(self) -> int:
+        """Return the store's steady clock, which is not the hosts'."""
+        return int((trio.current_time() + STORE_CLOCK_AHEAD_SECONDS) * 1000)
+
     def _tell(self) -> None:
         self._news.set()
         self._news = trio.Event()
@@ -68,7 +75,7 @@
         """Return the routes in force."""
         await self._call()
         table = self._routes[1] if self._routes else None
-        return RouteSnapshot(table, Revision(self._revision))
+        return RouteSnapshot(table, Revision(self._revision), self._now_ms())
 
     async def await_routes(self, after: Revision, seconds: float) -> RouteSnapshot:
         """Return newer routes, or nothing after a while."""
@@ -77,13 +84,14 @@
         )
         newer = self._routes is not None and self._routes[0] > after
         table = self._routes[1] if newer and self._routes else None
-        return RouteSnapshot(table, Revision(self._revision))
+        return RouteSnapshot(table, Revision(self._revision), self._now_ms())
 
     async def read_replicas(self) -> ReplicaChanges:
         """Return all replicas."""
         await self._call()
         found = tuple(self._replicas.values())
-        return ReplicaChanges(found, (), Revision(self._revision), whole=True)
+        revision = Revision(self._revision)
+        return ReplicaChanges(found, (), revision, True, self._now_ms())
 
     async def await_replicas(self, after: Revision, seconds: float) -> ReplicaChanges:
         """Return what changed after a revision."""
@@ -104,7 +112,8 @@
                 newest[name] = replica
         put = tuple(rep for rep in newest.values() if rep is not None)
         removed = tuple(name for name, rep in newest.items() if rep is None)
-        return ReplicaChanges(put, removed, Revision(self._revision))
+        revision = Revision(self._revision)
+        return ReplicaChanges(put, removed, revision, False, self._now_ms())
 
     async def _wait(self, has_news, seconds: float) -> None:
         await self._call()
--- a/berylshift/store/host_rows.py
+++ b/berylshift/store/host_rows.py
@@ -6,10 +6,11 @@
 
 
 class HostRecord(msgspec.Struct, frozen=True):
-    """One host: where its datagrams arrive (``IP:PORT``)."""
+    """One host: where its datagrams arrive (``IP:PORT``), and its failure domain."""
 
     host: str
     address: str
+    domain: str = ""
 
 
 class HostRows(Protocol):
--- a/berylshift/tests/test_directory_schedules.py
+++ b/berylshift/tests/test_directory_schedules.py
@@ -20,6 +20,7 @@
 from berylshift.process.fleet.directory_loop import DirectoryLoop
 from berylshift.process.fleet.replica_set import LAPSE_GRACE_SECONDS, ReplicaSet
 from berylshift.process.fleet.route_holder import RouteHolder
+from berylshift.process.fleet.store_watch import FEED_WAIT_SHARE, StoreWatch
 from berylshift.settings import DirectorySettings
 from berylshift.stand_ins.fake_directory import FakeDirectory
 from berylshift.store.interfaces import StoreUnavailableError
@@ -28,7 +29,8 @@
 
 HOSTS = 3
 REPLICAS = 4
-WAIT_SECONDS = DirectorySettings().wait
+BOUND_SECONDS = DirectorySettings().in_force_ms / 1000
+WAIT_SECONDS = FEED_WAIT_SHARE * BOUND_SECONDS
 REST_SECONDS = 0.05
 TIMEOUT_SECONDS = DirectorySettings().timeout
 # A call that falls silent, its time-out, the longest pause after a failure, and the
@@ -120,7 +122,7 @@
             self.replicas,
             LoopClock(),
             random.Random(1),
-            lambda: WAIT_SECONDS,
+            StoreWatch(BOUND_SECONDS, trio.current_time),
             lambda: REST_SECONDS,
         )
 
