--- /dev/null
+++ b/berylshift/tests/gathered_world.py
@@ -0,0 +1,271 @@
+"""Many hosts that tell each other of the store, on a virtual clock.
+
+The real loops run for each host; links between hosts, and between a host and the store,
+are cut, held up and healed by the test.
+"""
+
+import random
+from dataclasses import dataclass, field
+from enum import Enum
+
+import trio
+
+from berylshift.clock import LoopClock
+from berylshift.connection.load_codec import LoadCodec
+from berylshift.ids import DomainName, InstanceId
+from berylshift.messages.load_digest import LoadDigest
+from berylshift.messages.replicas import Replica, ReplicaChanges, RouteSnapshot
+from berylshift.process.fleet.directory_loop import DirectoryLoop
+from berylshift.process.fleet.expected_phases import ExpectedPhases
+from berylshift.process.fleet.load_loop import LoadLoop, LoadParts
+from berylshift.process.fleet.peer_loads import PeerLoads
+from berylshift.process.fleet.replica_set import ReplicaSet
+from berylshift.process.fleet.route_holder import RouteHolder
+from berylshift.process.fleet.store_watch import StoreWatch
+from berylshift.process.fleet.target_load import TargetLoads
+from berylshift.process.fleet.warm_parts import WarmParts
+from berylshift.stand_ins.fake_directory import FakeDirectory, FakeHostRows
+from berylshift.store.interfaces import StoreUnavailableError
+from berylshift.tests.entry_world import PLAIN, routes
+
+WAY_SECONDS = 0.002
+LARGEST_DATAGRAM = 1400
+TURNED_AWAY_SECONDS = 0.004
+
+
+class Path(Enum):
+    """How datagrams from one host to another fare."""
+
+    OPEN = "open"
+    CUT = "cut"
+    HELD = "held"
+
+
+class Net:
+    """Datagrams by address; each goes through the real codec."""
+
+    def __init__(self, nursery: trio.Nursery):
+        """Carry datagrams by tasks of ``nursery``."""
+        self._nursery = nursery
+        self.links: dict[str, NetLink] = {}
+        self.paths: dict[str, Path] = {}
+        self.sent = 0
+        self.heard: dict[str, int] = {}
+
+    def carry(self, sender: str, address: str, data: bytes) -> None:
+        """Carry a datagram, if neither end is cut."""
+        self.sent += 1
+        ends = (self.paths.get(sender), self.paths.get(address))
+        if Path.CUT in ends or address not in self.links:
+            return
+        self._nursery.start_soon(self._deliver, address, data)
+
+    async def _deliver(self, address: str, data: bytes) -> None:
+        await trio.sleep(WAY_SECONDS)
+        while self.paths.get(address) is Path.HELD:
+            await trio.sleep(0.05)
+        self.heard[address] = self.heard.get(address, 0) + 1
+        self.links[address].arrive(data)
+
+
+class NetLink:
+    """One host's end."""
+
+    def __init__(self, net: Net, address: str, key: str):
+        """Listen on ``address``."""
+        self._net = net
+        self._address = address
+        self._codec = LoadCodec(key)
+        self._take = None
+        net.links[address] = self
+
+    async def send_to_all(self, addresses: list[str], message: LoadDigest) -> None:
+        """Send a digest to each address."""
+        data = self._codec.encode(message, LARGEST_DATAGRAM)
+        for address in addresses:
+            self._net.carry(self._address, address, data)
+
+    async def receive(self, take) -> None:
+        """Hear until cancelled."""
+        self._take = take
+        await trio.sleep_forever()
+
+    def arrive(self, data: bytes) -> None:
+        """Take a datagram."""
+        if self._take is not None:
+            self._take(self._codec.decode(data))
+
+
+class StoreView:
+    """The store as one host meets it."""
+
+    def __init__(self, store: FakeDirectory):
+        """See ``store``; ``turned_away`` is its fault."""
+        self._store = store
+        self.turned_away = False
+        self.calls = 0
+
+    async def _meet(self) -> None:
+        self.calls += 1
+        if self.turned_away:
+            await trio.sleep(TURNED_AWAY_SECONDS)
+            raise StoreUnavailableError("turned away")
+
+    async def read_routes(self) -> RouteSnapshot:
+        """Return the routes."""
+        await self._meet()
+        return await self._store.read_routes()
+
+    async def await_routes(self, after, seconds) -> RouteSnapshot:
+        """Return newer routes."""
+        await self._meet()
+        return await self._store.await_routes(after, seconds)
+
+    async def read_replicas(self) -> ReplicaChanges:
+        """Return all replicas."""
+        await self._meet()
+        return await self._store.read_replicas()
+
+    async def await_replicas(self, after, seconds) -> ReplicaChanges:
+        """Return what changed."""
+        await self._meet()
+        return await self._store.await_replicas(after, seconds)
+
+
+@dataclass
+class GatheredHost:
+    """One host: the real loops over the fakes."""
+
+    name: str
+    domain: str
+    address: str
+    world: "GatheredWorld"
+    held: list[int] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        """Wire the real parts."""
+        world = self.world
+        rng = random.Random(self.name)
+        self.view = StoreView(world.store)
+        self.routes = RouteHolder(lambda table: self.held.append(table.version))
+        self.replicas = ReplicaSet()
+        self.loads = TargetLoads()
+        self.peers = PeerLoads(self.name, self.domain)
+        self.warm = WarmParts()
+        self.watch = StoreWatch(world.in_force, trio.current_time)
+        self.directory = DirectoryLoop(
+            self.view,
+            self.routes,
+            self.replicas,
+            LoopClock(),
+            rng,
+            self.watch,
+            lambda: 0.05,
+            lambda: self.tells.known_hosts or 1,
+        )
+        self.tells = LoadLoop(
+            LoadParts(
+                host=self.name,
+                domain=self.domain,
+                address=self.address,
+                rows=world.rows,
+                loads=self.loads,
+                peers=self.peers,
+                warm=self.warm,
+                phases=ExpectedPhases(),
+                watch=self.watch,
+                make_link=lambda key: NetLink(world.net, self.address, key),
+                clock=LoopClock(),
+                rng=rng,
+                byte_budget=world.byte_budget,
+                on_news=self.directory.heard_news,
+            )
+        )
+
+    async def run(self, started: trio.CancelScope) -> None:
+        """Run both loops until ``started`` is cancelled."""
+        with started:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.directory.run)
+                nursery.start_soon(self.tells.run)
+
+    @property
+    def version(self) -> int:
+        """Return the version of the routes in force."""
+        return 0 if self.routes.table is None else self.routes.table.version
+
+    @property
+    def usable(self) -> set[str]:
+        """Return the replicas that get new work."""
+        return {rep.instance for rep in self.replicas.pool(PLAIN).replicas}
+
+
+class GatheredWorld:
+    """Hosts, their net and their store."""
+
+    def __init__(self, nursery: trio.Nursery, in_force: float, byte_budget: int):
+        """Start with routes of version 1 and no hosts."""
+        self.nursery = nursery
+        self.in_force = in_force
+        self.byte_budget = byte_budget
+        self.net = Net(nursery)
+        self.store = FakeDirectory()
+        self.rows = FakeHostRows()
+        self.hosts: list[GatheredHost] = []
+        self.scopes: dict[str, trio.CancelScope] = {}
+        self.store.put_routes(routes(1))
+        self.put_version = 1
+
+    def start(self, number: int, domains: int) -> GatheredHost:
+        """Start a host, spread over the domains."""
+        name = f"host-{number}"
+        host = GatheredHost(
+            name, f"domain-{number % domains}", f"10.0.0.{number}", self
+        )
+        self.hosts.append(host)
+        self._run(host)
+        return host
+
+    def _run(self, host: GatheredHost) -> None:
+        scope = self.scopes[host.name] = trio.CancelScope()
+        self.nursery.start_soon(host.run, scope)
+
+    def kill(self, host: GatheredHost) -> None:
+        """End a host's process at once."""
+        self.scopes[host.name].cancel()
+        self.net.links.pop(host.address, None)
+        self.hosts.remove(host)
+
+    def restart(self, host: GatheredHost) -> GatheredHost:
+        """Start a host again under its name; it knows nothing of before."""
+        self.kill(host)
+        again = GatheredHost(host.name, host.domain, host.address, self)
+        self.hosts.append(again)
+        self._run(again)
+        return again
+
+    def put_routes(self) -> int:
+        """Put the next version in force; return it."""
+        self.put_version += 1
+        self.store.put_routes(routes(self.put_version))
+        return self.put_version
+
+    def put_replica(self, name: str, draining: bool = False) -> None:
+        """Write a replica's entry."""
+        self.store.put_replica(
+            Replica(
+                InstanceId(name), PLAIN, "10.1.0.1:80", DomainName("d"), 8, draining
+            )
+        )
+
+    def calls(self) -> int:
+        """Return the calls to the store's feeds so far."""
+        return sum(host.view.calls for host in self.hosts)
+
+    def collectors(self) -> list[GatheredHost]:
+        """Return the hosts that collect for their domain."""
+        return [host for host in self.hosts if host.peers.collects]
+
+    def followers(self) -> list[GatheredHost]:
+        """Return the hosts that read the feeds for all."""
+        return [host for host in self.hosts if host.watch.follows]
