Test when the store is read, who collects, and what each safeguard is for

A word of the same millisecond as the host's own, that tells of more, was passed over: the test of news that is read at once was red before.

Three proofs follow their safeguards to where they stand now; five are new.

--- a/berylshift/process/fleet/store_watch.py
+++ b/berylshift/process/fleet/store_watch.py
@@ -71,9 +71,12 @@
         self.read_at = float("-inf")
 
     def best(self) -> FeedWord | None:
-        """Return the newer one of this host's own word and another's."""
+        """Return the newer one of this host's own word and another's.
+
+        Of two of one millisecond the one that tells of more counts.
+        """
         words = [word for word in (self.own, self.heard) if word is not None]
-        return max(words, key=lambda word: word.store_ms, default=None)
+        return max(words, key=lambda word: (word.store_ms, word.changed), default=None)
 
     def has_news(self) -> bool:
         """Return whether something newer than was read is known to be there."""
--- a/berylshift/tests/test_fleet_gathering.py
+++ b/berylshift/tests/test_fleet_gathering.py
@@ -222,6 +222,25 @@
         self.assertEqual(found, {1600 * (HOSTS - 2)})
         self.assertEqual(len(domains), DOMAINS)
 
+    def test_a_new_collector_does_not_raise_the_shares_of_the_limits(self):
+        """A collector dies; the next one has not heard of all hosts yet.
+
+        Its first sums count few hosts. Taken at their word, each host would send
+        further sends for a larger share of the limit than is its own.
+        """
+
+        async def task(world):
+            await trio.sleep(20)
+            world.kill(world.collectors()[0])
+            least = HOSTS
+            for _ in range(40):
+                await trio.sleep(0.1)
+                counts = [host.tells.known_hosts for host in world.hosts]
+                least = min(least, *counts)
+            return least
+
+        self.assertGreaterEqual(run_world(task), HOSTS - 1)
+
     def test_datagrams_heard_by_a_host_do_not_grow_with_the_hosts(self):
         async def heard_a_second(world):
             before = dict(world.net.heard)
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -240,7 +240,7 @@
     Proof(
         "a cut feed is read anew",
         "process/fleet/directory_loop.py",
-        "HistoryLostError as exc:\n                self._forget(what)\n",
+        "HistoryLostError as exc:\n                self._watch.forget(feed)\n",
         "HistoryLostError as exc:\n                await trio.sleep(1)\n",
         "test_entry_application.ChangeTest."
         "test_in_force_although_the_history_was_dropped",
@@ -383,8 +383,8 @@
     ),
     Proof(
         "orders are told to the other hosts",
-        "process/fleet/load_loop.py",
-        "        self._parts.phases.heard(digest.phases, now)\n",
+        "process/fleet/telling.py",
+        "        parts.phases.heard(digest.phases, now)\n",
         "",
         "test_entry_application.PhaseTest."
         "test_an_ordered_engine_is_used_although_the_store_is_down",
@@ -392,10 +392,47 @@
     Proof(
         "one host's word condemns no replica",
         "process/fleet/peer_loads.py",
-        "return found[-2] if len(found) > 1 else 0.0",
-        "return found[-1] if found else 0.0",
+        "return work.second",
+        "return work.failures",
         "test_request_placement.PlainTest",
     ),
+    Proof(
+        "word of the store is as old as the store's clock says",
+        "process/fleet/store_watch.py",
+        "return self._boot_clock() + max(self._offsets) - store_ms / 1000",
+        "return 0.0",
+        "test_fleet_gathering.SharedReadsTest."
+        "test_old_word_that_comes_late_is_not_taken_for_fresh",
+    ),
+    Proof(
+        "a host reads by itself when the word it has grows old",
+        "process/fleet/store_watch.py",
+        "left = self._patience - self.clock.age(state.heard.store_ms)",
+        "left = 60.0",
+        "test_fleet_gathering.SharedReadsTest.test_all_followers_are_gone_at_once",
+    ),
+    Proof(
+        "a change that was not read is not passed over",
+        "process/fleet/store_watch.py",
+        "if state.position is not None and word.changed <= state.position:",
+        "if state.position is not None:",
+        "test_fleet_store_watch.StoreWatchTest",
+    ),
+    Proof(
+        "a holder that falls silent is followed by the next host",
+        "process/fleet/election.py",
+        "if now - at < SILENT_SECONDS",
+        "if now >= at",
+        "test_fleet_gathering.SumsTest.test_a_collector_is_lost",
+    ),
+    Proof(
+        "a new collector's count does not raise shares at once",
+        "process/fleet/peer_loads.py",
+        "if hosts >= self._most_hosts or now",
+        "if hosts or now",
+        "test_fleet_gathering.SumsTest."
+        "test_a_new_collector_does_not_raise_the_shares_of_the_limits",
+    ),
     Proof(
         "a full pipe of logs blocks nothing",
         "log.py",
