--- a/berylshift/tests/test_fleet_gathering.py
+++ b/berylshift/tests/test_fleet_gathering.py
@@ -141,6 +141,26 @@
         version, found = run_world(task)
         self.assertEqual(found, {version})
 
+    def test_entries_that_lapsed_in_an_outage_that_most_hosts_did_not_notice(self):
+        """The store is away for less time than hosts go by a word.
+
+        A replica's entry lapses meanwhile, since nobody can renew it. Those that read
+        for the others saw the outage and keep the replica for a while. A host that
+        did not would take it for gone, and refuse callers though it is well.
+        """
+
+        async def task(world):
+            world.put_replica("r-1")
+            await trio.sleep(2)
+            world.store.down = True
+            world.store.remove_replica("r-1")
+            await trio.sleep(0.8)
+            world.store.down = False
+            await trio.sleep(1.0)
+            return [host.usable for host in world.hosts]
+
+        self.assertEqual(run_world(task), [{"r-1"}] * HOSTS)
+
     def test_a_store_that_is_away_is_asked_less_by_many(self):
         """Refused calls are calls: 195 hosts made 870 a second of them."""
 
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -418,6 +418,14 @@
         "if state.position is not None:",
         "test_fleet_store_watch.StoreWatchTest",
     ),
+    Proof(
+        "hosts that did not see an outage hear of it",
+        "process/fleet/directory_loop.py",
+        "            self._replicas.store_was_back(",
+        "            float(",
+        "test_fleet_gathering.SharedReadsTest."
+        "test_entries_that_lapsed_in_an_outage_that_most_hosts_did_not_notice",
+    ),
     Proof(
         "a holder that falls silent is followed by the next host",
         "process/fleet/election.py",
