--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -314,6 +314,10 @@
             self.telemetry.gauge(
                 "in_flight", "Requests under way.", self.front.in_flight
             )
+            hosts = self.load_loop.known_hosts or 0
+            self.telemetry.gauge("hosts_known", "Hosts that share limits.", hosts)
+            self.telemetry.gauge("collects", "Role taken.", self.peers.collects)
+            self.telemetry.gauge("follows", "Role taken.", self.watch.follows)
             opened = self.ports.client.opened
             self.telemetry.gauge("connections_opened", "To replicas.", opened)
             await trio.sleep(GAUGE_SECONDS)
