Encode digests by columns, and let sums of fifty replicas fit a datagram

Cause: sums of fifty replicas, 64 reads and sixteen orders took 1.5 KB of 1.4, so half of the replicas were left out; and a list of structs takes 1.4 ms to decode in Python (fifty replicas, 48 reads, one run), five times a second on each host.

Change: columns in place of structs, 32 reads a digest, none told again within 4 s.

The test of a full datagram was red before (20 of 50 replicas left).

--- a/berylshift/connection/load_codec.py
+++ b/berylshift/connection/load_codec.py
@@ -66,20 +66,8 @@
     )
     if message.word is not None:
         _pack_word(packed.init("word"), message.word)
-    entries = packed.init("entries", keep)
-    for slot, entry in zip(entries, message.entries, strict=False):
-        slot.target = entry.target
-        slot.inFlight = min(MOST_U16, entry.in_flight)
-        slot.urgent = _units(entry.reading[0])
-        slot.usual = _units(entry.reading[1])
-        slot.patient = _units(entry.reading[2])
-        slot.failures = min(MOST_U8, int(entry.failures / FAILURE_UNIT))
-        slot.second = min(MOST_U8, int(entry.second / FAILURE_UNIT))
-    reads = packed.init("reads", len(message.reads))
-    for slot, read in zip(reads, message.reads, strict=True):
-        slot.part = read.part
-        slot.target = read.target
-        slot.tokens = _units(read.tokens)
+    _pack_entries(packed.init("entries"), message.entries[:keep])
+    _pack_reads(packed.init("reads"), message.reads)
     phases = packed.init("phases", len(message.phases))
     for slot, told in zip(phases, message.phases, strict=True):
         slot.target = told.target
@@ -88,6 +76,56 @@
     return packed.to_bytes_packed()
 
 
+def _pack_entries(packed, entries: tuple[LoadEntry, ...]) -> None:
+    packed.targets = [entry.target for entry in entries]
+    packed.inFlight = [min(MOST_U16, entry.in_flight) for entry in entries]
+    packed.urgent = [_units(entry.reading[0]) for entry in entries]
+    packed.usual = [_units(entry.reading[1]) for entry in entries]
+    packed.patient = [_units(entry.reading[2]) for entry in entries]
+    packed.failures = [_failures(entry.failures) for entry in entries]
+    packed.second = [_failures(entry.second) for entry in entries]
+
+
+def _unpack_entries(packed) -> tuple[LoadEntry, ...]:
+    columns = zip(
+        packed.targets,
+        packed.inFlight,
+        packed.urgent,
+        packed.usual,
+        packed.patient,
+        packed.failures,
+        packed.second,
+        strict=True,
+    )
+    return tuple(
+        LoadEntry(
+            target,
+            in_flight,
+            (urgent * TOKEN_UNIT, usual * TOKEN_UNIT, patient * TOKEN_UNIT),
+            failures * FAILURE_UNIT,
+            second * FAILURE_UNIT,
+        )
+        for target, in_flight, urgent, usual, patient, failures, second in columns
+    )
+
+
+def _pack_reads(packed, reads: tuple[PartRead, ...]) -> None:
+    packed.parts = [read.part for read in reads]
+    packed.targets = [read.target for read in reads]
+    packed.tokens = [_units(read.tokens) for read in reads]
+
+
+def _unpack_reads(packed) -> tuple[PartRead, ...]:
+    columns = zip(packed.parts, packed.targets, packed.tokens, strict=True)
+    return tuple(
+        PartRead(part, target, units * TOKEN_UNIT) for part, target, units in columns
+    )
+
+
+def _failures(weight: float) -> int:
+    return min(MOST_U8, int(weight / FAILURE_UNIT))
+
+
 def _pack_word(slot, word: StoreWord) -> None:
     for part, feed in ((slot.routes, word.routes), (slot.replicas, word.replicas)):
         part.changed = feed.changed
@@ -110,24 +148,6 @@
 
 def _unpack(body: bytes) -> LoadDigest:
     packed = _schema.LoadDigest.from_bytes_packed(body)
-    entries = tuple(
-        LoadEntry(
-            target=slot.target,
-            in_flight=slot.inFlight,
-            reading=(
-                slot.urgent * TOKEN_UNIT,
-                slot.usual * TOKEN_UNIT,
-                slot.patient * TOKEN_UNIT,
-            ),
-            failures=slot.failures * FAILURE_UNIT,
-            second=slot.second * FAILURE_UNIT,
-        )
-        for slot in packed.entries
-    )
-    reads = tuple(
-        PartRead(slot.part, slot.target, slot.tokens * TOKEN_UNIT)
-        for slot in packed.reads
-    )
     phases = tuple(
         PhaseTold(
             slot.target,
@@ -139,8 +159,8 @@
     return LoadDigest(
         packed.host,
         packed.sequence,
-        entries,
-        reads,
+        _unpack_entries(packed.entries),
+        _unpack_reads(packed.reads),
         phases,
         Scope(packed.scope),
         packed.domain,
--- a/berylshift/connection/load_digest.capnp
+++ b/berylshift/connection/load_digest.capnp
@@ -4,8 +4,8 @@
 struct LoadDigest {
   host @0 :Text;
   sequence @1 :UInt32;
-  entries @2 :List(Entry);
-  reads @3 :List(PartRead);
+  entries @2 :Entries;
+  reads @3 :PartReads;
   phases @4 :List(PhaseTold);
   # Whose work: 0 one host's, 1 a failure domain's, 2 all hosts'.
   scope @5 :UInt8;
@@ -38,23 +38,25 @@
   age @2 :UInt8;
 }
 
-struct PartRead {
-  part @0 :UInt32;
-  target @1 :UInt32;
+# Lists side by side, an item of each for one read. Python decodes them faster than a
+# list of structs: a digest of fifty replicas and 48 reads in 0.2 ms, not in 1.4 ms.
+struct PartReads {
+  parts @0 :List(UInt32);
+  targets @1 :List(UInt32);
   # In units of 16 tokens.
-  tokens @2 :UInt16;
+  tokens @2 :List(UInt16);
 }
 
-struct Entry {
+# The same for the work at each replica.
+struct Entries {
   # The low half of the instance's hash: names would be most of a datagram.
-  target @0 :UInt32;
-  inFlight @1 :UInt16;
+  targets @0 :List(UInt32);
+  inFlight @1 :List(UInt16);
   # Prompt tokens yet to be read, by urgency, in units of 16 tokens.
-  urgent @2 :UInt16;
-  usual @3 :UInt16;
-  patient @4 :UInt16;
-  # Recent failures, in units of 1/32.
-  failures @5 :UInt8;
-  # What a second host holds against it, in the same unit.
-  second @6 :UInt8;
+  urgent @2 :List(UInt16);
+  usual @3 :List(UInt16);
+  patient @4 :List(UInt16);
+  # Recent failures, in units of 1/32, and what a second host holds against it.
+  failures @5 :List(UInt8);
+  second @6 :List(UInt8);
 }
--- a/berylshift/process/fleet/forwarded_reads.py
+++ b/berylshift/process/fleet/forwarded_reads.py
@@ -7,7 +7,7 @@
 
 # A read of the same part at the same engine says little new for this long: the engine
 # keeps the part for tens of seconds, and each read would be told to all hosts.
-AGAIN_SECONDS = 2.0
+AGAIN_SECONDS = 4.0
 # Reads that wait to be told; of more than these, which is some digests' worth, the
 # oldest are dropped: parts are read once too often then.
 MOST_WAITING = 256
--- a/berylshift/process/fleet/telling.py
+++ b/berylshift/process/fleet/telling.py
@@ -38,8 +38,9 @@
 # How often a collector tells sums. Hosts that tell each other directly more seldom than
 # this would know less than by sums: from there on hosts are gathered.
 SUM_SECONDS = 0.2
-# Reads in one digest of sums; with fifty engines' work they fill a datagram.
-MOST_READS = 64
+# Reads in one digest of sums; with fifty replicas' work and the orders under way they
+# fill a datagram.
+MOST_READS = 32
 # Collectors a domain: a second one would double what is told, for one second's gap in
 # the sums when the first one is lost.
 COLLECTORS = 1
--- a/berylshift/tests/test_fleet_knowledge.py
+++ b/berylshift/tests/test_fleet_knowledge.py
@@ -5,21 +5,31 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from berylshift.connection.datagram_tag import BadDatagramError, Tagger
+from berylshift.connection.datagram_tag import (
+    LARGEST_DATAGRAM,
+    BadDatagramError,
+    Tagger,
+)
 from berylshift.connection.load_codec import LoadCodec
+from berylshift.ids import Revision
 from berylshift.messages.load_digest import (
+    FeedWord,
     LoadDigest,
     LoadEntry,
     PartRead,
     PhaseTold,
+    Scope,
+    StoreWord,
     Urgency,
 )
 from berylshift.messages.replicas import EnginePhase
 from berylshift.messages.routed import ReportedLoad
 from berylshift.process.fleet.arrival_budget import ArrivalBudget
+from berylshift.process.fleet.expected_phases import MOST_TOLD as MOST_PHASES
 from berylshift.process.fleet.peer_loads import LIFE_SECONDS, PeerLoads
 from berylshift.process.fleet.route_holder import RouteHolder
 from berylshift.process.fleet.target_load import SEVERE, TargetLoads
+from berylshift.process.fleet.telling import MOST_READS
 from berylshift.process.fleet.warm_parts import MOST_KEPT, SHARED_ROOM, WarmParts
 from berylshift.tests.entry_world import routes
 from berylshift.tests.support import EXPLORE
@@ -240,6 +250,40 @@
         self.assertLessEqual(len(data), 1400)
         self.assertGreater(len(LoadCodec("key").decode(data).entries), 20)
 
+    def test_sums_of_all_hosts_fit_in_a_datagram(self):
+        """A collector tells of fifty replicas, what was read, orders and the store.
+
+        What does not fit is left out: the others would not know of work that is there.
+        """
+        entries = tuple(
+            LoadEntry(2**31 + n * 77_777, 12, (800, 40_000, 16_000), 0.5, 0.25)
+            for n in range(50)
+        )
+        reads = tuple(
+            PartRead(2**31 + n * 999_983, 2**31 + n * 77_777, 6_300)
+            for n in range(MOST_READS)
+        )
+        phases = tuple(
+            PhaseTold(2**31 + n * 77_777, EnginePhase.PREFILL, 2.5)
+            for n in range(MOST_PHASES)
+        )
+        feed = FeedWord(Revision(123_456), Revision(123_999), 86_400_000)
+        digest = LoadDigest(
+            "frontend-derwent-b-17",
+            123_456,
+            entries,
+            reads,
+            phases,
+            Scope.FLEET,
+            "derwent-b",
+            195,
+            True,
+            StoreWord(feed, feed, 86_300_000),
+        )
+        data = LoadCodec("key").encode(digest, LARGEST_DATAGRAM)
+        self.assertLessEqual(len(data), LARGEST_DATAGRAM)
+        self.assertEqual(len(LoadCodec("key").decode(data).entries), 50)
+
     def test_nine_engines_fit_in_few_bytes(self):
         """Nine hosts tell each other 12 times a second; bytes between domains cost."""
         entries = tuple(LoadEntry(2**31 + n, 2, (0, 250, 0), 0.0) for n in range(9))
