Have a host that becomes a follower read at once

Cause: a host that took the role went by the word that it had to its end, up to 3.4 s, and told the others nothing newer meanwhile. Found by reading.

Change: taking a role has the feeds looked at again.

--- a/berylshift/process/fleet/load_loop.py
+++ b/berylshift/process/fleet/load_loop.py
@@ -145,6 +145,8 @@
 
     def _on_role(self, role: str, holds: bool) -> None:
         logger.info("role taken" if holds else "role left", extra={"role": role})
+        # A new follower reads at once, though the word that it has is still fresh.
+        self._parts.on_news()
 
     def _hear(self, digest: LoadDigest) -> None:
         if digest.host not in self._hosts and self._teller.minds_stranger(digest):
--- a/berylshift/stand_ins/fake_directory.py
+++ b/berylshift/stand_ins/fake_directory.py
@@ -57,7 +57,7 @@
         self._history_from = self._revision
         self._tell()
 
-    def _now_ms(self) -> int:
+    def now_ms(self) -> int:
         """Return the store's steady clock, which is not the hosts'."""
         return int((trio.current_time() + STORE_CLOCK_AHEAD_SECONDS) * 1000)
 
@@ -75,7 +75,7 @@
         """Return the routes in force."""
         await self._call()
         table = self._routes[1] if self._routes else None
-        return RouteSnapshot(table, Revision(self._revision), self._now_ms())
+        return RouteSnapshot(table, Revision(self._revision), self.now_ms())
 
     async def await_routes(self, after: Revision, seconds: float) -> RouteSnapshot:
         """Return newer routes, or nothing after a while."""
@@ -84,14 +84,14 @@
         )
         newer = self._routes is not None and self._routes[0] > after
         table = self._routes[1] if newer and self._routes else None
-        return RouteSnapshot(table, Revision(self._revision), self._now_ms())
+        return RouteSnapshot(table, Revision(self._revision), self.now_ms())
 
     async def read_replicas(self) -> ReplicaChanges:
         """Return all replicas."""
         await self._call()
         found = tuple(self._replicas.values())
         revision = Revision(self._revision)
-        return ReplicaChanges(found, (), revision, True, self._now_ms())
+        return ReplicaChanges(found, (), revision, True, self.now_ms())
 
     async def await_replicas(self, after: Revision, seconds: float) -> ReplicaChanges:
         """Return what changed after a revision."""
@@ -113,7 +113,7 @@
         put = tuple(rep for rep in newest.values() if rep is not None)
         removed = tuple(name for name, rep in newest.items() if rep is None)
         revision = Revision(self._revision)
-        return ReplicaChanges(put, removed, revision, False, self._now_ms())
+        return ReplicaChanges(put, removed, revision, False, self.now_ms())
 
     async def _wait(self, has_news, seconds: float) -> None:
         await self._call()
--- a/berylshift/tests/gathered_world.py
+++ b/berylshift/tests/gathered_world.py
@@ -100,9 +100,10 @@
     """The store as one host meets it."""
 
     def __init__(self, store: FakeDirectory):
-        """See ``store``; ``turned_away`` is its fault."""
+        """See ``store``; ``turned_away`` and ``lags`` are its faults."""
         self._store = store
         self.turned_away = False
+        self.lags = False
         self.calls = 0
 
     async def _meet(self) -> None:
@@ -119,6 +120,8 @@
     async def await_routes(self, after, seconds) -> RouteSnapshot:
         """Return newer routes."""
         await self._meet()
+        if self.lags:
+            return RouteSnapshot(None, after, self._store.now_ms())
         return await self._store.await_routes(after, seconds)
 
     async def read_replicas(self) -> ReplicaChanges:
--- a/berylshift/tests/test_fleet_gathering.py
+++ b/berylshift/tests/test_fleet_gathering.py
@@ -94,6 +94,47 @@
         version, found = run_world(task)
         self.assertEqual(found, {version})
 
+    def test_a_new_follower_reads_at_once(self):
+        """The followers die; others take the role while the word they had is fresh.
+
+        Going by that word to its end, they would let a change that comes meanwhile
+        wait, and everybody with them.
+        """
+
+        async def task(world):
+            await trio.sleep(BOUND_SECONDS)
+            version = world.put_routes()
+            await trio.sleep(0.5)
+            calls = {host.name: host.view.calls for host in world.hosts}
+            for host in world.followers():
+                world.kill(host)
+            await trio.sleep(2.4)
+            late = [h.name for h in world.followers() if h.view.calls == calls[h.name]]
+            return version, late, len(world.followers())
+
+        version, late, followers = run_world(task)
+        self.assertEqual(version, 2)
+        self.assertGreaterEqual(followers, 2)
+        self.assertEqual(late, [])
+
+    def test_a_copy_that_lags_is_not_asked_without_a_pause(self):
+        """A host hears of news, and the store answers it from a copy without it.
+
+        Asked again at once, the store would get some hundred calls a second from each
+        host until the copy has caught up.
+        """
+
+        async def task(world):
+            host = next(host for host in world.hosts if not host.peers.collects)
+            host.view.lags = True
+            world.put_routes()
+            await trio.sleep(0.5)
+            before = host.view.calls
+            await trio.sleep(1.0)
+            return host.view.calls - before
+
+        self.assertLess(run_world(task), 30)
+
     def test_a_host_that_hears_nobody_reads_by_itself(self):
         async def task(world):
             alone = next(host for host in world.hosts if not host.peers.collects)
