--- /dev/null
+++ b/berylshift/process/fleet/collecting.py
@@ -0,0 +1,86 @@
+"""What a collector tells: its domain's sums, and the sum of all hosts."""
+
+from berylshift.messages.load_digest import LoadDigest, Scope
+from berylshift.process.fleet.digest_maker import DigestMaker, DigestParts
+from berylshift.process.fleet.election import Election
+from berylshift.process.fleet.forwarded_reads import ForwardedReads
+from berylshift.process.fleet.host_list import HostList
+
+# Collectors a domain: a second one would double what is told, for one second's gap in
+# the sums when the first one is lost.
+COLLECTORS = 1
+# Reads in one digest of sums; with fifty replicas' work and the orders under way they
+# fill a datagram.
+MOST_READS = 32
+
+
+class Collecting:
+    """Sums of a domain and of all; times in seconds on the monotonic clock."""
+
+    def __init__(self, parts: DigestParts, maker: DigestMaker, hosts: HostList):
+        """Tell of ``parts`` in digests of ``maker``, to ``hosts``."""
+        self._parts = parts
+        self._maker = maker
+        self._hosts = hosts
+        self._others: dict[str, Election] = {}
+        self._domain_reads = ForwardedReads()
+        self._fleet_reads = ForwardedReads()
+        self._turn = 0
+
+    def heard_collector(self, digest: LoadDigest, now: float) -> None:
+        """Note another domain's collector."""
+        found = self._others.get(digest.domain)
+        if found is None:
+            found = Election(self._parts.host, COLLECTORS)
+            self._others[digest.domain] = found
+        found.heard(digest.host, now)
+
+    def pass_on(self, digest: LoadDigest, now: float) -> None:
+        """Keep reads that the other hosts have to hear of."""
+        if digest.scope is Scope.HOST and digest.domain == self._parts.domain:
+            self._domain_reads.note(digest.reads, now)
+        if digest.scope is not Scope.FLEET:
+            self._fleet_reads.note(digest.reads, now)
+
+    def domain_sum(self, now: float) -> LoadDigest:
+        """Return the work of this domain's hosts, for the other collectors."""
+        parts = self._parts
+        reads = parts.warm.to_tell(now)
+        self._domain_reads.note(reads, now)
+        self._fleet_reads.note(reads, now)
+        return self._maker.make(
+            parts.peers.summed(parts.loads.entries(now), Scope.DOMAIN, now),
+            self._domain_reads.take(MOST_READS),
+            now,
+            Scope.DOMAIN,
+            parts.peers.domain_hosts(now),
+        )
+
+    def fleet_sum(self, now: float) -> LoadDigest:
+        """Return the work of all hosts, for those of this domain."""
+        parts = self._parts
+        return self._maker.make(
+            parts.peers.summed(parts.loads.entries(now), Scope.FLEET, now),
+            self._fleet_reads.take(MOST_READS),
+            now,
+            Scope.FLEET,
+            parts.peers.fleet_hosts(now),
+        )
+
+    def other_collectors(self, now: float) -> list[str]:
+        """Return the other domains' collectors.
+
+        Where none is heard, the host that should collect is told, and the others in
+        turn: whoever collects there hears it and answers with sums of its own.
+        """
+        self._turn += 1
+        found = []
+        for domain, records in self._hosts.other_domains().items():
+            election = self._others.get(domain)
+            holders = election.holders(now) if election is not None else []
+            if holders:
+                found += holders
+            else:
+                found.append(records[0].host)
+                found.append(records[self._turn % len(records)].host)
+        return found
--- /dev/null
+++ b/berylshift/process/fleet/digest_maker.py
@@ -0,0 +1,62 @@
+"""Makes this host's digests: what it knows, and what it knows of the store."""
+
+from dataclasses import dataclass
+
+from berylshift.messages.load_digest import LoadDigest, LoadEntry, PartRead, Scope
+from berylshift.process.fleet.expected_phases import ExpectedPhases
+from berylshift.process.fleet.peer_loads import PeerLoads
+from berylshift.process.fleet.store_watch import StoreWatch
+from berylshift.process.fleet.target_load import TargetLoads
+from berylshift.process.fleet.warm_parts import WarmParts
+
+
+@dataclass
+class DigestParts:
+    """What a digest is made from."""
+
+    host: str
+    domain: str
+    loads: TargetLoads
+    peers: PeerLoads
+    warm: WarmParts
+    phases: ExpectedPhases
+    watch: StoreWatch
+
+
+class DigestMaker:
+    """Numbers the digests of one host."""
+
+    def __init__(self, parts: DigestParts):
+        """Make digests of ``parts``."""
+        self._parts = parts
+        self._sequence = 0
+
+    def make(
+        self,
+        entries: tuple[LoadEntry, ...],
+        reads: tuple[PartRead, ...],
+        now: float,
+        scope: Scope = Scope.HOST,
+        hosts: int = 1,
+    ) -> LoadDigest:
+        """Return the next digest, of the work of ``hosts`` hosts.
+
+        What is known of the store is told by those that follow it, and by collectors
+        to their hosts.
+        """
+        parts = self._parts
+        self._sequence += 1
+        follows = parts.watch.follows
+        tells_word = follows or scope is Scope.FLEET
+        return LoadDigest(
+            host=parts.host,
+            sequence=self._sequence,
+            entries=entries,
+            reads=reads,
+            phases=parts.phases.to_tell(now),
+            scope=scope,
+            domain=parts.domain,
+            hosts=hosts,
+            follows=follows,
+            word=parts.watch.word() if tells_word else None,
+        )
--- a/berylshift/process/fleet/load_loop.py
+++ b/berylshift/process/fleet/load_loop.py
@@ -10,12 +10,13 @@
 
 from berylshift.clock import Clock
 from berylshift.messages.load_digest import LoadDigest
+from berylshift.process.fleet.digest_maker import DigestParts
 from berylshift.process.fleet.expected_phases import ExpectedPhases
 from berylshift.process.fleet.host_list import HostList
 from berylshift.process.fleet.peer_loads import MEMBER_SECONDS, PeerLoads
 from berylshift.process.fleet.store_watch import StoreWatch
 from berylshift.process.fleet.target_load import TargetLoads
-from berylshift.process.fleet.telling import REPEAT_SECONDS, Teller, TellerParts
+from berylshift.process.fleet.telling import REPEAT_SECONDS, Role, Teller
 from berylshift.process.fleet.warm_parts import WarmParts
 from berylshift.store.host_rows import HostRecord, HostRows
 from berylshift.store.interfaces import PlatformError
@@ -68,7 +69,7 @@
         self._hosts = HostList(parts.host, parts.domain)
         self._stranger = trio.Event()
         self._work = trio.Event()
-        teller_parts = TellerParts(
+        digest_parts = DigestParts(
             host=parts.host,
             domain=parts.domain,
             loads=parts.loads,
@@ -76,11 +77,10 @@
             warm=parts.warm,
             phases=parts.phases,
             watch=parts.watch,
-            hosts=self._hosts,
-            rng=parts.rng,
-            byte_budget=parts.byte_budget,
         )
-        self._teller = Teller(teller_parts, self._on_role)
+        self._teller = Teller(
+            digest_parts, self._hosts, parts.byte_budget, self._on_role
+        )
 
     @property
     def known_hosts(self) -> int | None:
@@ -143,7 +143,7 @@
             self._teller.listed()
             logger.info("hosts known", extra={"hosts": self._hosts.names()})
 
-    def _on_role(self, role: str, holds: bool) -> None:
+    def _on_role(self, role: Role, holds: bool) -> None:
         logger.info("role taken" if holds else "role left", extra={"role": role})
         # A new follower reads at once, though the word that it has is still fresh.
         self._parts.on_news()
--- a/berylshift/process/fleet/telling.py
+++ b/berylshift/process/fleet/telling.py
@@ -7,25 +7,15 @@
 collectors tell each other their domains' sums, and each tells its hosts the sum of all.
 """
 
-import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import StrEnum
 
-from berylshift.messages.load_digest import (
-    LoadDigest,
-    LoadEntry,
-    PartRead,
-    Scope,
-    StoreWord,
-)
+from berylshift.messages.load_digest import LoadDigest, LoadEntry, Scope, StoreWord
+from berylshift.process.fleet.collecting import COLLECTORS, Collecting
+from berylshift.process.fleet.digest_maker import DigestMaker, DigestParts
 from berylshift.process.fleet.election import Election
-from berylshift.process.fleet.expected_phases import ExpectedPhases
-from berylshift.process.fleet.forwarded_reads import ForwardedReads
 from berylshift.process.fleet.host_list import HostList
-from berylshift.process.fleet.peer_loads import PeerLoads
-from berylshift.process.fleet.store_watch import StoreWatch
-from berylshift.process.fleet.target_load import TargetLoads
-from berylshift.process.fleet.warm_parts import WarmParts
 
 # Shorter than the time in which a usual prompt is read: a queue is seen as it grows.
 TELL_SECONDS = 0.08
@@ -38,16 +28,17 @@
 # How often a collector tells sums. Hosts that tell each other directly more seldom than
 # this would know less than by sums: from there on hosts are gathered.
 SUM_SECONDS = 0.2
-# Reads in one digest of sums; with fifty replicas' work and the orders under way they
-# fill a datagram.
-MOST_READS = 32
-# Collectors a domain: a second one would double what is told, for one second's gap in
-# the sums when the first one is lost.
-COLLECTORS = 1
 # Hosts that read the store's feeds for all: one may stand still unnoticed for a second.
 FOLLOWERS = 2
 
 
+class Role(StrEnum):
+    """What a host may do for others."""
+
+    COLLECTOR = "collector"
+    FOLLOWER = "follower"
+
+
 @dataclass
 class Telling:
     """A digest and the addresses it goes to."""
@@ -56,41 +47,33 @@
     addresses: list[str]
 
 
-@dataclass
-class TellerParts:
-    """What a digest is made from."""
-
-    host: str
-    domain: str
-    loads: TargetLoads
-    peers: PeerLoads
-    warm: WarmParts
-    phases: ExpectedPhases
-    watch: StoreWatch
-    hosts: HostList
-    rng: random.Random
-    byte_budget: int
-
-
 class Teller:
     """Decides what is told; times in seconds on the monotonic clock."""
 
-    def __init__(self, parts: TellerParts, on_role: Callable[[str, bool], None]):
-        """Tell of ``parts``; ``on_role`` is told of each role taken or left."""
+    def __init__(
+        self,
+        parts: DigestParts,
+        hosts: HostList,
+        byte_budget: int,
+        on_role: Callable[[Role, bool], None],
+    ):
+        """Tell ``hosts`` of ``parts``, within ``byte_budget`` bytes a second.
+
+        ``on_role`` is told of each role taken or left.
+        """
         self._parts = parts
+        self._hosts = hosts
+        self._byte_budget = byte_budget
         self._on_role = on_role
+        self._maker = DigestMaker(parts)
+        self._collecting = Collecting(parts, self._maker, hosts)
         self._collectors = Election(parts.host, COLLECTORS)
         self._followers = Election(parts.host, FOLLOWERS)
-        self._domain_collectors: dict[str, Election] = {}
-        self._domain_reads = ForwardedReads()
-        self._fleet_reads = ForwardedReads()
         self._probed_at: dict[str, float] = {}
         self._last: tuple[LoadEntry, ...] = ()
         self._last_at = float("-inf")
         self._told_word: StoreWord | None = None
         self._greeted = False
-        self._sequence = 0
-        self._turn = 0
 
     @property
     def is_gathered(self) -> bool:
@@ -113,7 +96,7 @@
 
     def _direct_seconds(self) -> float:
         """Return how often all others may be told within the budget of bytes."""
-        return len(self._parts.hosts) * DIGEST_BYTES / self._parts.byte_budget
+        return len(self._hosts) * DIGEST_BYTES / self._byte_budget
 
     def listed(self) -> None:
         """Note that other hosts are listed than before: they are greeted."""
@@ -141,30 +124,18 @@
         if digest.scope is not Scope.HOST:
             self._heard_collector(digest, now)
         if self._collectors.holds:
-            self._pass_on(digest, now)
+            self._collecting.pass_on(digest, now)
         return digest.word is not None and parts.watch.hear(digest.word)
 
     def _heard_collector(self, digest: LoadDigest, now: float) -> None:
         if digest.domain == self._parts.domain:
             self._collectors.heard(digest.host, now)
-            return
-        found = self._domain_collectors.get(digest.domain)
-        if found is None:
-            found = self._domain_collectors[digest.domain] = Election(
-                self._parts.host, COLLECTORS
-            )
-        found.heard(digest.host, now)
-
-    def _pass_on(self, digest: LoadDigest, now: float) -> None:
-        """Keep reads that the other hosts have to hear of."""
-        if digest.scope is Scope.HOST and digest.domain == self._parts.domain:
-            self._domain_reads.note(digest.reads, now)
-        if digest.scope is not Scope.FLEET:
-            self._fleet_reads.note(digest.reads, now)
+        else:
+            self._collecting.heard_collector(digest, now)
 
     def due(self, now: float) -> list[Telling]:
         """Return what is to be told now."""
-        if not self._parts.hosts.was_read:
+        if not self._hosts.was_read:
             return []
         if not self.is_gathered:
             return self._direct(now)
@@ -177,12 +148,12 @@
 
     def _direct(self, now: float) -> list[Telling]:
         parts = self._parts
-        self._set_follows(self._followers.decide(parts.hosts.place, now))
+        self._set_follows(self._followers.decide(self._hosts.place, now))
         parts.peers.gathered = parts.peers.collects = False
         digest = self._changed_digest(now)
         if digest is None:
             return []
-        names = [host for host in parts.hosts.names() if self._is_due(host, now)]
+        names = [host for host in self._hosts.names() if self._is_due(host, now)]
         return [Telling(digest, self._addresses(names))]
 
     def _is_due(self, host: str, now: float) -> bool:
@@ -207,7 +178,7 @@
         if not changed and idle and now - self._last_at < PROBE_SECONDS:
             return None
         self._last, self._last_at = entries, now
-        return self._digest(entries, reads, now, Scope.HOST, 1)
+        return self._maker.make(entries, reads, now)
 
     def _is_news(self, word: StoreWord | None) -> bool:
         """Return whether a follower has read of a change that it has yet to tell."""
@@ -222,33 +193,8 @@
             word.replicas.changed,
         )
 
-    def _digest(
-        self,
-        entries: tuple[LoadEntry, ...],
-        reads: tuple[PartRead, ...],
-        now: float,
-        scope: Scope,
-        hosts: int,
-    ) -> LoadDigest:
-        parts = self._parts
-        self._sequence += 1
-        follows = parts.watch.follows
-        tells_word = follows or scope is Scope.FLEET
-        return LoadDigest(
-            host=parts.host,
-            sequence=self._sequence,
-            entries=entries,
-            reads=reads,
-            phases=parts.phases.to_tell(now),
-            scope=scope,
-            domain=parts.domain,
-            hosts=hosts,
-            follows=follows,
-            word=parts.watch.word() if tells_word else None,
-        )
-
     def _addresses(self, names: list[str]) -> list[str]:
-        found = (self._parts.hosts.address(name) for name in names)
+        found = (self._hosts.address(name) for name in names)
         return [address for address in found if address is not None]
 
     # Many hosts
@@ -256,11 +202,11 @@
     def _decide_roles(self, now: float) -> None:
         parts = self._parts
         former = self._collectors.holds
-        holds = self._collectors.decide(parts.hosts.place_in_domain, now)
+        holds = self._collectors.decide(self._hosts.place_in_domain, now)
         parts.peers.gathered = True
         parts.peers.collects = holds
         if holds != former:
-            self._on_role("collector", holds)
+            self._on_role(Role.COLLECTOR, holds)
         if holds:
             # Collectors are few and hear each other; none of them waits for places.
             self._set_follows(self._followers.decide(0, now))
@@ -271,7 +217,7 @@
     def _set_follows(self, follows: bool) -> None:
         if follows != self._parts.watch.follows:
             self._parts.watch.follows = follows
-            self._on_role("follower", follows)
+            self._on_role(Role.FOLLOWER, follows)
 
     def _to_collector(self, now: float) -> list[Telling]:
         """Tell the collector alone; the first digest greets all of the domain.
@@ -285,49 +231,14 @@
         names = self._collectors.holders(now)[:COLLECTORS]
         if not self._greeted:
             self._greeted = True
-            names = [rec.host for rec in self._parts.hosts.neighbours()]
+            names = [rec.host for rec in self._hosts.neighbours()]
         return [Telling(digest, self._addresses(names))]
 
     def _sums(self, now: float) -> list[Telling]:
         """Tell the domain's sum to the other collectors, and the whole to its hosts."""
-        parts = self._parts
-        own, reads = parts.loads.entries(now), parts.warm.to_tell(now)
-        self._domain_reads.note(reads, now)
-        self._fleet_reads.note(reads, now)
-        domain = self._digest(
-            parts.peers.summed(own, Scope.DOMAIN, now),
-            self._domain_reads.take(MOST_READS),
-            now,
-            Scope.DOMAIN,
-            parts.peers.domain_hosts(now),
-        )
-        fleet = self._digest(
-            parts.peers.summed(own, Scope.FLEET, now),
-            self._fleet_reads.take(MOST_READS),
-            now,
-            Scope.FLEET,
-            parts.peers.fleet_hosts(now),
-        )
-        neighbours = [rec.host for rec in parts.hosts.neighbours()]
+        others = self._addresses(self._collecting.other_collectors(now))
+        neighbours = [rec.address for rec in self._hosts.neighbours()]
         return [
-            Telling(domain, self._addresses(self._other_collectors(now))),
-            Telling(fleet, self._addresses(neighbours)),
+            Telling(self._collecting.domain_sum(now), others),
+            Telling(self._collecting.fleet_sum(now), neighbours),
         ]
-
-    def _other_collectors(self, now: float) -> list[str]:
-        """Return the other domains' collectors.
-
-        Where none is heard, the host that should collect is told, and the others in
-        turn: whoever collects there hears it and answers with sums of its own.
-        """
-        self._turn += 1
-        found = []
-        for domain, records in self._parts.hosts.other_domains().items():
-            election = self._domain_collectors.get(domain)
-            holders = election.holders(now) if election is not None else []
-            if holders:
-                found += holders
-            else:
-                found.append(records[0].host)
-                found.append(records[self._turn % len(records)].host)
-        return found
--- a/berylshift/tests/test_fleet_knowledge.py
+++ b/berylshift/tests/test_fleet_knowledge.py
@@ -25,11 +25,11 @@
 from berylshift.messages.replicas import EnginePhase
 from berylshift.messages.routed import ReportedLoad
 from berylshift.process.fleet.arrival_budget import ArrivalBudget
+from berylshift.process.fleet.collecting import MOST_READS
 from berylshift.process.fleet.expected_phases import MOST_TOLD as MOST_PHASES
 from berylshift.process.fleet.peer_loads import LIFE_SECONDS, PeerLoads
 from berylshift.process.fleet.route_holder import RouteHolder
 from berylshift.process.fleet.target_load import SEVERE, TargetLoads
-from berylshift.process.fleet.telling import MOST_READS
 from berylshift.process.fleet.warm_parts import MOST_KEPT, SHARED_ROOM, WarmParts
 from berylshift.tests.entry_world import routes
 from berylshift.tests.support import EXPLORE
