--- a/berylshift/process/fleet/directory_loop.py
+++ b/berylshift/process/fleet/directory_loop.py
@@ -23,8 +23,8 @@
 FIRST_BACKOFF_SECONDS = 0.1
 LONGEST_BACKOFF_SECONDS = 0.6
 # While the store is away, hosts that do not follow for others try this much more seldom
-# for each host there is: together they call as often as fifty hosts do at 0.6 s. They
-# are woken by the word of a host that got through.
+# for each host there is: together they call as often as fifty hosts do at 0.6 s. News
+# that is told by a host that got through wakes them.
 BACKOFF_SECONDS_A_HOST = 0.012
 # Hosts that hear of news together read it within so long for each host, not at once.
 SPREAD_SECONDS_A_HOST = 0.0005
