--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -15,6 +15,7 @@
 from berylshift.messages.engine_control import EngineControl
 from berylshift.messages.routed import Language
 from berylshift.process.fleet.arrival_budget import HOSTS_ASSUMED, ArrivalBudget
+from berylshift.process.fleet.digest_maker import DigestParts
 from berylshift.process.fleet.directory_loop import DirectoryLoop
 from berylshift.process.fleet.engine_speeds import EngineSpeeds
 from berylshift.process.fleet.expected_phases import ExpectedPhases
@@ -154,16 +155,19 @@
 
     def _make_load_loop(self) -> LoadLoop:
         cfg, ports = self.cfg, self.ports
-        parts = LoadParts(
+        digest = DigestParts(
             host=cfg.host.name,
             domain=cfg.host.domain,
-            address=cfg.host.peer_address,
-            rows=ports.hosts,
             loads=self.loads,
             peers=self.peers,
             warm=self.warm,
             phases=self.phases,
             watch=self.watch,
+        )
+        parts = LoadParts(
+            digest=digest,
+            address=cfg.host.peer_address,
+            rows=ports.hosts,
             make_link=ports.make_link,
             clock=ports.clock,
             rng=ports.rng,
--- a/berylshift/process/fleet/load_loop.py
+++ b/berylshift/process/fleet/load_loop.py
@@ -11,13 +11,9 @@
 from berylshift.clock import Clock
 from berylshift.messages.load_digest import LoadDigest
 from berylshift.process.fleet.digest_maker import DigestParts
-from berylshift.process.fleet.expected_phases import ExpectedPhases
 from berylshift.process.fleet.host_list import HostList
-from berylshift.process.fleet.peer_loads import MEMBER_SECONDS, PeerLoads
-from berylshift.process.fleet.store_watch import StoreWatch
-from berylshift.process.fleet.target_load import TargetLoads
+from berylshift.process.fleet.peer_loads import MEMBER_SECONDS
 from berylshift.process.fleet.telling import REPEAT_SECONDS, Role, Teller
-from berylshift.process.fleet.warm_parts import WarmParts
 from berylshift.store.host_rows import HostRecord, HostRows
 from berylshift.store.interfaces import PlatformError
 
@@ -43,15 +39,9 @@
 class LoadParts:
     """What the loop works with."""
 
-    host: str
-    domain: str
+    digest: DigestParts
     address: str
     rows: HostRows
-    loads: TargetLoads
-    peers: PeerLoads
-    warm: WarmParts
-    phases: ExpectedPhases
-    watch: StoreWatch
     make_link: Callable[[str], LoadLink]
     clock: Clock
     rng: random.Random
@@ -66,20 +56,11 @@
     def __init__(self, parts: LoadParts):
         """Work with ``parts``."""
         self._parts = parts
-        self._hosts = HostList(parts.host, parts.domain)
+        self._hosts = HostList(parts.digest.host, parts.digest.domain)
         self._stranger = trio.Event()
         self._work = trio.Event()
-        digest_parts = DigestParts(
-            host=parts.host,
-            domain=parts.domain,
-            loads=parts.loads,
-            peers=parts.peers,
-            warm=parts.warm,
-            phases=parts.phases,
-            watch=parts.watch,
-        )
         self._teller = Teller(
-            digest_parts, self._hosts, parts.byte_budget, self._on_role
+            parts.digest, self._hosts, parts.byte_budget, self._on_role
         )
 
     @property
@@ -92,7 +73,7 @@
         if not self._hosts.was_read:
             return None
         now = self._parts.clock.monotonic()
-        peers = self._parts.peers
+        peers = self._parts.digest.peers
         young = self._hosts.young(now, MEMBER_SECONDS)
         unheard = sum(not peers.heard(host, now) for host in young)
         return 1 + max(peers.heard_hosts(now) + unheard, peers.members(now))
@@ -113,7 +94,7 @@
     async def _join(self) -> str:
         parts = self._parts
         proposal = f"{parts.rng.getrandbits(128):032x}"
-        record = HostRecord(parts.host, parts.address, parts.domain)
+        record = HostRecord(parts.digest.host, parts.address, parts.digest.domain)
         while True:
             try:
                 key = await parts.rows.shared_key(proposal)
--- a/berylshift/tests/gathered_world.py
+++ b/berylshift/tests/gathered_world.py
@@ -15,6 +15,7 @@
 from berylshift.ids import DomainName, InstanceId
 from berylshift.messages.load_digest import LoadDigest
 from berylshift.messages.replicas import Replica, ReplicaChanges, RouteSnapshot
+from berylshift.process.fleet.digest_maker import DigestParts
 from berylshift.process.fleet.directory_loop import DirectoryLoop
 from berylshift.process.fleet.expected_phases import ExpectedPhases
 from berylshift.process.fleet.load_loop import LoadLoop, LoadParts
@@ -168,15 +169,17 @@
         )
         self.tells = LoadLoop(
             LoadParts(
-                host=self.name,
-                domain=self.domain,
+                digest=DigestParts(
+                    host=self.name,
+                    domain=self.domain,
+                    loads=self.loads,
+                    peers=self.peers,
+                    warm=self.warm,
+                    phases=ExpectedPhases(),
+                    watch=self.watch,
+                ),
                 address=self.address,
                 rows=world.rows,
-                loads=self.loads,
-                peers=self.peers,
-                warm=self.warm,
-                phases=ExpectedPhases(),
-                watch=self.watch,
                 make_link=lambda key: NetLink(world.net, self.address, key),
                 clock=LoopClock(),
                 rng=rng,
