Say which figures are worked out and which were played

Change: each says what it is. Ruled out: none needed, no statement changes. Conclusion: words alone.

--- a/berylshift/tests/test_fleet_gathering.py
+++ b/berylshift/tests/test_fleet_gathering.py
@@ -41,7 +41,7 @@
     """A quiet store is read by few hosts; news is with all of them in time."""
 
     def test_calls_of_a_quiet_store_do_not_grow_with_the_hosts(self):
-        """195 hosts each asked both feeds every 3.5 s, 111 calls a second."""
+        """195 hosts that each ask both feeds every 3.5 s make 111 calls a second."""
 
         async def calls_in_a_minute(world):
             before = world.calls()
@@ -206,7 +206,7 @@
         self.assertEqual(run_world(task), [{"r-1"}] * HOSTS)
 
     def test_a_store_that_is_away_is_asked_less_by_many(self):
-        """Refused calls are calls: 195 hosts made 870 a second of them."""
+        """Refused calls are calls: 195 hosts at 0.45 s each make 870 a second."""
 
         async def calls_a_second(world):
             for host in world.hosts:
