--- a/berylshift/process/fleet/collecting.py
+++ b/berylshift/process/fleet/collecting.py
@@ -42,12 +42,15 @@
         if digest.scope is not Scope.FLEET:
             self._fleet_reads.note(digest.reads, now)
 
+    def note_own_reads(self, now: float) -> None:
+        """Keep this host's own reads, which both sums tell."""
+        reads = self._parts.warm.to_tell(now)
+        self._domain_reads.note(reads, now)
+        self._fleet_reads.note(reads, now)
+
     def domain_sum(self, now: float) -> LoadDigest:
         """Return the work of this domain's hosts, for the other collectors."""
         parts = self._parts
-        reads = parts.warm.to_tell(now)
-        self._domain_reads.note(reads, now)
-        self._fleet_reads.note(reads, now)
         return self._maker.make(
             parts.peers.summed(parts.loads.entries(now), Scope.DOMAIN, now),
             self._domain_reads.take(MOST_READS),
--- a/berylshift/process/fleet/telling.py
+++ b/berylshift/process/fleet/telling.py
@@ -237,6 +237,7 @@
 
     def _sums(self, now: float) -> list[Telling]:
         """Tell the domain's sum to the other collectors, and the whole to its hosts."""
+        self._collecting.note_own_reads(now)
         others = self._addresses(self._collecting.other_collectors(now))
         neighbours = [rec.address for rec in self._hosts.neighbours()]
         return [
