Tell in each request's line what all its tries share

Each line now has a hash of method, address, credentials, prompt and body, and explain lists the other tries of the same request on all hosts.

--- a/berylshift/request/relay.py
+++ b/berylshift/request/relay.py
@@ -7,7 +7,7 @@
 
 from berylshift.connection.responder import Responder
 from berylshift.connection.target_client import TargetRequest
-from berylshift.ids import InstanceId, ServiceName
+from berylshift.ids import Fingerprint, InstanceId, ServiceName
 from berylshift.messages.load_digest import Urgency
 from berylshift.messages.replicas import Replica
 from berylshift.messages.routed import Dispatch, Prompt, RoutedRequest
@@ -15,6 +15,7 @@
 from berylshift.process.fleet.target_load import MILD, SEVERE
 from berylshift.request.allowance import TimeBound, allowance_of
 from berylshift.request.answer_stream import AnswerStream
+from berylshift.request.fingerprint import fingerprint_of
 from berylshift.request.messages import Outcome
 from berylshift.request.placement import Placement
 from berylshift.request.prompt_read import KvSource
@@ -152,6 +153,11 @@
         again = exc.seconds - self._route.patience
         return Result(verdict, str(exc), self._sends, again)
 
+    @property
+    def fingerprint(self) -> Fingerprint | None:
+        """Return what the tries of one request share, once the body is there."""
+        return fingerprint_of(self._req)
+
     @property
     def first_ms(self) -> float | None:
         """Return the milliseconds until a stream's first event."""
--- a/berylshift/request/routed_front.py
+++ b/berylshift/request/routed_front.py
@@ -15,6 +15,7 @@
 from berylshift.process.fleet.route_holder import RouteHolder
 from berylshift.request.allowance import TimeBound, allowance_of
 from berylshift.request.errors import BadRequestError
+from berylshift.request.fingerprint import fingerprint_of, shown
 from berylshift.request.relay import Relay, Result, Verdict
 from berylshift.request.relay_parts import RelayParts
 from berylshift.request.single_send import FailedAnswer
@@ -146,6 +147,7 @@
             "turned away",
             extra={
                 "request": req.id,
+                "same": shown(fingerprint_of(req)),
                 "reason": reason,
                 "outcome": refusal.status,
                 "again": refusal.again,
@@ -246,6 +248,7 @@
             "request ended",
             extra={
                 "request": relay.request,
+                "same": shown(relay.fingerprint),
                 "route": route.name,
                 "service": relay.service,
                 "outcome": result.verdict,
--- a/berylshift/tests/test_tools_log_reader.py
+++ b/berylshift/tests/test_tools_log_reader.py
@@ -49,6 +49,19 @@
         self.assertIn("removed=['i-1']", text)
         self.assertNotIn("store lost", text)
 
+    def test_other_tries_of_the_same_request_on_all_hosts(self):
+        log = [
+            line("10:00:02,000", "h2", "request ended", request="r2", same="a1"),
+            line("10:00:01,000", "h1", "request ended", request="r1", same="a1"),
+            line("10:00:03,000", "h3", "turned away", request="r3", same="a1"),
+            line("10:00:03,000", "h3", "request ended", request="r4", same="b2"),
+            line("10:00:04,000", "h3", "request ended", request="r5", same=None),
+        ]
+        shown = explain(read_lines(log), "r2")
+        self.assertEqual(len(shown), 3)
+        self.assertIn("h1  request ended: same=a1", shown[1])
+        self.assertIn("h3  turned away: same=a1", shown[2])
+
     def test_unknown_request(self):
         self.assertEqual(explain(read_lines(LOG), "r2"), [])
 
--- a/berylshift/tools/log_reader.py
+++ b/berylshift/tools/log_reader.py
@@ -62,14 +62,25 @@
 
 
 def explain(lines: list[LogLine], request: str) -> list[str]:
-    """Return what the logs tell of a request: its own lines, and what held then."""
+    """Return what the logs tell of a request: its own lines, and what held then.
+
+    Behind them stand the other tries of the same request, on all hosts.
+    """
     own = [line for line in lines if line.values.get("request") == request]
     shown = [line.shown() for line in own]
     for line in own:
         shown += [f"  before: {former.shown()}" for former in _beliefs(lines, line)]
+    shown += [f"  same: {line.shown()}" for line in _other_tries(lines, own)]
     return shown
 
 
+def _other_tries(lines: list[LogLine], own: list[LogLine]) -> list[LogLine]:
+    """Return the lines of other tries of the same request, the oldest first."""
+    same = {line.values.get("same") for line in own} - {None}
+    found = [line for line in lines if line.values.get("same") in same]
+    return sorted((line for line in found if line not in own), key=lambda ln: ln.time)
+
+
 def _beliefs(lines: list[LogLine], of: LogLine) -> list[LogLine]:
     """Return what a host last came to believe before a line, and of its replicas."""
     newest: dict[str, LogLine] = {}
