--- a/berylshift/stand_ins/entry_replica.py
+++ b/berylshift/stand_ins/entry_replica.py
@@ -22,6 +22,8 @@
 
 # A late answer comes when its connection is idle again.
 LATE_SECONDS = 0.05
+# From the beginning of a run until it ends its replica.
+CRASH_SECONDS = 0.05
 
 
 class Fault(StrEnum):
@@ -62,12 +64,27 @@
     whole: bool = False
 
 
+@dataclass
+class Crash:
+    """A replica that ended, and when; ``path``: of the request that ended it."""
+
+    address: str
+    path: str
+    at: float
+
+
 @dataclass
 class Kept:
-    """KV caches by handle, over all engines of a stand-in fleet."""
+    """What all replicas of a stand-in fleet share.
+
+    KV caches by handle; ``crashing`` are the paths of requests that end each replica
+    which begins to run them.
+    """
 
     handles: dict[str, str] = field(default_factory=dict)
     released: list[str] = field(default_factory=list)
+    crashing: set[str] = field(default_factory=set)
+    crashes: list[Crash] = field(default_factory=list)
 
 
 class AnyKept(Kept):
@@ -114,6 +131,7 @@
         self.started_ms: int | None = None
         self.loses_caches = False
         self.connections = 0
+        self.open_sessions: set[_Session] = set()
         self.body_bytes = 0
         self.read_pause = 0.0
 
@@ -121,6 +139,7 @@
         """Serve one connection until either side ends it."""
         self.connections += 1
         session = _Session(self, stream)
+        self.open_sessions.add(session)
         try:
             while await session.serve_one():
                 pass
@@ -131,8 +150,18 @@
         ):
             pass
         finally:
+            self.open_sessions.discard(session)
             await trio.aclose_forcefully(stream)
 
+    async def crash(self, path: str) -> None:
+        """End at once, with all that runs here."""
+        if not self.alive:
+            return
+        self.alive = False
+        self.kept.crashes.append(Crash(self.address, path, trio.current_time()))
+        for session in list(self.open_sessions):
+            await session.reset()
+
     def start_again(self, started_ms: int) -> None:
         """Start anew under the same name, knowing nothing of before."""
         self.started_ms = started_ms
@@ -167,7 +196,7 @@
             await trio.sleep(0.2)
         if fault is Fault.RESET_EARLY:
             await self._event()
-            await self._reset()
+            await self.reset()
             return False
         body = await self._read_body()
         if fault is not Fault.EARLY:
@@ -205,7 +234,7 @@
         elif path == names.ORDER_PATH.decode():
             await self._order(headers, body)
         else:
-            await self._request(headers, body, fault)
+            await self._request(path, headers, body, fault)
 
     async def _report(self, headers) -> None:
         report = {
@@ -226,7 +255,7 @@
         self.replica.phase = EnginePhase(order.phase)
         await self._answer(202, b"", headers, signed=False)
 
-    async def _request(self, headers, body: bytes, fault) -> None:
+    async def _request(self, path: str, headers, body: bytes, fault) -> None:
         request = headers.get(names.ATTEMPT_ID, b"").decode()
         self.replica.arrivals.append(request)
         if fault is Fault.REFUSE:
@@ -240,7 +269,7 @@
                 503, b"", headers, signed=False, more=[(names.NOT_RUN, b"1")]
             )
         else:
-            await self._run(request, headers, body, fault)
+            await self._run(request, headers, body, fault, path)
 
     def _takes_source(self, headers) -> bool:
         source = headers.get(names.KV_SOURCE)
@@ -259,13 +288,16 @@
         body = msgspec.json.encode({"kv_handle": handle, "tokens": 1, "version": 1})
         await self._answer(200, body, headers, signed=False)
 
-    async def _run(self, request: str, headers, body: bytes, fault) -> None:
+    async def _run(self, request: str, headers, body: bytes, fault, path: str) -> None:
         run = Run(request, headers, body, trio.current_time())
         self.replica.runs.append(run)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch, nursery.cancel_scope)
             try:
                 await self._break(fault)
+                if path in self.replica.kept.crashing:
+                    await trio.sleep(CRASH_SECONDS)
+                    await self.replica.crash(path)
                 if b"x-pieces" in headers:
                     await self._stream(headers, fault)
                 else:
@@ -285,10 +317,10 @@
         if fault is Fault.MUTE:
             await trio.sleep_forever()
         if fault is Fault.RESET:
-            await self._reset()
+            await self.reset()
             raise trio.BrokenResourceError("reset")
 
-    async def _reset(self) -> None:
+    async def reset(self) -> None:
         """Break the connection; over TCP a plain close stands for it."""
         if isinstance(self.stream, Pipe):
             self.stream.reset()
@@ -323,7 +355,7 @@
         await self.stream.send_all(b"\r\n".join(lines) + b"\r\n\r\n" + body)
         await trio.sleep(0.01)
         if fault is Fault.UNFRAMED_RESET:
-            await self._reset()
+            await self.reset()
         raise trio.BrokenResourceError("ends here")
 
     async def _stream(self, headers, fault) -> None:
@@ -338,7 +370,7 @@
                 await self._send(h11.Data(data=event[:-6]))
             if fault in (Fault.CUT, Fault.HALF_EVENT) and number == 3:
                 await trio.sleep(0.01)
-                await self._reset()
+                await self.reset()
                 raise trio.BrokenResourceError("cut")
             await self._send(h11.Data(data=event))
         await self._send(h11.EndOfMessage())
--- a/berylshift/tests/entry_world.py
+++ b/berylshift/tests/entry_world.py
@@ -1,5 +1,6 @@
 """Entry hosts on a virtual clock: the real application, replicas in memory."""
 
+import itertools
 import random
 from dataclasses import dataclass, field
 
@@ -172,6 +173,34 @@
         )
         self.directory.put_replica(entry)
 
+    async def restart_crashed(self, seconds: float, lapse_seconds: float) -> None:
+        """Start replicas that ended again, ``seconds`` later, at their addresses.
+
+        Each start has a new name; the former one's entry lapses ``lapse_seconds``
+        after its end.
+        """
+        for number in itertools.count():
+            while number >= len(self.kept.crashes):
+                await trio.sleep(0.01)
+            crash = self.kept.crashes[number]
+            ended = self.replicas[crash.address]
+            self.nursery.start_soon(self._lapse, ended.instance, lapse_seconds)
+            self.nursery.start_soon(self._start_anew, ended, number, seconds)
+
+    async def _lapse(self, name: str, seconds: float) -> None:
+        await trio.sleep(seconds)
+        self.directory.remove_replica(name)
+
+    async def _start_anew(
+        self, ended: EntryReplica, number: int, seconds: float
+    ) -> None:
+        await trio.sleep(seconds)
+        name = f"{ended.instance.partition('-again')[0]}-again-{number}"
+        fresh = EntryReplica(name, ended.address, self.kept, ended.phase)
+        self.replicas[ended.address] = fresh
+        plain = ended.phase is EnginePhase.NONE
+        self.list_replica(fresh, PLAIN if plain else ENGINES)
+
     async def dial(self, address: str) -> Pipe:
         """Connect to a replica; a dark address never answers."""
         self.dials += 1
