--- a/berylshift/stand_ins/entry_replica.py
+++ b/berylshift/stand_ins/entry_replica.py
@@ -182,6 +182,7 @@
         self.replica = replica
         self.stream = stream
         self.conn = h11.Connection(h11.SERVER)
+        self.path = ""
 
     async def serve_one(self) -> bool:
         """Serve one request; return whether the connection goes on."""
@@ -189,7 +190,7 @@
         if not isinstance(head, h11.Request) or not self.replica.alive:
             return False
         headers = dict(head.headers)
-        path = head.target.decode()
+        self.path = path = head.target.decode()
         fault = None if path.startswith("/v1/") else self.replica.take_fault()
         if fault is Fault.EARLY:
             await self._answer(413, b"too long", headers)
@@ -234,7 +235,7 @@
         elif path == names.ORDER_PATH.decode():
             await self._order(headers, body)
         else:
-            await self._request(path, headers, body, fault)
+            await self._request(headers, body, fault)
 
     async def _report(self, headers) -> None:
         report = {
@@ -255,7 +256,7 @@
         self.replica.phase = EnginePhase(order.phase)
         await self._answer(202, b"", headers, signed=False)
 
-    async def _request(self, path: str, headers, body: bytes, fault) -> None:
+    async def _request(self, headers, body: bytes, fault) -> None:
         request = headers.get(names.ATTEMPT_ID, b"").decode()
         self.replica.arrivals.append(request)
         if fault is Fault.REFUSE:
@@ -269,7 +270,7 @@
                 503, b"", headers, signed=False, more=[(names.NOT_RUN, b"1")]
             )
         else:
-            await self._run(request, headers, body, fault, path)
+            await self._run(request, headers, body, fault)
 
     def _takes_source(self, headers) -> bool:
         source = headers.get(names.KV_SOURCE)
@@ -288,16 +289,16 @@
         body = msgspec.json.encode({"kv_handle": handle, "tokens": 1, "version": 1})
         await self._answer(200, body, headers, signed=False)
 
-    async def _run(self, request: str, headers, body: bytes, fault, path: str) -> None:
+    async def _run(self, request: str, headers, body: bytes, fault) -> None:
         run = Run(request, headers, body, trio.current_time())
         self.replica.runs.append(run)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch, nursery.cancel_scope)
             try:
                 await self._break(fault)
-                if path in self.replica.kept.crashing:
+                if self.path in self.replica.kept.crashing:
                     await trio.sleep(CRASH_SECONDS)
-                    await self.replica.crash(path)
+                    await self.replica.crash(self.path)
                 if b"x-pieces" in headers:
                     await self._stream(headers, fault)
                 else:
