Hold requests back under which two replicas ended

Callers of all streams were cut or got 502 while one caller came again with a request that ends each engine which runs it; ten engines ended, each with up to 30 requests.

Cause: what a try came to was held against the engine, and nothing was kept of the request once it had ended, nor told to other hosts. Each repeat was a new request. Ruled out: further sends of one try (1 of 253 requests broke twice).

Now each host keeps which replicas broke off under which request and tells the others in its digests. What finishes is cleared; so is what finished within the minute before; a replica that goes on answering, or is still listed and answers after its entry would have lapsed, has not ended; one that leaves ends on purpose.

What holds for the one that comes again is InnocentTest.

--- a/berylshift/connection/load_codec.py
+++ b/berylshift/connection/load_codec.py
@@ -9,7 +9,9 @@
     BadDatagramError,
     Tagger,
 )
+from berylshift.ids import Fingerprint
 from berylshift.messages.load_digest import (
+    CrashReport,
     FeedWord,
     LoadDigest,
     LoadEntry,
@@ -73,6 +75,10 @@
         slot.target = told.target
         slot.reads = told.phase is EnginePhase.PREFILL
         slot.age = min(MOST_U8, int(told.age / AGE_UNIT))
+    if message.crashes:
+        _pack_crashes(packed.init("crashes"), message.crashes)
+    if message.finished:
+        packed.finished = list(message.finished)
     return packed.to_bytes_packed()
 
 
@@ -122,6 +128,20 @@
     )
 
 
+def _pack_crashes(packed, crashes: tuple[CrashReport, ...]) -> None:
+    packed.requests = [report.request for report in crashes]
+    packed.targets = [report.target for report in crashes]
+    packed.ages = [min(MOST_U16, int(report.age / AGE_UNIT)) for report in crashes]
+
+
+def _unpack_crashes(packed) -> tuple[CrashReport, ...]:
+    columns = zip(packed.requests, packed.targets, packed.ages, strict=True)
+    return tuple(
+        CrashReport(Fingerprint(request), target, age * AGE_UNIT)
+        for request, target, age in columns
+    )
+
+
 def _failures(weight: float) -> int:
     return min(MOST_U8, int(weight / FAILURE_UNIT))
 
@@ -167,4 +187,6 @@
         packed.hosts,
         packed.follows,
         _unpack_word(packed.word) if packed._has("word") else None,
+        _unpack_crashes(packed.crashes) if packed._has("crashes") else (),
+        tuple(Fingerprint(request) for request in packed.finished),
     )
--- a/berylshift/connection/load_digest.capnp
+++ b/berylshift/connection/load_digest.capnp
@@ -15,6 +15,17 @@
   # Whether the sender reads the store's feeds for the others.
   follows @8 :Bool;
   word @9 :StoreWord;
+  crashes @10 :Crashes;
+  # Fingerprints of requests that ran to their end after a replica broke off.
+  finished @11 :List(UInt64);
+}
+
+# Replicas that broke off while they had a request, an item of each list for one.
+struct Crashes {
+  requests @0 :List(UInt64);
+  targets @1 :List(UInt32);
+  # In tenths of a second.
+  ages @2 :List(UInt16);
 }
 
 struct FeedWord {
--- a/berylshift/connection/request_body.py
+++ b/berylshift/connection/request_body.py
@@ -45,6 +45,12 @@
         """Return all bytes; they are the body once it has ended."""
         return bytes(self._data)
 
+    def start(self, count: int) -> bytes | None:
+        """Return the first ``count`` bytes; ``None`` if more of them may come."""
+        if not self.ended and self.size < count:
+            return None
+        return bytes(self._data[:count])
+
     # The caller's side
 
     def add(self, data: bytes) -> None:
@@ -72,6 +78,11 @@
         self._sent = float("inf")
         self._tell()
 
+    async def wait_for_start(self, count: int) -> None:
+        """Wait until the first ``count`` bytes are there, or none come any more."""
+        while not (self.ended or self._broken or self.size >= count):
+            await self._changed.wait()
+
     async def wait_for_end(self) -> None:
         """Wait until the caller has sent all."""
         while not self.ended:
--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -24,6 +24,7 @@
 from berylshift.process.fleet.peer_loads import PeerLoads
 from berylshift.process.fleet.phase_loop import PhaseLoop
 from berylshift.process.fleet.phase_planner import PhasePlanner
+from berylshift.process.fleet.quarantine import Quarantine
 from berylshift.process.fleet.recent_times import RecentTimes
 from berylshift.process.fleet.replica_set import ReplicaSet
 from berylshift.process.fleet.route_holder import RouteHolder
@@ -31,6 +32,7 @@
 from berylshift.process.fleet.store_watch import StoreWatch
 from berylshift.process.fleet.target_load import TargetLoads
 from berylshift.process.fleet.warm_parts import WarmParts
+from berylshift.request.fingerprint import Fingerprints
 from berylshift.request.placing_policies import PLACINGS, PlacingParts
 from berylshift.request.prompt_read import PromptReads
 from berylshift.request.reading_choice import ReadingChooser
@@ -103,6 +105,8 @@
         in_force = min(cfg.directory.in_force_ms, cfg.directory.leaving_ms) / 1000
         self.watch = StoreWatch(in_force, ports.boot_clock)
         self.warm = WarmParts()
+        self.quarantine = Quarantine(cfg.directory.heartbeat_ms / 1000)
+        self.fingerprints = Fingerprints()
         self.speeds = EngineSpeeds(self._engine_facts)
         placing = PlacingParts(
             self.loads,
@@ -134,6 +138,8 @@
             budget=self.budget,
             readings=ReadingChooser(placer, self.speeds, self._hosts_that_share),
             times=self.times,
+            quarantine=self.quarantine,
+            fingerprints=self.fingerprints,
         )
         self.front = RoutedFront(
             parts, self.routes, ports.rng, self.telemetry.request_ended
@@ -163,6 +169,7 @@
             warm=self.warm,
             phases=self.phases,
             watch=self.watch,
+            quarantine=self.quarantine,
         )
         parts = LoadParts(
             digest=digest,
@@ -173,6 +180,7 @@
             rng=ports.rng,
             byte_budget=cfg.peers.byte_budget,
             on_news=lambda: self.follower.heard_news(),
+            on_joined=self.fingerprints.use_key,
         )
         return LoadLoop(parts)
 
@@ -322,6 +330,8 @@
             self.telemetry.gauge("hosts_known", "Hosts that share limits.", hosts)
             self.telemetry.gauge("collects", "Role taken.", self.peers.collects)
             self.telemetry.gauge("follows", "Role taken.", self.watch.follows)
+            held = len(self.quarantine)
+            self.telemetry.gauge("quarantined", "Requests held back.", held)
             opened = self.ports.client.opened
             self.telemetry.gauge("connections_opened", "To replicas.", opened)
             await trio.sleep(GAUGE_SECONDS)
--- /dev/null
+++ b/berylshift/messages/fingerprint.py
@@ -0,0 +1,20 @@
+"""Fingerprints of requests: the hash of all but the body, then that of the body."""
+
+from berylshift.ids import Fingerprint
+
+HALF_BYTES = 4
+
+
+def joined(head: int, body: int) -> Fingerprint:
+    """Return the fingerprint of a head's and a body's hash, 32 bits each."""
+    return Fingerprint(head << 8 * HALF_BYTES | body)
+
+
+def head_in(fingerprint: Fingerprint) -> int:
+    """Return the head's hash."""
+    return fingerprint >> 8 * HALF_BYTES
+
+
+def shown(fingerprint: Fingerprint | None) -> str | None:
+    """Return a fingerprint as log lines have it."""
+    return None if fingerprint is None else f"{fingerprint:016x}"
--- a/berylshift/messages/load_digest.py
+++ b/berylshift/messages/load_digest.py
@@ -6,7 +6,7 @@
 import msgspec
 import xxhash
 
-from berylshift.ids import InstanceId, Revision
+from berylshift.ids import Fingerprint, InstanceId, Revision
 from berylshift.messages.replicas import EnginePhase
 
 # Hashes kept at hand: each placement asks for those of a dozen engines several times.
@@ -66,6 +66,17 @@
     age: float
 
 
+class CrashReport(msgspec.Struct, frozen=True):
+    """A replica broke off ``age`` seconds ago while it had a request.
+
+    ``target`` is the short hash of the replica's name.
+    """
+
+    request: Fingerprint
+    target: int
+    age: float
+
+
 class FeedWord(msgspec.Struct, frozen=True):
     """What a reader of one of the store's feeds knows of it.
 
@@ -94,7 +105,8 @@
     """Work that ``host`` tells; a higher ``sequence`` replaces a lower one.
 
     ``domain`` is the sender's; ``hosts`` is how many hosts the work is of. A sender
-    that ``follows`` reads the store's feeds for the others.
+    that ``follows`` reads the store's feeds for the others. ``finished`` are requests
+    that ran to their end after a replica broke off under them.
     """
 
     host: str
@@ -107,6 +119,8 @@
     hosts: int = 1
     follows: bool = False
     word: StoreWord | None = None
+    crashes: tuple[CrashReport, ...] = ()
+    finished: tuple[Fingerprint, ...] = ()
 
 
 @functools.lru_cache(HASHES_KEPT)
--- a/berylshift/messages/routed.py
+++ b/berylshift/messages/routed.py
@@ -46,6 +46,12 @@
     def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body from its start."""
 
+    def start(self, count: int) -> bytes | None:
+        """Return the first ``count`` bytes; ``None`` if more of them may come."""
+
+    async def wait_for_start(self, count: int) -> None:
+        """Wait until the first ``count`` bytes are there, or none come any more."""
+
 
 class RoutedRequest(msgspec.Struct, frozen=True):
     """A caller's request, checked; ``target`` is path and query as sent.
--- a/berylshift/process/fleet/collecting.py
+++ b/berylshift/process/fleet/collecting.py
@@ -12,6 +12,9 @@
 # Reads in one digest of sums; with fifty replicas' work and the orders under way they
 # fill a datagram.
 MOST_READS = 32
+# Reads that make room for one replica that broke off: that one is told first, since it
+# is seldom, and a read that is told late costs some tokens only.
+READS_A_CRASH = 2
 
 
 class Collecting:
@@ -53,7 +56,7 @@
         parts = self._parts
         return self._maker.make(
             parts.peers.summed(parts.loads.entries(now), Scope.DOMAIN, now),
-            self._domain_reads.take(MOST_READS),
+            self._domain_reads.take(self._room_for_reads(now, near_alone=True)),
             now,
             Scope.DOMAIN,
             parts.peers.domain_hosts(now),
@@ -64,12 +67,16 @@
         parts = self._parts
         return self._maker.make(
             parts.peers.summed(parts.loads.entries(now), Scope.FLEET, now),
-            self._fleet_reads.take(MOST_READS),
+            self._fleet_reads.take(self._room_for_reads(now)),
             now,
             Scope.FLEET,
             parts.peers.fleet_hosts(now),
         )
 
+    def _room_for_reads(self, now: float, near_alone: bool = False) -> int:
+        crashes = len(self._parts.quarantine.reports(now, near_alone))
+        return max(0, MOST_READS - READS_A_CRASH * crashes)
+
     def other_collectors(self, now: float) -> list[str]:
         """Return the other domains' collectors.
 
--- a/berylshift/process/fleet/digest_maker.py
+++ b/berylshift/process/fleet/digest_maker.py
@@ -5,6 +5,7 @@
 from berylshift.messages.load_digest import LoadDigest, LoadEntry, PartRead, Scope
 from berylshift.process.fleet.expected_phases import ExpectedPhases
 from berylshift.process.fleet.peer_loads import PeerLoads
+from berylshift.process.fleet.quarantine import Quarantine
 from berylshift.process.fleet.store_watch import StoreWatch
 from berylshift.process.fleet.target_load import TargetLoads
 from berylshift.process.fleet.warm_parts import WarmParts
@@ -21,6 +22,7 @@
     warm: WarmParts
     phases: ExpectedPhases
     watch: StoreWatch
+    quarantine: Quarantine
 
 
 class DigestMaker:
@@ -48,6 +50,8 @@
         self._sequence += 1
         follows = parts.watch.follows
         tells_word = follows or scope is Scope.FLEET
+        # Other domains' collectors hear from each other what is not of their own.
+        near = scope is not Scope.FLEET
         return LoadDigest(
             host=parts.host,
             sequence=self._sequence,
@@ -59,4 +63,6 @@
             hosts=hosts,
             follows=follows,
             word=parts.watch.word() if tells_word else None,
+            crashes=parts.quarantine.reports(now, near),
+            finished=parts.quarantine.finishes(now, near),
         )
--- a/berylshift/process/fleet/load_loop.py
+++ b/berylshift/process/fleet/load_loop.py
@@ -48,6 +48,8 @@
     byte_budget: int
     # Told that the store has something new for this host to read.
     on_news: Callable[[], None]
+    # Told the key that all hosts share.
+    on_joined: Callable[[str], None] = lambda key: None
 
 
 class LoadLoop:
@@ -85,6 +87,7 @@
     async def run(self) -> None:
         """Join the other hosts, then tell and hear until cancelled."""
         key = await self._join()
+        self._parts.on_joined(key)
         link = self._parts.make_link(key)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(link.receive, self._hear)
--- a/berylshift/process/fleet/replica_set.py
+++ b/berylshift/process/fleet/replica_set.py
@@ -164,6 +164,13 @@
             if entry.service == service and not entry.draining
         ]
 
+    def is_leaving(self, replica: Replica) -> bool:
+        """Return whether a replica was said to leave, or has left, by its entry."""
+        listed = self._listed.get(replica.name)
+        if listed is None or listed.instance != replica.instance:
+            return True
+        return listed.draining
+
     def pool(self, service: ServiceName) -> Pool:
         """Return the replicas that may take new work of a service."""
         return self._by_service.get(service, EMPTY_POOL)
--- a/berylshift/process/fleet/telling.py
+++ b/berylshift/process/fleet/telling.py
@@ -93,6 +93,8 @@
         parts = self._parts
         if self._collectors.holds or parts.watch.follows or self._last:
             return False
+        if parts.quarantine.has_news(now):
+            return False
         return not (parts.loads.entries(now) or parts.warm.to_tell(now))
 
     def _direct_seconds(self) -> float:
@@ -120,6 +122,9 @@
         parts.peers.take(digest, now)
         parts.warm.heard(digest.reads)
         parts.phases.heard(digest.phases, now)
+        parts.quarantine.heard(
+            digest.crashes, digest.finished, now, self._is_near(digest)
+        )
         if digest.follows:
             self._followers.heard(digest.host, now)
         if digest.scope is not Scope.HOST:
@@ -128,6 +133,12 @@
             self._collecting.pass_on(digest, now)
         return digest.word is not None and parts.watch.hear(digest.word)
 
+    def _is_near(self, digest: LoadDigest) -> bool:
+        """Return whether a host tells what a collector has to tell on."""
+        if not self.is_gathered or digest.scope is not Scope.HOST:
+            return False
+        return digest.domain == self._parts.domain
+
     def _heard_collector(self, digest: LoadDigest, now: float) -> None:
         if digest.domain == self._parts.domain:
             self._collectors.heard(digest.host, now)
@@ -173,6 +184,7 @@
         phases = parts.phases.to_tell(now)
         word = parts.watch.word() if parts.watch.follows else None
         changed = entries != self._last or bool(reads) or self._is_news(word)
+        changed = changed or parts.quarantine.has_news(now)
         if not changed and now - self._last_at < REPEAT_SECONDS:
             return None
         idle = not entries and not phases and not parts.watch.follows
--- a/berylshift/request/fingerprint.py
+++ b/berylshift/request/fingerprint.py
@@ -4,31 +4,53 @@
 prompt and body, with the same credentials; ids and the time left differ.
 """
 
-import xxhash
+from hashlib import blake2b
 
 from berylshift.ids import Fingerprint
+from berylshift.messages.fingerprint import HALF_BYTES, joined
 from berylshift.messages.routed import Prompt, RoutedRequest
 
 # Headers that say what is asked for and by whom.
 TELLING_HEADERS = (b"host", b"authorization")
 SEPARATOR = b"\0"
+# Of a longer body the start has to do: to wait for its end would hold up its way.
+BODY_BYTES = 65536
 
 
-def fingerprint_of(req: RoutedRequest) -> Fingerprint | None:
-    """Return the 64-bit hash of a request; ``None`` while its body still comes."""
-    if not req.body.ended:
-        return None
-    found = xxhash.xxh64()
-    for field in (req.method, req.target, *_telling(req), _prompt_text(req.prompt)):
-        found.update(field)
-        found.update(SEPARATOR)
-    found.update(req.body.whole())
-    return Fingerprint(found.intdigest())
+class Fingerprints:
+    """Hashes requests under a key that all hosts share.
 
+    Without the key nobody can make up a request that looks like another caller's, to
+    have that one taken for the cause of a crash.
+    """
 
-def shown(fingerprint: Fingerprint | None) -> str | None:
-    """Return a fingerprint as log lines have it."""
-    return None if fingerprint is None else f"{fingerprint:016x}"
+    def __init__(self) -> None:
+        """Start without a key: other hosts are not known yet either."""
+        self._key = b""
+
+    def use_key(self, key: str) -> None:
+        """Hash under ``key`` from now on."""
+        self._key = key.encode()[: blake2b.MAX_KEY_SIZE]
+
+    def head_of(self, req: RoutedRequest) -> int:
+        """Return the 32-bit hash of all but the body."""
+        found = self._hash()
+        for field in (req.method, req.target, *_telling(req), _prompt_text(req.prompt)):
+            found.update(field)
+            found.update(SEPARATOR)
+        return int.from_bytes(found.digest())
+
+    def of(self, req: RoutedRequest) -> Fingerprint | None:
+        """Return the fingerprint; ``None`` while too little of the body has come."""
+        start = req.body.start(BODY_BYTES)
+        if start is None:
+            return None
+        body = self._hash()
+        body.update(start)
+        return joined(self.head_of(req), int.from_bytes(body.digest()))
+
+    def _hash(self) -> blake2b:
+        return blake2b(digest_size=HALF_BYTES, key=self._key)
 
 
 def _telling(req: RoutedRequest) -> list[bytes]:
--- a/berylshift/request/relay.py
+++ b/berylshift/request/relay.py
@@ -7,7 +7,7 @@
 
 from berylshift.connection.responder import Responder
 from berylshift.connection.target_client import TargetRequest
-from berylshift.ids import Fingerprint, InstanceId, ServiceName
+from berylshift.ids import InstanceId, ServiceName
 from berylshift.messages.load_digest import Urgency
 from berylshift.messages.replicas import Replica
 from berylshift.messages.routed import Dispatch, Prompt, RoutedRequest
@@ -15,7 +15,7 @@
 from berylshift.process.fleet.target_load import MILD, SEVERE
 from berylshift.request.allowance import TimeBound, allowance_of
 from berylshift.request.answer_stream import AnswerStream
-from berylshift.request.fingerprint import fingerprint_of
+from berylshift.request.crash_watch import CrashWatch, QuarantinedError
 from berylshift.request.messages import Outcome
 from berylshift.request.placement import Placement
 from berylshift.request.prompt_read import KvSource
@@ -48,6 +48,7 @@
     CUT = "cut"
     NOT_RUN = "not-run"
     HOPELESS = "hopeless"
+    QUARANTINED = "quarantined"
     FAILED = "failed"
     TIMED_OUT = "timed-out"
     CALLER_LEFT = "caller-left"
@@ -100,6 +101,9 @@
         self._tried: list[InstanceId] = []
         self._sends: list[str] = []
         self._sender = SingleSend(parts, req, route, self._out, self._history)
+        self.crash_watch = CrashWatch(
+            parts.quarantine, parts.fingerprints, parts.replicas, parts.clock, req
+        )
         self._open_place: Placement | None = None
         self._source: KvSource | None = None
         self._source_uses = 0
@@ -117,9 +121,12 @@
         scope = trio.move_on_after(max(0.0, left))
         with scope, self._parts.shutdown.bounding(scope):
             try:
+                await self.crash_watch.identify()
                 verdict = await self._send_until_done()
             except HopelessError as exc:
                 return self._hopeless(exc)
+            except QuarantinedError as exc:
+                return self._held_back(exc)
             finally:
                 self._drop_source()
             return Result(verdict, self._last_end(), self._sends)
@@ -147,16 +154,19 @@
         A further send may be hopeless after one that may have run: then the request
         was not "not run", and must not be called so.
         """
-        verdict = self._gave_up()
-        if verdict is Verdict.NOT_RUN:
-            verdict = Verdict.HOPELESS
         again = exc.seconds - self._route.patience
-        return Result(verdict, str(exc), self._sends, again)
+        return self._given_up(Verdict.HOPELESS, exc, again)
 
-    @property
-    def fingerprint(self) -> Fingerprint | None:
-        """Return what the tries of one request share, once the body is there."""
-        return fingerprint_of(self._req)
+    def _held_back(self, exc: QuarantinedError) -> Result:
+        """Return the end of a request under which replicas ended."""
+        return self._given_up(Verdict.QUARANTINED, exc, exc.seconds)
+
+    def _given_up(self, verdict: Verdict, exc: Exception, again: float) -> Result:
+        """Return ``verdict``, unless an earlier send says otherwise."""
+        found = self._gave_up()
+        if found is Verdict.NOT_RUN:
+            found = verdict
+        return Result(found, str(exc), self._sends, again)
 
     @property
     def first_ms(self) -> float | None:
@@ -227,6 +237,7 @@
 
     async def send(self) -> Sent | None:
         """Place and send once; ``None`` if there is no place."""
+        self.crash_watch.check()
         if self._req.prompt is None:
             place = self._parts.placer.plain(self._pool(), self._tried, self._now())
             return await self._send(place, None)
@@ -235,6 +246,8 @@
         if self._source is None and not self._out.started:
             if not await self._read_prompt(self._req.prompt):
                 return None
+            # A replica may have ended under another try of it meanwhile.
+            self.crash_watch.check()
         source = None if self._out.started else self._source
         place = self._answerer(source and source.engine)
         if place is not None and source is None:
@@ -268,6 +281,7 @@
         """
         tried: list[InstanceId] = []
         while (choice := self._choose_reader(prompt, tried)) is not None:
+            self.crash_watch.check()
             if self._reads and not self._budget.take(self._now()):
                 return False
             self._parts.readings.sent(self._ask(prompt, tried), choice, self._now())
@@ -283,7 +297,7 @@
 
     async def _read_at(self, place: Placement) -> SendEnd:
         """Have one engine read the prompt; keep its cache for the answering one."""
-        instance, sent_at = place.target.instance, self._now()
+        sent_at = self._now()
         self._open_place = place
         found = await self._parts.reads.read(
             self._req.id,
@@ -296,8 +310,9 @@
         self._open_place = None
         self._note_send(place, f"read {place.reason} {found.end}")
         if found.source is None:
-            self._judge(instance, found.end)
+            self._judge(place.target, found.end)
         else:
+            self.crash_watch.answered(place.target, sent_at)
             self._parts.speeds.was_read(
                 self.service, place.tokens, place.ahead, self._now() - sent_at
             )
@@ -359,7 +374,10 @@
         self._use_source(end)
         self._open_place = None
         self._note_send(place, f"{place.reason} {end}")
-        self._judge(instance, end)
+        self._judge(place.target, end)
+        if end is SendEnd.DONE:
+            self.crash_watch.answered(place.target, sent_at)
+            self.crash_watch.finished()
         if end is SendEnd.DONE and not had_begun:
             self._learn(place, source, sent_at)
         return Sent(instance, end)
@@ -393,9 +411,14 @@
             loads.failed(reader, SEVERE, self._now())
             self._drop_source()
 
-    def _judge(self, instance: InstanceId, end: SendEnd) -> None:
-        """Hold a failure against the replica it came from."""
-        loads, now = self._parts.loads, self._now()
+    def _judge(self, replica: Replica, end: SendEnd) -> None:
+        """Hold a failure against the replica it came from.
+
+        If the replica broke off, it may as well be the request's fault.
+        """
+        loads, now, instance = self._parts.loads, self._now(), replica.instance
+        if end is SendEnd.BROKEN:
+            self.crash_watch.broke_off(replica)
         if end is SendEnd.DONE:
             loads.succeeded(instance, now)
         elif end in (SendEnd.FAILED, SendEnd.NOT_RUN):
--- a/berylshift/request/relay_parts.py
+++ b/berylshift/request/relay_parts.py
@@ -9,10 +9,12 @@
 from berylshift.messages.routed import Language
 from berylshift.process.fleet.arrival_budget import ArrivalBudget
 from berylshift.process.fleet.engine_speeds import EngineSpeeds
+from berylshift.process.fleet.quarantine import Quarantine
 from berylshift.process.fleet.recent_times import RecentTimes
 from berylshift.process.fleet.replica_set import ReplicaSet
 from berylshift.process.fleet.shutdown import Shutdown
 from berylshift.process.fleet.target_load import TargetLoads
+from berylshift.request.fingerprint import Fingerprints
 from berylshift.request.placement import Placing
 from berylshift.request.prompt_read import PromptReads
 from berylshift.request.reading_choice import ReadingChooser
@@ -34,3 +36,5 @@
     budget: Callable[[ServiceName], ArrivalBudget]
     readings: ReadingChooser
     times: RecentTimes
+    quarantine: Quarantine
+    fingerprints: Fingerprints
--- a/berylshift/request/routed_front.py
+++ b/berylshift/request/routed_front.py
@@ -11,11 +11,11 @@
 from berylshift.connection.http_request import HttpRequest
 from berylshift.connection.responder import Responder, SlowCallerError
 from berylshift.ids import RouteName, ServiceName
+from berylshift.messages.fingerprint import shown
 from berylshift.messages.routed import Header, RoutedRequest
 from berylshift.process.fleet.route_holder import RouteHolder
 from berylshift.request.allowance import TimeBound, allowance_of
 from berylshift.request.errors import BadRequestError
-from berylshift.request.fingerprint import fingerprint_of, shown
 from berylshift.request.relay import Relay, Result, Verdict
 from berylshift.request.relay_parts import RelayParts
 from berylshift.request.single_send import FailedAnswer
@@ -147,7 +147,7 @@
             "turned away",
             extra={
                 "request": req.id,
-                "same": shown(fingerprint_of(req)),
+                "same": shown(self._parts.fingerprints.of(req)),
                 "reason": reason,
                 "outcome": refusal.status,
                 "again": refusal.again,
@@ -210,7 +210,7 @@
         if result.verdict is Verdict.NOT_RUN:
             wait = 0.0 if result.sends else NO_REPLICA_SECONDS
             await self._refuse(responder, self._come_back("no replica took it", wait))
-        elif result.verdict is Verdict.HOPELESS:
+        elif result.verdict in (Verdict.HOPELESS, Verdict.QUARANTINED):
             await self._refuse(responder, self._come_back(result.detail, result.again))
         elif result.verdict is Verdict.FAILED and relay.failure is not None:
             await self._pass_on(relay.failure, responder)
@@ -248,7 +248,7 @@
             "request ended",
             extra={
                 "request": relay.request,
-                "same": shown(relay.fingerprint),
+                "same": shown(relay.crash_watch.fingerprint),
                 "route": route.name,
                 "service": relay.service,
                 "outcome": result.verdict,
--- a/berylshift/settings.py
+++ b/berylshift/settings.py
@@ -134,13 +134,15 @@
     ``in_force_ms`` is the time within which accepted routes are in force on all hosts,
     ``leaving_ms`` that within which a leaving replica gets no new work, both counted
     from the platform's acknowledgement. How long a feed may stay without news, and how
-    old another host's word of it may be, follow from the shorter one.
+    old another host's word of it may be, follow from the shorter one. ``heartbeat_ms``
+    is how often replicas renew their entries there.
     """
 
     kind: str = "own"
     address: str = "127.0.0.1:9000"
     in_force_ms: Annotated[int, Meta(ge=500, le=86400000)] = 3000
     leaving_ms: Annotated[int, Meta(ge=500, le=86400000)] = 3000
+    heartbeat_ms: Annotated[int, Meta(ge=50, le=3600000)] = 2000
     timeout: Seconds = 0.6
 
 
--- a/berylshift/tests/gathered_world.py
+++ b/berylshift/tests/gathered_world.py
@@ -20,6 +20,7 @@
 from berylshift.process.fleet.expected_phases import ExpectedPhases
 from berylshift.process.fleet.load_loop import LoadLoop, LoadParts
 from berylshift.process.fleet.peer_loads import PeerLoads
+from berylshift.process.fleet.quarantine import Quarantine
 from berylshift.process.fleet.replica_set import ReplicaSet
 from berylshift.process.fleet.route_holder import RouteHolder
 from berylshift.process.fleet.store_watch import StoreWatch
@@ -156,6 +157,7 @@
         self.loads = TargetLoads(lambda: self.tells.work_came())
         self.peers = PeerLoads(self.name, self.domain)
         self.warm = WarmParts()
+        self.quarantine = Quarantine(1.2)
         self.watch = StoreWatch(world.in_force, trio.current_time)
         self.directory = DirectoryLoop(
             self.view,
@@ -177,6 +179,7 @@
                     warm=self.warm,
                     phases=ExpectedPhases(),
                     watch=self.watch,
+                    quarantine=self.quarantine,
                 ),
                 address=self.address,
                 rows=world.rows,
--- a/berylshift/tests/test_entry_crashing_requests.py
+++ b/berylshift/tests/test_entry_crashing_requests.py
@@ -4,6 +4,9 @@
 
 import trio
 
+from berylshift.process.fleet.quarantine import LAPSE_HEARTBEATS
+from berylshift.settings import DirectorySettings
+from berylshift.stand_ins.entry_replica import Fault
 from berylshift.tests.crash_play import (
     BACK_SECONDS,
     LAPSE_SECONDS,
@@ -14,6 +17,7 @@
 from berylshift.tests.entry_world import prompt_headers, run_entry
 
 PLAY_SECONDS = 20.0
+HEARTBEAT_SECONDS = DirectorySettings().heartbeat_ms / 1000
 
 
 async def play_stream(world, path: str, pause: float = 0.5) -> CrashPlay:
@@ -34,10 +38,11 @@
     """Three hosts, seven engines, of which three answer.
 
     Callers of all streams are cut or get 502 for as long as one caller comes again.
-    An engine ends 50 ms after it begins to run that caller's request; the hosts hold
-    that against the engine and forget the request with its try. It comes again, at
-    another host, and is read and sent to the next engine; ten end one after the other,
-    each with all that runs there.
+    An engine ends 50 ms after it begins to run that caller's request; the hosts held
+    that against the engine and forgot the request with its try. It came again, at
+    another host, was read and sent to the next engine; ten ended one after the other,
+    each with all that ran there. Evidence: prompts of the same size were under way, at
+    seven hosts, under each of ten ends, and no host held one back.
     """
 
     def test_it_is_not_sent_out_for_ever(self):
@@ -54,3 +59,32 @@
 
         play = run_entry(task, hosts=3, engines="ppppddd")
         self.assertLessEqual(play.crashes, MOST_CRASHES)
+
+
+class InnocentTest(unittest.TestCase):
+    """Requests that only seem to end replicas."""
+
+    def test_out_again_once_replicas_turn_out_to_live(self):
+        """All engines break off for seconds: their connections are reset.
+
+        One caller comes again and again meanwhile. Once other callers are answered by
+        engines whose entries would have lapsed, none of them has ended.
+        """
+
+        async def task(world):
+            for replica in world.replicas.values():
+                replica.faults = [Fault.RESET] * 40
+            for number in range(4):
+                await world.ask("/note/x", f"r{number}", headers=prompt_headers())
+            held = await world.ask("/note/x", "held", headers=prompt_headers())
+            await trio.sleep(LAPSE_HEARTBEATS * HEARTBEAT_SECONDS)
+            for replica in world.replicas.values():
+                replica.faults = []
+            for number in range(20):
+                other = f"/note/{number}"
+                await world.ask(other, f"o{number}", headers=prompt_headers())
+            again = await world.ask("/note/x", "again", headers=prompt_headers())
+            return held.status, again.status
+
+        found = run_entry(task, engines="ppdd")
+        self.assertEqual(found, (503, 200))
--- a/berylshift/tests/test_fleet_knowledge.py
+++ b/berylshift/tests/test_fleet_knowledge.py
@@ -12,7 +12,9 @@
 )
 from berylshift.connection.load_codec import LoadCodec
 from berylshift.ids import Revision
+from berylshift.messages.fingerprint import joined
 from berylshift.messages.load_digest import (
+    CrashReport,
     FeedWord,
     LoadDigest,
     LoadEntry,
@@ -25,7 +27,8 @@
 from berylshift.messages.replicas import EnginePhase
 from berylshift.messages.routed import ReportedLoad
 from berylshift.process.fleet.arrival_budget import ArrivalBudget
-from berylshift.process.fleet.collecting import MOST_READS
+from berylshift.process.fleet.collecting import MOST_READS, READS_A_CRASH
+from berylshift.process.fleet.crash_news import MOST_CRASHES_TOLD
 from berylshift.process.fleet.expected_phases import MOST_TOLD as MOST_PHASES
 from berylshift.process.fleet.peer_loads import LIFE_SECONDS, PeerLoads
 from berylshift.process.fleet.route_holder import RouteHolder
@@ -228,6 +231,8 @@
         (LoadEntry(123456, 3, (16, 32, 48), 0.5), LoadEntry(9, 1, (0, 0, 0), 0.0)),
         (PartRead(5, 6, 4000),),
         (PhaseTold(7, EnginePhase.DECODE, 1.5),),
+        crashes=(CrashReport(joined(2**31, 5), 7, 0.5),),
+        finished=(joined(2**31, 6),),
     )
 
     def test_round_trip(self):
@@ -255,13 +260,25 @@
 
         What does not fit is left out: the others would not know of work that is there.
         """
+        self.check_sums_fit(MOST_READS, 0)
+
+    def test_sums_fit_beside_replicas_that_broke_off(self):
+        reads = MOST_READS - READS_A_CRASH * MOST_CRASHES_TOLD
+        self.check_sums_fit(reads, MOST_CRASHES_TOLD)
+
+    def check_sums_fit(self, reads: int, crashes: int) -> None:
+        """Check that all entries of a usual sum are told beside the rest."""
         entries = tuple(
             LoadEntry(2**31 + n * 77_777, 12, (800, 40_000, 16_000), 0.5, 0.25)
             for n in range(50)
         )
         reads = tuple(
             PartRead(2**31 + n * 999_983, 2**31 + n * 77_777, 6_300)
-            for n in range(MOST_READS)
+            for n in range(reads)
+        )
+        reports = tuple(
+            CrashReport(joined(2**31 + n * 999_983, 2**31 + n), 2**31 + n * 77_777, 9.5)
+            for n in range(crashes)
         )
         phases = tuple(
             PhaseTold(2**31 + n * 77_777, EnginePhase.PREFILL, 2.5)
@@ -279,6 +296,7 @@
             195,
             True,
             StoreWord(feed, feed, 86_300_000),
+            reports,
         )
         data = LoadCodec("key").encode(digest, LARGEST_DATAGRAM)
         self.assertLessEqual(len(data), LARGEST_DATAGRAM)
--- a/berylshift/tests/test_fleet_telling.py
+++ b/berylshift/tests/test_fleet_telling.py
@@ -8,6 +8,7 @@
 from berylshift.process.fleet.expected_phases import ExpectedPhases
 from berylshift.process.fleet.host_list import HostList
 from berylshift.process.fleet.peer_loads import PeerLoads
+from berylshift.process.fleet.quarantine import Quarantine
 from berylshift.process.fleet.store_watch import StoreWatch
 from berylshift.process.fleet.target_load import TargetLoads
 from berylshift.process.fleet.telling import SUM_SECONDS, Role, Teller
@@ -43,6 +44,7 @@
             WarmParts(),
             ExpectedPhases(),
             StoreWatch(4.0, lambda: 0.0),
+            Quarantine(1.2),
         )
         return Teller(
             parts,
--- a/berylshift/tests/test_request_silence.py
+++ b/berylshift/tests/test_request_silence.py
@@ -129,6 +129,8 @@
         budget=None,
         readings=None,
         times=None,
+        quarantine=None,
+        fingerprints=None,
     )
 
 
