Ask a replica that broke off whether it takes a new connection

A process that has ended takes no connection. The host now opens one, keeps it for the next request if it is taken, and holds nothing against the request then. Meanwhile, and where no answer comes within 0.1 s, the replica counts as ended.

--- a/berylshift/connection/target_client.py
+++ b/berylshift/connection/target_client.py
@@ -180,6 +180,22 @@
             return wire
         raise ConnectFailedError(f"{address}: no answer to the connection request")
 
+    async def takes_connections(
+        self, instance: InstanceId, address: str, seconds: float
+    ) -> bool:
+        """Return whether a replica takes a new connection within ``seconds``.
+
+        The connection is kept for the next request.
+        """
+        with trio.move_on_after(seconds):
+            try:
+                wire = await self._open(address)
+            except ConnectFailedError:
+                return False
+            self._store(instance, wire, KEPT_SECONDS)
+            return True
+        return False
+
     def _take(self, instance: InstanceId) -> Wire | None:
         wires = self._kept.get(instance)
         now = trio.current_time()
@@ -191,11 +207,15 @@
         return None
 
     def _keep(self, instance: InstanceId, wire: Wire, seconds: float) -> None:
+        wire.conn.start_next_cycle()
+        self._store(instance, wire, seconds)
+
+    def _store(self, instance: InstanceId, wire: Wire, seconds: float) -> None:
+        """Keep a connection that is idle, if there is room for it."""
         wires = self._kept[instance]
         if len(wires) >= KEPT_PER_TARGET:
             close_now(wire.stream)
             return
-        wire.conn.start_next_cycle()
         wire.kept_until = trio.current_time() + KEPT_PART * seconds
         wires.append(wire)
 
--- a/berylshift/process/fleet/quarantine.py
+++ b/berylshift/process/fleet/quarantine.py
@@ -64,6 +64,11 @@
         """Return how many replicas ended, as far as is known."""
         return sum(not crash.void for crash in self.crashes.values())
 
+    def has_ended(self, target: int) -> bool:
+        """Return whether a replica ended under the request, as far as is known."""
+        crash = self.crashes.get(target)
+        return crash is not None and not crash.void
+
     @property
     def last_at(self) -> float:
         """Return when the last one broke off."""
@@ -118,6 +123,10 @@
         if self._drop(request):
             self._news.finished(request, now, is_near=True)
 
+    def lives(self, instance: InstanceId, now: float) -> None:
+        """Note that a replica took a connection after it had broken off."""
+        self.answered(instance, now, None)
+
     def answered(
         self, instance: InstanceId, sent_at: float, listed_at: float | None
     ) -> None:
@@ -205,7 +214,7 @@
         return tuple(
             CrashReport(request, target, now - record.crashes[target].at)
             for request, target, record in found
-            if record is not None and target in record.crashes
+            if record is not None and record.has_ended(target)
         )
 
     def has_news(self, now: float) -> bool:
@@ -221,8 +230,8 @@
         return [
             (request, target)
             for request, record in reversed(self._held.items())
-            for target, crash in record.crashes.items()
-            if not crash.void
+            for target in record.crashes
+            if record.has_ended(target)
         ]
 
     # Records
--- a/berylshift/request/crash_watch.py
+++ b/berylshift/request/crash_watch.py
@@ -3,7 +3,8 @@
 import logging
 
 from berylshift.clock import Clock
-from berylshift.ids import Fingerprint
+from berylshift.connection.target_client import TargetClient
+from berylshift.ids import Fingerprint, InstanceId
 from berylshift.messages.fingerprint import shown
 from berylshift.messages.replicas import Replica
 from berylshift.messages.routed import RoutedRequest
@@ -11,6 +12,10 @@
 from berylshift.process.fleet.replica_set import ReplicaSet
 from berylshift.request.fingerprint import BODY_BYTES, Fingerprints
 
+# How long a replica that broke off gets to take a new connection: many times the way
+# to another region, and short for the caller, who waits for the next send meanwhile.
+CONNECT_SECONDS = 0.1
+
 logger = logging.getLogger(__name__)
 
 
@@ -31,6 +36,7 @@
         quarantine: Quarantine,
         fingerprints: Fingerprints,
         replicas: ReplicaSet,
+        client: TargetClient,
         clock: Clock,
         req: RoutedRequest,
     ):
@@ -38,6 +44,7 @@
         self._quarantine = quarantine
         self._fingerprints = fingerprints
         self._replicas = replicas
+        self._client = client
         self._clock = clock
         self._req = req
         self._fingerprint: Fingerprint | None = None
@@ -65,23 +72,36 @@
         if wait > 0:
             raise QuarantinedError(self._quarantine.crashes(request), wait)
 
-    def broke_off(self, replica: Replica) -> None:
+    async def broke_off(self, replica: Replica) -> None:
         """Note that a replica broke off while it had the request.
 
-        One that leaves ends on purpose, and what it still runs breaks with it.
+        One that leaves ends on purpose, and what it still runs breaks with it. One that
+        takes a new connection has reset another, and lives: what it breaks off is not
+        the request's fault. It counts as ended meanwhile, should this be cancelled.
         """
         request = self.fingerprint
         if request is None or self._replicas.is_leaving(replica):
             return
+        self._quarantine.broke_off(request, replica.instance, self._clock.monotonic())
+        lives = await self._client.takes_connections(
+            replica.instance, replica.address, CONNECT_SECONDS
+        )
         now = self._clock.monotonic()
-        crashes = self._quarantine.broke_off(request, replica.instance, now)
+        if lives:
+            self._quarantine.lives(replica.instance, now)
+        self._log(request, replica.instance, lives, now)
+
+    def _log(
+        self, request: Fingerprint, instance: InstanceId, lives: bool, now: float
+    ) -> None:
         logger.info(
             "replica broke off",
             extra={
                 "request": self._req.id,
                 "same": shown(request),
-                "instance": replica.instance,
-                "crashes": crashes,
+                "instance": instance,
+                "lives": lives,
+                "crashes": self._quarantine.crashes(request),
                 "held_for": round(self._quarantine.wait(request, now), 1),
             },
         )
--- a/berylshift/request/relay.py
+++ b/berylshift/request/relay.py
@@ -102,7 +102,12 @@
         self._sends: list[str] = []
         self._sender = SingleSend(parts, req, route, self._out, self._history)
         self.crash_watch = CrashWatch(
-            parts.quarantine, parts.fingerprints, parts.replicas, parts.clock, req
+            parts.quarantine,
+            parts.fingerprints,
+            parts.replicas,
+            parts.client,
+            parts.clock,
+            req,
         )
         self._open_place: Placement | None = None
         self._source: KvSource | None = None
@@ -310,7 +315,7 @@
         self._open_place = None
         self._note_send(place, f"read {place.reason} {found.end}")
         if found.source is None:
-            self._judge(place.target, found.end)
+            await self._judge(place.target, found.end)
         else:
             self.crash_watch.answered(place.target, sent_at)
             self._parts.speeds.was_read(
@@ -374,7 +379,7 @@
         self._use_source(end)
         self._open_place = None
         self._note_send(place, f"{place.reason} {end}")
-        self._judge(place.target, end)
+        await self._judge(place.target, end)
         if end is SendEnd.DONE:
             self.crash_watch.answered(place.target, sent_at)
             self.crash_watch.finished()
@@ -411,14 +416,12 @@
             loads.failed(reader, SEVERE, self._now())
             self._drop_source()
 
-    def _judge(self, replica: Replica, end: SendEnd) -> None:
+    async def _judge(self, replica: Replica, end: SendEnd) -> None:
         """Hold a failure against the replica it came from.
 
         If the replica broke off, it may as well be the request's fault.
         """
         loads, now, instance = self._parts.loads, self._now(), replica.instance
-        if end is SendEnd.BROKEN:
-            self.crash_watch.broke_off(replica)
         if end is SendEnd.DONE:
             loads.succeeded(instance, now)
         elif end in (SendEnd.FAILED, SendEnd.NOT_RUN):
@@ -426,6 +429,8 @@
         else:
             loads.failed(instance, SEVERE, now)
             self._parts.client.forget(instance)
+        if end is SendEnd.BROKEN:
+            await self.crash_watch.broke_off(replica)
 
     def _outgoing(
         self,
--- a/berylshift/tests/test_fleet_quarantine.py
+++ b/berylshift/tests/test_fleet_quarantine.py
@@ -104,6 +104,12 @@
         self.quarantine.answered(engine(2), 0.2, 0.0)
         self.assertFalse(self.is_held(0.3))
 
+    def test_a_replica_that_takes_a_new_connection_has_not_ended(self):
+        self.crash(BAD, 1, 2)
+        self.quarantine.lives(engine(2), 0.01)
+        self.assertFalse(self.is_held(0.01))
+        self.assertEqual(len(self.quarantine.reports(0.01)), 1)
+
     def test_an_answer_to_what_was_sent_before_proves_nothing(self):
         """It may have left the replica just before its end."""
         self.crash(BAD, 1, 2, at=1.0)
