Clear a finished request at all hosts, those that hear of it late too

Hosts told each other in turn that a request is held back and that it has finished, and the former word came back. Who hears that it finished now believes no older word of it.

--- a/berylshift/process/fleet/quarantine.py
+++ b/berylshift/process/fleet/quarantine.py
@@ -116,12 +116,7 @@
 
     def finished(self, request: Fingerprint, now: float) -> None:
         """Note that a request ran to its end: it crashes nothing."""
-        self._finished[request] = now
-        self._finished.move_to_end(request)
-        if len(self._finished) > MOST_FINISHED:
-            self._finished.popitem(last=False)
-        if self._drop(request):
-            self._news.finished(request, now, is_near=True)
+        self._clear(request, now, is_near=True)
 
     def lives(self, instance: InstanceId, now: float) -> None:
         """Note that a replica took a connection after it had broken off."""
@@ -180,8 +175,7 @@
         Only what is news here is told on, so that it goes round once.
         """
         for request in finished:
-            if self._drop(request):
-                self._news.finished(request, now, is_near)
+            self._clear(request, now, is_near)
         for report in crashes:
             self._hear(report, now, is_near)
 
@@ -236,6 +230,18 @@
 
     # Records
 
+    def _clear(self, request: Fingerprint, now: float, is_near: bool) -> None:
+        """Forget what was held against a request, and believe no older word of it.
+
+        Hosts that have not heard yet go on telling that it is held back.
+        """
+        self._finished[request] = now
+        self._finished.move_to_end(request)
+        if len(self._finished) > MOST_FINISHED:
+            self._finished.popitem(last=False)
+        if self._drop(request):
+            self._news.finished(request, now, is_near)
+
     def _record(self, request: Fingerprint) -> _Record | None:
         return self._held.get(request) or self._noted.get(request)
 
