Keep in the store which replicas ended under requests that are held back

What hosts tell each other ends with them: after a kill of all hosts the same request would end two more replicas before it is held back again. One write for each request that is held back; one read a start.

--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -25,6 +25,7 @@
 from berylshift.process.fleet.phase_loop import PhaseLoop
 from berylshift.process.fleet.phase_planner import PhasePlanner
 from berylshift.process.fleet.quarantine import Quarantine
+from berylshift.process.fleet.quarantine_loop import QuarantineLoop
 from berylshift.process.fleet.recent_times import RecentTimes
 from berylshift.process.fleet.replica_set import ReplicaSet
 from berylshift.process.fleet.route_holder import RouteHolder
@@ -39,6 +40,7 @@
 from berylshift.request.relay_parts import RelayParts
 from berylshift.request.routed_front import RoutedFront
 from berylshift.settings import Settings
+from berylshift.store.crash_rows import CrashRows
 from berylshift.store.directory import Directory
 from berylshift.store.host_rows import HostRows
 from berylshift.store.lease_rows import LeaseRows
@@ -79,6 +81,7 @@
     engines: EngineControl
     boot_clock: Callable[[], float]
     hosts: HostRows
+    crashes: CrashRows
     make_link: Callable[[str], LoadLink]
 
 
@@ -125,6 +128,9 @@
             self._in_background,
         )
         self.load_loop = self._make_load_loop()
+        self.quarantine_loop = QuarantineLoop(
+            self.quarantine, ports.crashes, self.watch.clock, ports.clock
+        )
         parts = RelayParts(
             clock=ports.clock,
             language=ports.language,
@@ -315,6 +321,7 @@
             nursery.start_soon(self.ports.client.run)
             nursery.start_soon(self.follower.run)
             nursery.start_soon(self.load_loop.run)
+            nursery.start_soon(self.quarantine_loop.run)
             nursery.start_soon(self._report_gauges)
 
     async def _report_gauges(self) -> None:
--- a/berylshift/platform/store.py
+++ b/berylshift/platform/store.py
@@ -12,6 +12,7 @@
 from berylshift.platform.configuration import read_routes
 from berylshift.platform.entries import read_replica
 from berylshift.store.calls import StoreAnswer, StoreCalls
+from berylshift.store.crash_rows import CrashRow, CrashRowsRead
 from berylshift.store.directory import HistoryLostError, MalformedEntryError
 from berylshift.store.host_rows import HostRecord
 from berylshift.store.interfaces import AnswerLostError, StoreUnavailableError
@@ -76,10 +77,16 @@
     part: str = ""
 
 
+class _Removal(msgspec.Struct):
+    table: str
+    key: str
+    part: str = ""
+
+
 class _Transaction(msgspec.Struct):
     precondition: list[_Condition]
     write: list[_Write]
-    remove: list[_Condition] = []
+    remove: list[_Removal] = []
 
 
 class PlatformDirectory:
@@ -188,15 +195,8 @@
 
     async def hosts(self) -> list[HostRecord]:
         """Return all hosts' rows, those of hosts long gone too."""
-        query = {"table": names.HOST_TABLE, "part": "", "limit": PAGE_ROWS}
-        found: list[HostRecord] = []
-        while True:
-            path = f"{names.ROWS_GET}?{urlencode(query)}"
-            page = _rows(await self._calls.get(path))
-            found += _hosts(page.rows)
-            if not page.has_more:
-                return found
-            query["from"] = _next_start(page)
+        pages = await _pages(self._calls, names.HOST_TABLE)
+        return [record for page in pages for record in _hosts(page.rows)]
 
     async def shared_key(self, proposal: str) -> str:
         """Return the key all hosts share; the first proposal is kept for good."""
@@ -214,6 +214,57 @@
         return found.rows[0].data().decode()
 
 
+class PlatformCrashes:
+    """Replicas that ended under requests, in a table of our own."""
+
+    def __init__(self, calls: StoreCalls):
+        """Ask through ``calls``, which bounds each call's time."""
+        self._calls = calls
+
+    async def read(self) -> CrashRowsRead:
+        """Return all rows that can be read."""
+        pages = await _pages(self._calls, names.CRASH_TABLE)
+        rows = tuple(row for page in pages for row in _crashes(page.rows))
+        return CrashRowsRead(rows, pages[-1].now_ms)
+
+    async def change(self, put: Iterable[CrashRow], drop: Iterable[CrashRow]) -> None:
+        """Write some rows and remove others, in one transaction."""
+        table = names.CRASH_TABLE
+        body = _Transaction(
+            [],
+            [_Write(table, _crash_key(row), msgspec.json.encode(row)) for row in put],
+            [_Removal(table, _crash_key(row)) for row in drop],
+        )
+        _rows(await self._calls.post(names.ROWS_TX, msgspec.json.encode(body)))
+
+
+async def _pages(calls: StoreCalls, table: str) -> list[_Rows]:
+    """Return all pages of a table."""
+    query = {"table": table, "part": "", "limit": PAGE_ROWS}
+    pages: list[_Rows] = []
+    while True:
+        path = f"{names.ROWS_GET}?{urlencode(query)}"
+        pages.append(_rows(await calls.get(path)))
+        if not pages[-1].has_more:
+            return pages
+        query["from"] = _next_start(pages[-1])
+
+
+def _crash_key(row: CrashRow) -> str:
+    return f"{row.request:016x}.{row.target:08x}"
+
+
+def _crashes(rows: Iterable[_Row]) -> list[CrashRow]:
+    """Return the rows' crashes; one bad row must not hide the others."""
+    found = []
+    for row in rows:
+        try:
+            found.append(msgspec.json.decode(row.data(), type=CrashRow))
+        except (msgspec.DecodeError, MalformedEntryError) as exc:
+            logger.warning("entry passed over", extra={"reason": str(exc)})
+    return found
+
+
 def _hosts(rows: Iterable[_Row]) -> list[HostRecord]:
     """Return the hosts of the rows; one bad row must not hide the others."""
     found = []
--- a/berylshift/process/fleet/quarantine.py
+++ b/berylshift/process/fleet/quarantine.py
@@ -17,7 +17,8 @@
 from berylshift.ids import Fingerprint, InstanceId
 from berylshift.messages.fingerprint import head_in
 from berylshift.messages.load_digest import CrashReport, target_hash
-from berylshift.process.fleet.crash_news import CrashNews
+from berylshift.process.fleet.crash_ledger import CrashLedger
+from berylshift.process.fleet.crash_news import CrashKey, CrashNews
 
 # Replicas that end under a request until it is held back. One end says nothing of a
 # request: it may stand beside the cause. A second one at another replica seldom does.
@@ -95,6 +96,7 @@
         self._finished: OrderedDict[Fingerprint, float] = OrderedDict()
         self._under: dict[int, set[Fingerprint]] = {}
         self._news = CrashNews(self._held_reports)
+        self.ledger = CrashLedger()
 
     def __len__(self) -> int:
         """Return how many requests two replicas or more ended under."""
@@ -112,6 +114,7 @@
         target = target_hash(instance)
         self._note(request, target, now)
         self._news.crashed(request, target, now, is_near=True)
+        self._have_written(request)
         return self.crashes(request)
 
     def finished(self, request: Fingerprint, now: float) -> None:
@@ -135,6 +138,7 @@
             crash = self._record(request).crashes[target]
             if self._outlived(crash, sent_at, listed_at):
                 crash.void = True
+                self.ledger.drop((request, target))
                 self._sort(request)
 
     def _outlived(self, crash: _Crash, sent_at: float, listed_at: float | None) -> bool:
@@ -157,6 +161,13 @@
         record = self._record(request)
         return 0 if record is None else record.count
 
+    def age_of(self, key: CrashKey, now: float) -> float:
+        """Return how long ago a replica ended under a request; 0 if not known."""
+        request, target = key
+        record = self._record(request)
+        crash = None if record is None else record.crashes.get(target)
+        return 0.0 if crash is None else now - crash.at
+
     def may_hold(self, head: int) -> bool:
         """Return whether a request is held back that begins with such a head."""
         return any(head_in(request) == head for request in self._held)
@@ -268,11 +279,25 @@
         if record is None:
             return False
         for target in record.crashes:
+            self.ledger.drop((request, target))
             self._under[target].discard(request)
             if not self._under[target]:
                 del self._under[target]
         return True
 
+    def _have_written(self, request: Fingerprint) -> None:
+        """Keep a request that is held back in the store.
+
+        The host that sees the replica end writes what all hosts have seen: of one end
+        many hosts hear, and few see it.
+        """
+        record = self._held.get(request)
+        if record is None:
+            return
+        for target in record.crashes:
+            if record.has_ended(target):
+                self.ledger.put((request, target))
+
     def _finished_lately(self, request: Fingerprint, now: float) -> bool:
         at = self._finished.get(request)
         return at is not None and now - at < FINISHED_SECONDS
--- a/berylshift/process/fleet/store_watch.py
+++ b/berylshift/process/fleet/store_watch.py
@@ -54,6 +54,12 @@
         """Note the clock of an answer that has just come."""
         self._offsets.append(store_ms / 1000 - self._boot_clock())
 
+    def now_ms(self) -> int | None:
+        """Return the store's clock, as far as it is known."""
+        if not self._offsets:
+            return None
+        return int((self._boot_clock() + max(self._offsets)) * 1000)
+
     def age(self, store_ms: int) -> float:
         """Return the seconds since a time of the store; endless if not known."""
         if not self._offsets:
--- a/berylshift/serve_entry.py
+++ b/berylshift/serve_entry.py
@@ -16,6 +16,7 @@
 from berylshift.platform.engines import PlatformEngines
 from berylshift.platform.exchange import PlatformLanguage
 from berylshift.platform.store import (
+    PlatformCrashes,
     PlatformDirectory,
     PlatformHosts,
     PlatformLeases,
@@ -48,6 +49,7 @@
         engines=PlatformEngines(client, cfg.targets.report_timeout),
         boot_clock=boot_seconds,
         hosts=PlatformHosts(calls),
+        crashes=PlatformCrashes(calls),
         make_link=lambda key: link_of(LoadCodec(key)),
     )
 
--- a/berylshift/stand_ins/fake_directory.py
+++ b/berylshift/stand_ins/fake_directory.py
@@ -1,11 +1,12 @@
 """The platform's directory, leases and hosts in memory, with scripted faults."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 import trio
 
 from berylshift.ids import ReplicaName, Revision
 from berylshift.messages.replicas import Replica, ReplicaChanges, RouteSnapshot
+from berylshift.store.crash_rows import CrashRow, CrashRowsRead
 from berylshift.store.directory import HistoryLostError
 from berylshift.store.host_rows import HostRecord
 from berylshift.store.interfaces import AnswerLostError, StoreUnavailableError
@@ -186,6 +187,39 @@
         return Revision(self._revision)
 
 
+class FakeCrashRows:
+    """Rows of replicas that ended under requests, in memory."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._rows: dict[tuple[int, int], CrashRow] = {}
+        self.down = False
+        self.writes = 0
+
+    def __len__(self) -> int:
+        """Return how many rows there are."""
+        return len(self._rows)
+
+    async def read(self) -> CrashRowsRead:
+        """Return all rows."""
+        self._check()
+        now = trio.current_time() + STORE_CLOCK_AHEAD_SECONDS
+        return CrashRowsRead(tuple(self._rows.values()), int(now * 1000))
+
+    async def change(self, put: Iterable[CrashRow], drop: Iterable[CrashRow]) -> None:
+        """Write some rows and remove others."""
+        self._check()
+        self.writes += 1
+        for row in drop:
+            self._rows.pop((row.request, row.target), None)
+        for row in put:
+            self._rows[row.request, row.target] = row
+
+    def _check(self) -> None:
+        if self.down:
+            raise StoreUnavailableError("down")
+
+
 class FakeHostRows:
     """Hosts' rows in memory."""
 
--- a/berylshift/tests/entry_world.py
+++ b/berylshift/tests/entry_world.py
@@ -25,6 +25,7 @@
 from berylshift.settings import parse_settings
 from berylshift.stand_ins.entry_replica import EntryReplica, Kept
 from berylshift.stand_ins.fake_directory import (
+    FakeCrashRows,
     FakeDirectory,
     FakeHostRows,
     FakeLeaseRows,
@@ -134,6 +135,7 @@
     directory: FakeDirectory = field(default_factory=FakeDirectory)
     leases: FakeLeaseRows = field(default_factory=FakeLeaseRows)
     host_rows: FakeHostRows = field(default_factory=FakeHostRows)
+    crash_rows: FakeCrashRows = field(default_factory=FakeCrashRows)
     replicas: dict[str, EntryReplica] = field(default_factory=dict)
     hosts: list[EntryApplication] = field(default_factory=list)
     links: list[MemoryLink] = field(default_factory=list)
@@ -232,6 +234,7 @@
             engines=PlatformEngines(client, 0.5),
             boot_clock=trio.current_time,
             hosts=self.host_rows,
+            crashes=self.crash_rows,
             make_link=lambda key: MemoryLink(self.links),
         )
         app = EntryApplication(parse_settings(text).unwrap(), ports)
--- a/berylshift/tests/test_platform_store.py
+++ b/berylshift/tests/test_platform_store.py
@@ -8,8 +8,10 @@
 
 from berylshift.connection.http_client import HttpClient, Outgoing
 from berylshift.connection.http_server import HttpServer
+from berylshift.messages.fingerprint import joined
 from berylshift.platform import names
 from berylshift.platform.store import (
+    PlatformCrashes,
     PlatformDirectory,
     PlatformHosts,
     PlatformLeases,
@@ -17,6 +19,7 @@
 from berylshift.stand_ins.pipes import pipe_pair
 from berylshift.stand_ins.store_server import StoreRow, StoreServer
 from berylshift.store.calls import StoreCalls
+from berylshift.store.crash_rows import CrashRow
 from berylshift.store.directory import HistoryLostError, MalformedEntryError
 from berylshift.store.host_rows import HostRecord
 from berylshift.store.interfaces import (
@@ -28,6 +31,7 @@
 from berylshift.tests.support import VirtualTestCase
 
 ADDRESS = "10.0.0.1:80"
+BAD = joined(7, 1)
 ENTRY = {
     "service": "s",
     "address": "10.0.0.9:80",
@@ -299,6 +303,22 @@
         self.assertEqual(set(keys), {"k0"})
         self.assertEqual([record.host for record in found], ["h1", "h2"])
 
+    def test_replicas_that_ended_under_requests(self):
+        """Rows are written, removed, and read past what another writer left."""
+        first, second = CrashRow(joined(2**31, 1), 5, 900), CrashRow(BAD, 6, 950)
+
+        async def task(world):
+            crashes = PlatformCrashes(world.calls)
+            await crashes.change((first, second), ())
+            world.put(names.CRASH_TABLE, "0", b"no row of ours")
+            both = await crashes.read()
+            await crashes.change((), (first,))
+            return both, (await crashes.read()).rows
+
+        both, left = self.run_store(task)
+        self.assertEqual(set(both.rows), {first, second})
+        self.assertEqual(left, (second,))
+
 
 class CallsTest(StoreClientCase):
     """Requests of the client itself."""
