--- a/berylshift/process/fleet/quarantine.py
+++ b/berylshift/process/fleet/quarantine.py
@@ -17,7 +17,8 @@
 from berylshift.ids import Fingerprint, InstanceId
 from berylshift.messages.fingerprint import head_in
 from berylshift.messages.load_digest import CrashReport, target_hash
-from berylshift.process.fleet.crash_news import CrashNews
+from berylshift.process.fleet.crash_ledger import CrashLedger
+from berylshift.process.fleet.crash_news import CrashKey, CrashNews
 
 # Replicas that end under a request until it is held back. One end says nothing of a
 # request: it may stand beside the cause. A second one at another replica seldom does.
@@ -95,6 +96,7 @@
         self._finished: OrderedDict[Fingerprint, float] = OrderedDict()
         self._under: dict[int, set[Fingerprint]] = {}
         self._news = CrashNews(self._held_reports)
+        self.ledger = CrashLedger()
 
     def __len__(self) -> int:
         """Return how many requests two replicas or more ended under."""
@@ -112,16 +114,12 @@
         target = target_hash(instance)
         self._note(request, target, now)
         self._news.crashed(request, target, now, is_near=True)
+        self._have_written(request)
         return self.crashes(request)
 
     def finished(self, request: Fingerprint, now: float) -> None:
         """Note that a request ran to its end: it crashes nothing."""
-        self._finished[request] = now
-        self._finished.move_to_end(request)
-        if len(self._finished) > MOST_FINISHED:
-            self._finished.popitem(last=False)
-        if self._drop(request):
-            self._news.finished(request, now, is_near=True)
+        self._clear(request, now, is_near=True)
 
     def lives(self, instance: InstanceId, now: float) -> None:
         """Note that a replica took a connection after it had broken off."""
@@ -140,6 +138,7 @@
             crash = self._record(request).crashes[target]
             if self._outlived(crash, sent_at, listed_at):
                 crash.void = True
+                self.ledger.drop((request, target))
                 self._sort(request)
 
     def _outlived(self, crash: _Crash, sent_at: float, listed_at: float | None) -> bool:
@@ -162,6 +161,13 @@
         record = self._record(request)
         return 0 if record is None else record.count
 
+    def age_of(self, key: CrashKey, now: float) -> float:
+        """Return how long ago a replica ended under a request; 0 if not known."""
+        request, target = key
+        record = self._record(request)
+        crash = None if record is None else record.crashes.get(target)
+        return 0.0 if crash is None else now - crash.at
+
     def may_hold(self, head: int) -> bool:
         """Return whether a request is held back that begins with such a head."""
         return any(head_in(request) == head for request in self._held)
@@ -180,8 +186,7 @@
         Only what is news here is told on, so that it goes round once.
         """
         for request in finished:
-            if self._drop(request):
-                self._news.finished(request, now, is_near)
+            self._clear(request, now, is_near)
         for report in crashes:
             self._hear(report, now, is_near)
 
@@ -236,6 +241,18 @@
 
     # Records
 
+    def _clear(self, request: Fingerprint, now: float, is_near: bool) -> None:
+        """Forget what was held against a request, and believe no older word of it.
+
+        Hosts that have not heard yet go on telling that it is held back.
+        """
+        self._finished[request] = now
+        self._finished.move_to_end(request)
+        if len(self._finished) > MOST_FINISHED:
+            self._finished.popitem(last=False)
+        if self._drop(request):
+            self._news.finished(request, now, is_near)
+
     def _record(self, request: Fingerprint) -> _Record | None:
         return self._held.get(request) or self._noted.get(request)
 
@@ -262,11 +279,25 @@
         if record is None:
             return False
         for target in record.crashes:
+            self.ledger.drop((request, target))
             self._under[target].discard(request)
             if not self._under[target]:
                 del self._under[target]
         return True
 
+    def _have_written(self, request: Fingerprint) -> None:
+        """Keep a request that is held back in the store.
+
+        The host that sees the replica end writes what all hosts have seen: of one end
+        many hosts hear, and few see it.
+        """
+        record = self._held.get(request)
+        if record is None:
+            return
+        for target in record.crashes:
+            if record.has_ended(target):
+                self.ledger.put((request, target))
+
     def _finished_lately(self, request: Fingerprint, now: float) -> bool:
         at = self._finished.get(request)
         return at is not None and now - at < FINISHED_SECONDS
