Bring about calls of the own interface that end their targets: red

The same cause elsewhere: a prompt that ends each engine which decodes it. A lookup and a confirmation under a new key each time end all six replicas.

--- a/berylshift/request/answer.py
+++ b/berylshift/request/answer.py
@@ -31,6 +31,7 @@
     Reason.CUSTOMER_LIMIT: 429,
     Reason.TOO_LATE: 503,
     Reason.RETRIES_SPENT: 503,
+    Reason.QUARANTINED: 503,
     Reason.TARGET_FAILED: 502,
     Reason.STORE_DOWN: 503,
     Reason.KEY_REUSED: 422,
--- a/berylshift/request/messages.py
+++ b/berylshift/request/messages.py
@@ -42,6 +42,7 @@
     CUSTOMER_LIMIT = "the customer's limit is reached"
     TOO_LATE = "the deadline can't be met"
     RETRIES_SPENT = "the budget for retries is spent"
+    QUARANTINED = "targets ended under this call"
     TARGET_FAILED = "the targets failed"
     STORE_DOWN = "the table service does not answer"
     KEY_REUSED = "the key was used with another body"
--- a/berylshift/stand_ins/fake_engine.py
+++ b/berylshift/stand_ins/fake_engine.py
@@ -227,6 +227,10 @@
         else:
             self.model, self.version = order.model, order.version
 
+    def runs(self, prompt: str) -> bool:
+        """Return whether a stream of a prompt is being decoded."""
+        return any(stream.call.prompt == prompt for stream in self._running)
+
     # Faults
 
     def crash(self, now: float) -> None:
--- a/berylshift/stand_ins/fake_service.py
+++ b/berylshift/stand_ins/fake_service.py
@@ -13,9 +13,13 @@
 
 @dataclass
 class ServiceScript:
-    """Faults of a service; ``lose_answers`` counts answers to be cut off."""
+    """Faults of a service; ``lose_answers`` counts answers to be cut off.
+
+    A call with the body ``crashes_on`` ends the replica that runs it.
+    """
 
     refuse: bool = False
+    crashes_on: bytes | None = None
     lose_answers: int = 0
     seconds: float = 0.02
 
@@ -42,6 +46,8 @@
         if self.script.refuse:
             raise TargetRefusedError("scripted refusal")
         self.calls += 1
+        if self.script.crashes_on is not None:
+            self.alive = self.alive and call.body != self.script.crashes_on
         if call.key:
             self.ran[call.key] += 1
         body = msgspec.json.encode(ServiceBody(self.name, service_echo(call.body)))
