Prove each safeguard against requests that end replicas; hold back after a reading, too

Two tests were not strict enough: hosts that collect themselves were among those that saw a replica end, and no test had a request read while other tries of it ended replicas.

--- a/berylshift/tests/test_entry_crashing_requests.py
+++ b/berylshift/tests/test_entry_crashing_requests.py
@@ -58,6 +58,38 @@
         self.assertLessEqual(play.crashes, MOST_CRASHES)
 
 
+class ReadingTest(unittest.TestCase):
+    """Prompts take 0.4 s to be read; what hosts know changes meanwhile."""
+
+    def test_it_is_held_back_after_it_was_read(self):
+        """A caller comes four times within a second, at two hosts.
+
+        Each try is read before the first one ends an engine. The third and the fourth
+        must not be sent on, although nothing was known when they came.
+        """
+
+        async def task(world):
+            for replica in world.replicas.values():
+                replica.read_seconds = 0.4
+            world.kept.crashing.add("/note/bad")
+            replies = []
+
+            async def ask(number):
+                reply = await world.ask(
+                    "/note/bad", f"bad-{number}", number % 2, headers=prompt_headers()
+                )
+                replies.append(reply.status)
+
+            async with trio.open_nursery() as nursery:
+                for number in range(4):
+                    nursery.start_soon(ask, number)
+                    await trio.sleep(0.15)
+            return len(world.kept.crashes), replies
+
+        crashes, replies = run_entry(task, hosts=2, plain=0, engines="ppppdddd")
+        self.assertEqual((crashes, replies), (2, [502, 502, 503, 503]))
+
+
 class InnocentTest(unittest.TestCase):
     """Requests that only seem to end replicas."""
 
--- a/berylshift/tests/test_fleet_quarantine_spread.py
+++ b/berylshift/tests/test_fleet_quarantine_spread.py
@@ -37,6 +37,15 @@
     host.quarantine.broke_off(BAD, InstanceId(f"engine-{number}"), now)
 
 
+def two_ends(world: GatheredWorld) -> None:
+    """Have hosts of different domains, none of which collects, see one end each."""
+    others = [host for host in world.hosts if not host.peers.collects]
+    first = others[0]
+    second = next(host for host in others if host.domain != first.domain)
+    crash(first, 1)
+    crash(second, 2)
+
+
 class SpreadTest(unittest.TestCase):
     """Thirty hosts in five domains, of which one each collects."""
 
@@ -44,8 +53,7 @@
         """Two hosts of different domains each see one replica end."""
 
         async def task(world):
-            crash(world.hosts[0], 1)
-            crash(world.hosts[7], 2)
+            two_ends(world)
             await trio.sleep(STABLE_SECONDS / 2)
             return [holds(host) for host in world.hosts]
 
@@ -53,8 +61,7 @@
 
     def test_a_host_that_starts_again_hears_of_it(self):
         async def task(world):
-            crash(world.hosts[0], 1)
-            crash(world.hosts[7], 2)
+            two_ends(world)
             await trio.sleep(10)
             again = world.restart(world.hosts[9])
             await trio.sleep(SETTLED_SECONDS)
@@ -67,8 +74,7 @@
             cut = world.hosts[9]
             world.net.paths[cut.address] = Path.CUT
             await trio.sleep(2)
-            crash(world.hosts[0], 1)
-            crash(world.hosts[7], 2)
+            two_ends(world)
             await trio.sleep(5)
             before = holds(cut)
             world.net.paths[cut.address] = Path.OPEN
@@ -79,8 +85,7 @@
 
     def test_what_finishes_is_cleared_everywhere(self):
         async def task(world):
-            crash(world.hosts[0], 1)
-            crash(world.hosts[7], 2)
+            two_ends(world)
             await trio.sleep(2)
             world.hosts[12].quarantine.finished(BAD, trio.current_time())
             await trio.sleep(STABLE_SECONDS / 2)
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -594,6 +594,130 @@
         "test_shutdown.HolderTest."
         "test_an_order_of_a_killed_host_is_accounted_for_by_its_successor",
     ),
+    Proof(
+        "a request under which replicas ended is held back",
+        "request/relay.py",
+        "        self.crash_watch.check()\n        if self._req.prompt is None:",
+        "        if self._req.prompt is None:",
+        "test_entry_crashing_requests.EndsAllKindsTest",
+    ),
+    Proof(
+        "it is held back between reading and answering, too",
+        "request/relay.py",
+        "            # A replica may have ended under another try of it meanwhile.\n"
+        "            self.crash_watch.check()\n",
+        "",
+        "test_entry_crashing_requests.ReadingTest",
+    ),
+    Proof(
+        "two replicas are enough",
+        "process/fleet/quarantine.py",
+        "if self.count >= SUSPECT_CRASHES:",
+        "if False:",
+        "test_fleet_quarantine.HoldTest",
+    ),
+    Proof(
+        "hosts tell each other which replicas broke off",
+        "process/fleet/telling.py",
+        "        parts.quarantine.heard(\n"
+        "            digest.crashes, digest.finished, now, self._is_near(digest)\n"
+        "        )\n",
+        "",
+        "test_fleet_quarantine_spread.SpreadTest",
+    ),
+    Proof(
+        "what is held back is told again",
+        "process/fleet/crash_news.py",
+        "if now - self._told_again_at >= AGAIN_SECONDS:",
+        "if False:",
+        "test_fleet_quarantine_spread.SpreadTest.test_a_host_that_starts_again_hears_of_it",
+    ),
+    Proof(
+        "a collector tells on what its hosts saw",
+        "process/fleet/telling.py",
+        "return digest.domain == self._parts.domain\n\n    def _heard",
+        "return False\n\n    def _heard",
+        "test_fleet_quarantine_spread.SpreadTest.test_all_hosts_know_in_half_of_the_time",
+    ),
+    Proof(
+        "what finishes is cleared",
+        "process/fleet/quarantine.py",
+        "        if self._drop(request):\n"
+        "            self._news.finished(request, now, is_near)\n",
+        "",
+        "test_fleet_quarantine.InnocentTest.test_what_finishes_is_cleared",
+    ),
+    Proof(
+        "nothing older is believed of what finished",
+        "process/fleet/quarantine.py",
+        "if outlived or self._finished_lately(report.request, now):",
+        "if outlived:",
+        "test_fleet_quarantine_spread.SpreadTest.test_what_finishes_is_cleared_everywhere",
+    ),
+    Proof(
+        "what finished lately is not suspected",
+        "process/fleet/quarantine.py",
+        "        if self._finished_lately(request, now):\n            return 0\n",
+        "",
+        "test_entry_crashing_requests.InnocentTest."
+        "test_callers_of_one_page_are_served_although_replicas_end",
+    ),
+    Proof(
+        "a replica that takes a new connection has not ended",
+        "request/crash_watch.py",
+        "        if lives:\n            self._quarantine.lives(instance, now)\n",
+        "",
+        "test_entry_crashing_requests.InnocentTest."
+        "test_a_caller_whose_connections_are_reset_is_served",
+    ),
+    Proof(
+        "what breaks with a replica that leaves is not suspect",
+        "request/routed_watch.py",
+        "self.fingerprint is None or self._parts.replicas.is_leaving(replica)",
+        "self.fingerprint is None",
+        "test_entry_crashing_requests.InnocentTest."
+        "test_what_breaks_with_a_replica_that_leaves_is_not_suspect",
+    ),
+    Proof(
+        "harmless requests push out none that is held back",
+        "process/fleet/quarantine.py",
+        "(self._held if is_held else self._noted)[request] = record",
+        "self._noted[request] = record",
+        "test_fleet_quarantine.BoundTest."
+        "test_harmless_ones_push_out_none_that_is_held_back",
+    ),
+    Proof(
+        "fingerprints are hashed under the hosts' key",
+        "request/fingerprint.py",
+        "key=self._key",
+        'key=b""',
+        "test_request_fingerprint.FingerprintTest."
+        "test_nobody_without_the_key_can_tell_them_beforehand",
+    ),
+    Proof(
+        "the store keeps what all hosts may forget",
+        "process/fleet/quarantine.py",
+        "        self._have_written(request)\n",
+        "",
+        "test_fleet_quarantine_loop.QuarantineRowsTest."
+        "test_hosts_that_all_start_again_know_it_still",
+    ),
+    Proof(
+        "a call under which targets ended is held back",
+        "request/completion.py",
+        "            if not self._may_go_out():\n                return None\n",
+        "",
+        "test_crashing_calls.CrashingCompletionTest",
+    ),
+    Proof(
+        "a confirmation under which replicas ended is held back",
+        "request/service_call.py",
+        "        if held is not None:\n"
+        "            return await self.refuse(call, held)\n",
+        "",
+        "test_crashing_calls.CrashingPlainCallTest."
+        "test_a_confirmation_under_a_new_key_each_time",
+    ),
 )
 
 
