Go by eras of the store: feeds, words of other hosts, routes, replicas

A store that comes back from a copy some seconds old gives its revisions out again. By tests on the stand-in, which now comes back older: a host missed a new replica without a sign, since the new era had reached its position again; a replica that had said that it leaves got work, and so did one that had gone; those born since were dropped at once; a version of the routes whose number was used again was never taken.

Answers, positions and words bear the era; one of a former era is dropped, and a feed that goes on from a former era's position is read whole. Once leaving, an instance stays so; one that has gone is withheld until it writes itself again or outlives its entry.

--- a/berylshift/connection/load_codec.py
+++ b/berylshift/connection/load_codec.py
@@ -9,7 +9,7 @@
     BadDatagramError,
     Tagger,
 )
-from berylshift.ids import Fingerprint
+from berylshift.ids import Fingerprint, StoreEra
 from berylshift.messages.load_digest import (
     CrashReport,
     FeedWord,
@@ -151,12 +151,13 @@
         part.changed = feed.changed
         part.revision = feed.revision
         part.storeMs = feed.store_ms
+        part.era = feed.era
     slot.backMs = word.back_ms
 
 
 def _unpack_word(slot) -> StoreWord:
     routes, replicas = (
-        FeedWord(part.changed, part.revision, part.storeMs)
+        FeedWord(part.changed, part.revision, part.storeMs, StoreEra(part.era))
         for part in (slot.routes, slot.replicas)
     )
     return StoreWord(routes, replicas, slot.backMs)
--- a/berylshift/connection/load_digest.capnp
+++ b/berylshift/connection/load_digest.capnp
@@ -33,6 +33,8 @@
   revision @1 :UInt64;
   # The store's steady clock.
   storeMs @2 :UInt64;
+  # In which all of this counts.
+  era @3 :UInt32;
 }
 
 struct StoreWord {
--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -13,6 +13,7 @@
 from berylshift.connection.target_client import TargetClient
 from berylshift.ids import DomainName, InstanceId, ServiceName
 from berylshift.messages.engine_control import EngineControl
+from berylshift.messages.replicas import LAPSE_HEARTBEATS
 from berylshift.messages.routed import Language
 from berylshift.process.fleet.arrival_budget import HOSTS_ASSUMED, ArrivalBudget
 from berylshift.process.fleet.digest_maker import DigestParts
@@ -95,7 +96,8 @@
         self.telemetry = Telemetry()
         self.routes = RouteHolder(self._on_routes)
         self.phases = ExpectedPhases()
-        self.replicas = ReplicaSet(self.phases)
+        self.heartbeat = cfg.directory.heartbeat_ms / 1000
+        self.replicas = ReplicaSet(self.phases, LAPSE_HEARTBEATS * self.heartbeat)
         self.loads = TargetLoads(lambda: self.load_loop.work_came())
         self.leaving = False
         self.shutdown = Shutdown(ports.clock)
@@ -108,7 +110,7 @@
         in_force = min(cfg.directory.in_force_ms, cfg.directory.leaving_ms) / 1000
         self.watch = StoreWatch(in_force, ports.boot_clock)
         self.warm = WarmParts()
-        self.quarantine = Quarantine(cfg.directory.heartbeat_ms / 1000)
+        self.quarantine = Quarantine(self.heartbeat)
         self.fingerprints = Fingerprints()
         self.speeds = EngineSpeeds(self._engine_facts)
         placing = PlacingParts(
--- a/berylshift/messages/load_digest.py
+++ b/berylshift/messages/load_digest.py
@@ -6,8 +6,9 @@
 import msgspec
 import xxhash
 
-from berylshift.ids import Fingerprint, InstanceId, Revision
+from berylshift.ids import Fingerprint, InstanceId, Revision, StoreEra
 from berylshift.messages.replicas import EnginePhase
+from berylshift.store.eras import FIRST_ERA
 
 # Hashes kept at hand: each placement asks for those of a dozen engines several times.
 HASHES_KEPT = 8192
@@ -81,12 +82,14 @@
     """What a reader of one of the store's feeds knows of it.
 
     Nothing has changed after revision ``changed`` as of ``store_ms``, the store's
-    steady clock in milliseconds; the store was at ``revision`` then.
+    steady clock in milliseconds; the store was at ``revision`` then. All of it counts
+    in ``era`` alone.
     """
 
     changed: Revision
     revision: Revision
     store_ms: int
+    era: StoreEra = FIRST_ERA
 
 
 class StoreWord(msgspec.Struct, frozen=True):
--- a/berylshift/messages/replicas.py
+++ b/berylshift/messages/replicas.py
@@ -10,9 +10,15 @@
     ReplicaName,
     Revision,
     ServiceName,
+    StoreEra,
 )
+from berylshift.store.eras import FIRST_ERA
 from berylshift.version.routes import RouteTable
 
+# An entry lapses after three heartbeats of silence; hosts hear of that, or of another
+# start, within two more.
+LAPSE_HEARTBEATS = 5
+
 
 class EnginePhase(StrEnum):
     """Which half of the work an engine does."""
@@ -28,7 +34,8 @@
     A replica may start again under its ``name``. It then knows nothing of before, so
     all that is remembered goes by ``instance``, which is new with each start.
     ``started_ms`` is the Unix time of the start, ``None`` where the replica does not
-    tell it; its name then stands for its one start.
+    tell it; its name then stands for its one start. ``revision`` is that of its entry;
+    0: not known.
     """
 
     instance: InstanceId
@@ -40,6 +47,7 @@
     phase: EnginePhase = EnginePhase.NONE
     name: ReplicaName = ReplicaName("")
     started_ms: int | None = None
+    revision: Revision = Revision(0)
 
     def __post_init__(self) -> None:
         """Name a replica that has no other name after its instance."""
@@ -63,6 +71,7 @@
     table: RouteTable | None
     revision: Revision
     store_ms: int = 0
+    era: StoreEra = FIRST_ERA
 
 
 class ReplicaChanges(msgspec.Struct, frozen=True):
@@ -77,3 +86,4 @@
     revision: Revision
     whole: bool = False
     store_ms: int = 0
+    era: StoreEra = FIRST_ERA
--- a/berylshift/platform/entries.py
+++ b/berylshift/platform/entries.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from berylshift.ids import DomainName, ReplicaName, ServiceName
+from berylshift.ids import DomainName, ReplicaName, Revision, ServiceName
 from berylshift.messages.replicas import EnginePhase, Replica, instance_of
 from berylshift.store.directory import MalformedEntryError
 
@@ -30,7 +30,7 @@
     born: Annotated[int, msgspec.Meta(ge=0)] | msgspec.UnsetType = msgspec.UNSET
 
 
-def read_replica(key: str, data: bytes) -> Replica:
+def read_replica(key: str, data: bytes, revision: int = 0) -> Replica:
     """Return the replica of an entry; raise ``MalformedEntryError``."""
     try:
         found = msgspec.json.decode(data, type=_Entry)
@@ -51,4 +51,5 @@
         phase=phase,
         name=name,
         started_ms=started_ms,
+        revision=Revision(revision),
     )
--- a/berylshift/platform/names.py
+++ b/berylshift/platform/names.py
@@ -40,6 +40,9 @@
     }
 )
 
+# Rises by one each time that the store comes back from an older copy.
+STORE_ERA = "store-era"
+
 READY_PATH = "/v1/readyz"
 KV_HANDLE_PATH = "/v1/kv-handle/"
 REPORT_PATH = b"/v1/report"
--- a/berylshift/platform/store.py
+++ b/berylshift/platform/store.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from berylshift.ids import ReplicaName, Revision
+from berylshift.ids import ReplicaName, Revision, StoreEra
 from berylshift.messages.replicas import Replica, ReplicaChanges, RouteSnapshot
 from berylshift.platform import names
 from berylshift.platform.configuration import read_routes
@@ -14,9 +14,10 @@
 from berylshift.store.calls import StoreAnswer, StoreCalls
 from berylshift.store.crash_rows import CrashRow, CrashRowsRead
 from berylshift.store.directory import HistoryLostError, MalformedEntryError
+from berylshift.store.eras import FIRST_ERA
 from berylshift.store.host_rows import HostRecord
 from berylshift.store.interfaces import AnswerLostError, StoreUnavailableError
-from berylshift.store.lease_rows import ABSENT, LeaseRecord, LeaseRow
+from berylshift.store.lease_rows import ABSENT, Granted, LeaseRecord, LeaseRow
 
 logger = logging.getLogger(__name__)
 
@@ -61,6 +62,7 @@
     rows: list[_Row]
     has_more: bool
     now_ms: int
+    era: StoreEra
 
 
 class _Condition(msgspec.Struct):
@@ -116,7 +118,7 @@
         revision = Revision(pages[0].row_version)
         put, _ = _replicas(rows)
         # The first page's clock: what the later ones hold may be newer, not older.
-        return ReplicaChanges(put, (), revision, True, pages[0].now_ms)
+        return ReplicaChanges(put, (), revision, True, pages[0].now_ms, _one_era(pages))
 
     async def await_replicas(self, after: Revision, seconds: float) -> ReplicaChanges:
         """Return what changed after a revision.
@@ -129,7 +131,9 @@
         gone = tuple(ReplicaName(row.key) for row in newest if row.deleted)
         put, unusable = _replicas([row for row in newest if not row.deleted])
         revision = Revision(found.row_version)
-        return ReplicaChanges(put, gone + unusable, revision, False, found.now_ms)
+        return ReplicaChanges(
+            put, gone + unusable, revision, False, found.now_ms, found.era
+        )
 
     async def _get(self, table: str, start: str) -> _Rows:
         query = {"table": table, "part": "", "limit": PAGE_ROWS}
@@ -162,12 +166,13 @@
         for row in found.rows:
             if row.key == name:
                 record = _lease(row.data())
-                return LeaseRow(record, Revision(row.row_version), found.now_ms)
-        return LeaseRow(None, ABSENT, found.now_ms)
+                revision = Revision(row.row_version)
+                return LeaseRow(record, revision, found.now_ms, found.era)
+        return LeaseRow(None, ABSENT, found.now_ms, found.era)
 
     async def swap(
         self, name: str, record: LeaseRecord, expected: Revision
-    ) -> Revision | None:
+    ) -> Granted | None:
         """Write a row if it is at ``expected``; return its revision, else ``None``."""
         table = names.LEASE_TABLE
         body = _Transaction(
@@ -177,7 +182,8 @@
         answer = await self._calls.post(names.ROWS_TX, msgspec.json.encode(body))
         if answer.status == STATUS_CONFLICT:
             return None
-        return Revision(_rows(answer).row_version)
+        found = _rows(answer)
+        return Granted(Revision(found.row_version), found.era)
 
 
 class PlatformHosts:
@@ -225,7 +231,7 @@
         """Return all rows that can be read."""
         pages = await _pages(self._calls, names.CRASH_TABLE)
         rows = tuple(row for page in pages for row in _crashes(page.rows))
-        return CrashRowsRead(rows, pages[-1].now_ms)
+        return CrashRowsRead(rows, pages[-1].now_ms, _one_era(pages))
 
     async def change(self, put: Iterable[CrashRow], drop: Iterable[CrashRow]) -> None:
         """Write some rows and remove others, in one transaction."""
@@ -250,6 +256,14 @@
         query["from"] = _next_start(pages[-1])
 
 
+def _one_era(pages: list[_Rows]) -> StoreEra:
+    """Return the era of all pages; pages of two eras are no list of anything."""
+    eras = {page.era for page in pages}
+    if len(eras) > 1:
+        raise AnswerLostError("the store came back older between two pages")
+    return eras.pop()
+
+
 def _crash_key(row: CrashRow) -> str:
     return f"{row.request:016x}.{row.target:08x}"
 
@@ -293,7 +307,17 @@
     except msgspec.DecodeError as exc:
         raise AnswerLostError(f"answer can't be read: {exc}") from exc
     rows = _readable(found.rows)
-    return _Rows(found.row_version, rows, found.has_more, found.now_ms)
+    era = _era(answer.headers.get(names.STORE_ERA, ""))
+    return _Rows(found.row_version, rows, found.has_more, found.now_ms, era)
+
+
+def _era(text: str) -> StoreEra:
+    """Return the era that an answer tells; a store that tells none is in the first."""
+    if not text:
+        return FIRST_ERA
+    if not text.isascii() or not text.isdigit():
+        raise AnswerLostError(f"era {text!r} can't be read")
+    return StoreEra(int(text))
 
 
 def _readable(rows: Iterable[msgspec.Raw]) -> list[_Row]:
@@ -324,7 +348,7 @@
         if row.key == key and not row.deleted:
             newest = row
     table = None if newest is None else read_routes(newest.data())
-    return RouteSnapshot(table, revision, found.now_ms)
+    return RouteSnapshot(table, revision, found.now_ms, found.era)
 
 
 def _replicas(
@@ -338,7 +362,7 @@
     found, unusable = [], []
     for row in rows:
         try:
-            found.append(read_replica(row.key, row.data()))
+            found.append(read_replica(row.key, row.data(), row.row_version))
         except MalformedEntryError as exc:
             logger.warning("entry passed over", extra={"reason": str(exc)})
             unusable.append(ReplicaName(row.key))
--- a/berylshift/process/fleet/directory_loop.py
+++ b/berylshift/process/fleet/directory_loop.py
@@ -7,7 +7,8 @@
 import trio
 
 from berylshift.clock import Clock
-from berylshift.ids import InstanceId
+from berylshift.ids import InstanceId, StoreEra
+from berylshift.messages.replicas import RouteSnapshot
 from berylshift.process.fleet.replica_set import ReplicaSet
 from berylshift.process.fleet.route_holder import RouteHolder
 from berylshift.process.fleet.store_watch import Feed, StoreWatch
@@ -102,6 +103,7 @@
             except HistoryLostError as exc:
                 self._watch.forget(feed)
                 logger.info("feed cut", extra={"feed": what, "reason": str(exc)})
+                await trio.sleep(FIRST_BACKOFF_SECONDS * self._rng.random())
                 continue
             except MalformedEntryError as exc:
                 self._watch.forget(feed)
@@ -135,12 +137,14 @@
 
     async def _step_routes(self) -> None:
         after = self._watch.position(Feed.ROUTES)
+        asked_in = None if after is None else self._watch.eras.current
         if after is None:
             found = await self._directory.read_routes()
         else:
             wait = self._watch.wait(Feed.ROUTES)
             found = await self._directory.await_routes(after, wait)
-        self._routes.take(found.table, self._clock.monotonic())
+        self._check_era(found.era, asked_in)
+        self._take_routes(found)
         news = after is None or found.table is not None
         self._watch.read(Feed.ROUTES, found.revision, found.store_ms, news)
         if found.table is None and self._routes.table is None:
@@ -148,11 +152,13 @@
 
     async def _step_replicas(self) -> None:
         after = self._watch.position(Feed.REPLICAS)
+        asked_in = None if after is None else self._watch.eras.current
         if after is None:
             changes = await self._directory.read_replicas()
         else:
             wait = self._watch.wait(Feed.REPLICAS)
             changes = await self._directory.await_replicas(after, wait)
+        self._check_era(changes.era, asked_in)
         self._note_return(changes.store_ms)
         change = self._replicas.apply(changes, self._clock.monotonic())
         news = bool(after is None or changes.put or changes.removed)
@@ -173,6 +179,22 @@
         if changes.put or changes.removed:
             await trio.sleep(self._rest())
 
+    def _check_era(self, era: StoreEra, asked_in: StoreEra | None) -> None:
+        """Raise ``HistoryLostError`` if an answer may not be gone by."""
+        if not self._watch.takes(era, asked_in):
+            raise HistoryLostError(f"answer of era {era}")
+
+    def _take_routes(self, found: RouteSnapshot) -> None:
+        """Take newer routes over; say so where the store holds older ones."""
+        held = self._routes.table
+        self._routes.take(found.table, self._clock.monotonic(), found.era)
+        older = held is not None and found.table is not None
+        if older and found.table.version < held.version:
+            logger.warning(
+                "older routes in the store",
+                extra={"version": found.table.version, "in_force": held.version},
+            )
+
     def _note_return(self, store_ms: int) -> None:
         """Tell others of an outage's end, or go by what they told of one.
 
--- a/berylshift/process/fleet/order_lease.py
+++ b/berylshift/process/fleet/order_lease.py
@@ -79,10 +79,10 @@
         if refused is not None:
             return refused
         record = self._record(row)
-        revision = await self._rows.swap(self._name, record, row.revision)
-        if revision is None:
+        granted = await self._rows.swap(self._name, record, row.revision)
+        if granted is None:
             return Refused("another", self._apart)
-        return self._take(revision, asked)
+        return self._take(granted.revision, asked)
 
     def _refused(self, row: LeaseRow) -> Refused | None:
         """Return why the lease can't be had now.
--- a/berylshift/process/fleet/quarantine.py
+++ b/berylshift/process/fleet/quarantine.py
@@ -17,6 +17,7 @@
 from berylshift.ids import Fingerprint, InstanceId
 from berylshift.messages.fingerprint import head_in
 from berylshift.messages.load_digest import CrashReport, target_hash
+from berylshift.messages.replicas import LAPSE_HEARTBEATS
 from berylshift.process.fleet.crash_ledger import CrashLedger
 from berylshift.process.fleet.crash_news import TOLD_SECONDS, CrashKey, CrashNews
 
@@ -36,9 +37,6 @@
 # A replica that answers a request sent this soon after it broke off has not ended: it
 # takes seconds to start again.
 ALIVE_SECONDS = 1.5
-# An entry lapses after three heartbeats of silence; hosts hear of that, or of another
-# start, within two more.
-LAPSE_HEARTBEATS = 5
 # Bounds on this process's memory; of more, the oldest are forgotten. Requests that are
 # held back are kept apart, so that many harmless ones can't push them out.
 MOST_NOTED = 4096
--- a/berylshift/process/fleet/replica_set.py
+++ b/berylshift/process/fleet/replica_set.py
@@ -2,14 +2,17 @@
 
 import msgspec
 
-from berylshift.ids import InstanceId, ReplicaName, ServiceName
+from berylshift.ids import InstanceId, ReplicaName, ServiceName, StoreEra
 from berylshift.messages.replicas import Replica, ReplicaChanges
+from berylshift.process.fleet.departed import DepartedReplicas
 from berylshift.process.fleet.expected_phases import ExpectedPhases
 from berylshift.process.fleet.pools import EMPTY_POOL, Pool
 
 # Entries lapse while the store is away, since nobody can renew them; a live replica
 # renews its own within two seconds of the store's return (the platform's promise).
 LAPSE_GRACE_SECONDS = 2.0
+# After how long an entry that nobody renews is gone, where nothing else is known.
+LAPSE_SECONDS = 10.0
 
 
 class SetChange(msgspec.Struct, frozen=True):
@@ -39,9 +42,18 @@
     replicas may jump; a dead start's late word is mended by the next heartbeat.
     """
 
-    def __init__(self, phases: ExpectedPhases | None = None) -> None:
-        """Start with no replicas; orders in ``phases`` go before entries."""
+    def __init__(
+        self,
+        phases: ExpectedPhases | None = None,
+        lapse_seconds: float = LAPSE_SECONDS,
+    ) -> None:
+        """Start with no replicas; orders in ``phases`` go before entries.
+
+        An entry that nobody renews is gone after ``lapse_seconds``.
+        """
         self._phases = phases or ExpectedPhases()
+        self._departed = DepartedReplicas(lapse_seconds)
+        self._era: StoreEra | None = None
         self._listed: dict[ReplicaName, Replica] = {}
         self._lapsed: dict[ReplicaName, float] = {}
         self._by_service: dict[ServiceName, Pool] = {}
@@ -71,11 +83,13 @@
             self._back_at = now
             self._lost_at = None
         self.confirmed_at = now
+        self._note_era(changes.era, now)
         gone = set(changes.removed)
         if changes.whole:
             gone |= self._listed.keys() - {rep.name for rep in changes.put}
-        foreign = {rep.name for rep in changes.put if self._is_foreign(rep)}
-        put = tuple(rep for rep in changes.put if rep.name not in foreign)
+        believed = self._believed(changes, now)
+        foreign = {rep.name for rep in believed if self._is_foreign(rep)}
+        put = tuple(rep for rep in believed if rep.name not in foreign)
         former = self._former_starts(put)
         added, drained = self._put(put)
         removed, lapsed = self._remove(gone | foreign, now)
@@ -84,6 +98,29 @@
             self._index(now)
         return change
 
+    def _note_era(self, era: StoreEra, now: float) -> None:
+        """Give what is missing from an older copy the time to write itself again."""
+        if self._era is not None and era > self._era:
+            self._back_at = now
+        self._era = era
+
+    def _believed(self, changes: ReplicaChanges, now: float) -> list[Replica]:
+        """Return the entries put, without those that only an older copy lists.
+
+        What stands in a whole read may have gone before; a change in the feed is the
+        replica's own word.
+        """
+        for name in changes.removed:
+            self._departed.removed(name)
+        found = []
+        for replica in changes.put:
+            if not changes.whole:
+                self._departed.written(replica)
+            elif self._departed.withhold(replica, now):
+                continue
+            found.append(self._departed.as_known(replica))
+        return found
+
     def _is_foreign(self, replica: Replica) -> bool:
         """Return whether an entry lacks the start that its replica has told before.
 
@@ -132,17 +169,23 @@
                 continue
             del self._listed[name]
             self._lapsed.pop(name, None)
+            self._departed.gone(replica)
             removed.append(replica.instance)
         return tuple(removed), tuple(lapsed)
 
     def expire(self, now: float) -> tuple[InstanceId, ...]:
         """Drop lapsed replicas whose entries did not come back; return them."""
         names = [name for name, until in self._lapsed.items() if now >= until]
-        over = tuple(self._listed.pop(name).instance for name in names)
+        lapsed = [self._listed.pop(name) for name in names]
+        over = tuple(replica.instance for replica in lapsed)
         for name in names:
             del self._lapsed[name]
+        for replica in lapsed:
+            self._departed.gone(replica)
+        returned = self._departed.due(now)
+        self._put(tuple(returned))
         orders_changed = self._phases.version != self._indexed_version
-        if over or orders_changed or now >= self._index_again_at:
+        if over or returned or orders_changed or now >= self._index_again_at:
             self._index(now)
         return over
 
--- a/berylshift/process/fleet/route_holder.py
+++ b/berylshift/process/fleet/route_holder.py
@@ -3,6 +3,8 @@
 import logging
 from collections.abc import Callable
 
+from berylshift.ids import StoreEra
+from berylshift.store.eras import FIRST_ERA
 from berylshift.version.routes import RouteTable
 
 logger = logging.getLogger(__name__)
@@ -19,17 +21,21 @@
         """Start without routes; call ``on_change`` with each version taken."""
         self.table: RouteTable | None = None
         self.confirmed_at: float | None = None
+        self._era = FIRST_ERA
         self._on_change = on_change
 
-    def take(self, table: RouteTable | None, now: float) -> bool:
-        """Take over a newer version; return whether it was newer."""
+    def take(
+        self, table: RouteTable | None, now: float, era: StoreEra = FIRST_ERA
+    ) -> bool:
+        """Take over a newer version; return whether it was newer.
+
+        ``era``: the store's as it told the version.
+        """
         self.confirmed_at = now
-        if table is None:
-            return False
-        if self.table is not None and table.version <= self.table.version:
+        if table is None or not self._is_newer(table, era):
             return False
         former = None if self.table is None else self.table.version
-        self.table = table
+        self.table, self._era = table, era
         logger.info(
             "routes in force",
             extra={
@@ -42,6 +48,18 @@
             self._on_change(table)
         return True
 
+    def _is_newer(self, table: RouteTable, era: StoreEra) -> bool:
+        """Return whether a version goes before the one in force.
+
+        A store that lost a version may be given its number again for another text: then
+        the text of the newer era is what the operators want.
+        """
+        if self.table is None or table.version > self.table.version:
+            return True
+        if table.version < self.table.version:
+            return False
+        return era > self._era and table != self.table
+
     def confirm(self, at: float) -> None:
         """Note that nothing newer was there at ``at``, by another host's word."""
         if self.confirmed_at is not None:
--- a/berylshift/process/fleet/store_watch.py
+++ b/berylshift/process/fleet/store_watch.py
@@ -15,8 +15,10 @@
 from collections.abc import Callable
 from enum import Enum
 
-from berylshift.ids import Revision
+from berylshift.ids import Revision, StoreEra
 from berylshift.messages.load_digest import FeedWord, StoreWord
+from berylshift.process.fleet.store_eras import EraSource, StoreEras
+from berylshift.store.eras import FIRST_ERA
 
 # Shares of the time in which a change must be in force. A feed without news answers
 # after the first; a word older than the second is not enough. Between them lies the
@@ -50,6 +52,10 @@
         self._boot_clock = boot_clock
         self._offsets: deque[float] = deque(maxlen=OFFSETS_KEPT)
 
+    def forget(self) -> None:
+        """Forget what is known: the clock may have gone back with the store."""
+        self._offsets.clear()
+
     def note(self, store_ms: int) -> None:
         """Note the clock of an answer that has just come."""
         self._offsets.append(store_ms / 1000 - self._boot_clock())
@@ -84,6 +90,10 @@
         words = [word for word in (self.own, self.heard) if word is not None]
         return max(words, key=lambda word: (word.store_ms, word.changed), default=None)
 
+    def forget(self) -> None:
+        """Forget all that counted in a former era."""
+        self.position = self.own = self.heard = None
+
     def has_news(self) -> bool:
         """Return whether something newer than was read is known to be there."""
         word = self.best()
@@ -95,9 +105,16 @@
 class StoreWatch:
     """Decides when to read; times in seconds."""
 
-    def __init__(self, in_force: float, boot_clock: Callable[[], float]):
+    def __init__(
+        self,
+        in_force: float,
+        boot_clock: Callable[[], float],
+        eras: StoreEras | None = None,
+    ):
         """Keep changes in force within ``in_force`` seconds."""
         self._boot_clock = boot_clock
+        self.eras = eras or StoreEras(boot_clock)
+        self.eras.tell(self._forget_era)
         self._feeds = {feed: _FeedState() for feed in Feed}
         self._back_ms = 0
         self.clock = StoreClock(boot_clock)
@@ -114,6 +131,25 @@
         """Have a feed read whole."""
         self._feeds[feed].position = None
 
+    def _forget_era(self) -> None:
+        """Have both feeds read whole: no position of a former era means anything."""
+        for state in self._feeds.values():
+            state.forget()
+        self.clock.forget()
+        self._back_ms = 0
+
+    def takes(self, era: StoreEra, asked_in: StoreEra | None) -> bool:
+        """Return whether an answer of an era may be gone by.
+
+        ``asked_in`` is the era of the position from which it goes on; ``None``: it is
+        whole. One of a former era was under way as the store came back older. One that
+        goes on from a former era's position leaves out what changed below it.
+        """
+        if self.eras.is_old(era):
+            return False
+        self.eras.learn(era, EraSource.OWN_READ)
+        return asked_in is None or asked_in == era
+
     def read(self, feed: Feed, revision: Revision, store_ms: int, news: bool) -> None:
         """Note an answer: the store's revision and clock, and whether it had news.
 
@@ -126,7 +162,10 @@
         state.read_at = self._boot_clock()
         if store_ms:
             self.clock.note(store_ms)
-            state.own = FeedWord(changed, revision, store_ms)
+            era = self.eras.current
+            state.own = FeedWord(
+                changed, revision, store_ms, FIRST_ERA if era is None else era
+            )
 
     def back(self, store_ms: int) -> None:
         """Note that the store answered again after an outage."""
@@ -137,9 +176,14 @@
 
         An older word than the one that is known changes nothing.
         """
+        era = word.routes.era
+        if era != word.replicas.era or self.eras.is_old(era):
+            return False
+        begun = self.eras.learn(era, EraSource.ANOTHER_HOST)
         found = (
             self._hear(Feed.ROUTES, word.routes),
             self._hear(Feed.REPLICAS, word.replicas),
+            begun,
         )
         self._back_ms = max(self._back_ms, word.back_ms)
         return any(found)
@@ -160,7 +204,7 @@
         """Return what is best known of both feeds, for other hosts."""
         routes = self._feeds[Feed.ROUTES].best()
         replicas = self._feeds[Feed.REPLICAS].best()
-        if routes is None or replicas is None:
+        if routes is None or replicas is None or routes.era != replicas.era:
             return None
         return StoreWord(routes, replicas, self._back_ms)
 
--- a/berylshift/stand_ins/fake_directory.py
+++ b/berylshift/stand_ins/fake_directory.py
@@ -1,22 +1,35 @@
 """The platform's directory, leases and hosts in memory, with scripted faults."""
 
 from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass, field
 
+import msgspec
 import trio
 
-from berylshift.ids import ReplicaName, Revision
+from berylshift.ids import ReplicaName, Revision, StoreEra
 from berylshift.messages.replicas import Replica, ReplicaChanges, RouteSnapshot
 from berylshift.store.crash_rows import CrashRow, CrashRowsRead
 from berylshift.store.directory import HistoryLostError
+from berylshift.store.eras import FIRST_ERA
 from berylshift.store.host_rows import HostRecord
 from berylshift.store.interfaces import AnswerLostError, StoreUnavailableError
-from berylshift.store.lease_rows import ABSENT, LeaseRecord, LeaseRow
+from berylshift.store.lease_rows import ABSENT, Granted, LeaseRecord, LeaseRow
 from berylshift.version.routes import RouteTable
 
 # The store's clock runs on since its own start, not since the hosts'.
 STORE_CLOCK_AHEAD_SECONDS = 7_000.0
 
 
+@dataclass
+class DirectoryCopy:
+    """What the store held at a moment."""
+
+    revision: int = 1
+    routes: tuple[int, RouteTable] | None = None
+    replicas: dict[ReplicaName, Replica] = field(default_factory=dict)
+    changes: list[tuple[int, ReplicaName, Replica | None]] = field(default_factory=list)
+
+
 class FakeDirectory:
     """Routes and replicas; ``down``, ``silent`` and ``forget`` are its faults."""
 
@@ -28,6 +41,8 @@
         self._changes: list[tuple[int, ReplicaName, Replica | None]] = []
         self._news = trio.Event()
         self._history_from = 0
+        self._copies: list[tuple[float, DirectoryCopy]] = []
+        self.era = FIRST_ERA
         self.down = False
         self.silent = False
         self.reads = 0
@@ -41,6 +56,7 @@
     def put_replica(self, replica: Replica) -> None:
         """Write a replica's entry."""
         self._revision += 1
+        replica = msgspec.structs.replace(replica, revision=Revision(self._revision))
         self._replicas[replica.name] = replica
         self._changes.append((self._revision, replica.name, replica))
         self._tell()
@@ -52,6 +68,18 @@
         self._changes.append((self._revision, ReplicaName(name), None))
         self._tell()
 
+    def restore(self, seconds: float) -> None:
+        """Come back from a copy that is ``seconds`` old, in a new era."""
+        wanted = trio.current_time() - seconds
+        found = [copy for at, copy in self._copies if at <= wanted]
+        copy = found[-1] if found else DirectoryCopy()
+        self._revision = copy.revision
+        self._routes = copy.routes
+        self._replicas = dict(copy.replicas)
+        self._changes = list(copy.changes)
+        self.era = StoreEra(self.era + 1)
+        self._tell()
+
     def forget_history(self) -> None:
         """Drop what feeds would tell of the past."""
         self._changes.clear()
@@ -63,6 +91,10 @@
         return int((trio.current_time() + STORE_CLOCK_AHEAD_SECONDS) * 1000)
 
     def _tell(self) -> None:
+        copy = DirectoryCopy(
+            self._revision, self._routes, dict(self._replicas), list(self._changes)
+        )
+        self._copies.append((trio.current_time(), copy))
         self._news.set()
         self._news = trio.Event()
 
@@ -76,27 +108,31 @@
         """Return the routes in force."""
         await self._call()
         table = self._routes[1] if self._routes else None
-        return RouteSnapshot(table, Revision(self._revision), self.now_ms())
+        revision = Revision(self._revision)
+        return RouteSnapshot(table, revision, self.now_ms(), self.era)
 
     async def await_routes(self, after: Revision, seconds: float) -> RouteSnapshot:
         """Return newer routes, or nothing after a while."""
+        if after > self._revision:
+            raise HistoryLostError("no such revision")
         await self._wait(
             lambda: self._routes is not None and self._routes[0] > after, seconds
         )
         newer = self._routes is not None and self._routes[0] > after
         table = self._routes[1] if newer and self._routes else None
-        return RouteSnapshot(table, Revision(self._revision), self.now_ms())
+        revision = Revision(self._revision)
+        return RouteSnapshot(table, revision, self.now_ms(), self.era)
 
     async def read_replicas(self) -> ReplicaChanges:
         """Return all replicas."""
         await self._call()
         found = tuple(self._replicas.values())
         revision = Revision(self._revision)
-        return ReplicaChanges(found, (), revision, True, self.now_ms())
+        return ReplicaChanges(found, (), revision, True, self.now_ms(), self.era)
 
     async def await_replicas(self, after: Revision, seconds: float) -> ReplicaChanges:
         """Return what changed after a revision."""
-        if after < self._history_from:
+        if after < self._history_from or after > self._revision:
             raise HistoryLostError("history dropped")
         await self._wait(
             lambda: (
@@ -114,7 +150,7 @@
         put = tuple(rep for rep in newest.values() if rep is not None)
         removed = tuple(name for name, rep in newest.items() if rep is None)
         revision = Revision(self._revision)
-        return ReplicaChanges(put, removed, revision, False, self.now_ms())
+        return ReplicaChanges(put, removed, revision, False, self.now_ms(), self.era)
 
     async def _wait(self, has_news, seconds: float) -> None:
         await self._call()
@@ -141,13 +177,15 @@
         self.down = False
         self.lose_answers = 0
         self.late_seconds: float | None = None
+        self.era = FIRST_ERA
         self.after_read: Callable[[], Awaitable[object]] | None = None
 
     async def read(self, name: str) -> LeaseRow:
         """Return a row; ``after_read`` runs once between this and what follows."""
         self._check()
         record, revision = self._rows.get(name, (None, ABSENT))
-        row = LeaseRow(record, Revision(revision), int(self._now() * 1000))
+        now_ms = int(self._now() * 1000)
+        row = LeaseRow(record, Revision(revision), now_ms, self.era)
         hook, self.after_read = self.after_read, None
         if hook is not None:
             await hook()
@@ -155,7 +193,7 @@
 
     async def swap(
         self, name: str, record: LeaseRecord, expected: Revision
-    ) -> Revision | None:
+    ) -> Granted | None:
         """Write a row if it is at ``expected``."""
         self._check()
         if self.lose_answers:
@@ -178,13 +216,13 @@
 
     def _apply(
         self, name: str, record: LeaseRecord, expected: Revision
-    ) -> Revision | None:
+    ) -> Granted | None:
         _, revision = self._rows.get(name, (None, ABSENT))
         if revision != expected:
             return None
         self._revision += 1
         self._rows[name] = (record, self._revision)
-        return Revision(self._revision)
+        return Granted(Revision(self._revision), self.era)
 
 
 class FakeCrashRows:
--- a/berylshift/stand_ins/store_server.py
+++ b/berylshift/stand_ins/store_server.py
@@ -59,6 +59,7 @@
     rows: dict[tuple[str, str], StoreRow] = field(default_factory=dict)
     log: list[StoreRow] = field(default_factory=list)
     version: int = 1
+    era: int = 0
     news: trio.Event = field(default_factory=trio.Event)
     # Rows of other writers, as they stand on the wire; told with each answer.
     bad_rows: list[bytes] = field(default_factory=list)
@@ -126,4 +127,7 @@
         told = [msgspec.Raw(msgspec.json.encode(row)) for row in rows]
         told += [msgspec.Raw(row) for row in self.bad_rows]
         body = StoreAnswerBody(told, self.version, now_ms, has_more)
-        await responder.full(status, JSON_TYPE, msgspec.json.encode(body))
+        headers = (
+            {**JSON_TYPE, names.STORE_ERA: str(self.era)} if self.era else JSON_TYPE
+        )
+        await responder.full(status, headers, msgspec.json.encode(body))
--- a/berylshift/store/calls.py
+++ b/berylshift/store/calls.py
@@ -17,10 +17,11 @@
 
 
 class StoreAnswer(msgspec.Struct, frozen=True):
-    """Status and body of one answer."""
+    """Status, body and headers of one answer; names of headers are in lower case."""
 
     status: int
     body: bytes
+    headers: dict[str, str] = {}
 
 
 class StoreCalls:
@@ -81,4 +82,4 @@
             while (part := await limit.bound(anext(chunks, None))) is not None:
                 parts.append(part)
                 limit.allow(self._timeout)
-            return StoreAnswer(resp.status, b"".join(parts))
+            return StoreAnswer(resp.status, b"".join(parts), resp.headers)
--- a/berylshift/store/crash_rows.py
+++ b/berylshift/store/crash_rows.py
@@ -9,7 +9,8 @@
 
 import msgspec
 
-from berylshift.ids import Fingerprint
+from berylshift.ids import Fingerprint, StoreEra
+from berylshift.store.eras import FIRST_ERA
 
 
 class CrashRow(msgspec.Struct, frozen=True):
@@ -28,6 +29,7 @@
 
     rows: tuple[CrashRow, ...]
     store_ms: int
+    era: StoreEra = FIRST_ERA
 
 
 class CrashRows(Protocol):
--- a/berylshift/store/lease_rows.py
+++ b/berylshift/store/lease_rows.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from berylshift.ids import Revision
+from berylshift.ids import Revision, StoreEra
+from berylshift.store.eras import FIRST_ERA
 
 ABSENT = Revision(0)
 
@@ -13,12 +14,13 @@
     """Who may order until when, on the store's own steady clock.
 
     ``grant`` names one acquisition, so that a write whose answer was lost can be
-    found again.
+    found again. ``era`` is the store's as the lease was asked for.
     """
 
     holder: str
     grant: str
     until_ms: int
+    era: StoreEra = FIRST_ERA
 
 
 class LeaseRow(msgspec.Struct, frozen=True):
@@ -27,6 +29,14 @@
     record: LeaseRecord | None
     revision: Revision
     store_ms: int
+    era: StoreEra = FIRST_ERA
+
+
+class Granted(msgspec.Struct, frozen=True):
+    """A write that was done: the row's revision, and the era that it counts in."""
+
+    revision: Revision
+    era: StoreEra = FIRST_ERA
 
 
 class LeaseRows(Protocol):
@@ -37,5 +47,5 @@
 
     async def swap(
         self, name: str, record: LeaseRecord, expected: Revision
-    ) -> Revision | None:
+    ) -> Granted | None:
         """Write a row if it is at ``expected``; return its revision, else ``None``."""
--- a/berylshift/tests/test_fleet_quarantine.py
+++ b/berylshift/tests/test_fleet_quarantine.py
@@ -5,6 +5,7 @@
 from berylshift.ids import Fingerprint, InstanceId
 from berylshift.messages.fingerprint import joined
 from berylshift.messages.load_digest import CrashReport, target_hash
+from berylshift.messages.replicas import LAPSE_HEARTBEATS
 from berylshift.process.fleet.crash_news import (
     AGAIN_SECONDS,
     MOST_CRASHES_TOLD,
@@ -13,7 +14,6 @@
 from berylshift.process.fleet.quarantine import (
     ALIVE_SECONDS,
     FINISHED_SECONDS,
-    LAPSE_HEARTBEATS,
     MOST_HELD,
     MOST_NOTED,
     PROVEN_SECONDS,
--- a/berylshift/tests/test_platform_store.py
+++ b/berylshift/tests/test_platform_store.py
@@ -289,7 +289,7 @@
 
         first, second, row, record = self.run_store(task)
         self.assertIsNone(second)
-        self.assertEqual((row.record, row.revision), (record, first))
+        self.assertEqual((row.record, row.revision), (record, first.revision))
 
     def test_all_hosts_share_the_first_key(self):
         async def task(world):
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -509,9 +509,9 @@
     Proof(
         "a row that can't be read hides no other",
         "platform/store.py",
-        "            found.append(read_replica(row.key, row.data()))\n"
+        "            found.append(read_replica(row.key, row.data(), row.row_version))\n"
         "        except MalformedEntryError as exc:",
-        "            found.append(read_replica(row.key, row.data()))\n"
+        "            found.append(read_replica(row.key, row.data(), row.row_version))\n"
         "        except KeyError as exc:",
         "test_platform_store.ReplicaFeedTest",
     ),
