Give leases up, join again and write again once the store has come back older

The lease's row may be lost with its holder ordering on: by a test, another host took it at once, within the time that engines need to tell two holders apart; fences fell, since revisions are given out again. A holder now stops as it learns of the new era, nobody takes a lease whose row is missing or of a former era until the era has been known for as long as a lost row may have granted, and fences begin with the era.

Rows of requests that are held back are written again.

Eleven proofs, each red without its safeguard.

--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -43,6 +43,7 @@
 from berylshift.settings import Settings
 from berylshift.store.crash_rows import CrashRows
 from berylshift.store.directory import Directory
+from berylshift.store.eras import FIRST_ERA
 from berylshift.store.host_rows import HostRows
 from berylshift.store.lease_rows import LeaseRows
 from berylshift.telemetry import Telemetry
@@ -133,6 +134,7 @@
         self.quarantine_loop = QuarantineLoop(
             self.quarantine, ports.crashes, self.watch.clock, ports.clock
         )
+        self.watch.eras.tell(self.quarantine.ledger.write_again)
         parts = RelayParts(
             clock=ports.clock,
             language=ports.language,
@@ -188,6 +190,7 @@
             rng=ports.rng,
             byte_budget=cfg.peers.byte_budget,
             on_news=lambda: self.follower.heard_news(),
+            eras=self.watch.eras,
             on_joined=self.fingerprints.use_key,
         )
         return LoadLoop(parts)
@@ -268,6 +271,8 @@
             cfg.entry.orders_apart_ms / 1000,
             ports.rng,
             ports.boot_clock,
+            self.watch.eras,
+            cfg.entry.first_start,
         )
         return PhaseLoop(
             service=service,
@@ -339,6 +344,8 @@
             self.telemetry.gauge("hosts_known", "Hosts that share limits.", hosts)
             self.telemetry.gauge("collects", "Role taken.", self.peers.collects)
             self.telemetry.gauge("follows", "Role taken.", self.watch.follows)
+            era = self.watch.eras.current or FIRST_ERA
+            self.telemetry.gauge("store_era", "Era of the store.", era)
             held = len(self.quarantine)
             self.telemetry.gauge("quarantined", "Requests held back.", held)
             opened = self.ports.client.opened
--- a/berylshift/process/fleet/crash_ledger.py
+++ b/berylshift/process/fleet/crash_ledger.py
@@ -50,6 +50,12 @@
         """Have a row removed that another host has written and left."""
         _add(self._drop, key)
 
+    def write_again(self) -> None:
+        """Have all rows of this host written: the store may have lost them."""
+        for key in self._written:
+            _add(self._put, key)
+        self._written.clear()
+
     def due(self) -> RowsDue:
         """Return the next rows to write and to remove."""
         return RowsDue(tuple(self._put)[:MOST_IN_ONE], tuple(self._drop)[:MOST_IN_ONE])
--- a/berylshift/process/fleet/load_loop.py
+++ b/berylshift/process/fleet/load_loop.py
@@ -13,6 +13,7 @@
 from berylshift.process.fleet.digest_maker import DigestParts
 from berylshift.process.fleet.host_list import HostList
 from berylshift.process.fleet.peer_loads import MEMBER_SECONDS
+from berylshift.process.fleet.store_eras import StoreEras
 from berylshift.process.fleet.telling import REPEAT_SECONDS, Role, Teller
 from berylshift.store.host_rows import HostRecord, HostRows
 from berylshift.store.interfaces import PlatformError
@@ -48,6 +49,8 @@
     byte_budget: int
     # Told that the store has something new for this host to read.
     on_news: Callable[[], None]
+    # Tells when the store has come back older.
+    eras: StoreEras
     # Told the key that all hosts share.
     on_joined: Callable[[str], None] = lambda key: None
 
@@ -61,6 +64,8 @@
         self._hosts = HostList(parts.digest.host, parts.digest.domain)
         self._stranger = trio.Event()
         self._work = trio.Event()
+        self._new_era = trio.Event()
+        parts.eras.tell(lambda: self._new_era.set())
         self._teller = Teller(
             parts.digest, self._hosts, parts.byte_budget, self._on_role
         )
@@ -86,17 +91,41 @@
 
     async def run(self) -> None:
         """Join the other hosts, then tell and hear until cancelled."""
-        key = await self._join()
+        key = await self._join(f"{self._parts.rng.getrandbits(128):032x}")
+        while True:
+            key = await self._run_under(key)
+
+    async def _run_under(self, key: str) -> str:
+        """Tell and hear under a key until another one holds; return that."""
         self._parts.on_joined(key)
         link = self._parts.make_link(key)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(link.receive, self._hear)
             nursery.start_soon(self._tell, link)
             nursery.start_soon(self._follow_hosts)
+            found = await self._another_key(key)
+            nursery.cancel_scope.cancel()
+        logger.warning("key changed", extra={"reason": "store came back older"})
+        return found
+
+    async def _another_key(self, key: str) -> str:
+        """Join again in each new era; return the key once it is another one.
+
+        The rows of hosts that joined since the copy are lost. So may be the key's: a
+        host that starts meanwhile makes a new one, and hosts of two keys would not hear
+        each other. Those that have one propose it again; the first that is written
+        holds for all.
+        """
+        while True:
+            await self._new_era.wait()
+            self._new_era = trio.Event()
+            found = await self._join(key)
+            self._stranger.set()
+            if found != key:
+                return found
 
-    async def _join(self) -> str:
+    async def _join(self, proposal: str) -> str:
         parts = self._parts
-        proposal = f"{parts.rng.getrandbits(128):032x}"
         record = HostRecord(parts.digest.host, parts.address, parts.digest.domain)
         while True:
             try:
--- a/berylshift/process/fleet/order_lease.py
+++ b/berylshift/process/fleet/order_lease.py
@@ -4,6 +4,10 @@
 that end on a clock of its own that also counts the time a host stands still, and the
 next holder starts only after the end: between two holders' orders lies at least the
 time that engines need to tell them apart.
+
+A store that comes back from an older copy may have lost the row. Its holder stops as
+it learns of the new era, and nobody takes a lease whose row is missing, or of a former
+era, until the era has been known for as long as a lost row may have granted.
 """
 
 import random
@@ -11,8 +15,10 @@
 
 import msgspec
 
-from berylshift.ids import Revision
-from berylshift.store.lease_rows import LeaseRecord, LeaseRow, LeaseRows
+from berylshift.ids import StoreEra
+from berylshift.process.fleet.store_eras import EraSource, StoreEras
+from berylshift.store.eras import FIRST_ERA
+from berylshift.store.lease_rows import Granted, LeaseRecord, LeaseRow, LeaseRows
 
 # How long a holder may order after it asked for the lease, in seconds.
 USE_SECONDS = 2.0
@@ -20,14 +26,23 @@
 MARGIN_SECONDS = 1.0
 
 
+# Bits of a fence below the store's era: revisions of one era are fewer by far, and the
+# whole still fits into the integers that JSON keeps exactly.
+REVISION_BITS = 36
+# Whom a refusal names while a lost row may still grant.
+UNKNOWN_HOLDER = "unknown"
+
+
 class Grant(msgspec.Struct, frozen=True):
     """A lease held: ``fence`` only rises from holder to holder.
 
-    ``until`` is on the clock that also runs while the host stands still.
+    ``until`` is on the clock that also runs while the host stands still; it counts in
+    ``era`` of the store alone.
     """
 
     fence: int
     until: float
+    era: StoreEra = FIRST_ERA
 
 
 class Refused(msgspec.Struct, frozen=True):
@@ -48,25 +63,37 @@
         apart: float,
         rng: random.Random,
         boot_clock: Callable[[], float],
+        eras: StoreEras | None = None,
+        first_start: bool = False,
     ):
         """Keep orders of two holders ``apart`` seconds apart.
 
         ``boot_clock`` gives seconds that run on while the host is suspended: a
         holder that slept through its lease must not believe in it on waking.
+        ``eras`` tells of a store that came back older; ``first_start``: nobody has
+        ever held the lease.
         """
+        self._first_start = first_start
         self._rows = rows
         self._name = name
         self._holder = holder
         self._apart = apart
         self._rng = rng
         self._boot_clock = boot_clock
+        self._eras = eras or StoreEras(boot_clock)
         self._grant: Grant | None = None
 
+    @property
+    def _lasts(self) -> float:
+        """Return for how many seconds a row keeps other holders off."""
+        return USE_SECONDS + self._apart + MARGIN_SECONDS
+
     def held(self) -> Grant | None:
         """Return the grant if it may still be used."""
-        if self._grant is None or self._boot_clock() >= self._grant.until:
+        grant = self._grant
+        if grant is None or self._boot_clock() >= grant.until:
             return None
-        return self._grant
+        return None if self._eras.is_old(grant.era) else grant
 
     async def acquire(self) -> Grant | Refused:
         """Take or keep the lease; raise ``PlatformError``."""
@@ -75,6 +102,7 @@
             return held
         asked = self._boot_clock()
         row = await self._rows.read(self._name)
+        self._eras.learn(row.era, EraSource.OWN_READ)
         refused = self._refused(row)
         if refused is not None:
             return refused
@@ -82,7 +110,11 @@
         granted = await self._rows.swap(self._name, record, row.revision)
         if granted is None:
             return Refused("another", self._apart)
-        return self._take(granted.revision, asked)
+        if granted.era != row.era:
+            # The condition held by a revision that was given out again.
+            self._eras.learn(granted.era, EraSource.OWN_READ)
+            return Refused(UNKNOWN_HOLDER, self._lasts)
+        return self._take(granted, asked)
 
     def _refused(self, row: LeaseRow) -> Refused | None:
         """Return why the lease can't be had now.
@@ -90,17 +122,31 @@
         The holder's own lease counts as another's once it is over: an earlier write
         of ours whose answer was lost may have been taken over since.
         """
-        if row.record is None or row.store_ms >= row.record.until_ms:
+        if row.record is not None and row.store_ms < row.record.until_ms:
+            left = (row.record.until_ms - row.store_ms) / 1000
+            return Refused(row.record.holder, left)
+        if row.record is not None and row.record.era == row.era:
             return None
-        left = (row.record.until_ms - row.store_ms) / 1000
-        return Refused(row.record.holder, left)
+        left = self._lasts - self._eras.age()
+        if left > 0 and self._may_be_lost(row):
+            return Refused(UNKNOWN_HOLDER, left)
+        return None
+
+    def _may_be_lost(self, row: LeaseRow) -> bool:
+        """Return whether a row may have been lost that still grants the lease.
+
+        A host that has just started can't know how long the era has lasted.
+        """
+        if row.record is not None or self._eras.changes:
+            return True
+        return row.era > FIRST_ERA and not self._first_start
 
     def _record(self, row: LeaseRow) -> LeaseRecord:
-        seconds = USE_SECONDS + self._apart + MARGIN_SECONDS
         grant = f"{self._rng.getrandbits(64):016x}"
-        until_ms = row.store_ms + int(seconds * 1000)
-        return LeaseRecord(self._holder, grant, until_ms)
+        until_ms = row.store_ms + int(self._lasts * 1000)
+        return LeaseRecord(self._holder, grant, until_ms, row.era)
 
-    def _take(self, revision: Revision, asked: float) -> Grant:
-        self._grant = Grant(int(revision), asked + USE_SECONDS)
+    def _take(self, granted: Granted, asked: float) -> Grant:
+        fence = granted.era << REVISION_BITS | granted.revision
+        self._grant = Grant(fence, asked + USE_SECONDS, granted.era)
         return self._grant
--- a/berylshift/stand_ins/fake_directory.py
+++ b/berylshift/stand_ins/fake_directory.py
@@ -18,6 +18,7 @@
 
 # The store's clock runs on since its own start, not since the hosts'.
 STORE_CLOCK_AHEAD_SECONDS = 7_000.0
+FIRST_LEASE_REVISION = 10
 
 
 @dataclass
@@ -165,6 +166,15 @@
             raise StoreUnavailableError("down")
 
 
+@dataclass
+class LeaseCopy:
+    """What the lease rows were at a moment."""
+
+    at: float
+    rows: dict[str, tuple[LeaseRecord, int]]
+    revision: int
+
+
 class FakeLeaseRows:
     """Lease rows with a steady clock; a late write applies if its condition holds."""
 
@@ -172,7 +182,8 @@
         """Take the store's clock from ``now``, in seconds."""
         self._now = now
         self._rows: dict[str, tuple[LeaseRecord, int]] = {}
-        self._revision = 10
+        self._revision = FIRST_LEASE_REVISION
+        self._copies: list[LeaseCopy] = []
         self._late: list[tuple[float, str, LeaseRecord, Revision]] = []
         self.down = False
         self.lose_answers = 0
@@ -206,6 +217,14 @@
             raise AnswerLostError("answer lost")
         return self._apply(name, record, expected)
 
+    def restore(self, seconds: float) -> None:
+        """Come back from a copy that is ``seconds`` old, in a new era."""
+        wanted = self._now() - seconds
+        found = [copy for copy in self._copies if copy.at <= wanted]
+        copy = found[-1] if found else LeaseCopy(wanted, {}, FIRST_LEASE_REVISION)
+        self._rows, self._revision = dict(copy.rows), copy.revision
+        self.era = StoreEra(self.era + 1)
+
     def _check(self) -> None:
         if self.down:
             raise StoreUnavailableError("down")
@@ -222,6 +241,8 @@
             return None
         self._revision += 1
         self._rows[name] = (record, self._revision)
+        copy = LeaseCopy(self._now(), dict(self._rows), self._revision)
+        self._copies.append(copy)
         return Granted(Revision(self._revision), self.era)
 
 
@@ -244,6 +265,10 @@
         now = trio.current_time() + STORE_CLOCK_AHEAD_SECONDS
         return CrashRowsRead(tuple(self._rows.values()), int(now * 1000))
 
+    def lose_all(self) -> None:
+        """Come back from a copy that has no rows."""
+        self._rows.clear()
+
     async def change(self, put: Iterable[CrashRow], drop: Iterable[CrashRow]) -> None:
         """Write some rows and remove others."""
         self._check()
@@ -266,6 +291,13 @@
         self._hosts: dict[str, HostRecord] = {}
         self._key = ""
 
+    def lose(self, hosts: Iterable[str], key: bool = False) -> None:
+        """Come back from a copy that lacks some rows, and perhaps the key."""
+        for host in hosts:
+            self._hosts.pop(host, None)
+        if key:
+            self._key = ""
+
     async def announce(self, record: HostRecord) -> None:
         """Write a host's row."""
         self._hosts[record.host] = record
--- a/berylshift/tests/gathered_world.py
+++ b/berylshift/tests/gathered_world.py
@@ -11,6 +11,7 @@
 import trio
 
 from berylshift.clock import LoopClock
+from berylshift.connection.datagram_tag import BadDatagramError
 from berylshift.connection.load_codec import LoadCodec
 from berylshift.ids import DomainName, InstanceId
 from berylshift.messages.load_digest import LoadDigest
@@ -94,8 +95,13 @@
 
     def arrive(self, data: bytes) -> None:
         """Take a datagram."""
-        if self._take is not None:
-            self._take(self._codec.decode(data))
+        if self._take is None:
+            return
+        try:
+            message = self._codec.decode(data)
+        except BadDatagramError:
+            return
+        self._take(message)
 
 
 class StoreView:
@@ -188,6 +194,7 @@
                 rng=rng,
                 byte_budget=world.byte_budget,
                 on_news=self.directory.heard_news,
+                eras=self.watch.eras,
             )
         )
 
--- a/berylshift/tests/test_fleet_order_lease.py
+++ b/berylshift/tests/test_fleet_order_lease.py
@@ -7,6 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from berylshift.ids import StoreEra
 from berylshift.process.fleet.order_lease import (
     MARGIN_SECONDS,
     USE_SECONDS,
@@ -14,11 +15,13 @@
     OrderLease,
     Refused,
 )
+from berylshift.process.fleet.store_eras import EraSource, StoreEras
 from berylshift.stand_ins.fake_directory import FakeLeaseRows
 from berylshift.store.interfaces import PlatformError
 from berylshift.tests.support import EXPLORE
 
 APART = 3.0
+KINDS = ["acquire", "order", "wait", "sleep", "down", "lose", "restore", "hear"]
 
 
 class Holders:
@@ -27,9 +30,16 @@
     def __init__(self, count: int = 2):
         self.time = 100.0
         self.rows = FakeLeaseRows(lambda: self.time)
+        self.eras = [StoreEras(lambda: self.time) for _ in range(count)]
         self.leases = [
             OrderLease(
-                self.rows, "pool", f"h{n}", APART, random.Random(n), lambda: self.time
+                self.rows,
+                "pool",
+                f"h{n}",
+                APART,
+                random.Random(n),
+                lambda: self.time,
+                self.eras[n],
             )
             for n in range(count)
         ]
@@ -104,11 +114,66 @@
         self.assertIsInstance(world.acquire(0), Refused)
         self.assertGreater(first.fence, 0)
 
+    def test_a_store_that_lost_the_row_grants_nothing_for_a_while(self):
+        """The store comes back from a copy that is older than the holder's row.
+
+        The holder does not know that yet and orders on; the row looks free to all.
+        """
+        world = Holders()
+        world.time += 20
+        self.assertIsInstance(world.acquire(0), Grant)
+        world.time += 0.5
+        world.rows.restore(10)
+        world.order(0)
+        self.assertIsInstance(world.acquire(1), Refused)
+        world.time += USE_SECONDS + APART + MARGIN_SECONDS
+        self.assertIsInstance(world.acquire(1), Grant)
+
+    def test_a_host_that_starts_in_the_new_era_waits_too(self):
+        world = Holders()
+        world.acquire(0)
+        world.rows.restore(10)
+        self.assertIsInstance(world.acquire(1), Refused)
+
+    def test_a_holder_that_learns_of_the_new_era_stops(self):
+        world = Holders()
+        world.acquire(0)
+        world.eras[0].learn(StoreEra(1), EraSource.ANOTHER_HOST)
+        world.order(0)
+        self.assertEqual(world.orders, [])
+
+    def test_a_condition_that_holds_again_by_chance_grants_nothing(self):
+        """The store comes back older between a holder's read and its write.
+
+        The revision that it has read was given out again, to another row.
+        """
+        world = Holders()
+        world.time += 20
+
+        async def come_back():
+            world.rows.restore(60)
+
+        world.rows.after_read = come_back
+        self.assertIsInstance(world.acquire(0), Refused)
+        world.order(0)
+        self.assertEqual(world.orders, [])
+
+    def test_fences_rise_over_eras(self):
+        world = Holders()
+        first = world.acquire(0)
+        world.time += 20
+        world.rows.restore(60)
+        world.acquire(1)
+        world.time += 20
+        second = world.acquire(1)
+        self.assertGreater(second.fence, first.fence)
+        self.assertLess(second.fence, 2**53)
+
     @EXPLORE
     @given(
         st.lists(
             st.tuples(
-                st.sampled_from(["acquire", "order", "wait", "sleep", "down", "lose"]),
+                st.sampled_from(KINDS),
                 st.integers(0, 2),
                 st.floats(0.1, 9.0),
             ),
@@ -125,6 +190,10 @@
             elif what == "lose":
                 world.rows.lose_answers = 1
                 world.rows.late_seconds = seconds if number else None
+            elif what == "restore":
+                world.rows.restore(seconds)
+            elif what == "hear":
+                world.eras[number].learn(world.rows.era, EraSource.ANOTHER_HOST)
             elif what == "down":
                 world.rows.down = not world.rows.down
             else:
--- a/berylshift/tests/test_fleet_quarantine_loop.py
+++ b/berylshift/tests/test_fleet_quarantine_loop.py
@@ -138,6 +138,18 @@
 
         self.assertEqual(run_world(task), (2, 0))
 
+    def test_rows_that_an_older_copy_lacks_are_written_again(self):
+        async def task(world):
+            host = world.add_host()
+            crash(host, 1, 2)
+            await trio.sleep(WRITTEN_SECONDS)
+            world.rows.lose_all()
+            host.ledger.write_again()
+            await trio.sleep(WRITTEN_SECONDS)
+            return len(world.rows)
+
+        self.assertEqual(run_world(task), 2)
+
     def test_rows_of_hosts_long_gone_are_removed(self):
         async def task(world):
             crash(world.add_host(), 1, 2)
--- a/berylshift/tests/test_fleet_store_watch.py
+++ b/berylshift/tests/test_fleet_store_watch.py
@@ -23,6 +23,7 @@
         self.now = 100.0
         self.watch = StoreWatch(BOUND_SECONDS, lambda: self.now)
         for feed in Feed:
+            self.watch.takes(0, None)
             self.watch.read(feed, 10, self.store_ms(), True)
 
     def store_ms(self, ago: float = 0.0) -> int:
@@ -87,6 +88,35 @@
         self.watch.read(Feed.ROUTES, 25, self.store_ms(), False)
         self.assertEqual(self.watch.word().routes, FeedWord(10, 25, self.store_ms()))
 
+    def test_a_word_of_a_former_era_is_nothing(self):
+        """The store came back older; a host that stood still tells of before.
+
+        Its revision and its time are higher than all of the new era. Taken for news, or
+        for what lies between, it would hide what changes next.
+        """
+        for feed in Feed:
+            self.watch.takes(1, None)
+            self.watch.read(feed, 5, self.store_ms(1.0), True)
+        self.assertFalse(self.hear(changed=5, revision=40))
+        self.assertEqual(self.watch.position(Feed.ROUTES), 5)
+        self.assertEqual(self.watch.word().routes.era, 1)
+
+    def test_a_word_of_a_new_era_has_all_read_anew(self):
+        word = FeedWord(5, 5, self.store_ms(), 1)
+        self.assertTrue(self.watch.hear(StoreWord(word, word)))
+        self.assertIsNone(self.watch.position(Feed.ROUTES))
+        self.assertEqual(self.watch.due_in(Feed.ROUTES), 0.0)
+
+    def test_an_answer_of_a_former_era_is_dropped(self):
+        """It was under way as the store came back older."""
+        self.watch.takes(1, None)
+        self.assertFalse(self.watch.takes(0, None))
+
+    def test_an_answer_from_a_former_eras_position_is_dropped(self):
+        self.assertFalse(self.watch.takes(1, 0))
+        self.assertTrue(self.watch.takes(1, None))
+        self.assertTrue(self.watch.takes(1, 1))
+
     def test_a_follower_always_reads(self):
         self.hear(changed=10, revision=10)
         self.watch.follows = True
--- a/berylshift/tests/test_platform_store.py
+++ b/berylshift/tests/test_platform_store.py
@@ -291,6 +291,29 @@
         self.assertIsNone(second)
         self.assertEqual((row.record, row.revision), (record, first.revision))
 
+    def test_answers_tell_the_era(self):
+        async def task(world):
+            world.put(names.REPLICA_TABLE, "i-1", msgspec.json.encode(ENTRY))
+            first = (await world.directory.read_replicas()).era
+            world.store.era = 3
+            leases = PlatformLeases(world.calls)
+            row = await leases.read("a")
+            record = LeaseRecord("h1", "g1", 5000, row.era)
+            granted = await leases.swap("a", record, row.revision)
+            later = await world.directory.read_replicas()
+            routes = await world.directory.read_routes()
+            return first, row.era, granted.era, later.era, routes.era
+
+        self.assertEqual(self.run_store(task), (0, 3, 3, 3, 3))
+
+    def test_an_era_that_is_no_number_is_no_answer(self):
+        async def task(world):
+            world.store.era = "x"
+            with self.assertRaises(AnswerLostError):
+                await world.directory.read_replicas()
+
+        self.run_store(task)
+
     def test_all_hosts_share_the_first_key(self):
         async def task(world):
             hosts = PlatformHosts(world.calls)
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -718,6 +718,83 @@
         "test_crashing_calls.CrashingPlainCallTest."
         "test_a_confirmation_under_a_new_key_each_time",
     ),
+    Proof(
+        "a feed goes on from a position of its own era alone",
+        "process/fleet/store_watch.py",
+        "return asked_in is None or asked_in == era",
+        "return True",
+        "test_store_eras.FeedTest",
+    ),
+    Proof(
+        "a word of a former era is nothing",
+        "process/fleet/store_watch.py",
+        "if era != word.replicas.era or self.eras.is_old(era):",
+        "if False:",
+        "test_fleet_store_watch.StoreWatchTest.test_a_word_of_a_former_era_is_nothing",
+    ),
+    Proof(
+        "a version whose number is used again is taken",
+        "process/fleet/route_holder.py",
+        "return era > self._era and table != self.table",
+        "return False",
+        "test_store_eras.RouteTest",
+    ),
+    Proof(
+        "what leaves does not come back from an older copy",
+        "process/fleet/departed.py",
+        "elif replica.instance in self._leaving:",
+        "elif False:",
+        "test_store_eras.ReplicaTest",
+    ),
+    Proof(
+        "what has gone does not come back from an older copy",
+        "process/fleet/departed.py",
+        "if former is None or",
+        "if True or",
+        "test_store_eras.ReplicaTest",
+    ),
+    Proof(
+        "what an older copy lacks is given time to write itself again",
+        "process/fleet/replica_set.py",
+        "            self._back_at = now\n        self._era = era",
+        "            pass\n        self._era = era",
+        "test_store_eras.ReplicaTest",
+    ),
+    Proof(
+        "nobody takes a lease whose row may be lost",
+        "process/fleet/order_lease.py",
+        "if left > 0 and self._may_be_lost(row):",
+        "if False:",
+        "test_fleet_order_lease.OrderLeaseTest",
+    ),
+    Proof(
+        "a holder gives its lease up in a new era",
+        "process/fleet/order_lease.py",
+        "return None if self._eras.is_old(grant.era) else grant",
+        "return grant",
+        "test_fleet_order_lease.OrderLeaseTest",
+    ),
+    Proof(
+        "a write across a return of the store grants nothing",
+        "process/fleet/order_lease.py",
+        "if granted.era != row.era:",
+        "if False:",
+        "test_fleet_order_lease.OrderLeaseTest",
+    ),
+    Proof(
+        "fences rise over eras",
+        "process/fleet/order_lease.py",
+        "granted.era << REVISION_BITS | granted.revision",
+        "int(granted.revision)",
+        "test_fleet_order_lease.OrderLeaseTest",
+    ),
+    Proof(
+        "hosts go by one key after an older copy",
+        "process/fleet/load_loop.py",
+        "            if found != key:\n                return found",
+        "            pass",
+        "test_store_eras_hosts.JoinAgainTest",
+    ),
 )
 
 
