--- a/berylshift/tests/gathered_world.py
+++ b/berylshift/tests/gathered_world.py
@@ -27,13 +27,15 @@
 from berylshift.process.fleet.store_watch import StoreWatch
 from berylshift.process.fleet.target_load import TargetLoads
 from berylshift.process.fleet.warm_parts import WarmParts
+from berylshift.settings import DirectorySettings
 from berylshift.stand_ins.fake_directory import FakeDirectory, FakeHostRows
-from berylshift.store.interfaces import StoreUnavailableError
+from berylshift.store.interfaces import AnswerLostError, StoreUnavailableError
 from berylshift.tests.entry_world import PLAIN, routes
 
 WAY_SECONDS = 0.002
 LARGEST_DATAGRAM = 1400
 TURNED_AWAY_SECONDS = 0.004
+TIMEOUT_SECONDS = DirectorySettings().timeout
 
 
 class Path(Enum):
@@ -108,14 +110,23 @@
     """The store as one host meets it."""
 
     def __init__(self, store: FakeDirectory):
-        """See ``store``; ``turned_away`` and ``lags`` are its faults."""
+        """See ``store``; ``turned_away``, ``silent`` and ``lags`` are its faults.
+
+        A connection that is ``silent`` takes a call and never answers; the next call
+        goes out on a new one.
+        """
         self._store = store
+        self.silent = False
         self.turned_away = False
         self.lags = False
         self.calls = 0
 
-    async def _meet(self) -> None:
+    async def _meet(self, wait: float = 0.0) -> None:
         self.calls += 1
+        if self.silent:
+            self.silent = False
+            await trio.sleep(wait + TIMEOUT_SECONDS)
+            raise AnswerLostError("silent")
         if self.turned_away:
             await trio.sleep(TURNED_AWAY_SECONDS)
             raise StoreUnavailableError("turned away")
@@ -127,7 +138,7 @@
 
     async def await_routes(self, after, seconds) -> RouteSnapshot:
         """Return newer routes."""
-        await self._meet()
+        await self._meet(seconds)
         if self.lags:
             return RouteSnapshot(None, after, self._store.now_ms())
         return await self._store.await_routes(after, seconds)
@@ -139,7 +150,7 @@
 
     async def await_replicas(self, after, seconds) -> ReplicaChanges:
         """Return what changed."""
-        await self._meet()
+        await self._meet(seconds)
         return await self._store.await_replicas(after, seconds)
 
 
--- a/berylshift/tests/test_fleet_gathering.py
+++ b/berylshift/tests/test_fleet_gathering.py
@@ -169,6 +169,23 @@
         version, found = run_world(task)
         self.assertEqual(found, version)
 
+    def test_followers_whose_connections_fall_silent(self):
+        """The connections that all rely on take calls and never answer again.
+
+        Nobody sees an error. The routes change right after; what the followers tell
+        meanwhile is old, and shows it.
+        """
+
+        async def task(world):
+            for host in world.followers():
+                host.view.silent = True
+            version = world.put_routes()
+            await trio.sleep(BOUND_SECONDS)
+            return version, {host.version for host in world.hosts}
+
+        version, found = run_world(task)
+        self.assertEqual(found, {version})
+
     def test_followers_that_the_store_turns_away(self):
         """The store serves all but the hosts that read it for the others."""
 
