--- /dev/null
+++ b/berylshift/platform/own_tables.py
@@ -0,0 +1,130 @@
+"""The entry hosts' own tables in the platform's store: leases, hosts, crashes."""
+
+from collections.abc import Iterable
+from urllib.parse import urlencode
+
+import msgspec
+
+from berylshift.ids import Revision
+from berylshift.platform import names
+from berylshift.platform.rows import (
+    RowCondition,
+    RowRemoval,
+    RowsTransaction,
+    RowWrite,
+    era_of,
+    read_pages,
+    records,
+    rows_of,
+)
+from berylshift.store.calls import StoreCalls
+from berylshift.store.crash_rows import CrashRow, CrashRowsRead
+from berylshift.store.directory import MalformedEntryError
+from berylshift.store.host_rows import HostRecord
+from berylshift.store.interfaces import AnswerLostError
+from berylshift.store.lease_rows import ABSENT, Granted, LeaseRecord, LeaseRow
+
+STATUS_CONFLICT = 412
+
+
+class PlatformLeases:
+    """Lease rows in a table of our own."""
+
+    def __init__(self, calls: StoreCalls):
+        """Ask through ``calls``, which bounds each call's time."""
+        self._calls = calls
+
+    async def read(self, name: str) -> LeaseRow:
+        """Return a row; revision ``ABSENT`` if there is none."""
+        query = {"table": names.LEASE_TABLE, "part": "", "from": name, "limit": 1}
+        found = rows_of(await self._calls.get(f"{names.ROWS_GET}?{urlencode(query)}"))
+        for row in found.rows:
+            if row.key == name:
+                record = _lease(row.data())
+                revision = Revision(row.row_version)
+                return LeaseRow(record, revision, found.now_ms, found.era)
+        return LeaseRow(None, ABSENT, found.now_ms, found.era)
+
+    async def swap(
+        self, name: str, record: LeaseRecord, expected: Revision
+    ) -> Granted | None:
+        """Write a row if it is at ``expected``; return its revision, else ``None``."""
+        table = names.LEASE_TABLE
+        body = RowsTransaction(
+            [RowCondition(table, name, expected)],
+            [RowWrite(table, name, msgspec.json.encode(record))],
+        )
+        answer = await self._calls.post(names.ROWS_TX, msgspec.json.encode(body))
+        if answer.status == STATUS_CONFLICT:
+            return None
+        found = rows_of(answer)
+        return Granted(Revision(found.row_version), found.era)
+
+
+class PlatformHosts:
+    """The entry hosts' rows, and the key they share, in tables of our own."""
+
+    def __init__(self, calls: StoreCalls):
+        """Ask through ``calls``, which bounds each call's time."""
+        self._calls = calls
+
+    async def announce(self, record: HostRecord) -> None:
+        """Write this host's row."""
+        value = msgspec.json.encode(record)
+        body = RowsTransaction([], [RowWrite(names.HOST_TABLE, record.host, value)])
+        rows_of(await self._calls.post(names.ROWS_TX, msgspec.json.encode(body)))
+
+    async def hosts(self) -> list[HostRecord]:
+        """Return all hosts' rows, those of hosts long gone too."""
+        pages = await read_pages(self._calls, names.HOST_TABLE)
+        return [rec for page in pages for rec in records(page.rows, HostRecord)]
+
+    async def shared_key(self, proposal: str) -> str:
+        """Return the key all hosts share; the first proposal is kept for good."""
+        table, name = names.KEY_TABLE, names.DATAGRAM_KEY
+        query = {"table": table, "part": "", "from": name, "limit": 1}
+        path = f"{names.ROWS_GET}?{urlencode(query)}"
+        found = rows_of(await self._calls.get(path))
+        if not found.rows:
+            write = RowWrite(table, name, proposal.encode())
+            body = RowsTransaction([RowCondition(table, name, ABSENT)], [write])
+            await self._calls.post(names.ROWS_TX, msgspec.json.encode(body))
+            found = rows_of(await self._calls.get(path))
+        if not found.rows:
+            raise AnswerLostError("the key's row is not there yet")
+        return found.rows[0].data().decode()
+
+
+class PlatformCrashes:
+    """Replicas that ended under requests, in a table of our own."""
+
+    def __init__(self, calls: StoreCalls):
+        """Ask through ``calls``, which bounds each call's time."""
+        self._calls = calls
+
+    async def read(self) -> CrashRowsRead:
+        """Return all rows that can be read."""
+        pages = await read_pages(self._calls, names.CRASH_TABLE)
+        rows = tuple(row for page in pages for row in records(page.rows, CrashRow))
+        return CrashRowsRead(rows, pages[-1].now_ms, era_of(pages))
+
+    async def change(self, put: Iterable[CrashRow], drop: Iterable[CrashRow]) -> None:
+        """Write some rows and remove others, in one transaction."""
+        table = names.CRASH_TABLE
+        body = RowsTransaction(
+            [],
+            [RowWrite(table, _crash_key(row), msgspec.json.encode(row)) for row in put],
+            [RowRemoval(table, _crash_key(row)) for row in drop],
+        )
+        rows_of(await self._calls.post(names.ROWS_TX, msgspec.json.encode(body)))
+
+
+def _crash_key(row: CrashRow) -> str:
+    return f"{row.request:016x}.{row.target:08x}"
+
+
+def _lease(data: bytes) -> LeaseRecord:
+    try:
+        return msgspec.json.decode(data, type=LeaseRecord)
+    except msgspec.DecodeError as exc:
+        raise MalformedEntryError(f"lease: {exc}") from exc
--- a/berylshift/process/fleet/quarantine.py
+++ b/berylshift/process/fleet/quarantine.py
@@ -12,7 +12,6 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable
-from dataclasses import dataclass, field
 
 from berylshift.ids import Fingerprint, InstanceId
 from berylshift.messages.fingerprint import head_in
@@ -20,17 +19,13 @@
 from berylshift.messages.replicas import LAPSE_HEARTBEATS
 from berylshift.process.fleet.crash_ledger import CrashLedger
 from berylshift.process.fleet.crash_news import TOLD_SECONDS, CrashKey, CrashNews
+from berylshift.process.fleet.crash_record import (
+    PROVEN_SECONDS,
+    SUSPECT_CRASHES,
+    Crash,
+    CrashRecord,
+)
 
-# Replicas that end under a request until it is held back. One end says nothing of a
-# request: it may stand beside the cause. A second one at another replica seldom does.
-SUSPECT_CRASHES = 2
-PROVEN_CRASHES = 3
-# How long a suspect stays back, in seconds: longer than its caller comes again, short
-# for one that stood twice beside the cause.
-SUSPECT_SECONDS = 60.0
-# The same for a request under which three replicas ended. What it runs into is not
-# mended within minutes.
-PROVEN_SECONDS = 600.0
 # What finished this lately stands beside the cause: callers that ask for the same thing
 # would be refused together else, at each end of a replica.
 FINISHED_SECONDS = 60.0
@@ -44,50 +39,6 @@
 MOST_FINISHED = 4096
 
 
-@dataclass
-class _Crash:
-    """When a replica broke off; ``void``: it turned out to live."""
-
-    at: float
-    void: bool = False
-
-
-@dataclass
-class _Record:
-    """The replicas that broke off under one request, by their hashes."""
-
-    crashes: dict[int, _Crash] = field(default_factory=dict)
-
-    @property
-    def count(self) -> int:
-        """Return how many replicas ended, as far as is known."""
-        return sum(not crash.void for crash in self.crashes.values())
-
-    def has_ended(self, target: int) -> bool:
-        """Return whether a replica ended under the request, as far as is known."""
-        crash = self.crashes.get(target)
-        return crash is not None and not crash.void
-
-    @property
-    def last_at(self) -> float:
-        """Return when the last one broke off."""
-        return max(crash.at for crash in self.crashes.values())
-
-    @property
-    def is_proven(self) -> bool:
-        """Return whether so many replicas ended that chance is ruled out."""
-        return self.count >= PROVEN_CRASHES
-
-    @property
-    def held_until(self) -> float:
-        """Return until when the request is held back."""
-        if self.is_proven:
-            return self.last_at + PROVEN_SECONDS
-        if self.count >= SUSPECT_CRASHES:
-            return self.last_at + SUSPECT_SECONDS
-        return float("-inf")
-
-
 class Quarantine:
     """What this host knows; times in seconds on the monotonic clock."""
 
@@ -97,8 +48,8 @@
         News is told for ``told_seconds``.
         """
         self._lapse_seconds = LAPSE_HEARTBEATS * heartbeat
-        self._noted: OrderedDict[Fingerprint, _Record] = OrderedDict()
-        self._held: OrderedDict[Fingerprint, _Record] = OrderedDict()
+        self._noted: OrderedDict[Fingerprint, CrashRecord] = OrderedDict()
+        self._held: OrderedDict[Fingerprint, CrashRecord] = OrderedDict()
         self._finished: OrderedDict[Fingerprint, float] = OrderedDict()
         self._under: dict[int, set[Fingerprint]] = {}
         self._news = CrashNews(self._held_reports, told_seconds)
@@ -147,7 +98,7 @@
                 self.ledger.drop((request, target))
                 self._sort(request)
 
-    def _outlived(self, crash: _Crash, sent_at: float, listed_at: float | None) -> bool:
+    def _outlived(self, crash: Crash, sent_at: float, listed_at: float | None) -> bool:
         """Return whether a replica that answered did not end when it broke off."""
         if sent_at <= crash.at:
             return False
@@ -264,14 +215,14 @@
         if self._drop(request):
             self._news.finished(request, now, is_near)
 
-    def _record(self, request: Fingerprint) -> _Record | None:
+    def _record(self, request: Fingerprint) -> CrashRecord | None:
         return self._held.get(request) or self._noted.get(request)
 
     def _note(self, request: Fingerprint, target: int, at: float) -> None:
         record = self._record(request)
         if record is None:
-            record = self._noted[request] = _Record()
-        record.crashes[target] = _Crash(at)
+            record = self._noted[request] = CrashRecord()
+        record.crashes[target] = Crash(at)
         self._under.setdefault(target, set()).add(request)
         self._sort(request)
         for records, most in ((self._noted, MOST_NOTED), (self._held, MOST_HELD)):
--- a/berylshift/request/relay.py
+++ b/berylshift/request/relay.py
@@ -1,8 +1,5 @@
 """Carries one routed request: sends it, relays the answer, sends again where it may."""
 
-from dataclasses import dataclass, field
-from enum import StrEnum
-
 import trio
 
 from berylshift.connection.responder import Responder
@@ -21,6 +18,7 @@
 from berylshift.request.prompt_read import KvSource
 from berylshift.request.reading_choice import ReadingAsk, ReadingChoice
 from berylshift.request.relay_parts import RelayParts
+from berylshift.request.relay_result import HopelessError, Result, Verdict
 from berylshift.request.retry_rule import SendEnd, SendHistory, Sent, bounds_of
 from berylshift.request.routed_watch import RoutedWatch
 from berylshift.request.send_loop import LoopEnd, send_until_done
@@ -42,43 +40,6 @@
 MOST_SOURCE_USES = 2
 
 
-class Verdict(StrEnum):
-    """What a caller is told."""
-
-    ANSWERED = "answered"
-    CUT = "cut"
-    NOT_RUN = "not-run"
-    HOPELESS = "hopeless"
-    QUARANTINED = "quarantined"
-    FAILED = "failed"
-    TIMED_OUT = "timed-out"
-    CALLER_LEFT = "caller-left"
-    GIVEN_UP = "given-up"
-
-
-@dataclass
-class Result:
-    """How a request ended, for the log; ``again``: seconds until it may come back.
-
-    ``bound`` is set if it ended for want of time, and says whose time that was.
-    """
-
-    verdict: Verdict
-    detail: str = ""
-    sends: list[str] = field(default_factory=list)
-    again: float = 0.0
-    bound: TimeBound | None = None
-
-
-class HopelessError(Exception):
-    """No engine can begin to answer before the caller leaves."""
-
-    def __init__(self, seconds: float):
-        """Keep the seconds predicted until a first piece."""
-        super().__init__(f"first piece in {seconds:.2f} s")
-        self.seconds = seconds
-
-
 class Relay:
     """One request on its way."""
 
--- a/berylshift/request/routed_front.py
+++ b/berylshift/request/routed_front.py
@@ -16,8 +16,9 @@
 from berylshift.process.fleet.route_holder import RouteHolder
 from berylshift.request.allowance import TimeBound, allowance_of
 from berylshift.request.errors import BadRequestError
-from berylshift.request.relay import Relay, Result, Verdict
+from berylshift.request.relay import Relay
 from berylshift.request.relay_parts import RelayParts
+from berylshift.request.relay_result import Result, Verdict
 from berylshift.request.single_send import FailedAnswer
 from berylshift.utils import host_of
 from berylshift.version.routes import Route
--- a/berylshift/serve_entry.py
+++ b/berylshift/serve_entry.py
@@ -15,12 +15,12 @@
 from berylshift.entry_application import EntryApplication, EntryPorts
 from berylshift.platform.engines import PlatformEngines
 from berylshift.platform.exchange import PlatformLanguage
-from berylshift.platform.store import (
+from berylshift.platform.own_tables import (
     PlatformCrashes,
-    PlatformDirectory,
     PlatformHosts,
     PlatformLeases,
 )
+from berylshift.platform.store import PlatformDirectory
 from berylshift.reload import SettingsFile
 from berylshift.settings import Settings
 from berylshift.signals import watch_signals
--- a/berylshift/tests/test_fleet_gathering.py
+++ b/berylshift/tests/test_fleet_gathering.py
@@ -21,12 +21,14 @@
 SEEDS = range(10)
 
 
-def run_world(task, hosts: int = HOSTS, domains: int = DOMAINS):
+def run_world(
+    task, hosts: int = HOSTS, domains: int = DOMAINS, byte_budget: int = BYTE_BUDGET
+):
     """Run ``task(world)`` with hosts that have settled."""
 
     async def main():
         async with trio.open_nursery() as nursery:
-            world = GatheredWorld(nursery, BOUND_SECONDS, BYTE_BUDGET)
+            world = GatheredWorld(nursery, BOUND_SECONDS, byte_budget)
             for number in range(hosts):
                 world.start(number, domains)
             await trio.sleep(SETTLED_SECONDS)
--- a/berylshift/tests/test_fleet_quarantine.py
+++ b/berylshift/tests/test_fleet_quarantine.py
@@ -11,13 +11,12 @@
     MOST_CRASHES_TOLD,
     TOLD_SECONDS,
 )
+from berylshift.process.fleet.crash_record import PROVEN_SECONDS, SUSPECT_SECONDS
 from berylshift.process.fleet.quarantine import (
     ALIVE_SECONDS,
     FINISHED_SECONDS,
     MOST_HELD,
     MOST_NOTED,
-    PROVEN_SECONDS,
-    SUSPECT_SECONDS,
     Quarantine,
 )
 
--- a/berylshift/tests/test_fleet_quarantine_loop.py
+++ b/berylshift/tests/test_fleet_quarantine_loop.py
@@ -12,7 +12,8 @@
     MOST_WAITING,
     CrashLedger,
 )
-from berylshift.process.fleet.quarantine import PROVEN_SECONDS, Quarantine
+from berylshift.process.fleet.crash_record import PROVEN_SECONDS
+from berylshift.process.fleet.quarantine import Quarantine
 from berylshift.process.fleet.quarantine_loop import (
     RETRY_SECONDS,
     WRITE_SECONDS,
--- a/berylshift/tests/test_fleet_quarantine_spread.py
+++ b/berylshift/tests/test_fleet_quarantine_spread.py
@@ -8,7 +8,6 @@
 from berylshift.ids import InstanceId
 from berylshift.messages.fingerprint import joined
 from berylshift.tests.gathered_world import GatheredHost, GatheredWorld, Path
-from berylshift.tests.support import run_virtual
 from berylshift.tests.test_fleet_gathering import SETTLED_SECONDS, run_world
 
 BAD = joined(7, 1)
@@ -162,18 +161,12 @@
 def play(seed: int, hosts: int, domains: int, byte_budget: int) -> TroubledPlay:
     """Play one seed."""
 
-    async def main():
-        async with trio.open_nursery() as nursery:
-            world = GatheredWorld(nursery, 4.0, byte_budget)
-            for number in range(hosts):
-                world.start(number, domains)
-            await trio.sleep(SETTLED_SECONDS)
-            found = TroubledPlay(world, seed)
-            await found.run()
-            nursery.cancel_scope.cancel()
+    async def task(world):
+        found = TroubledPlay(world, seed)
+        await found.run()
         return found
 
-    return run_virtual(main)
+    return run_world(task, hosts, domains, byte_budget)
 
 
 class TroubledHostsTest(unittest.TestCase):
--- a/berylshift/tests/test_platform_store.py
+++ b/berylshift/tests/test_platform_store.py
@@ -10,12 +10,12 @@
 from berylshift.connection.http_server import HttpServer
 from berylshift.messages.fingerprint import joined
 from berylshift.platform import names
-from berylshift.platform.store import (
+from berylshift.platform.own_tables import (
     PlatformCrashes,
-    PlatformDirectory,
     PlatformHosts,
     PlatformLeases,
 )
+from berylshift.platform.store import PlatformDirectory
 from berylshift.stand_ins.pipes import pipe_pair
 from berylshift.stand_ins.store_server import StoreRow, StoreServer
 from berylshift.store.calls import StoreCalls
--- a/berylshift/tests/test_store_eras_hosts.py
+++ b/berylshift/tests/test_store_eras_hosts.py
@@ -6,10 +6,8 @@
 
 from berylshift.process.fleet.telling import PROBE_SECONDS
 from berylshift.tests.gathered_world import GatheredWorld, Path
-from berylshift.tests.support import run_virtual
-from berylshift.tests.test_fleet_gathering import SETTLED_SECONDS, run_world
+from berylshift.tests.test_fleet_gathering import BOUND_SECONDS, run_world
 
-BOUND_SECONDS = 4.0
 BYTE_BUDGET = 16_384
 HOSTS = 9
 DOMAINS = 4
@@ -17,18 +15,7 @@
 
 def run_few(task):
     """Run ``task(world)`` with hosts that tell each other directly."""
-
-    async def main():
-        async with trio.open_nursery() as nursery:
-            world = GatheredWorld(nursery, BOUND_SECONDS, BYTE_BUDGET)
-            for number in range(HOSTS):
-                world.start(number, DOMAINS)
-            await trio.sleep(SETTLED_SECONDS)
-            found = await task(world)
-            nursery.cancel_scope.cancel()
-        return found
-
-    return run_virtual(main)
+    return run_world(task, HOSTS, DOMAINS, BYTE_BUDGET)
 
 
 def heard_by(world: GatheredWorld, seconds: float) -> list[int]:
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -611,7 +611,7 @@
     ),
     Proof(
         "two replicas are enough",
-        "process/fleet/quarantine.py",
+        "process/fleet/crash_record.py",
         "if self.count >= SUSPECT_CRASHES:",
         "if False:",
         "test_fleet_quarantine.HoldTest",
