--- a/berylshift/stand_ins/__main__.py
+++ b/berylshift/stand_ins/__main__.py
@@ -3,6 +3,7 @@
 Each prints ``listening IP:PORT`` once it serves, and ends on SIGTERM.
 """
 
+import os
 import signal
 import sys
 
@@ -28,6 +29,8 @@
 from berylshift.stand_ins.store_server import StoreServer
 
 EXIT_BAD_INPUT = 2
+# How a process ends that a request has crashed.
+EXIT_CRASHED = 70
 ADDRESS = option("address", "a", "IP:PORT to listen on.", flag=False)
 NAME = option("name", None, "The stand-in's name.", flag=False, default="engine-1")
 
@@ -85,16 +88,20 @@
         ADDRESS,
         NAME,
         option("phase", None, "prefill, decode or nothing.", flag=False, default=""),
+        option("crashes-on", None, "End on a request with this path.", flag=False),
     ]
 
     def handle(self) -> int:
-        """Serve until SIGTERM."""
+        """Serve until SIGTERM, or until a request ends the process."""
         phase = EnginePhase(self.option("phase"))
         instance = self.option("name")
+        kept = AnyKept(on_crash=lambda: os._exit(EXIT_CRASHED))
+        if self.option("crashes-on"):
+            kept.crashing.add(self.option("crashes-on"))
         trio.run(
             serve_streams,
             self.option("address"),
-            lambda address: EntryReplica(instance, address, AnyKept(), phase).serve,
+            lambda address: EntryReplica(instance, address, kept, phase).serve,
         )
         return 0
 
--- a/berylshift/stand_ins/entry_replica.py
+++ b/berylshift/stand_ins/entry_replica.py
@@ -3,6 +3,7 @@
 It serves plain calls and streams, reads prompts apart, and keeps a record of what ran.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -85,14 +86,16 @@
     released: list[str] = field(default_factory=list)
     crashing: set[str] = field(default_factory=set)
     crashes: list[Crash] = field(default_factory=list)
+    # Called as a replica ends; a process of its own ends here.
+    on_crash: Callable[[], None] = lambda: None
 
 
 class AnyKept(Kept):
     """Takes every handle: replicas in processes of their own share no memory."""
 
-    def __init__(self) -> None:
+    def __init__(self, on_crash: Callable[[], None] = lambda: None) -> None:
         """Hand out each handle as if it were kept."""
-        super().__init__(handles=_AnyHandle())
+        super().__init__(handles=_AnyHandle(), on_crash=on_crash)
 
 
 class _AnyHandle(dict):
@@ -158,6 +161,7 @@
         if not self.alive:
             return
         self.alive = False
+        self.kept.on_crash()
         self.kept.crashes.append(Crash(self.address, path, trio.current_time()))
         for session in list(self.open_sessions):
             await session.reset()
