--- a/berylshift/model/days.py
+++ b/berylshift/model/days.py
@@ -2,7 +2,7 @@
 
 from berylshift.model.figures import SiteFigures
 from berylshift.model.fleet import Fault, PlaySpec
-from berylshift.model.traffic import Burst
+from berylshift.model.traffic import Burst, Crasher
 
 # Kinds of prompts take turns this long in a swing, as the users' traffic does.
 SWING_SECONDS = 2.8
@@ -51,4 +51,19 @@
     return PlaySpec(site=site, bursts=(*_swing(site, 2.0, 9), rush), faults=faults)
 
 
-DAYS = {make.__name__: make for make in (calm, swings, crashes, slow, heavy)}
+def crashers(site: SiteFigures) -> PlaySpec:
+    """Return a day with swings on which two callers' prompts end engines.
+
+    Engines of one domain crash by themselves meanwhile.
+    """
+    callers = (Crasher(4.0, 0.6, 40), Crasher(9.0, 1.1, 18))
+    faults = tuple(
+        Fault(14.0, number, 4.0) for number in range(0, site.engines, site.domains)
+    )
+    return PlaySpec(
+        site=site, bursts=_swing(site, 2.0, 9), faults=faults, crashers=callers
+    )
+
+
+MAKERS = (calm, swings, crashes, slow, heavy, crashers)
+DAYS = {make.__name__: make for make in MAKERS}
--- a/berylshift/model/experiment.py
+++ b/berylshift/model/experiment.py
@@ -11,7 +11,12 @@
 from berylshift.request import placement, standing
 
 # What may vary in a play, with the type of its values.
-SPEC_FIELDS = {"placing": str, "reading_share": float, "load": float}
+SPEC_FIELDS = {
+    "placing": str,
+    "reading_share": float,
+    "load": float,
+    "holds_back": lambda text: text == "yes",
+}
 # Modules whose constants may vary.
 POLICIES = (placement, standing)
 
@@ -34,6 +39,8 @@
     refused: float
     failed: float
     again_tokens: float
+    ended: float
+    held_others: float
 
 
 def vary(spec: PlaySpec, name: str, values: list[str], seeds: int) -> list[Row]:
@@ -88,4 +95,6 @@
         refused=statistics.mean(result.refused for result in plays),
         failed=statistics.mean(result.failed for result in plays),
         again_tokens=statistics.mean(result.again_tokens for result in plays),
+        ended=statistics.mean(result.ended for result in plays),
+        held_others=statistics.mean(result.held_others for result in plays),
     )
--- a/berylshift/model/fleet.py
+++ b/berylshift/model/fleet.py
@@ -11,8 +11,8 @@
 from berylshift.model.figures import SERVICE, SiteFigures
 from berylshift.model.host import ModelHost
 from berylshift.model.prompt_run import PromptRun
-from berylshift.model.result import PlayResult, PromptEnd, summarize
-from berylshift.model.traffic import Burst, Traffic
+from berylshift.model.result import CrashCount, PlayResult, PromptEnd, summarize
+from berylshift.model.traffic import Arrival, Burst, Crasher, Traffic
 from berylshift.process.fleet.phase_planner import PhasePlanner
 from berylshift.process.fleet.pools import Pool
 
@@ -20,6 +20,8 @@
 NEAR_SECONDS = 0.0002
 # An engine that has crashed is listed until its entry lapses.
 LAPSE_SECONDS = 3.0
+# An engine that a prompt has ended is back after this long.
+BACK_SECONDS = 3.0
 # Plays go on for this long, so that what has begun can end.
 TAIL_SECONDS = 10.0
 
@@ -44,6 +46,8 @@
     load: float = 1.0
     bursts: tuple[Burst, ...] = ()
     faults: tuple[Fault, ...] = ()
+    crashers: tuple[Crasher, ...] = ()
+    holds_back: bool = True
 
 
 class ModelFleet:
@@ -55,6 +59,8 @@
         self.site = spec.site
         self.queue = EventQueue()
         self.ends: list[PromptEnd] = []
+        self.crash_count = CrashCount()
+        self.holds_back = spec.holds_back
         self._rng = random.Random(spec.seed)
         self._incarnations = 0
         self.engines: dict[str, ModelEngine] = {}
@@ -120,11 +126,39 @@
         traffic = Traffic(site, self._rng)
         for arrival in traffic.arrivals(spec.seconds, spec.bursts):
             self.queue.at(arrival.at, PromptRun(self, arrival).begin)
+        for crasher in spec.crashers:
+            for arrival in traffic.of_crasher(crasher):
+                self.queue.at(arrival.at, PromptRun(self, arrival).begin)
         for fault in spec.faults:
             self._plan_fault(fault)
         self.queue.run(spec.seconds + TAIL_SECONDS)
         again = sum(engine.again_tokens for engine in self.engines.values())
-        return summarize(self.ends, again)
+        return summarize(self.ends, again, self.crash_count)
+
+    # Prompts that end engines
+
+    def lives(self, replica: Replica) -> bool:
+        """Return whether this very start of an engine is there."""
+        engine = self.engines[replica.address]
+        return engine.alive and engine.replica is replica
+
+    def end_engine(self, replica: Replica) -> None:
+        """End an engine under a prompt; it is back after some seconds."""
+        if not self.lives(replica):
+            return
+        self.crash_count.ended += 1
+        number = list(self.engines).index(replica.address)
+        fault = Fault(self.queue.monotonic(), number, BACK_SECONDS)
+        self._crash(replica.address, fault)
+        self.queue.after(BACK_SECONDS, lambda: self._restart(replica.address))
+
+    def note_held(self, arrival: Arrival) -> None:
+        """Count a prompt that a host holds back."""
+        self.crash_count.held_others += not arrival.crashes
+
+    def note_send(self, arrival: Arrival) -> None:
+        """Count a send of a prompt that ends engines."""
+        self.crash_count.sends += arrival.crashes
 
     # Faults
 
--- a/berylshift/model/host.py
+++ b/berylshift/model/host.py
@@ -7,6 +7,7 @@
 from berylshift.model.event_queue import EventQueue
 from berylshift.process.fleet.engine_speeds import EngineSpeeds
 from berylshift.process.fleet.peer_loads import PeerLoads
+from berylshift.process.fleet.quarantine import Quarantine
 from berylshift.process.fleet.target_load import TargetLoads
 from berylshift.process.fleet.telling import REPEAT_SECONDS, TELL_SECONDS
 from berylshift.process.fleet.warm_parts import WarmParts
@@ -14,6 +15,9 @@
 from berylshift.request.reading_choice import ReadingChooser
 from berylshift.version.routes import EngineFacts
 
+# How often engines renew their entries.
+HEARTBEAT_SECONDS = 1.2
+
 
 class ModelHost:
     """One host; it tells the others what a real one tells."""
@@ -40,6 +44,7 @@
             self.loads, self.peers, self.warm, self.speeds, domain, self.rng
         )
         self.placer = PLACINGS[placing](parts)
+        self.quarantine = Quarantine(HEARTBEAT_SECONDS)
         self._others: list[ModelHost] = []
         self.readings = ReadingChooser(
             self.placer, self.speeds, lambda: len(self._others) + 1
@@ -56,11 +61,20 @@
     def _tell(self) -> None:
         now = self._queue.monotonic()
         entries, reads = self.loads.entries(now), self.warm.to_tell(now)
+        crashes = self.quarantine.reports(now)
+        finished = self.quarantine.finishes(now)
         due = now - self._last_at >= REPEAT_SECONDS
-        if entries != self._last or reads or due:
+        if entries != self._last or reads or crashes or finished or due:
             self._last, self._last_at = entries, now
             self._sequence += 1
-            digest = LoadDigest(self.name, self._sequence, entries, reads)
+            digest = LoadDigest(
+                self.name,
+                self._sequence,
+                entries,
+                reads,
+                crashes=crashes,
+                finished=finished,
+            )
             for other in self._others:
                 other.hear(digest)
         self._queue.after(TELL_SECONDS, self._tell)
@@ -70,3 +84,4 @@
         now = self._queue.monotonic()
         self.peers.take(digest, now)
         self.warm.heard(digest.reads)
+        self.quarantine.heard(digest.crashes, digest.finished, now, is_near=False)
--- a/berylshift/model/prompt_run.py
+++ b/berylshift/model/prompt_run.py
@@ -42,6 +42,7 @@
         self._tried: list[InstanceId] = []
         self._reads = 0
         self._refused = 0
+        self._tries = 0
         self._first: float | None = None
         self._last = 0.0
         self._pause = 0.0
@@ -53,6 +54,9 @@
     def begin(self) -> None:
         """Place the prompt; refuse it at once if it would come too late."""
         now = self._queue.monotonic()
+        if self._is_held(now):
+            return
+        self._tries += 1
         self._began_at = now
         self._first_until = now + self._kind.patience
         self._tried.clear()
@@ -60,6 +64,17 @@
         self._queue.after(HOST_SECONDS, self._read)
         self._queue.at(self._first_until, self._leave_if_waiting)
 
+    def _is_held(self, now: float) -> bool:
+        """Return whether the host holds the prompt back; refuse it then."""
+        if not self._fleet.holds_back:
+            return False
+        wait = self._host.quarantine.wait(self._arrival.fingerprint, now)
+        if wait <= 0:
+            return False
+        self._fleet.note_held(self._arrival)
+        self._refuse(wait)
+        return True
+
     @property
     def _urgency(self) -> Urgency:
         return urgency_in(self._kind, self._standing)
@@ -144,12 +159,15 @@
             lambda: self._event(place),
             lambda good: self._ended(place, stream, good),
         )
+        self._fleet.note_send(self._arrival)
         self._queue.after(
             self._hop(place.target),
             lambda: engine.answer(stream, source, rank),
         )
 
     def _event(self, place: Placement) -> None:
+        if self._arrival.crashes:
+            self._queue.after(0.0, lambda: self._fleet.end_engine(place.target))
         way = self._way_back(place.target)
         self._queue.after(way, lambda: self._take_event(place))
 
@@ -178,8 +196,28 @@
             seconds = self._queue.monotonic() - self._sent_at
             host.speeds.answered(place.target.service, seconds)
         self._note(place.target, good)
+        self._tell_quarantine(place.target, good)
         way = self._way_back(place.target)
-        self._queue.after(way, lambda: self._close(good))
+        self._queue.after(way, lambda: self._end(good))
+
+    def _tell_quarantine(self, target: Replica, good: bool) -> None:
+        """Note what a host sees: an engine that is there has not ended."""
+        now, request = self._queue.monotonic(), self._arrival.fingerprint
+        quarantine = self._host.quarantine
+        if good:
+            quarantine.finished(request, now)
+        elif not self._fleet.lives(target):
+            quarantine.broke_off(request, target.instance, now)
+
+    def _end(self, good: bool) -> None:
+        """End the prompt; a caller whose answer broke off comes back."""
+        left = self._arrival.at + self._kind.timeout - self._queue.monotonic()
+        if good or self._over or left <= 0 or self._tries > self._kind.retries:
+            self._close(good)
+            return
+        self._first, self._pause = None, 0.0
+        self._host = self._host.rng.choice(self._fleet.hosts)
+        self.begin()
 
     # Ends
 
@@ -213,6 +251,8 @@
         if self._over:
             return
         self._over = True
+        if self._arrival.crashes:
+            return
         end = PromptEnd(
             self._kind,
             self._arrival.at,
--- a/berylshift/model/result.py
+++ b/berylshift/model/result.py
@@ -37,6 +37,14 @@
     failed: int
 
 
+class CrashCount(msgspec.Struct):
+    """Prompts that end engines: engines ended, sends; other prompts held back."""
+
+    ended: int = 0
+    sends: int = 0
+    held_others: int = 0
+
+
 class PlayResult(msgspec.Struct, frozen=True):
     """One play; ``worth`` is the share of what was to be had."""
 
@@ -47,6 +55,9 @@
     failed: int
     again_tokens: int
     kinds: tuple[KindResult, ...]
+    ended: int = 0
+    sends: int = 0
+    held_others: int = 0
 
 
 WINDOW_SECONDS = 2.0
@@ -54,8 +65,11 @@
 WORST_SHARE = 0.1
 
 
-def summarize(ends: list[PromptEnd], again_tokens: int) -> PlayResult:
+def summarize(
+    ends: list[PromptEnd], again_tokens: int, crashes: CrashCount | None = None
+) -> PlayResult:
     """Return the result of a play's prompts."""
+    crashes = crashes or CrashCount()
     kinds = {end.kind.name: end.kind for end in ends}
     by_kind = [[end for end in ends if end.kind.name == name] for name in sorted(kinds)]
     return PlayResult(
@@ -66,6 +80,9 @@
         failed=sum(not end.complete for end in ends),
         again_tokens=again_tokens,
         kinds=tuple(_kind_result(group) for group in by_kind),
+        ended=crashes.ended,
+        sends=crashes.sends,
+        held_others=crashes.held_others,
     )
 
 
--- a/berylshift/model/traffic.py
+++ b/berylshift/model/traffic.py
@@ -6,22 +6,41 @@
 
 import msgspec
 
-from berylshift.ids import PartId
+from berylshift.ids import Fingerprint, PartId
 from berylshift.messages.routed import Prompt, PromptPart
 from berylshift.model.figures import KindFigures, PartFigures, SiteFigures
 
 OUTPUT_TOKENS = 80
 BISECTIONS = 40
+LEAST_EVENTS = 4
 
 
 class Arrival(msgspec.Struct, frozen=True):
-    """A prompt that reaches ``host`` at a time; its answer has ``events`` events."""
+    """A prompt that reaches ``host`` at a time; its answer has ``events`` events.
+
+    One that ``crashes`` ends each engine that begins to answer it.
+    """
 
     at: float
     kind: KindFigures
     prompt: Prompt
     events: int
     host: int
+    crashes: bool = False
+
+    @property
+    def fingerprint(self) -> Fingerprint:
+        """Return what all tries of the prompt share."""
+        own = self.prompt.parts[-1].part
+        return Fingerprint(int(own, 16))
+
+
+class Crasher(msgspec.Struct, frozen=True):
+    """A caller that comes ``tries`` times with a prompt that ends engines."""
+
+    at: float
+    pause: float
+    tries: int
 
 
 class Burst(msgspec.Struct, frozen=True):
@@ -55,6 +74,24 @@
             found += self._of_kind(kind, seconds, bursts)
         return sorted(found, key=lambda arrival: arrival.at)
 
+    def of_crasher(self, crasher: Crasher) -> list[Arrival]:
+        """Return the tries of one prompt, of a random kind, each at any host."""
+        kind = self._rng.choice(self._site.kinds)
+        prompt = self._prompt(kind)
+        # Never so few that the answer is whole before it has ended its engine.
+        events = max(LEAST_EVENTS, int(self._draw(kind.events)))
+        return [
+            Arrival(
+                crasher.at + number * crasher.pause,
+                kind,
+                prompt,
+                events,
+                self._rng.randrange(self._site.hosts),
+                True,
+            )
+            for number in range(crasher.tries)
+        ]
+
     def _of_kind(
         self, kind: KindFigures, seconds: float, bursts: tuple[Burst, ...]
     ) -> list[Arrival]:
--- a/berylshift/tests/test_model_fleet.py
+++ b/berylshift/tests/test_model_fleet.py
@@ -104,6 +104,37 @@
         self.assertGreater(spreads, clings)
 
 
+class CrasherDayTest(unittest.TestCase):
+    """Two callers' prompts end engines, beside swings and the loss of a domain.
+
+    Each comes again and again. What counts is how many engines end, and how many other
+    callers are refused for having been beside it.
+    """
+
+    # Of other callers' prompts, the share that may be held back.
+    MOST_HELD = 0.01
+
+    def plays(self, holds_back: bool):
+        day = DAYS["crashers"](NESTWATCH)
+        return [
+            play(msgspec.structs.replace(day, seed=seed, holds_back=holds_back))
+            for seed in range(1, 4)
+        ]
+
+    def test_each_ends_three_engines_at_most_and_others_are_served(self):
+        callers = len(DAYS["crashers"](NESTWATCH).crashers)
+        for result in self.plays(holds_back=True):
+            prompts = sum(kind.prompts for kind in result.kinds)
+            self.assertGreater(result.ended, 0)
+            self.assertLessEqual(result.ended, 3 * callers)
+            self.assertLessEqual(result.held_others, self.MOST_HELD * prompts)
+
+    def test_callers_are_served_better(self):
+        held = [result.worth for result in self.plays(holds_back=True)]
+        sent = [result.worth for result in self.plays(holds_back=False)]
+        self.assertGreater(min(held), 2 * max(sent))
+
+
 class ResultTest(unittest.TestCase):
     """What a play is worth."""
 
