--- a/berylshift/stand_ins/store_server.py
+++ b/berylshift/stand_ins/store_server.py
@@ -13,6 +13,9 @@
 STATUS_OK = 200
 STATUS_CONFLICT = 412
 STATUS_NOT_FOUND = 404
+STATUS_GONE = 410
+# Not the platform's: has the store come back from a copy some seconds old.
+RESTORE_PATH = "/stand-in/restore"
 
 
 class StoreRow(msgspec.Struct):
@@ -52,6 +55,16 @@
     has_more: bool = False
 
 
+@dataclass
+class StoreCopy:
+    """What the store held at a moment."""
+
+    at: float = float("-inf")
+    version: int = 1
+    rows: dict[tuple[str, str], StoreRow] = field(default_factory=dict)
+    log: list[StoreRow] = field(default_factory=list)
+
+
 @dataclass
 class StoreServer:
     """Rows in memory; nothing lasts."""
@@ -63,6 +76,7 @@
     news: trio.Event = field(default_factory=trio.Event)
     # Rows of other writers, as they stand on the wire; told with each answer.
     bad_rows: list[bytes] = field(default_factory=list)
+    copies: list[StoreCopy] = field(default_factory=list)
 
     async def handle(self, req: HttpRequest, responder: Responder) -> None:
         """Answer one call."""
@@ -72,9 +86,21 @@
             await self._feed(req, responder)
         elif req.path == names.ROWS_TX:
             await self._transact(req, responder)
+        elif req.path == RESTORE_PATH:
+            self.restore(float(req.query["seconds"]))
+            await self._answer(responder, [])
         else:
             await responder.full(STATUS_NOT_FOUND, JSON_TYPE, b"{}")
 
+    def restore(self, seconds: float) -> None:
+        """Come back from a copy that is ``seconds`` old, in a new era."""
+        wanted = trio.current_time() - seconds
+        found = [copy for copy in self.copies if copy.at <= wanted]
+        copy = found[-1] if found else StoreCopy()
+        self.version = copy.version
+        self.rows, self.log = dict(copy.rows), list(copy.log)
+        self.era += 1
+
     async def _get(self, req: HttpRequest, responder: Responder) -> None:
         table, start = req.query["table"], req.query.get("from", "")
         found = [row for key, row in sorted(self.rows.items()) if key[0] == table]
@@ -84,6 +110,9 @@
 
     async def _feed(self, req: HttpRequest, responder: Responder) -> None:
         table, after = req.query["table"], int(req.query["after"])
+        if after > self.version:
+            await self._answer(responder, [], status=STATUS_GONE)
+            return
         with trio.move_on_after(int(req.query["wait_ms"]) / 1000):
             while not self._changes(table, after):
                 await self.news.wait()
@@ -108,6 +137,9 @@
             self.rows.pop((gone.table, gone.key), None)
             row = StoreRow(gone.table, gone.key, b"", self.version, deleted=True)
             self.log.append(row)
+        now = trio.current_time()
+        copy = StoreCopy(now, self.version, dict(self.rows), list(self.log))
+        self.copies.append(copy)
         self.news.set()
         self.news = trio.Event()
         await self._answer(responder, [])
--- a/berylshift/tests/test_platform_store.py
+++ b/berylshift/tests/test_platform_store.py
@@ -291,6 +291,21 @@
         self.assertIsNone(second)
         self.assertEqual((row.record, row.revision), (record, first.revision))
 
+    def test_a_position_that_the_store_no_longer_has_is_lost_history(self):
+        async def task(world):
+            crashes = PlatformCrashes(world.calls)
+            for number in range(4):
+                await crashes.change((CrashRow(BAD, number, 900),), ())
+                await trio.sleep(1)
+            known = (await world.directory.read_replicas()).revision
+            world.store.restore(2.5)
+            with self.assertRaises(HistoryLostError):
+                await world.directory.await_replicas(known, 1.0)
+            left = await crashes.read()
+            return len(left.rows), left.era
+
+        self.assertEqual(self.run_store(task), (2, 1))
+
     def test_answers_tell_the_era(self):
         async def task(world):
             world.put(names.REPLICA_TABLE, "i-1", msgspec.json.encode(ENTRY))
--- a/berylshift/tools/demo_entry.py
+++ b/berylshift/tools/demo_entry.py
@@ -1,8 +1,8 @@
 """The demonstration on the platform's protocol: hosts, a store, engines, a service.
 
-All are separate processes. One host gets SIGTERM, one engine is killed, and the routes
-change while 240 requests run. Prints one JSON object as its last line; exits 1 unless
-nothing was lost, doubled or cut.
+All are separate processes. One host gets SIGTERM, one engine is killed, the routes
+change, and the store comes back from an older copy while 240 requests run. Prints one
+JSON object as its last line; exits 1 unless nothing was lost, doubled or cut.
 """
 
 import random
@@ -20,6 +20,7 @@
 from berylshift.connection.http_client import HttpClient, Outgoing
 from berylshift.platform import names
 from berylshift.stand_ins.entry_replica import RUNS_PATH
+from berylshift.stand_ins.store_server import RESTORE_PATH
 from berylshift.tools.processes import Programs
 
 REQUESTS = 240
@@ -29,6 +30,9 @@
 READY_SECONDS = 20.0
 READY_POLL_SECONDS = 0.05
 PIECES = 6
+# How old the copy is from which the store comes back, and when it is whole again.
+OLDER_SECONDS = 1.5
+AGAIN_SECONDS = 1.0
 SITE = "shop.example"
 SETTINGS = """[host]
 name = {name}
@@ -164,6 +168,9 @@
     async def put_routes(self) -> None:
         """Write the next version of the routes."""
         self.version += 1
+        await self._write_routes()
+
+    async def _write_routes(self) -> None:
         kinds = {
             Kind.NOTE: ("streaming", "writer", 1),
             Kind.LOOK: ("idempotent", "desk", 2),
@@ -243,6 +250,18 @@
         await trio.sleep(SECONDS * 0.1)
         await self.remove(names.REPLICA_TABLE, "read-2")
         await self.put_routes()
+        await trio.sleep(SECONDS * 0.1)
+        await self._restore_store()
+
+    async def _restore_store(self) -> None:
+        """Have the store come back older; what is not the hosts' is written again."""
+        path = f"{RESTORE_PATH}?seconds={OLDER_SECONDS}"
+        out = Outgoing(self.store, "POST", path, {}, reuse=False)
+        async with self.client.request(out) as resp:
+            await resp.read()
+        await trio.sleep(AGAIN_SECONDS)
+        await self._write_routes()
+        await self.remove(names.REPLICA_TABLE, "read-2")
 
 
 def _judge(request: str, kind: Kind, status: int, body: bytes) -> End:
