End an outage of the store with the first answer to either feed

Three hosts had lost the store from 2.9 s on and regained it at 11.5 s, by the feed of routes; their list of replicas was not read until 15.05 s, by other hosts' word, and only that read ended the outage. The entry that went at 15.005 s was taken for one that had lapsed in it and kept for two seconds (lapsed, not removed; gone at 17.2 s). The five hosts without an outage removed it at once.

The first answer to either feed now ends it, at this host and in what it tells the others. The test plays it with thirty hosts: red before.

--- a/berylshift/process/fleet/directory_loop.py
+++ b/berylshift/process/fleet/directory_loop.py
@@ -144,6 +144,7 @@
             wait = self._watch.wait(Feed.ROUTES)
             found = await self._directory.await_routes(after, wait)
         self._check_era(found.era, asked_in)
+        self._note_return(found.store_ms)
         self._take_routes(found)
         news = after is None or found.table is not None
         self._watch.read(Feed.ROUTES, found.revision, found.store_ms, news)
@@ -199,10 +200,13 @@
         """Tell others of an outage's end, or go by what they told of one.
 
         Entries that lapsed during an outage are missed when it ends. A host that did
-        not call the store meanwhile would take their replicas for gone.
+        not call the store meanwhile would take their replicas for gone. The first
+        answer to either feed ends the outage: the list of replicas may not be read for
+        long after, and what goes then has not lapsed.
         """
         if self._replicas.is_store_lost:
             self._watch.back(store_ms)
+            self._replicas.store_answered(self._clock.monotonic())
             return
         age = self._watch.back_age()
         if age is not None:
--- a/berylshift/process/fleet/replica_set.py
+++ b/berylshift/process/fleet/replica_set.py
@@ -68,6 +68,12 @@
         if self._lost_at is None:
             self._lost_at = now
 
+    def store_answered(self, now: float) -> None:
+        """Note that the store answers, which ends an outage."""
+        if self._lost_at is not None:
+            self._back_at = now
+            self._lost_at = None
+
     @property
     def is_store_lost(self) -> bool:
         """Return whether the store has not answered since it was lost."""
@@ -79,9 +85,7 @@
 
     def apply(self, changes: ReplicaChanges, now: float) -> SetChange:
         """Take an update over."""
-        if self._lost_at is not None:
-            self._back_at = now
-            self._lost_at = None
+        self.store_answered(now)
         self.confirmed_at = now
         self._note_era(changes.era, now)
         gone = set(changes.removed)
--- a/berylshift/tests/test_fleet_gathering.py
+++ b/berylshift/tests/test_fleet_gathering.py
@@ -13,6 +13,10 @@
 # hosts are gathered, as two hundred are by the usual budget.
 BOUND_SECONDS = 4.0
 BYTE_BUDGET = 4096
+# The time in which a leaving replica gets no new work any more; an outage is over by
+# then for as long as entries get to come back, and more.
+LEAVING_SECONDS = 2.0
+LONG_AFTER_SECONDS = 3.5
 HOSTS = 30
 DOMAINS = 5
 # Roles are taken within this time of a start.
@@ -188,6 +192,32 @@
         version, found = run_world(task)
         self.assertEqual(found, {version})
 
+    def test_a_replica_that_goes_long_after_an_outage_gets_no_work(self):
+        """The store turns one host away while the routes change, then serves it again.
+
+        Three seconds later a replica leaves without having said so: its entry goes. The
+        host reads the list for the first time since, takes the entry for one that
+        lapsed in the outage, and sends the replica work for two seconds more. Evidence:
+        `store regained` for the routes 3.5 s before, `lapsed` instead of `removed`, and
+        `replicas gone` 2.2 s after that.
+        """
+
+        async def task(world):
+            world.put_replica("r-1")
+            world.put_replica("r-2")
+            await trio.sleep(2)
+            host = next(each for each in world.hosts if not each.watch.follows)
+            host.view.turned_away = True
+            world.put_routes()
+            await trio.sleep(3)
+            host.view.turned_away = False
+            await trio.sleep(LONG_AFTER_SECONDS)
+            world.store.remove_replica("r-1")
+            await trio.sleep(LEAVING_SECONDS - 0.1)
+            return host.version, host.usable
+
+        self.assertEqual(run_world(task), (2, {"r-2"}))
+
     def test_followers_that_the_store_turns_away(self):
         """The store serves all but the hosts that read it for the others."""
 
