--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -795,6 +795,14 @@
         "            pass",
         "test_store_eras_hosts.JoinAgainTest",
     ),
+    Proof(
+        "the first answer to either feed ends an outage",
+        "process/fleet/directory_loop.py",
+        "            self._replicas.store_answered(self._clock.monotonic())\n",
+        "",
+        "test_fleet_gathering.SharedReadsTest."
+        "test_a_replica_that_goes_long_after_an_outage_gets_no_work",
+    ),
 )
 
 
