Tell of all requests that ran on a replica that ended, in turn

A digest tells of 16; of more that broke in the same half second, always the newest were told. With few hosts of many slots the cause may be among the others: each host would then count its own sightings alone, and send it out once more. Those told least often go first now. Forty requests under one end: all are told within the half second, 16 before.

--- a/berylshift/process/fleet/crash_news.py
+++ b/berylshift/process/fleet/crash_news.py
@@ -23,12 +23,16 @@
 Key = TypeVar("Key")
 
 
-@dataclass(frozen=True)
+@dataclass
 class _News:
-    """Since when something is told; ``is_near``: a host of this domain saw it."""
+    """Since when something is told, and how often it was.
+
+    ``is_near``: a host of this domain saw it.
+    """
 
     since: float
     is_near: bool
+    told: int = 0
 
 
 class CrashNews:
@@ -55,13 +59,26 @@
         """Have it told that a suspect ran to its end."""
         _add(self._finishes, request, _News(now, is_near))
 
-    def crashes_due(self, now: float, near_alone: bool) -> list[CrashKey]:
-        """Return what is to be told now, the newest first."""
+    def crashes_due(self, now: float, near_alone: bool) -> int:
+        """Return how many replicas that broke off are to be told of now."""
         if now - self._told_again_at >= AGAIN_SECONDS:
             self._told_again_at = now
             for key in reversed(self._held()[:MOST_CRASHES_TOLD]):
                 _add(self._crashes, key, _News(now, True))
-        return self._due(self._crashes, now, near_alone)[:MOST_CRASHES_TOLD]
+        return min(MOST_CRASHES_TOLD, len(self._due(self._crashes, now, near_alone)))
+
+    def take_crashes(self, now: float, near_alone: bool) -> list[CrashKey]:
+        """Return what is told in this digest: what was told least often goes first.
+
+        Each request that ran on a replica may be the cause of its end, and a digest may
+        hold only a part of them.
+        """
+        count = self.crashes_due(now, near_alone)
+        due = self._due(self._crashes, now, near_alone)
+        taken = sorted(due, key=lambda key: self._crashes[key].told)[:count]
+        for key in taken:
+            self._crashes[key].told += 1
+        return taken
 
     def finishes_due(self, now: float, near_alone: bool) -> tuple[Fingerprint, ...]:
         """Return the suspects that ran to their end, the newest first."""
--- a/berylshift/process/fleet/quarantine.py
+++ b/berylshift/process/fleet/quarantine.py
@@ -174,9 +174,9 @@
         return not crash.void or at <= crash.at + ALIVE_SECONDS
 
     def reports(self, now: float, near_alone: bool = False) -> tuple[CrashReport, ...]:
-        """Return what the other hosts are to be told of replicas that broke off."""
+        """Return what the next digest tells of replicas that broke off."""
         self._forget_old(now)
-        due = self._news.crashes_due(now, near_alone)
+        due = self._news.take_crashes(now, near_alone)
         found = [(request, target, self._record(request)) for request, target in due]
         return tuple(
             CrashReport(request, target, now - record.crashes[target].at)
@@ -184,9 +184,13 @@
             if record is not None and record.has_ended(target)
         )
 
+    def reports_due(self, now: float, near_alone: bool = False) -> int:
+        """Return how many reports the next digest has, at the most."""
+        return self._news.crashes_due(now, near_alone)
+
     def has_news(self, now: float) -> bool:
         """Return whether the other hosts are to be told of anything."""
-        return bool(self.reports(now) or self.finishes(now))
+        return bool(self.reports_due(now) or self.finishes(now))
 
     def finishes(self, now: float, near_alone: bool = False) -> tuple[Fingerprint, ...]:
         """Return the suspects that ran to their end, for the other hosts."""
--- a/berylshift/tests/test_fleet_quarantine.py
+++ b/berylshift/tests/test_fleet_quarantine.py
@@ -19,6 +19,7 @@
     MOST_NOTED,
     Quarantine,
 )
+from berylshift.process.fleet.telling import TELL_SECONDS
 
 BAD = joined(7, 1)
 HEARTBEAT = 1.2
@@ -207,6 +208,21 @@
             self.crash(joined(number, 1), 1)
         self.assertEqual(len(self.quarantine.reports(0.0)), MOST_CRASHES_TOLD)
 
+    def test_all_of_many_are_told_in_turn(self):
+        """An engine ends under forty requests of this host; one of them did it.
+
+        A digest holds fewer. Were always the newest told, the others would never hear
+        of the cause, and each host would send it out once more.
+        """
+        bad = [joined(number, 1) for number in range(40)]
+        for request in bad:
+            self.crash(request, 1)
+        for step in range(int(TOLD_SECONDS / TELL_SECONDS)):
+            now = step * TELL_SECONDS
+            self.quarantine.has_news(now)
+            self.tell(now)
+        self.assertEqual({self.other.crashes(request) for request in bad}, {1})
+
 
 class BoundTest(QuarantineCase):
     """Many different requests."""
