Count a send that broke off while its replica is asked whether it lives

Found by reading the change: a replica breaks off, the host asks it for a new connection, and the caller's time ends meanwhile. The send was no longer open and not yet in the history, so that a booking which may have run was answered 503. It stays open until it is judged, in both interfaces.

--- a/berylshift/request/completion.py
+++ b/berylshift/request/completion.py
@@ -166,10 +166,11 @@
         try:
             await self._attempt(plan)
         except AttemptFailedError as exc:
-            self._history.open = False
             self._parts.decisions.failed(self._call.request, exc.target, exc.end)
             if exc.end is SendEnd.BROKEN:
+                # Still open meanwhile: should the time end, the send must count.
                 await self._broke_off(exc.target)
+            self._history.open = False
             return Sent(exc.target, exc.end)
         self._history.open = False
         self._crash_watch.finished()
--- a/berylshift/request/relay.py
+++ b/berylshift/request/relay.py
@@ -334,7 +334,10 @@
         self._use_source(end)
         self._open_place = None
         self._note_send(place, f"{place.reason} {end}")
+        # The judgement may wait. Should the time end then, the send must still count.
+        self._history.open = end.may_have_run
         await self._judge(place.target, end)
+        self._history.open = False
         if end is SendEnd.DONE:
             self.crash_watch.answered(place.target, sent_at)
             self.crash_watch.finished()
--- a/berylshift/tests/test_request_relay.py
+++ b/berylshift/tests/test_request_relay.py
@@ -128,6 +128,25 @@
         reply, runs = self.ask(Fault.RESET)
         self.assertEqual((reply.status, runs), (502, 1))
 
+    def test_time_that_ends_while_a_replica_is_asked_whether_it_lives(self):
+        """A booking's replica breaks off; nothing answers at its address any more.
+
+        The host waits to see whether it takes a new connection, and the caller's time
+        ends meanwhile. The booking may have run: 503 would say that it has not.
+        """
+
+        async def task(world):
+            for replica in world.replicas.values():
+                replica.faults = [Fault.RESET]
+            link = world.connect()
+            await link.send("/book/x", left_ms=60)
+            while not any(replica.runs for replica in world.replicas.values()):
+                await trio.sleep(0.0001)
+            world.dark.update(world.replicas)
+            return (await link.read()).status
+
+        self.assertNotIn(run_entry(task), (0, 503))
+
     def test_silence_is_not_called_not_run(self):
         """The replica takes a booking and never says a word until the time is up."""
         reply, runs = self.ask(Fault.MUTE)
