Ask targets of the own interface for a connection, not for a report

A busy engine may take longer than 0.1 s for its report and would count as ended; a connection is taken by the kernel of one that lives.

--- a/berylshift/connection/engine_client.py
+++ b/berylshift/connection/engine_client.py
@@ -77,6 +77,13 @@
         except ConnectionLayerError as exc:
             raise TargetBrokenError(str(exc)) from exc
 
+    async def connect(self, address: str) -> None:
+        """Open a connection and keep it for the next call."""
+        try:
+            await self._client.connect(address)
+        except ConnectFailedError as exc:
+            raise TargetNotReachedError(str(exc)) from exc
+
     async def cancel(self, address: str, attempt: AttemptId) -> None:
         """Stop an attempt."""
         out = self._outgoing(address, "POST", f"/v1/attempts/{attempt}/cancel", {})
--- a/berylshift/request/completion.py
+++ b/berylshift/request/completion.py
@@ -28,7 +28,7 @@
 )
 from berylshift.request.retry_rule import SendEnd, SendHistory, Sent
 from berylshift.request.send_loop import LoopEnd, send_until_done
-from berylshift.request.target_check import answers
+from berylshift.request.target_check import takes_connections
 from berylshift.targets import (
     EngineCall,
     KvSource,
@@ -184,7 +184,7 @@
         client = self._parts.client
         await self._crash_watch.broke_off(
             self._parts.watching.instance(target),
-            lambda: answers(lambda: client.report(row.address)),
+            lambda: takes_connections(client, row.address),
         )
 
     async def _attempt(self, plan: Plan) -> None:
--- a/berylshift/request/plain_send.py
+++ b/berylshift/request/plain_send.py
@@ -15,7 +15,7 @@
 from berylshift.request.decisions import DecisionLog
 from berylshift.request.messages import Ending, Outcome, PlainCall, Reason
 from berylshift.request.retry_rule import SendEnd, end_of
-from berylshift.request.target_check import answers
+from berylshift.request.target_check import takes_connections
 from berylshift.targets import (
     ServiceAnswer,
     ServiceCall,
@@ -87,10 +87,9 @@
         if found.end is SendEnd.DONE:
             watch.finished()
         elif found.end is SendEnd.BROKEN and self._takes_work(plan.target.name):
-            address = plan.target.address
             await watch.broke_off(
                 self.watching.instance(plan.target.name),
-                lambda: answers(lambda: self.client.connect(address)),
+                lambda: takes_connections(self.client, plan.target.address),
             )
         return found
 
--- a/berylshift/request/target_check.py
+++ b/berylshift/request/target_check.py
@@ -1,21 +1,20 @@
 """Asks a target whether it is there."""
 
-from collections.abc import Awaitable, Callable
-
 import trio
 
 from berylshift.request.crash_watch import CONNECT_SECONDS
-from berylshift.targets import TargetError, TargetNotReachedError
+from berylshift.targets import EngineClient, ServiceClient, TargetNotReachedError
+
 
+async def takes_connections(client: EngineClient | ServiceClient, address: str) -> bool:
+    """Return whether a target takes a new connection soon.
 
-async def answers(call: Callable[[], Awaitable[object]]) -> bool:
-    """Return whether a target takes a call soon, whatever it says."""
+    A busy one does, however late it answers; a process that has ended does not.
+    """
     with trio.move_on_after(CONNECT_SECONDS):
         try:
-            await call()
+            await client.connect(address)
         except TargetNotReachedError:
             return False
-        except TargetError:
-            return True
         return True
     return False
--- a/berylshift/stand_ins/memory_targets.py
+++ b/berylshift/stand_ins/memory_targets.py
@@ -66,6 +66,10 @@
                 await self._network.wait_open(self._host, engine)
                 yield chunks
 
+    async def connect(self, address: str) -> None:
+        """Open a connection."""
+        await self._reach(address)
+
     async def cancel(self, address: str, attempt: AttemptId) -> None:
         """Stop an attempt."""
         try:
--- a/berylshift/targets.py
+++ b/berylshift/targets.py
@@ -164,6 +164,9 @@
     ) -> AbstractAsyncContextManager[AsyncIterator[list[EngineChunk]]]:
         """Start an attempt; give what has arrived each time, until its end."""
 
+    async def connect(self, address: str) -> None:
+        """Open a connection; raise ``TargetNotReachedError`` if none is taken."""
+
     async def cancel(self, address: str, attempt: AttemptId) -> None:
         """Stop an attempt; one that is unknown or over is no error."""
 
--- a/berylshift/tests/test_connection_targets.py
+++ b/berylshift/tests/test_connection_targets.py
@@ -4,8 +4,12 @@
 
 import trio
 
+from berylshift.connection.engine_client import HttpEngineClient
+from berylshift.connection.http_client import HttpClient
+from berylshift.connection.service_client import HttpServiceClient
 from berylshift.connection.target_client import TargetClient
 from berylshift.ids import InstanceId
+from berylshift.request.target_check import takes_connections
 
 INSTANCE = InstanceId("engine-1")
 # Long for this computer, however busy it is; what is refused is refused at once.
@@ -42,6 +46,21 @@
 
         self.assertFalse(self.ask(task))
 
+    def test_the_own_interfaces_targets_are_asked_alike(self):
+        """One that takes connections and answers nothing is busy, and lives."""
+
+        async def task(client, listener, address):
+            found = []
+            for make in (HttpEngineClient, HttpServiceClient):
+                pool = HttpClient(connect_seconds=SECONDS)
+                found.append(await takes_connections(make(pool, ""), address))
+                pool.close()
+            await listener.aclose()
+            gone = HttpEngineClient(HttpClient(connect_seconds=SECONDS), "")
+            return found, await takes_connections(gone, address)
+
+        self.assertEqual(self.ask(task), ([True, True], False))
+
 
 if __name__ == "__main__":
     unittest.main()
