--- a/berylshift/tests/test_connection_targets.py
+++ b/berylshift/tests/test_connection_targets.py
@@ -1,6 +1,7 @@
 """Whether a replica is there, over real sockets."""
 
 import unittest
+from unittest.mock import patch
 
 import trio
 
@@ -46,6 +47,7 @@
 
         self.assertFalse(self.ask(task))
 
+    @patch("berylshift.request.target_check.CONNECT_SECONDS", SECONDS)
     def test_the_own_interfaces_targets_are_asked_alike(self):
         """One that takes connections and answers nothing is busy, and lives."""
 
