--- a/berylshift/tests/test_store_eras_hosts.py
+++ b/berylshift/tests/test_store_eras_hosts.py
@@ -61,7 +61,7 @@
     """Thirty hosts, two of which follow the store for all."""
 
     def test_an_old_word_hides_nothing(self):
-        """A host stands still through the drill; its words of before come late.
+        """A host stands still through the restore; its words of before come late.
 
         Their revisions are higher than those of the new era. A host that goes by the
         number alone takes what is new for known.
