--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -219,7 +219,7 @@
     Proof(
         "a hopeless further send is not called not run",
         "request/relay.py",
-        "        verdict = self._gave_up()\n        if verdict is Verdict.NOT_RUN:\n",
+        "        found = self._gave_up()\n        if found is Verdict.NOT_RUN:\n",
         "        if True:\n",
         f"{STREAMS}.StreamTest.test_a_hopeless_second_send_is_not_called_not_run",
     ),
@@ -233,8 +233,8 @@
     Proof(
         "versions only rise",
         "process/fleet/route_holder.py",
-        "table.version <= self.table.version",
-        "table.version == self.table.version",
+        "if table.version < self.table.version:\n            return False",
+        "if table.version < self.table.version:\n            return True",
         "test_entry_application.ChangeTest.test_an_older_version_changes_nothing",
     ),
     Proof(
@@ -363,21 +363,21 @@
     Proof(
         "a lease is over on a clock that counts a freeze",
         "process/fleet/order_lease.py",
-        "self._boot_clock() >= self._grant.until",
+        "self._boot_clock() >= grant.until",
         "False",
         "test_fleet_order_lease.OrderLeaseTest",
     ),
     Proof(
         "the next holder waits out the last one's orders",
         "process/fleet/order_lease.py",
-        "seconds = USE_SECONDS + self._apart + MARGIN_SECONDS",
-        "seconds = USE_SECONDS",
+        "return USE_SECONDS + self._apart + MARGIN_SECONDS",
+        "return USE_SECONDS",
         "test_fleet_order_lease.OrderLeaseTest",
     ),
     Proof(
         "a lease is taken under a condition",
         "process/fleet/order_lease.py",
-        "        if revision is None:\n",
+        "        if granted is None:\n",
         "        if False:\n",
         "test_fleet_order_lease.OrderLeaseTest",
     ),
