Name answers' headers that nobody reads, and when each send goes out

Three hypotheses stand in docs/incidents/a-limit-not-kept.md: nobody reads the header, each host keeps the limit by itself, one way goes round it. The hosts' lines could not tell them apart: no line says that an answer held anything unknown, and a request's line told only when its sends ended.

Now `headers passed over` names each header of an answer that is neither the platform's nor HTTP's, once in a process, without its value and with the request; `sent` in each send of `request ended` is the time at which it went out. No logic changes. Tests: test_headers_that_are_not_known_are_named_once and test_no_more_than_so_many_unknown_headers_are_named.

--- a/berylshift/platform/exchange.py
+++ b/berylshift/platform/exchange.py
@@ -16,6 +16,7 @@
     RoutedRequest,
 )
 from berylshift.platform import names
+from berylshift.platform.unknown_headers import UnknownHeaders
 from berylshift.request.errors import BadRequestError
 from berylshift.version.customers import ApiKey
 
@@ -67,6 +68,10 @@
 class PlatformLanguage:
     """The platform's headers."""
 
+    def __init__(self) -> None:
+        """Start with no unknown header seen."""
+        self._unknown = UnknownHeaders()
+
     def read_request(
         self, method: bytes, target: bytes, headers: list[Header], body: Body
     ) -> RoutedRequest:
@@ -114,10 +119,12 @@
     def read_answer(self, status: int, headers: list[Header]) -> AnswerHead:
         """Return the head of a replica's answer."""
         found = dict(headers)
-        request = found.get(names.ATTEMPT_ID)
+        echoed = found.get(names.ATTEMPT_ID)
+        request = None if echoed is None else RequestId(echoed.decode("latin-1"))
+        self._unknown.note(headers, request)
         return AnswerHead(
             status=status,
-            request=None if request is None else RequestId(request.decode("latin-1")),
+            request=request,
             genuine=names.SIGNATURE in found and b"content-encoding" not in found,
             not_run=names.NOT_RUN in found or status == STATUS_WRONG_INSTANCE,
             load=_load(found.get(names.LOAD)),
--- a/berylshift/platform/names.py
+++ b/berylshift/platform/names.py
@@ -15,6 +15,7 @@
 RANK = b"berylshift-request-priority"
 PHASE = b"berylshift-phase"
 KV_SOURCE = b"berylshift-kv-source"
+WEIGHT_VERSIONS = b"berylshift-weight-versions"
 KV_FETCH = b"kv-fetch"
 KV_RESERVATION = b"berylshift-kv-retain"
 KV_PIN_MS = b"berylshift-kv-pin-ms"
@@ -42,6 +43,11 @@
     }
 )
 
+# What replicas' answers may carry.
+IN_ANSWERS = frozenset(
+    {ATTEMPT_ID, SIGNATURE, INSTANCE, LOAD, NOT_RUN, WEIGHT_VERSIONS}
+)
+
 # Rises by one each time that the store comes back from an older copy.
 STORE_ERA = "store-era"
 
--- a/berylshift/request/relay.py
+++ b/berylshift/request/relay.py
@@ -77,6 +77,7 @@
         self._sender = SingleSend(parts, req, route, self._out, self._history)
         self.crash_watch = RoutedWatch(parts, req)
         self._open_place: Placement | None = None
+        self._open_since = 0.0
         self._source: KvSource | None = None
         self._source_uses = 0
         self._reads = 0
@@ -105,7 +106,8 @@
                 self._drop_source()
             return Result(verdict, self._last_end(), self._sends)
         if self._open_place is not None:
-            self._note_send(self._open_place, f"{self._open_place.reason} open")
+            what = f"{self._open_place.reason} open"
+            self._note_send(self._open_place, what, self._open_since)
         if self._out.started:
             return Result(Verdict.CUT, "time is up", self._sends, bound=self._bound())
         return Result(
@@ -176,12 +178,13 @@
         last = self._history.last
         return str(last.end) if last is not None else "no replica"
 
-    def _note_send(self, place: Placement, what: str) -> None:
-        """Keep a send for the log: what was predicted, and when it ended."""
+    def _note_send(self, place: Placement, what: str, sent_at: float) -> None:
+        """Keep a send for the log: what was predicted, when it went out and ended."""
         ms = (self._now() - self._started) * 1000
+        sent_ms = (sent_at - self._started) * 1000
         inputs = f"predicted={place.seconds * 1000:.0f}ms tokens={place.tokens}"
         inputs += f" again={place.again} ahead={place.ahead:.0f}"
-        inputs += f" standing={self._standing}"
+        inputs += f" standing={self._standing} sent={sent_ms:.0f}ms"
         self._sends.append(f"{place.target.instance} {what} {inputs} {ms:.0f}ms")
 
     async def _send_until_done(self) -> Verdict:
@@ -284,7 +287,7 @@
 
     async def _read_at(self, place: Placement) -> SendEnd:
         """Have one engine read the prompt; keep its cache for the answering one."""
-        sent_at = self._now()
+        sent_at = self._open_since = self._now()
         self._open_place = place
         found = await self._parts.reads.read(
             self._req.id,
@@ -295,7 +298,7 @@
         )
         self._reads += found.end is not SendEnd.NOT_REACHED
         self._open_place = None
-        self._note_send(place, f"read {place.reason} {found.end}")
+        self._note_send(place, f"read {place.reason} {found.end}", sent_at)
         if found.source is None:
             await self._judge(place.target, found.end)
         else:
@@ -352,7 +355,8 @@
         loads.sent(instance, place.tokens, self._urgency)
         reading = Reading(loads, instance, place.tokens, self._urgency)
         self._open_place = place
-        sent_at, had_begun = self._now(), self._out.started
+        sent_at = self._open_since = self._now()
+        had_begun = self._out.started
         end = SendEnd.NOT_REACHED
         try:
             out = self._outgoing(place.target, source)
@@ -363,7 +367,7 @@
             self._count_run(sent_at, self._history.open or end.may_have_run)
         self._use_source(end)
         self._open_place = None
-        self._note_send(place, f"{place.reason} {end}")
+        self._note_send(place, f"{place.reason} {end}", sent_at)
         # The judgement may wait. Should the time end then, the send must still count.
         self._history.open = end.may_have_run
         await self._judge(place.target, end)
--- a/berylshift/tests/test_platform_adapter.py
+++ b/berylshift/tests/test_platform_adapter.py
@@ -17,6 +17,7 @@
 from berylshift.platform.configuration import read_routes
 from berylshift.platform.entries import read_replica
 from berylshift.platform.exchange import PlatformLanguage
+from berylshift.platform.unknown_headers import MOST_NAMES
 from berylshift.request.errors import BadRequestError
 from berylshift.store.directory import MalformedEntryError
 from berylshift.tests.support import EXPLORE
@@ -352,6 +353,24 @@
         self.assertIsNone(head.load)
         self.assertIsNone(head.keep_seconds)
 
+    def test_headers_that_are_not_known_are_named_once(self):
+        language = PlatformLanguage()
+        headers = [(b"x-news", b"secret"), (b"content-type", b"text/plain")]
+        headers += [(names.ATTEMPT_ID, b"r1"), (names.SIGNATURE, b"s")]
+        with self.assertLogs("berylshift.platform.unknown_headers") as logs:
+            language.read_answer(200, headers)
+            language.read_answer(200, headers)
+        self.assertEqual(len(logs.records), 1)
+        self.assertEqual(logs.records[0].headers, ["x-news"])
+        self.assertNotIn("secret", str(vars(logs.records[0])))
+
+    def test_no_more_than_so_many_unknown_headers_are_named(self):
+        language = PlatformLanguage()
+        with self.assertLogs("berylshift.platform.unknown_headers") as logs:
+            for number in range(2 * MOST_NAMES):
+                language.read_answer(200, [(b"x-%d" % number, b"1")])
+        self.assertEqual(len(logs.records), MOST_NAMES)
+
     def test_headers_of_the_connection_are_not_passed_on(self):
         head = self.read(200, (b"connection", b"close"), (b"x-one", b"1"))
         self.assertEqual(head.headers, ((b"x-one", b"1"),))
