--- a/berylshift/platform/names.py
+++ b/berylshift/platform/names.py
@@ -12,6 +12,8 @@
 INSTANCE = b"berylshift-instance-id"
 LOAD = b"berylshift-instance-load"
 NOT_RUN = b"berylshift-not-executed"
+# Requests a second that a replica takes from all hosts together.
+RATE_LIMIT = b"server-limit"
 RANK = b"berylshift-request-priority"
 PHASE = b"berylshift-phase"
 KV_SOURCE = b"berylshift-kv-source"
--- a/berylshift/stand_ins/entry_replica.py
+++ b/berylshift/stand_ins/entry_replica.py
@@ -65,6 +65,14 @@
     whole: bool = False
 
 
+@dataclass
+class Arrival:
+    """A call that reached a replica, whatever it asks for."""
+
+    at: float
+    host: str
+
+
 @dataclass
 class Crash:
     """A replica that ended, and when; ``path``: of the request that ended it."""
@@ -138,11 +146,16 @@
         self.open_sessions: set[_Session] = set()
         self.body_bytes = 0
         self.read_pause = 0.0
-
-    async def serve(self, stream: trio.abc.Stream) -> None:
-        """Serve one connection until either side ends it."""
+        # Requests a second that its answers name as its limit.
+        self.rate_limit: float | None = None
+        self.calls: list[Arrival] = []
+        # When each host was first told of the limit.
+        self.told_limit: dict[str, float] = {}
+
+    async def serve(self, stream: trio.abc.Stream, host: str = "") -> None:
+        """Serve one connection of ``host`` until either side ends it."""
         self.connections += 1
-        session = _Session(self, stream)
+        session = _Session(self, stream, host)
         self.open_sessions.add(session)
         try:
             while await session.serve_one():
@@ -183,9 +196,10 @@
 class _Session:
     """One connection."""
 
-    def __init__(self, replica: EntryReplica, stream: trio.abc.Stream):
+    def __init__(self, replica: EntryReplica, stream: trio.abc.Stream, host: str):
         self.replica = replica
         self.stream = stream
+        self.host = host
         self.conn = h11.Connection(h11.SERVER)
         self.path = ""
 
@@ -227,7 +241,9 @@
         named = headers.get(names.TARGET_INSTANCE)
         if named is not None and named.decode() != self.replica.instance:
             await self._answer(WRONG_INSTANCE, b"", headers, signed=False)
-        elif path.startswith(names.KV_HANDLE_PATH):
+            return
+        self.replica.calls.append(Arrival(trio.current_time(), self.host))
+        if path.startswith(names.KV_HANDLE_PATH):
             handle = path.removeprefix(names.KV_HANDLE_PATH)
             self.replica.kept.handles.pop(handle, None)
             self.replica.kept.released.append(handle)
@@ -389,6 +405,9 @@
             found.append(
                 (names.SIGNATURE, b"signed-by-" + self.replica.instance.encode())
             )
+        if self.replica.rate_limit is not None:
+            found.append((names.RATE_LIMIT, b"%.2f" % self.replica.rate_limit))
+            self.replica.told_limit.setdefault(self.host, trio.current_time())
         return found
 
     async def _answer(
--- a/berylshift/tests/entry_world.py
+++ b/berylshift/tests/entry_world.py
@@ -3,6 +3,7 @@
 import itertools
 import random
 from dataclasses import dataclass, field
+from functools import partial
 
 import h11
 import trio
@@ -216,8 +217,8 @@
         plain = ended.phase is EnginePhase.NONE
         self.list_replica(fresh, PLAIN if plain else ENGINES)
 
-    async def dial(self, address: str) -> Pipe:
-        """Connect to a replica; a dark address never answers."""
+    async def dial(self, address: str, host: str = "") -> Pipe:
+        """Connect ``host`` to a replica; a dark address never answers."""
         self.dials += 1
         self.dialed.append(address)
         await trio.sleep(0.001)
@@ -227,7 +228,7 @@
         if replica is None or not replica.alive:
             raise OSError("connection refused")
         near, far = pipe_pair()
-        self.nursery.start_soon(replica.serve, far)
+        self.nursery.start_soon(replica.serve, far, host)
         return near
 
     async def add_host(self, name: str = "", **entry: object) -> EntryApplication:
@@ -236,7 +237,7 @@
         values = {"grace": 8, "reading_share": 0, **entry}
         text = SETTINGS.format(name=name)
         text += "".join(f"{key} = {value}\n" for key, value in values.items())
-        client = TargetClient(0.3, self.dial)
+        client = TargetClient(0.3, partial(self.dial, host=name))
         seed = len(self.hosts) + 1
         ports = EntryPorts(
             clock=LoopClock(),
--- a/berylshift/tests/ledger.py
+++ b/berylshift/tests/ledger.py
@@ -175,7 +175,7 @@
 class LedgerWorld(EntryWorld):
     """Hosts whose connections to replicas are as a kernel keeps them, too."""
 
-    async def dial(self, address: str) -> KernelEnd:
+    async def dial(self, address: str, host: str = "") -> KernelEnd:
         """Connect to a replica."""
         self.dials += 1
         await trio.sleep(LATER_SECONDS)
@@ -183,7 +183,7 @@
         if replica is None or not replica.alive:
             raise OSError("connection refused")
         near, far = kernel_pair(near=LateLook)
-        self.nursery.start_soon(replica.serve, far)
+        self.nursery.start_soon(replica.serve, far, host)
         return near
 
 
