Keep the limits that replicas name, all hosts together

What callers saw: none of them failed in the record; replicas in need got up to 1.4 times what they may get (LIMIT: 30 requests in 4 s where 21 are allowed), which is what makes need worse.

Cause: an answer was read for the few things that two places of the code looked for; no word of a replica about itself was kept that sends would have asked for. Ruled out: a limit that each host keeps by itself, and a single way round (all 45 are first sends).

Now every call to a replica passes one gate in the client (requests, readings, resumed streams, freed caches, reports, orders), and the gate hears the head of every answer. Placing leaves out replicas that take nothing of this host now, before a prompt is read. All hosts keep a limit together without a message for each request: few hosts hold it by their names, those of the replica's domain first; the others take turns that lapse. Where all replicas that are left are at their limits, callers are refused at once with the time at which some host may send (`throttled`).

Why it holds: a host's turns are spaced by its share and not saved up beyond one, so the sum in any window is the limit, one turn for each holder and about one for all other hosts.

--- a/berylshift/connection/errors.py
+++ b/berylshift/connection/errors.py
@@ -9,6 +9,10 @@
     """The connection was never made: no byte can have reached the peer."""
 
 
+class ThrottledError(ConnectionLayerError):
+    """The peer asked for fewer requests: nothing was sent."""
+
+
 class ConnectionBrokenError(ConnectionLayerError):
     """The connection ended early: the peer may have read all of the request."""
 
--- a/berylshift/connection/target_client.py
+++ b/berylshift/connection/target_client.py
@@ -7,8 +7,9 @@
 import contextlib
 import select
 from collections import defaultdict
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from typing import Protocol
 
 import h11
 import msgspec
@@ -51,13 +52,56 @@
     body: RequestBody = NO_BODY
 
 
+class TargetGate(Protocol):
+    """Decides which requests may go out; every request and answer passes it."""
+
+    def enter(self, instance: InstanceId) -> float:
+        """Return the time of a request that may go out; raise ``ThrottledError``."""
+
+    def answered(
+        self,
+        instance: InstanceId,
+        status: int,
+        headers: list[Header],
+        entered_at: float,
+    ) -> None:
+        """Note the head of an answer to the request that entered at ``entered_at``."""
+
+
+class OpenGate:
+    """Lets everything through."""
+
+    def enter(self, instance: InstanceId) -> float:
+        """Let a request out."""
+        return 0.0
+
+    def answered(
+        self,
+        instance: InstanceId,
+        status: int,
+        headers: list[Header],
+        entered_at: float,
+    ) -> None:
+        """Learn nothing."""
+
+
 class TargetAnswer:
     """An answer whose body is read as it comes."""
 
-    def __init__(self, wire: Wire, out: TargetRequest, head: h11.Response):
-        """Wrap the connection, the request that was sent, and the answer's head."""
+    def __init__(
+        self,
+        wire: Wire,
+        out: TargetRequest,
+        head: h11.Response,
+        on_head: Callable[[int, list[Header]], None],
+    ):
+        """Wrap the connection, the request that was sent, and the answer's head.
+
+        ``on_head`` is told status and headers of each head that is read.
+        """
         self._wire = wire
         self._out = out
+        self._on_head = on_head
         self.keep_seconds = KEPT_SECONDS
         self.usable = True
         self._take(head)
@@ -67,6 +111,7 @@
         self.headers: list[Header] = [
             (bytes(name), bytes(value)) for name, value in head.headers
         ]
+        self._on_head(self.status, self.headers)
 
     async def skip(self) -> None:
         """Pass over this answer and take the next one on the connection.
@@ -113,8 +158,13 @@
         self._dial = dial
         self._kept: dict[InstanceId, list[Wire]] = defaultdict(list)
         self._senders: trio.Nursery | None = None
+        self._gate: TargetGate = OpenGate()
         self.opened = 0
 
+    def guard_by(self, gate: TargetGate) -> None:
+        """Have each request and answer pass ``gate``."""
+        self._gate = gate
+
     async def run(self) -> None:
         """Carry the sending of large bodies until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -125,17 +175,22 @@
     async def exchange(self, out: TargetRequest) -> AsyncIterator[TargetAnswer]:
         """Send a request and give its answer.
 
-        Raises ``ConnectFailedError`` if no byte was sent, and other connection
-        errors if the replica may have read the request. A connection is kept only
-        if its answer was read to the end and nothing lies behind it.
+        Raises ``ThrottledError`` or ``ConnectFailedError`` if no byte was sent, and
+        other connection errors if the replica may have read the request. A connection
+        is kept only if its answer was read to the end and nothing lies behind it.
         """
+        entered_at = self._gate.enter(out.instance)
+
+        def on_head(status: int, headers: list[Header]) -> None:
+            self._gate.answered(out.instance, status, headers, entered_at)
+
         wire = self._take(out.instance) or await self._open(out.address)
         sending = trio.CancelScope()
         answer: TargetAnswer | None = None
         whole = False
         try:
             sent = await self._send(wire, out, sending)
-            answer = TargetAnswer(wire, out, await wire.read_head())
+            answer = TargetAnswer(wire, out, await wire.read_head(), on_head)
             yield answer
             whole = sent.is_set() and answer.usable and wire.reusable()
         finally:
--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -13,7 +13,7 @@
 from berylshift.connection.target_client import TargetClient
 from berylshift.entry_duties import DutyParts, EntryDuties
 from berylshift.entry_gauges import report_gauges
-from berylshift.ids import DomainName, InstanceId, ServiceName
+from berylshift.ids import DomainName, HostName, InstanceId, ServiceName
 from berylshift.messages.engine_control import EngineControl
 from berylshift.messages.replicas import LAPSE_HEARTBEATS
 from berylshift.messages.routed import Language
@@ -32,8 +32,11 @@
 from berylshift.process.quarantine.quarantine_loop import QuarantineLoop
 from berylshift.process.shutdown import Shutdown
 from berylshift.process.targets.engine_speeds import EngineSpeeds
+from berylshift.process.targets.limit_shares import LimitShare, LimitShares
+from berylshift.process.targets.rate_limits import RateLimits
 from berylshift.process.targets.recent_times import RecentTimes
 from berylshift.process.targets.target_load import TargetLoads
+from berylshift.process.targets.throttle import Throttle
 from berylshift.process.targets.warm_parts import WarmParts
 from berylshift.process.telling.digest_maker import DigestParts
 from berylshift.process.telling.load_loop import LoadLink, LoadLoop, LoadParts
@@ -45,6 +48,7 @@
 from berylshift.request.reading_choice import ReadingChooser
 from berylshift.request.relay_parts import RelayParts
 from berylshift.request.routed_front import RoutedFront
+from berylshift.request.target_gate import ThrottleGate
 from berylshift.settings import Settings
 from berylshift.store.crash_rows import CrashRows
 from berylshift.store.directory import Directory
@@ -121,6 +125,7 @@
         self.quarantine = Quarantine(self.heartbeat)
         self.fingerprints = Fingerprints()
         self.speeds = EngineSpeeds(self._engine_facts)
+        self.throttle = self._make_throttle()
         placing = PlacingParts(
             self.loads,
             self.peers,
@@ -158,15 +163,16 @@
             times=self.times,
             quarantine=self.quarantine,
             fingerprints=self.fingerprints,
+            throttle=self.throttle,
             run_began=self.duties.run_began,
         )
-        gate = KeyGate(
+        key_gate = KeyGate(
             self.routes,
             cfg.directory.in_force_ms / 1000,
             cfg.entry.keys_expire_ms / 1000 or None,
         )
         self.front = RoutedFront(
-            parts, self.routes, gate, ports.rng, self.telemetry.request_ended
+            parts, self.routes, key_gate, ports.rng, self.telemetry.request_ended
         )
         self.server = HttpServer(self.front.handle, hands_on_bodies=True)
         status = EntryStatus(cfg.entry.ready_path, self.is_ready, self.telemetry.text)
@@ -183,6 +189,21 @@
             self._forget_replica,
         )
 
+    def _make_throttle(self) -> Throttle:
+        """Return what all calls to replicas go by."""
+        ports = self.ports
+        shares = LimitShares(
+            HostName(self.cfg.host.name), lambda: self.load_loop.sharing_hosts()
+        )
+
+        def share_of(instance: InstanceId, per_second: float) -> LimitShare:
+            domain = self.replicas.domain_of(instance)
+            return shares.share(instance, domain, per_second)
+
+        throttle = Throttle(RateLimits(share_of, ports.rng))
+        ports.client.guard_by(ThrottleGate(ports.language, throttle, ports.clock))
+        return throttle
+
     def _make_load_loop(self) -> LoadLoop:
         cfg, ports = self.cfg, self.ports
         digest = DigestParts(
@@ -230,6 +251,7 @@
         """Drop what is kept of a replica that is gone."""
         self.loads.forget(instance)
         self.warm.forget(instance)
+        self.throttle.forget(instance)
         self.ports.client.forget(instance)
 
     def _feed_rest(self) -> float:
--- a/berylshift/entry_gauges.py
+++ b/berylshift/entry_gauges.py
@@ -33,6 +33,7 @@
     era = app.watch.eras.current or FIRST_ERA
     gauge("store_era", "Era of the store.", era)
     gauge("quarantined", "Requests held back.", len(app.quarantine))
+    gauge("replicas_throttled", "By their own word.", len(app.throttle))
     duties = app.duties
     gauge("usage_reported", "Windows of usage sent.", duties.windows_reported)
     gauge("usage_given_up", "Windows of usage missed.", duties.windows_given_up)
--- a/berylshift/messages/routed.py
+++ b/berylshift/messages/routed.py
@@ -116,6 +116,16 @@
     length: int | None = None
 
 
+class TargetWishes(msgspec.Struct, frozen=True):
+    """What a replica asks of its callers in an answer.
+
+    ``rate_limit``: the requests a second that it takes from all hosts together;
+    ``None``: it names no limit.
+    """
+
+    rate_limit: float | None = None
+
+
 class KvHandle(msgspec.Struct, frozen=True):
     """A KV cache that an engine keeps after reading a prompt."""
 
@@ -152,6 +162,9 @@
     def read_answer(self, status: int, headers: list[Header]) -> AnswerHead:
         """Return the head of a replica's answer."""
 
+    def read_wishes(self, status: int, headers: list[Header]) -> TargetWishes | None:
+        """Return what an answer asks for; ``None``: another replica gave it."""
+
     def read_handle(self, body: bytes) -> KvHandle | None:
         """Return the KV cache of a prefill answer, ``None`` if it can't be read."""
 
--- a/berylshift/platform/exchange.py
+++ b/berylshift/platform/exchange.py
@@ -14,6 +14,7 @@
     PromptPart,
     ReportedLoad,
     RoutedRequest,
+    TargetWishes,
 )
 from berylshift.platform import names
 from berylshift.platform.unknown_headers import UnknownHeaders
@@ -133,6 +134,13 @@
             length=_length(found.get(b"content-length")),
         )
 
+    def read_wishes(self, status: int, headers: list[Header]) -> TargetWishes | None:
+        """Return what an answer asks for; ``None``: another replica gave it."""
+        if status == STATUS_WRONG_INSTANCE:
+            return None
+        found = dict(headers)
+        return TargetWishes(rate_limit=_rate(found.get(names.RATE_LIMIT)))
+
     def read_handle(self, body: bytes) -> KvHandle | None:
         """Return the KV cache of a prefill answer, ``None`` if it can't be read."""
         try:
@@ -225,6 +233,15 @@
     return ReportedLoad(running, waiting, slots)
 
 
+def _rate(value: bytes | None) -> float | None:
+    """Return requests a second; a value that is none names no limit."""
+    try:
+        rate = float(value) if value is not None else -1.0
+    except ValueError:
+        return None
+    return rate if 0 <= rate < float("inf") else None
+
+
 def _keep_seconds(value: bytes | None) -> float | None:
     if value is None:
         return None
--- a/berylshift/platform/names.py
+++ b/berylshift/platform/names.py
@@ -47,7 +47,7 @@
 
 # What replicas' answers may carry.
 IN_ANSWERS = frozenset(
-    {ATTEMPT_ID, SIGNATURE, INSTANCE, LOAD, NOT_RUN, WEIGHT_VERSIONS}
+    {ATTEMPT_ID, SIGNATURE, INSTANCE, LOAD, NOT_RUN, RATE_LIMIT, WEIGHT_VERSIONS}
 )
 
 # Rises by one each time that the store comes back from an older copy.
--- a/berylshift/process/directory/replica_set.py
+++ b/berylshift/process/directory/replica_set.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from berylshift.ids import InstanceId, ReplicaName, ServiceName, StoreEra
+from berylshift.ids import DomainName, InstanceId, ReplicaName, ServiceName, StoreEra
 from berylshift.messages.replicas import Replica, ReplicaChanges
 from berylshift.process.directory.departed import DepartedReplicas
 from berylshift.process.directory.expected_phases import ExpectedPhases
@@ -215,6 +215,12 @@
         """Return a service's replicas as their entries say, those that leave too."""
         return [entry for entry in self._listed.values() if entry.service == service]
 
+    def domain_of(self, instance: InstanceId) -> DomainName | None:
+        """Return the failure domain of a listed replica."""
+        entries = self._listed.values()
+        found = (entry.domain for entry in entries if entry.instance == instance)
+        return next(found, None)
+
     def is_leaving(self, replica: Replica) -> bool:
         """Return whether a replica was said to leave, or has left, by its entry."""
         listed = self._listed.get(replica.name)
--- /dev/null
+++ b/berylshift/process/targets/rate_limits.py
@@ -0,0 +1,132 @@
+"""Requests a second that replicas take, by their own word, and this host's turns.
+
+All hosts together keep a limit without a message for each request: every host spaces
+its own requests by its share.
+"""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from berylshift.ids import InstanceId
+from berylshift.process.targets.limit_shares import LimitShare
+
+# What a limit of nothing is taken for, so that its end is noticed.
+LEAST_PER_SECOND = 0.02
+# How long a share is gone by before the hosts are looked at again.
+SHARE_SECONDS = 1.0
+
+
+@dataclass
+class _Limit:
+    """A limit in requests a second, and what this host's next turn is counted by.
+
+    The turn comes ``phase`` intervals after ``counted_from``.
+    """
+
+    per_second: float
+    named_at: float
+    counted_from: float
+    phase: float
+    share: LimitShare
+    shared_at: float
+
+    @property
+    def interval(self) -> float:
+        """Return the seconds between two turns of this host."""
+        return 1 / (self.per_second * self.share.part)
+
+    @property
+    def turn_at(self) -> float:
+        """Return when this host may send next."""
+        return self.counted_from + self.phase * self.interval
+
+    @property
+    def lapses_at(self) -> float:
+        """Return when a turn lapses that was not used.
+
+        Of the hosts that hold no share about one at a time has a turn: kept, the turns
+        of all of them would come in one burst.
+        """
+        if self.share.is_held:
+            return float("inf")
+        return self.turn_at + self.interval / self.share.others
+
+
+class RateLimits:
+    """Limits by replica; times in seconds on the monotonic clock."""
+
+    def __init__(
+        self, share_of: Callable[[InstanceId, float], LimitShare], rng: random.Random
+    ):
+        """Use this host's part of each limit, given replica and requests a second."""
+        self._share_of = share_of
+        self._rng = rng
+        self._limits: dict[InstanceId, _Limit] = {}
+
+    def __len__(self) -> int:
+        """Return how many replicas name a limit."""
+        return len(self._limits)
+
+    def named(self, instance: InstanceId, per_second: float, now: float) -> bool:
+        """Take over a limit that a replica names; return whether it had none."""
+        per_second = max(LEAST_PER_SECOND, per_second)
+        limit = self._limits.get(instance)
+        if limit is not None:
+            limit.per_second = per_second
+            limit.named_at = now
+            return False
+        share = self._share_of(instance, per_second)
+        # Hosts learn of a limit together: a random phase keeps their turns apart.
+        phase = self._rng.random()
+        self._limits[instance] = _Limit(per_second, now, now, phase, share, now)
+        return True
+
+    def not_named(self, instance: InstanceId, sent_at: float) -> bool:
+        """Drop a limit that an answer no longer names; return whether there was one.
+
+        An answer to what was sent before the limit was last named may be older.
+        """
+        limit = self._limits.get(instance)
+        if limit is None or sent_at <= limit.named_at:
+            return False
+        del self._limits[instance]
+        return True
+
+    def wait(self, instance: InstanceId, now: float) -> float:
+        """Return the seconds until this host may send to a replica; 0: now."""
+        limit = self._limits.get(instance)
+        if limit is None:
+            return 0.0
+        if now - limit.shared_at >= SHARE_SECONDS:
+            limit.share = self._share_of(instance, limit.per_second)
+            limit.shared_at = now
+        if now > limit.lapses_at:
+            limit.counted_from, limit.phase = now, self._rng.uniform(0, 2)
+        return max(0.0, limit.turn_at - now)
+
+    def sent(self, instance: InstanceId, now: float) -> None:
+        """Note that this host's turn is used."""
+        limit = self._limits.get(instance)
+        if limit is not None:
+            limit.counted_from, limit.phase = now, 1.0
+
+    def closed(self, now: float) -> list[InstanceId]:
+        """Return the replicas to which this host may not send now."""
+        return [name for name in self._limits if self.wait(name, now) > 0]
+
+    def retry_after(self, instance: InstanceId, now: float) -> float:
+        """Return the seconds until some host may send to a replica."""
+        limit = self._limits.get(instance)
+        if limit is None:
+            return 0.0
+        return min(self.wait(instance, now), 1 / limit.per_second)
+
+    def share(self, instance: InstanceId) -> LimitShare | None:
+        """Return this host's share of a replica's limit, if that names one."""
+        limit = self._limits.get(instance)
+        return None if limit is None else limit.share
+
+    def forget(self, instance: InstanceId) -> None:
+        """Drop a replica that is gone."""
+        self._limits.pop(instance, None)
--- a/berylshift/process/telling/host_list.py
+++ b/berylshift/process/telling/host_list.py
@@ -49,6 +49,10 @@
         """Return the other hosts' names."""
         return sorted(self._records)
 
+    def records(self) -> list[HostRecord]:
+        """Return the other hosts."""
+        return list(self._records.values())
+
     def address(self, host: str) -> str | None:
         """Return where a host's datagrams arrive."""
         rec = self._records.get(host)
--- a/berylshift/process/telling/load_loop.py
+++ b/berylshift/process/telling/load_loop.py
@@ -85,6 +85,28 @@
         unheard = sum(not peers.heard(host, now) for host in young)
         return 1 + max(peers.heard_hosts(now) + unheard, peers.members(now))
 
+    def sharing_hosts(self) -> list[HostRecord] | None:
+        """Return the hosts that share limits, this one too; ``None``: not known yet.
+
+        Where hosts tell each other directly, those that have been silent for long are
+        left out.
+        """
+        if not self._hosts.was_read:
+            return None
+        found = self._hosts.records()
+        if not self._teller.is_gathered:
+            now = self._parts.clock.monotonic()
+            peers = self._parts.digest.peers
+            young = self._hosts.young(now, MEMBER_SECONDS)
+            found = [
+                rec for rec in found if rec.host in young or peers.heard(rec.host, now)
+            ]
+        return [self._own_record(), *found]
+
+    def _own_record(self) -> HostRecord:
+        parts = self._parts
+        return HostRecord(parts.digest.host, parts.address, parts.digest.domain)
+
     def duty_place(self, duty: str) -> int | None:
         """Return this host's place in order for a duty; ``None``: it is not to."""
         return self._teller.duty_place(duty, self._parts.clock.monotonic())
@@ -130,7 +152,7 @@
 
     async def _join(self, proposal: str) -> str:
         parts = self._parts
-        record = HostRecord(parts.digest.host, parts.address, parts.digest.domain)
+        record = self._own_record()
         while True:
             try:
                 key = await parts.rows.shared_key(proposal)
--- a/berylshift/request/prompt_read.py
+++ b/berylshift/request/prompt_read.py
@@ -7,7 +7,11 @@
 import trio
 
 from berylshift.clock import Clock
-from berylshift.connection.errors import ConnectFailedError, ConnectionLayerError
+from berylshift.connection.errors import (
+    ConnectFailedError,
+    ConnectionLayerError,
+    ThrottledError,
+)
 from berylshift.connection.target_client import (
     TargetAnswer,
     TargetClient,
@@ -83,6 +87,8 @@
                 async with self._client.exchange(out) as answer:
                     return await self._take(request, place.target, answer)
             return ReadEnd(SendEnd.SILENT)
+        except ThrottledError:
+            return ReadEnd(SendEnd.THROTTLED)
         except ConnectFailedError:
             return ReadEnd(SendEnd.NOT_REACHED)
         except ConnectionLayerError:
--- a/berylshift/request/relay.py
+++ b/berylshift/request/relay.py
@@ -1,5 +1,6 @@
 """Carries one routed request: sends it, relays the answer, sends again where it may."""
 
+import logging
 from collections.abc import Callable
 
 import trio
@@ -23,16 +24,25 @@
 from berylshift.request.relay_result import (
     HopelessError,
     KeyGoneError,
+    NoRoomError,
     Result,
     Verdict,
 )
-from berylshift.request.retry_rule import SendEnd, SendHistory, Sent, bounds_of
+from berylshift.request.retry_rule import (
+    NEVER_SENT,
+    SendEnd,
+    SendHistory,
+    Sent,
+    bounds_of,
+)
 from berylshift.request.routed_watch import RoutedWatch
 from berylshift.request.send_loop import LoopEnd, send_until_done
 from berylshift.request.single_send import FailedAnswer, Reading, SingleSend
 from berylshift.request.standing import Standing, rank_of, urgency_in
 from berylshift.version.routes import Route
 
+logger = logging.getLogger(__name__)
+
 # What is left of a caller's time when its answer is given up on, so that the answer
 # arrives before the caller leaves.
 ANSWER_SECONDS = 0.02
@@ -100,6 +110,8 @@
                 return self._hopeless(exc)
             except QuarantinedError as exc:
                 return self._held_back(exc)
+            except NoRoomError as exc:
+                return self._given_up(Verdict.THROTTLED, exc, exc.seconds)
             except KeyGoneError as exc:
                 return self._given_up(Verdict.KEY_GONE, exc, 0.0)
             finally:
@@ -228,7 +240,7 @@
             place = self._parts.placer.plain(self._pool(), self._avoided(), self._now())
             return await self._send(place, None)
         if self._answerer(None) is None:
-            return None
+            return await self._send(None, None)
         if self._source is None and not self._out.started:
             if not await self._read_prompt(self._req.prompt):
                 return None
@@ -251,7 +263,19 @@
 
     def _avoided(self) -> list[InstanceId]:
         """Return the replicas that may not answer the request."""
-        return self.crash_watch.avoided(self._pool(), self._tried, self._out.started)
+        avoided = [*self._tried, *self._parts.throttle.closed(self._now())]
+        return self.crash_watch.avoided(self._pool(), avoided, self._out.started)
+
+    def _check_room(self) -> None:
+        """Raise ``NoRoomError`` if those that are left are throttled, all of them."""
+        throttle, now = self._parts.throttle, self._now()
+        closed = set(throttle.closed(now)).difference(self._tried)
+        answerers = [rep.instance for rep in self._pool().answerers]
+        waits = [
+            throttle.retry_after(name, now) for name in answerers if name in closed
+        ]
+        if waits:
+            raise NoRoomError(min(waits))
 
     def _check_hope(self, seconds: float) -> None:
         """Raise ``HopelessError`` if a first piece in ``seconds`` comes too late."""
@@ -279,7 +303,7 @@
             end = await self._read_at(choice.place)
             if end is SendEnd.DONE:
                 return True
-            if self._reads == 1 and end is not SendEnd.NOT_REACHED:
+            if self._reads == 1 and end not in NEVER_SENT:
                 self._budget.spend(self._now())
             if len(tried) >= MOST_READS:
                 return False
@@ -296,7 +320,7 @@
             self._outgoing(place.target, prefill_only=True),
             self._first_until - sent_at,
         )
-        self._reads += found.end is not SendEnd.NOT_REACHED
+        self._reads += found.end not in NEVER_SENT
         self._open_place = None
         self._note_send(place, f"read {place.reason} {found.end}", sent_at)
         if found.source is None:
@@ -349,6 +373,7 @@
     ) -> Sent | None:
         """Send once and relay what comes; return how it ended."""
         if place is None:
+            self._check_room()
             return None
         loads, instance = self._parts.loads, place.target.instance
         self._tried.append(instance)
@@ -430,6 +455,8 @@
             loads.succeeded(instance, now)
         elif end in (SendEnd.FAILED, SendEnd.NOT_RUN):
             loads.failed(instance, MILD, now)
+        elif end is SendEnd.THROTTLED:
+            logger.info("send throttled", extra={"instance": instance})
         else:
             loads.failed(instance, SEVERE, now)
             self._parts.client.forget(instance)
--- a/berylshift/request/relay_parts.py
+++ b/berylshift/request/relay_parts.py
@@ -14,6 +14,7 @@
 from berylshift.process.targets.engine_speeds import EngineSpeeds
 from berylshift.process.targets.recent_times import RecentTimes
 from berylshift.process.targets.target_load import TargetLoads
+from berylshift.process.targets.throttle import Throttle
 from berylshift.request.fingerprint import Fingerprints
 from berylshift.request.placement import Placing
 from berylshift.request.prompt_read import PromptReads
@@ -38,5 +39,6 @@
     times: RecentTimes
     quarantine: Quarantine
     fingerprints: Fingerprints
+    throttle: Throttle
     # Told the customer of a request that began to run, and how many seconds ago.
     run_began: Callable[[CustomerName | None, float], None] = lambda customer, ago: None
--- a/berylshift/request/relay_result.py
+++ b/berylshift/request/relay_result.py
@@ -14,6 +14,7 @@
     NOT_RUN = "not-run"
     HOPELESS = "hopeless"
     QUARANTINED = "quarantined"
+    THROTTLED = "throttled"
     KEY_GONE = "key-gone"
     FAILED = "failed"
     TIMED_OUT = "timed-out"
@@ -39,6 +40,15 @@
     """The caller's key was taken away while its request waited."""
 
 
+class NoRoomError(Exception):
+    """All replicas that are left take no request now, by their own word."""
+
+    def __init__(self, seconds: float):
+        """Keep the seconds until one of them may take one."""
+        super().__init__(f"no replica takes a request for {seconds:.2f} s")
+        self.seconds = seconds
+
+
 class HopelessError(Exception):
     """No engine can begin to answer before the caller leaves."""
 
--- a/berylshift/request/retry_rule.py
+++ b/berylshift/request/retry_rule.py
@@ -27,6 +27,7 @@
     DONE = "done"
     NOT_REACHED = "not-reached"
     NOT_RUN = "not-run"
+    THROTTLED = "throttled"
     BROKEN = "broken"
     SILENT = "silent"
     SPOILED = "spoiled"
@@ -36,10 +37,14 @@
     def may_have_run(self) -> bool:
         """Return whether the target may have run the request.
 
-        Only a connection that was never made, or the target's own word, says that
-        it did not: after a reset, silence or a time-out it may have.
+        Only a request that never went out, or the target's own word, says that it did
+        not: after a reset, silence or a time-out it may have.
         """
-        return self not in (SendEnd.NOT_REACHED, SendEnd.NOT_RUN)
+        return self not in (*NEVER_SENT, SendEnd.NOT_RUN)
+
+
+# No byte of the request reached a target.
+NEVER_SENT = (SendEnd.NOT_REACHED, SendEnd.THROTTLED)
 
 
 def end_of(exc: TargetError) -> SendEnd:
--- a/berylshift/request/routed_front.py
+++ b/berylshift/request/routed_front.py
@@ -40,6 +40,8 @@
 # entries lapsed with the store write themselves again within two seconds. Callers come
 # back once or twice, and at once would find the list as empty as before.
 NO_REPLICA_SECONDS = 0.8
+# Ends of requests that have not run and may be sent again after a while.
+COMES_BACK = (Verdict.HOPELESS, Verdict.QUARANTINED, Verdict.THROTTLED)
 # Ends of requests that took what their kind takes; refused ones, and those whose caller
 # left, tell nothing of it.
 TELLS_TIME = (Verdict.ANSWERED, Verdict.CUT, Verdict.TIMED_OUT)
@@ -260,7 +262,7 @@
         if result.verdict is Verdict.NOT_RUN:
             wait = 0.0 if result.sends else NO_REPLICA_SECONDS
             await refuse(responder, self._come_back("no replica took it", wait))
-        elif result.verdict in (Verdict.HOPELESS, Verdict.QUARANTINED):
+        elif result.verdict in COMES_BACK:
             await refuse(responder, self._come_back(result.detail, result.again))
         elif result.verdict is Verdict.KEY_GONE:
             await refuse(responder, self._key_gone(req))
--- a/berylshift/request/send_loop.py
+++ b/berylshift/request/send_loop.py
@@ -5,6 +5,7 @@
 
 from berylshift.clock import Clock
 from berylshift.request.retry_rule import (
+    NEVER_SENT,
     RetryBounds,
     SendEnd,
     SendHistory,
@@ -55,7 +56,7 @@
 ) -> LoopEnd:
     """Send until an end; ``history`` gets each send.
 
-    A connection that was never made costs nothing: no target had work with it.
+    A request that never went out costs nothing: no target had work with it.
     """
     budget.first(clock.monotonic())
     while True:
@@ -69,7 +70,7 @@
             return LoopEnd.NO_MORE
         if sender.is_late():
             return LoopEnd.LATE
-        if sent.end is SendEnd.NOT_REACHED:
+        if sent.end in NEVER_SENT:
             continue
         if not budget.take(clock.monotonic()) and not sender.must_finish():
             return LoopEnd.NO_BUDGET
--- a/berylshift/request/single_send.py
+++ b/berylshift/request/single_send.py
@@ -4,7 +4,11 @@
 
 import msgspec
 
-from berylshift.connection.errors import ConnectFailedError, ConnectionLayerError
+from berylshift.connection.errors import (
+    ConnectFailedError,
+    ConnectionLayerError,
+    ThrottledError,
+)
 from berylshift.connection.silence import NEVER, SilenceLimit, SilentError
 from berylshift.connection.target_client import TargetAnswer, TargetRequest
 from berylshift.ids import InstanceId
@@ -96,6 +100,8 @@
                 return await self._take_answer(out.instance, answer, limit, reading)
         except SilentError:
             return SendEnd.SILENT
+        except ThrottledError:
+            return SendEnd.THROTTLED
         except ConnectFailedError:
             return SendEnd.NOT_REACHED
         except (ConnectionLayerError, StreamBrokenError):
--- a/berylshift/tests/limit_play.py
+++ b/berylshift/tests/limit_play.py
@@ -17,6 +17,7 @@
 # How long a host that was told may go on as before.
 NOTICE_SECONDS = 0.5
 SEED = 5
+SERVED = 200
 
 
 def most_allowed(limit: float) -> float:
@@ -46,6 +47,8 @@
     world: EntryWorld
     shares: Sequence[int]
     replies: list[Reply] = field(default_factory=list)
+    # Seconds until the slowest caller that was not served had its answer.
+    longest_refusal: float = 0.0
 
     async def callers(self, path: str, per_second: float, seconds: float) -> None:
         """Have so many callers a second come, each with a request of its own."""
@@ -59,10 +62,14 @@
 
     async def _caller(self, path: str, number: int, host: int) -> None:
         headers = prompt_headers(part=f"{number:x}") if path[1] in "nb" else ()
+        began = trio.current_time()
         reply = await self.world.ask(path, f"r{number}", host=host, headers=headers)
         self.replies.append(reply)
+        if reply.status != SERVED:
+            took = trio.current_time() - began
+            self.longest_refusal = max(self.longest_refusal, took)
 
     @property
     def served(self) -> int:
         """Return how many callers got a whole answer."""
-        return sum(reply.status == 200 and reply.whole for reply in self.replies)
+        return sum(reply.status == SERVED and reply.whole for reply in self.replies)
--- a/berylshift/tests/test_entry_limits.py
+++ b/berylshift/tests/test_entry_limits.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from berylshift.messages.replicas import EnginePhase
 from berylshift.tests.entry_world import run_entry
 from berylshift.tests.limit_play import LimitPlay, most_allowed, most_from_told
 
@@ -42,3 +43,91 @@
         for engine in engines[:2]:
             self.assertLessEqual(most_from_told(engine), most_allowed(2.6))
         self.assertEqual(callers.served, len(callers.replies))
+
+
+class NoRoomTest(unittest.TestCase):
+    """All replicas name a limit."""
+
+    def play(self, path: str, **world):
+        """Have callers come for 12 s where each replica takes 2.6 requests a second."""
+
+        async def play(world):
+            replicas = [
+                rep
+                for rep in world.replicas.values()
+                if rep.phase is not EnginePhase.PREFILL
+            ]
+            for replica in replicas:
+                replica.rate_limit = 2.6
+            callers = LimitPlay(world, UNEVEN)
+            await callers.callers(path, 25, 12)
+            return replicas, callers
+
+        return run_entry(play, hosts=9, **world)
+
+    def test_callers_beyond_the_limits_are_refused_at_once(self):
+        """Guards against callers that wait for a turn until their time is over."""
+        replicas, callers = self.play("/look/", plain=3)
+        for replica in replicas:
+            self.assertLessEqual(most_from_told(replica), most_allowed(2.6))
+        refused = [reply for reply in callers.replies if reply.status != 200]
+        self.assertEqual({reply.status for reply in refused}, {503})
+        self.assertTrue(all(0 < reply.again < 1.0 for reply in refused))
+        self.assertLess(callers.longest_refusal, 0.05)
+
+    def test_what_the_replicas_take_is_served(self):
+        """Guards against limits that are kept by sending next to nothing."""
+        _, callers = self.play("/look/", plain=3)
+        self.assertGreater(callers.served, 0.6 * 3 * 2.6 * 12)
+
+    def test_no_prompt_is_read_that_no_engine_would_answer(self):
+        """Guards against readings in vain before a request is refused."""
+        replicas, callers = self.play("/note/", plain=0, engines="ppddd")
+        for replica in replicas:
+            self.assertLessEqual(most_from_told(replica), most_allowed(2.6))
+        reads = sum(len(rep.reads) for rep in callers.world.replicas.values())
+        self.assertLess(reads, 1.2 * callers.served)
+
+
+class LiftedTest(unittest.TestCase):
+    """A limit holds for as long as the replica names it."""
+
+    def test_a_replica_that_names_none_any_more_gets_its_share_again(self):
+        async def play(world):
+            limited = world.replicas["10.0.0.1:80"]
+            limited.rate_limit = 2.6
+            callers = LimitPlay(world, UNEVEN)
+            await callers.callers("/look/", 30, 10)
+            limited.rate_limit = None
+            await callers.callers("/look/", 30, 20)
+            before = len(limited.calls)
+            await callers.callers("/look/", 30, 5)
+            return len(limited.calls) - before
+
+        self.assertGreater(run_entry(play, hosts=9, plain=3), 5 * 30 / 3 / 2)
+
+    def test_a_reading_engine_keeps_its_limit_too(self):
+        """Guards against a way to replicas that goes round the limit."""
+
+        async def play(world):
+            reader = list(world.replicas.values())[-4]
+            reader.rate_limit = 2.6
+            callers = LimitPlay(world, UNEVEN)
+            await callers.callers("/note/", 25, 12)
+            return reader, callers
+
+        reader, callers = run_entry(play, hosts=9, engines="ppdd")
+        self.assertLessEqual(most_from_told(reader), most_allowed(2.6))
+        self.assertEqual(callers.served, len(callers.replies))
+
+    def test_another_replicas_answer_sets_no_limit(self):
+        """Guards against addresses that other replicas have taken over."""
+
+        async def play(world):
+            replica = world.replicas["10.0.0.1:80"]
+            replica.instance, replica.rate_limit = "someone-else", 2.6
+            for number in range(4):
+                await world.ask(f"/look/{number}", f"r{number}")
+            return len(world.hosts[0].throttle)
+
+        self.assertEqual(run_entry(play, plain=1), 0)
--- a/berylshift/tests/test_platform_adapter.py
+++ b/berylshift/tests/test_platform_adapter.py
@@ -371,6 +371,24 @@
                 language.read_answer(200, [(b"x-%d" % number, b"1")])
         self.assertEqual(len(logs.records), MOST_NAMES)
 
+    def test_a_limit_is_a_number_of_requests_a_second(self):
+        def limit(value: bytes) -> float | None:
+            return (
+                PlatformLanguage()
+                .read_wishes(200, [(names.RATE_LIMIT, value)])
+                .rate_limit
+            )
+
+        self.assertEqual(limit(b"2.6"), 2.6)
+        self.assertEqual(limit(b"0"), 0)
+        for value in (b"-1", b"nan", b"inf", b"soon", b""):
+            self.assertIsNone(limit(value))
+        self.assertIsNone(PlatformLanguage().read_wishes(200, []).rate_limit)
+
+    def test_an_answer_of_another_replica_asks_for_nothing(self):
+        headers = [(names.RATE_LIMIT, b"2.6")]
+        self.assertIsNone(PlatformLanguage().read_wishes(421, headers))
+
     def test_headers_of_the_connection_are_not_passed_on(self):
         head = self.read(200, (b"connection", b"close"), (b"x-one", b"1"))
         self.assertEqual(head.headers, ((b"x-one", b"1"),))
--- a/berylshift/tests/test_request_silence.py
+++ b/berylshift/tests/test_request_silence.py
@@ -131,6 +131,7 @@
         times=None,
         quarantine=None,
         fingerprints=None,
+        throttle=None,
     )
 
 
