Bring about replicas that say they leave and go on getting work: red

Three hosts on a virtual clock, the real application, entries that go on saying ready as they do while the store is away. A replica says in its answers that it leaves; later than 2 s after it told a host, that host's calls still reach it: 29 of a plain service, 25 streams, 33 readings and their like in 6 s.

--- a/berylshift/platform/names.py
+++ b/berylshift/platform/names.py
@@ -14,6 +14,7 @@
 NOT_RUN = b"berylshift-not-executed"
 # Requests a second that a replica takes from all hosts together.
 RATE_LIMIT = b"server-limit"
+LEAVING = b"server-leaving"
 RANK = b"berylshift-request-priority"
 PHASE = b"berylshift-phase"
 KV_SOURCE = b"berylshift-kv-source"
--- a/berylshift/stand_ins/entry_replica.py
+++ b/berylshift/stand_ins/entry_replica.py
@@ -151,6 +151,9 @@
         self.calls: list[Arrival] = []
         # When each host was first told of the limit.
         self.told_limit: dict[str, float] = {}
+        # Whether its answers say that it leaves, and when each host was first told.
+        self.says_leaving = False
+        self.told_leaving: dict[str, float] = {}
 
     async def serve(self, stream: trio.abc.Stream, host: str = "") -> None:
         """Serve one connection of ``host`` until either side ends it."""
@@ -408,6 +411,9 @@
         if self.replica.rate_limit is not None:
             found.append((names.RATE_LIMIT, b"%.2f" % self.replica.rate_limit))
             self.replica.told_limit.setdefault(self.host, trio.current_time())
+        if self.replica.says_leaving:
+            found.append((names.LEAVING, b"1"))
+            self.replica.told_leaving.setdefault(self.host, trio.current_time())
         return found
 
     async def _answer(
--- /dev/null
+++ b/berylshift/tests/test_entry_leaving.py
@@ -0,0 +1,56 @@
+"""Replicas that say in their answers that they leave, whatever the store lists."""
+
+import unittest
+
+from berylshift.stand_ins.entry_replica import EntryReplica
+from berylshift.tests.entry_world import run_entry
+from berylshift.tests.limit_play import LimitPlay
+
+EVEN = (1, 1, 1)
+# The platform's bound on requests to a replica that has said that it leaves.
+DRAIN_SECONDS = 2.0
+
+
+def calls_after(replica: EntryReplica) -> int:
+    """Return the calls of hosts that had been told for longer than allowed."""
+    told = replica.told_leaving
+    return sum(
+        call.at > told.get(call.host, float("inf")) + DRAIN_SECONDS
+        for call in replica.calls
+    )
+
+
+class SaidInAnswersTest(unittest.TestCase):
+    """The store is away, so no entry tells of the leaving."""
+
+    def play(self, path: str, number: int, **world) -> tuple[EntryReplica, LimitPlay]:
+        """Have one replica leave among callers; its entry goes on saying ready."""
+
+        async def play(world):
+            replica = list(world.replicas.values())[number]
+            callers = LimitPlay(world, EVEN)
+            await callers.callers(path, 20, 2)
+            replica.says_leaving = True
+            await callers.callers(path, 20, 6)
+            return replica, callers
+
+        return run_entry(play, hosts=3, **world)
+
+    def test_a_replica_that_says_it_leaves_gets_nothing_more(self):
+        """Guards against leaving that is known from the store alone."""
+        replica, callers = self.play("/look/", 0, plain=3)
+        self.assertEqual(len(replica.told_leaving), 3)
+        self.assertEqual(calls_after(replica), 0)
+        self.assertEqual(callers.served, len(callers.replies))
+
+    def test_an_engine_that_says_it_leaves_gets_no_stream(self):
+        replica, callers = self.play("/brief/", -1, engines="ppddd")
+        self.assertEqual(calls_after(replica), 0)
+        self.assertEqual(callers.served, len(callers.replies))
+
+    def test_a_reading_engine_that_says_it_leaves_reads_no_prompt(self):
+        """Guards against readings and freed caches that go round what was said."""
+        replica, callers = self.play("/note/", -5, engines="ppddd")
+        self.assertEqual(replica.phase, "prefill")
+        self.assertEqual(calls_after(replica), 0)
+        self.assertEqual(callers.served, len(callers.replies))
