Keep shares of limits free of other rooms

test_rooms_import_only_what_they_may found it: what a host believes of targets may lean on no other room of process/, and shares of limits took a host's place from the election and the number of hosts assumed from the retry budget. The place is computed where it is used, as the homes of prompts are; the number is handed in. The order of hosts changes, no rule does: the tests of limits are as before.

--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -193,7 +193,9 @@
         """Return what all calls to replicas go by."""
         ports = self.ports
         shares = LimitShares(
-            HostName(self.cfg.host.name), lambda: self.load_loop.sharing_hosts()
+            HostName(self.cfg.host.name),
+            lambda: self.load_loop.sharing_hosts(),
+            HOSTS_ASSUMED,
         )
 
         def share_of(instance: InstanceId, per_second: float) -> LimitShare:
--- a/berylshift/process/targets/limit_shares.py
+++ b/berylshift/process/targets/limit_shares.py
@@ -11,10 +11,9 @@
 from collections.abc import Callable, Sequence
 
 import msgspec
+import xxhash
 
 from berylshift.ids import DomainName, HostName, InstanceId
-from berylshift.process.limits.arrival_budget import HOSTS_ASSUMED
-from berylshift.process.telling.election import rank
 from berylshift.store.host_rows import HostRecord
 
 # Hosts that hold a limit of less than one request a second; each further request a
@@ -40,11 +39,15 @@
     """Shares of one host; ``hosts`` lists all that send, ``None``: not known yet."""
 
     def __init__(
-        self, host: HostName, hosts: Callable[[], Sequence[HostRecord] | None]
+        self,
+        host: HostName,
+        hosts: Callable[[], Sequence[HostRecord] | None],
+        assumed: int,
     ):
-        """Share for ``host``."""
+        """Share for ``host``, among ``assumed`` others while none is known."""
         self._host = host
         self._hosts = hosts
+        self._assumed = assumed
 
     def share(
         self, instance: InstanceId, domain: DomainName | None, per_second: float
@@ -55,19 +58,24 @@
         """
         hosts = self._hosts()
         if hosts is None:
-            return _among_others(HOSTS_ASSUMED)
+            return _among_others(self._assumed)
         count = LEAST_HOLDERS + int(per_second)
         if len(hosts) <= count:
             return LimitShare(1 / max(1, len(hosts)), True)
         holders = heapq.nsmallest(
             count,
             hosts,
-            key=lambda rec: (rec.domain != domain, rank(f"{instance}/{rec.host}")),
+            key=lambda rec: (rec.domain != domain, _place_of(rec.host, instance)),
         )
         if any(rec.host == self._host for rec in holders):
             return LimitShare(HELD_PART / count, True)
         return _among_others(len(hosts) - count)
 
 
+def _place_of(host: str, instance: InstanceId) -> int:
+    """Return a host's place in the order that all hosts compute alike."""
+    return xxhash.xxh64_intdigest(f"{instance}/{host}".encode())
+
+
 def _among_others(count: int) -> LimitShare:
     return LimitShare((1 - HELD_PART) / count, False, count)
--- a/berylshift/tests/test_targets_rate_limits.py
+++ b/berylshift/tests/test_targets_rate_limits.py
@@ -13,6 +13,7 @@
 SIZES = (1, 2, 3, 4, 9, 22, 79, 195, 370)
 LIMITS = (0.5, 2.6, 20.0)
 DOMAINS = 4
+ASSUMED = 32
 
 
 def host_rows(count: int) -> list[HostRecord]:
@@ -33,7 +34,7 @@
         self.rng = random.Random(seed)
         self.hosts = []
         for row in rows:
-            shares = LimitShares(HostName(row.host), lambda: rows)
+            shares = LimitShares(HostName(row.host), lambda: rows, ASSUMED)
             limits = RateLimits(
                 lambda name, rate, shares=shares: shares.share(name, domain, rate),
                 random.Random(self.rng.random()),
@@ -110,7 +111,7 @@
     """One host's knowledge of a limit."""
 
     def setUp(self):
-        shares = LimitShares(HostName("host-0"), lambda: host_rows(1))
+        shares = LimitShares(HostName("host-0"), lambda: host_rows(1), ASSUMED)
         domain = DomainName("domain-0")
         self.limits = RateLimits(
             lambda name, rate: shares.share(name, domain, rate), random.Random(1)
@@ -157,7 +158,7 @@
         holders = [
             row
             for row in rows
-            if LimitShares(HostName(row.host), lambda: rows)
+            if LimitShares(HostName(row.host), lambda: rows, ASSUMED)
             .share(TARGET, DomainName("domain-1"), 2.6)
             .is_held
         ]
@@ -168,7 +169,7 @@
         for count in SIZES:
             rows = host_rows(count)
             parts = [
-                LimitShares(HostName(row.host), lambda rows=rows: rows)
+                LimitShares(HostName(row.host), lambda rows=rows: rows, ASSUMED)
                 .share(TARGET, None, 2.6)
                 .part
                 for row in rows
@@ -178,6 +179,8 @@
 
     def test_a_host_that_knows_no_others_takes_little(self):
         """Guards against hosts that start while the store is away."""
-        found = LimitShares(HostName("host-0"), lambda: None).share(TARGET, None, 2.6)
+        found = LimitShares(HostName("host-0"), lambda: None, ASSUMED).share(
+            TARGET, None, 2.6
+        )
         self.assertFalse(found.is_held)
         self.assertLess(found.part, 0.01)
