Take a replica's own word that it leaves

Cause: leaving was known from the entry in the store alone, which was away. Ruled out: an opinion that is set back (nothing paused), a choice made before a reading (that lasts 0.2 s).

Now the gate that hears every answer tells the list of replicas: a replica that leaves by its own word is the same as one whose entry says so, for placing, orders and blame, until its next start, also if its entry is written again as ready. The gate stops any other call to it.

--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -48,7 +48,7 @@
 from berylshift.request.reading_choice import ReadingChooser
 from berylshift.request.relay_parts import RelayParts
 from berylshift.request.routed_front import RoutedFront
-from berylshift.request.target_gate import ThrottleGate
+from berylshift.request.target_gate import AnswerGate
 from berylshift.settings import Settings
 from berylshift.store.crash_rows import CrashRows
 from berylshift.store.directory import Directory
@@ -203,7 +203,9 @@
             return shares.share(instance, domain, per_second)
 
         throttle = Throttle(RateLimits(share_of, ports.rng))
-        ports.client.guard_by(ThrottleGate(ports.language, throttle, ports.clock))
+        ports.client.guard_by(
+            AnswerGate(ports.language, throttle, self.replicas, ports.clock)
+        )
         return throttle
 
     def _make_load_loop(self) -> LoadLoop:
--- a/berylshift/messages/routed.py
+++ b/berylshift/messages/routed.py
@@ -120,10 +120,11 @@
     """What a replica asks of its callers in an answer.
 
     ``rate_limit``: the requests a second that it takes from all hosts together;
-    ``None``: it names no limit.
+    ``None``: it names no limit. ``leaving``: it takes no new request.
     """
 
     rate_limit: float | None = None
+    leaving: bool = False
 
 
 class KvHandle(msgspec.Struct, frozen=True):
--- a/berylshift/platform/exchange.py
+++ b/berylshift/platform/exchange.py
@@ -59,6 +59,7 @@
 PHASE_PREFILL = b"prefill"
 LEAST_TIME_LEFT_MS = 1
 STATUS_WRONG_INSTANCE = 421
+LEAVES = b"1"
 
 
 class _Handle(msgspec.Struct):
@@ -139,7 +140,10 @@
         if status == STATUS_WRONG_INSTANCE:
             return None
         found = dict(headers)
-        return TargetWishes(rate_limit=_rate(found.get(names.RATE_LIMIT)))
+        return TargetWishes(
+            rate_limit=_rate(found.get(names.RATE_LIMIT)),
+            leaving=found.get(names.LEAVING) == LEAVES,
+        )
 
     def read_handle(self, body: bytes) -> KvHandle | None:
         """Return the KV cache of a prefill answer, ``None`` if it can't be read."""
--- a/berylshift/platform/names.py
+++ b/berylshift/platform/names.py
@@ -48,7 +48,16 @@
 
 # What replicas' answers may carry.
 IN_ANSWERS = frozenset(
-    {ATTEMPT_ID, SIGNATURE, INSTANCE, LOAD, NOT_RUN, RATE_LIMIT, WEIGHT_VERSIONS}
+    {
+        ATTEMPT_ID,
+        SIGNATURE,
+        INSTANCE,
+        LOAD,
+        NOT_RUN,
+        RATE_LIMIT,
+        LEAVING,
+        WEIGHT_VERSIONS,
+    }
 )
 
 # Rises by one each time that the store comes back from an older copy.
--- a/berylshift/process/directory/departed.py
+++ b/berylshift/process/directory/departed.py
@@ -49,6 +49,14 @@
             return msgspec.structs.replace(replica, draining=True)
         return replica
 
+    def says_it_leaves(self, replica: Replica) -> Replica:
+        """Return a listed replica as leaving, by its own word."""
+        return self.as_known(msgspec.structs.replace(replica, draining=True))
+
+    def is_leaving(self, instance: InstanceId) -> bool:
+        """Return whether an instance was said to leave."""
+        return instance in self._leaving
+
     def withhold(self, replica: Replica, now: float) -> bool:
         """Return whether an entry of a copy is not to be used for now.
 
--- a/berylshift/request/target_gate.py
+++ b/berylshift/request/target_gate.py
@@ -1,23 +1,37 @@
 """Stands between all calls to replicas and the connections that carry them."""
 
+import logging
+
 from berylshift.clock import Clock
 from berylshift.connection.errors import ThrottledError
 from berylshift.ids import InstanceId
 from berylshift.messages.routed import Header, Language
+from berylshift.process.directory.replica_set import ReplicaSet
 from berylshift.process.targets.throttle import Throttle
 
+logger = logging.getLogger(__name__)
+
 
-class ThrottleGate:
-    """Asks the throttle before each call, and tells it what each answer says."""
+class AnswerGate:
+    """Lets calls out that replicas take, by what their answers said."""
 
-    def __init__(self, language: Language, throttle: Throttle, clock: Clock):
-        """Read answers by ``language``."""
+    def __init__(
+        self,
+        language: Language,
+        throttle: Throttle,
+        replicas: ReplicaSet,
+        clock: Clock,
+    ):
+        """Read answers by ``language``; tell ``throttle`` and ``replicas`` of them."""
         self._language = language
         self._throttle = throttle
+        self._replicas = replicas
         self._clock = clock
 
     def enter(self, instance: InstanceId) -> float:
         """Return the time of a call that may go out; raise ``ThrottledError``."""
+        if self._replicas.has_left(instance):
+            raise ThrottledError(f"{instance} leaves")
         now = self._clock.monotonic()
         wait = self._throttle.take(instance, now)
         if wait > 0:
@@ -33,6 +47,9 @@
     ) -> None:
         """Take over what the head of an answer asks for."""
         wishes = self._language.read_wishes(status, headers)
-        if wishes is not None:
-            now = self._clock.monotonic()
-            self._throttle.heard(instance, wishes, entered_at, now)
+        if wishes is None:
+            return
+        now = self._clock.monotonic()
+        self._throttle.heard(instance, wishes, entered_at, now)
+        if wishes.leaving and self._replicas.says_it_leaves(instance, now):
+            logger.info("replica leaves", extra={"instance": instance})
--- a/berylshift/tests/test_entry_leaving.py
+++ b/berylshift/tests/test_entry_leaving.py
@@ -3,7 +3,7 @@
 import unittest
 
 from berylshift.stand_ins.entry_replica import EntryReplica
-from berylshift.tests.entry_world import run_entry
+from berylshift.tests.entry_world import ENGINES, run_entry
 from berylshift.tests.limit_play import LimitPlay
 
 EVEN = (1, 1, 1)
@@ -54,3 +54,37 @@
         self.assertEqual(replica.phase, "prefill")
         self.assertEqual(calls_after(replica), 0)
         self.assertEqual(callers.served, len(callers.replies))
+
+
+class StaysSaidTest(unittest.TestCase):
+    """What a replica has said holds until its next start."""
+
+    def test_an_entry_that_is_written_again_changes_nothing(self):
+        """Guards against a store that lists as ready what has said that it leaves."""
+
+        async def play(world):
+            replica = world.replicas["10.0.0.1:80"]
+            replica.says_leaving = True
+            callers = LimitPlay(world, (1,))
+            await callers.callers("/look/", 20, 1)
+            replica.says_leaving = False
+            world.list_replica(replica, "booking")
+            await callers.callers("/look/", 20, 5)
+            return replica
+
+        self.assertEqual(calls_after(run_entry(play, plain=2)), 0)
+
+    def test_its_next_start_is_used(self):
+        async def play(world):
+            replica = world.add_replica("engine-9", ENGINES, "decode")
+            replica.says_leaving = True
+            callers = LimitPlay(world, (1,))
+            await callers.callers("/note/", 20, 1)
+            replica.says_leaving = False
+            replica.start_again(5)
+            world.list_replica(replica, ENGINES)
+            before = len(replica.calls)
+            await callers.callers("/note/", 20, 2)
+            return len(replica.calls) - before
+
+        self.assertGreater(run_entry(play, plain=0, engines="pd"), 5)
