Bring about replicas that ask for rest and don't get it: red

Three hosts on a virtual clock, the real application. With others that have room a plain service's replica keeps within the bound even so, since a mild failure is enough to go elsewhere; a home of prompts is dear to leave.

--- a/berylshift/stand_ins/entry_replica.py
+++ b/berylshift/stand_ins/entry_replica.py
@@ -73,6 +73,15 @@
     host: str
 
 
+@dataclass
+class Rest:
+    """A host was turned away and asked to send nothing for ``seconds``."""
+
+    host: str
+    at: float
+    seconds: float
+
+
 @dataclass
 class Crash:
     """A replica that ended, and when; ``path``: of the request that ended it."""
@@ -151,6 +160,9 @@
         self.calls: list[Arrival] = []
         # When each host was first told of the limit.
         self.told_limit: dict[str, float] = {}
+        # Seconds for which it asks a host that it turns away to send nothing.
+        self.rest_seconds: float | None = None
+        self.rests: list[Rest] = []
         # Whether its answers say that it leaves, and when each host was first told.
         self.says_leaving = False
         self.told_leaving: dict[str, float] = {}
@@ -283,7 +295,9 @@
     async def _request(self, headers, body: bytes, fault) -> None:
         request = headers.get(names.ATTEMPT_ID, b"").decode()
         self.replica.arrivals.append(request)
-        if fault is Fault.REFUSE:
+        if self.replica.rest_seconds is not None:
+            await self._ask_for_rest(headers, self.replica.rest_seconds)
+        elif fault is Fault.REFUSE:
             await self._answer(
                 503, b"", headers, signed=False, more=[(names.NOT_RUN, b"1")]
             )
@@ -296,6 +310,12 @@
         else:
             await self._run(request, headers, body, fault)
 
+    async def _ask_for_rest(self, headers, seconds: float) -> None:
+        rest = Rest(self.host, trio.current_time(), seconds)
+        self.replica.rests.append(rest)
+        more = [(names.NOT_RUN, b"1"), (b"retry-after", b"%.1f" % seconds)]
+        await self._answer(503, b"", headers, signed=False, more=more)
+
     def _takes_source(self, headers) -> bool:
         source = headers.get(names.KV_SOURCE)
         if source is None:
