--- a/berylshift/messages/routed.py
+++ b/berylshift/messages/routed.py
@@ -121,10 +121,13 @@
 
     ``rate_limit``: the requests a second that it takes from all hosts together;
     ``None``: it names no limit. ``leaving``: it takes no new request.
+    ``rest_seconds``: for so long it wants nothing of the host that it answers; 0: it
+    does not say so.
     """
 
     rate_limit: float | None = None
     leaving: bool = False
+    rest_seconds: float = 0.0
 
 
 class KvHandle(msgspec.Struct, frozen=True):
--- a/berylshift/platform/exchange.py
+++ b/berylshift/platform/exchange.py
@@ -59,6 +59,9 @@
 PHASE_PREFILL = b"prefill"
 LEAST_TIME_LEFT_MS = 1
 STATUS_WRONG_INSTANCE = 421
+# Too many requests, and a service that is not available (RFC 6585, RFC 9110).
+TURNED_AWAY = (429, 503)
+RETRY_AFTER = b"retry-after"
 LEAVES = b"1"
 
 
@@ -141,8 +144,9 @@
             return None
         found = dict(headers)
         return TargetWishes(
-            rate_limit=_rate(found.get(names.RATE_LIMIT)),
+            rate_limit=_number(found.get(names.RATE_LIMIT)),
             leaving=found.get(names.LEAVING) == LEAVES,
+            rest_seconds=_rest(status, found),
         )
 
     def read_handle(self, body: bytes) -> KvHandle | None:
@@ -237,13 +241,20 @@
     return ReportedLoad(running, waiting, slots)
 
 
-def _rate(value: bytes | None) -> float | None:
-    """Return requests a second; a value that is none names no limit."""
+def _rest(status: int, headers: dict[bytes, bytes]) -> float:
+    """Return the seconds of rest that a refusal asks for."""
+    if status not in TURNED_AWAY:
+        return 0.0
+    return _number(headers.get(RETRY_AFTER)) or 0.0
+
+
+def _number(value: bytes | None) -> float | None:
+    """Return a number from 0 up; ``None``: it is none."""
     try:
-        rate = float(value) if value is not None else -1.0
+        found = float(value) if value is not None else -1.0
     except ValueError:
         return None
-    return rate if 0 <= rate < float("inf") else None
+    return found if 0 <= found < float("inf") else None
 
 
 def _keep_seconds(value: bytes | None) -> float | None:
--- a/berylshift/platform/unknown_headers.py
+++ b/berylshift/platform/unknown_headers.py
@@ -21,6 +21,7 @@
         b"keep-alive",
         b"last-modified",
         b"location",
+        b"retry-after",
         b"server",
         b"set-cookie",
         b"transfer-encoding",
--- a/berylshift/tests/test_platform_adapter.py
+++ b/berylshift/tests/test_platform_adapter.py
@@ -385,6 +385,23 @@
             self.assertIsNone(limit(value))
         self.assertIsNone(PlatformLanguage().read_wishes(200, []).rate_limit)
 
+    def test_a_refusal_may_ask_for_rest(self):
+        def rest(status: int, value: bytes) -> float:
+            headers = [(b"retry-after", value)]
+            return PlatformLanguage().read_wishes(status, headers).rest_seconds
+
+        self.assertEqual(rest(503, b"2.5"), 2.5)
+        self.assertEqual(rest(429, b"3"), 3)
+        for status, value in ((200, b"3"), (503, b"-1"), (503, b"Thu, 03 Dec 2026")):
+            self.assertEqual(rest(status, value), 0)
+
+    def test_leaving_is_said_by_one_value(self):
+        def leaving(value: bytes) -> bool:
+            return PlatformLanguage().read_wishes(200, [(names.LEAVING, value)]).leaving
+
+        self.assertTrue(leaving(b"1"))
+        self.assertFalse(leaving(b"0"))
+
     def test_an_answer_of_another_replica_asks_for_nothing(self):
         headers = [(names.RATE_LIMIT, b"2.6")]
         self.assertIsNone(PlatformLanguage().read_wishes(421, headers))
