Have hosts tell each other of replicas' limits and of their end

And each host finds out about a limit by a request of its own.

Cause: a replica's word stayed with the host that it was given to. Now digests carry limits (8 at most, 9 bytes each): at once, again every two seconds while it is named, and their end for two seconds. Of many hosts collectors tell on what is news to them; of few nobody does, so that no word goes round for good. The newest word counts, by its age.

A digest of the largest sums still fits a datagram beside eight limits.

--- a/berylshift/connection/load_codec.py
+++ b/berylshift/connection/load_codec.py
@@ -13,6 +13,7 @@
 from berylshift.messages.load_digest import (
     CrashReport,
     FeedWord,
+    LimitTold,
     LoadDigest,
     LoadEntry,
     PartRead,
@@ -28,6 +29,8 @@
 AGE_UNIT = 0.1
 MOST_U16 = 0xFFFF
 MOST_U8 = 0xFF
+# Stands for a replica that names no limit any more.
+NO_LIMIT = -1.0
 
 capnp.remove_import_hook()
 _schema = capnp.load(str(Path(__file__).with_name("load_digest.capnp")))
@@ -84,6 +87,8 @@
     packed.usageDone = message.usage_done
     if message.runs:
         _pack_runs(packed.init("runs"), message.runs)
+    if message.limits:
+        _pack_limits(packed.init("limits"), message.limits)
     return packed.to_bytes_packed()
 
 
@@ -164,6 +169,22 @@
     )
 
 
+def _pack_limits(packed, limits: tuple[LimitTold, ...]) -> None:
+    packed.targets = [told.target for told in limits]
+    packed.perSecond = [
+        NO_LIMIT if told.per_second is None else told.per_second for told in limits
+    ]
+    packed.ages = [min(MOST_U8, int(told.age / AGE_UNIT)) for told in limits]
+
+
+def _unpack_limits(packed) -> tuple[LimitTold, ...]:
+    columns = zip(packed.targets, packed.perSecond, packed.ages, strict=True)
+    return tuple(
+        LimitTold(target, rate if rate >= 0 else None, age * AGE_UNIT)
+        for target, rate, age in columns
+    )
+
+
 def _failures(weight: float) -> int:
     return min(MOST_U8, int(weight / FAILURE_UNIT))
 
@@ -215,4 +236,5 @@
         packed.start,
         _unpack_runs(packed.runs) if packed._has("runs") else (),
         packed.usageDone,
+        _unpack_limits(packed.limits) if packed._has("limits") else (),
     )
--- a/berylshift/connection/load_digest.capnp
+++ b/berylshift/connection/load_digest.capnp
@@ -23,6 +23,16 @@
   runs @13 :Runs;
   # The last window of usage that is over and done with.
   usageDone @14 :UInt32;
+  limits @15 :Limits;
+}
+
+# Rate limits that replicas named, an item of each list for one replica.
+struct Limits {
+  targets @0 :List(UInt32);
+  # Requests a second; below 0: the replica names no limit any more.
+  perSecond @1 :List(Float32);
+  # In tenths of a second.
+  ages @2 :List(UInt8);
 }
 
 # Requests that began to run, an item of each list for one customer and window.
--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -202,7 +202,7 @@
             domain = self.replicas.domain_of(instance)
             return shares.share(instance, domain, per_second)
 
-        throttle = Throttle(RateLimits(share_of, ports.rng))
+        throttle = Throttle(RateLimits(share_of, ports.rng), self.replicas.instance_of)
         ports.client.guard_by(
             AnswerGate(ports.language, throttle, self.replicas, ports.clock)
         )
@@ -220,6 +220,7 @@
             watch=self.watch,
             quarantine=self.quarantine,
             usage=self.duties.usage,
+            throttle=self.throttle,
         )
         parts = LoadParts(
             digest=digest,
--- a/berylshift/messages/load_digest.py
+++ b/berylshift/messages/load_digest.py
@@ -68,6 +68,17 @@
     age: float
 
 
+class LimitTold(msgspec.Struct, frozen=True):
+    """A replica named a limit in requests a second, ``age`` seconds ago.
+
+    ``None``: it names none any more. ``target`` is the short hash of its name.
+    """
+
+    target: int
+    per_second: float | None
+    age: float
+
+
 class CrashReport(msgspec.Struct, frozen=True):
     """A replica broke off ``age`` seconds ago while it had a request.
 
@@ -130,6 +141,7 @@
     start: int = 0
     runs: tuple[RunCount, ...] = ()
     usage_done: int = 0
+    limits: tuple[LimitTold, ...] = ()
 
 
 @functools.lru_cache(HASHES_KEPT)
--- a/berylshift/process/directory/replica_set.py
+++ b/berylshift/process/directory/replica_set.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from berylshift.ids import DomainName, InstanceId, ReplicaName, ServiceName, StoreEra
+from berylshift.messages.load_digest import target_hash
 from berylshift.messages.replicas import Replica, ReplicaChanges
 from berylshift.process.directory.departed import DepartedReplicas
 from berylshift.process.directory.expected_phases import ExpectedPhases
@@ -215,6 +216,11 @@
         """Return a service's replicas as their entries say, those that leave too."""
         return [entry for entry in self._listed.values() if entry.service == service]
 
+    def instance_of(self, target: int) -> InstanceId | None:
+        """Return the listed instance with a short hash."""
+        found = (entry.instance for entry in self._listed.values())
+        return next((name for name in found if target_hash(name) == target), None)
+
     def domain_of(self, instance: InstanceId) -> DomainName | None:
         """Return the failure domain of a listed replica."""
         entries = self._listed.values()
--- a/berylshift/process/targets/throttle.py
+++ b/berylshift/process/targets/throttle.py
@@ -1,9 +1,12 @@
 """How much replicas take of this host now, as they said in their answers."""
 
 import logging
+from collections.abc import Callable, Iterable
 
 from berylshift.ids import InstanceId
+from berylshift.messages.load_digest import LimitTold, target_hash
 from berylshift.messages.routed import TargetWishes
+from berylshift.process.targets.limit_news import LimitNews
 from berylshift.process.targets.rate_limits import RateLimits
 from berylshift.process.targets.rests import Rests
 
@@ -13,10 +16,14 @@
 class Throttle:
     """What replicas asked for; times in seconds on the monotonic clock."""
 
-    def __init__(self, limits: RateLimits):
-        """Go by ``limits``."""
+    def __init__(
+        self, limits: RateLimits, instance_of: Callable[[int], InstanceId | None]
+    ):
+        """Go by ``limits``; ``instance_of`` finds a replica by its short hash."""
         self._limits = limits
+        self._instance_of = instance_of
         self._rests = Rests()
+        self._news = LimitNews()
 
     def heard(
         self, instance: InstanceId, wishes: TargetWishes, sent_at: float, now: float
@@ -28,20 +35,53 @@
                 "rest asked for",
                 extra={"instance": instance, "seconds": wishes.rest_seconds},
             )
-        if wishes.rate_limit is None:
-            if self._limits.not_named(instance, sent_at):
-                logger.info("limit lifted", extra={"instance": instance})
-        elif self._limits.named(instance, wishes.rate_limit, now):
-            share = self._limits.share(instance)
-            logger.info(
-                "limit named",
-                extra={
-                    "instance": instance,
-                    "per_second": wishes.rate_limit,
-                    "share": None if share is None else round(share.part, 4),
-                    "held": share is not None and share.is_held,
-                },
-            )
+        if wishes.rate_limit is not None:
+            self._named(instance, wishes.rate_limit, now, told=False)
+            self._news.given(target_hash(instance), wishes.rate_limit, now)
+        elif self._lifted(instance, sent_at, told=False):
+            self._news.given(target_hash(instance), None, now)
+
+    def heard_of(self, limits: Iterable[LimitTold], now: float) -> None:
+        """Take over what another host tells of limits."""
+        for told in limits:
+            instance = self._instance_of(told.target)
+            if instance is None or not self._news.heard(told, now):
+                continue
+            at = now - told.age
+            if told.per_second is None:
+                self._lifted(instance, at, told=True)
+            else:
+                self._named(instance, told.per_second, at, told=True)
+
+    def to_tell(self, now: float, own_alone: bool) -> tuple[LimitTold, ...]:
+        """Return what the other hosts are to be told of limits.
+
+        ``own_alone``: without what was heard of other hosts.
+        """
+        return self._news.to_tell(now, own_alone)
+
+    def _named(
+        self, instance: InstanceId, per_second: float, at: float, told: bool
+    ) -> None:
+        if not self._limits.named(instance, per_second, at):
+            return
+        share = self._limits.share(instance)
+        logger.info(
+            "limit named",
+            extra={
+                "instance": instance,
+                "per_second": round(per_second, 3),
+                "share": None if share is None else round(share.part, 4),
+                "held": share is not None and share.is_held,
+                "told": told,
+            },
+        )
+
+    def _lifted(self, instance: InstanceId, at: float, told: bool) -> bool:
+        if not self._limits.not_named(instance, at):
+            return False
+        logger.info("limit lifted", extra={"instance": instance, "told": told})
+        return True
 
     def take(self, instance: InstanceId, now: float) -> float:
         """Take leave for one request and return 0, or return the seconds to wait."""
@@ -63,6 +103,7 @@
         """Drop a replica that is gone."""
         self._limits.forget(instance)
         self._rests.forget(instance)
+        self._news.forget(target_hash(instance))
 
     def __len__(self) -> int:
         """Return how many replicas are used less than others on their own word."""
--- a/berylshift/process/telling/digest_maker.py
+++ b/berylshift/process/telling/digest_maker.py
@@ -8,6 +8,7 @@
 from berylshift.process.directory.store_watch import StoreWatch
 from berylshift.process.quarantine.quarantine import Quarantine
 from berylshift.process.targets.target_load import TargetLoads
+from berylshift.process.targets.throttle import Throttle
 from berylshift.process.targets.warm_parts import WarmParts
 from berylshift.process.telling.peer_loads import PeerLoads
 from berylshift.process.usage.usage_book import UsageBook
@@ -26,6 +27,7 @@
     watch: StoreWatch
     quarantine: Quarantine
     usage: UsageBook
+    throttle: Throttle
 
 
 class DigestMaker:
@@ -72,6 +74,7 @@
             finished=parts.quarantine.finishes(now, near),
             start=parts.usage.start if runs else 0,
             runs=runs,
+            limits=parts.throttle.to_tell(now, own_alone=not gathers),
             usage_done=parts.usage.done if gathers else parts.usage.done_told(now),
         )
 
--- a/berylshift/process/telling/telling.py
+++ b/berylshift/process/telling/telling.py
@@ -94,6 +94,8 @@
             return False
         if parts.quarantine.has_news(now) or parts.usage.has_news(now):
             return False
+        if parts.throttle.to_tell(now, own_alone=True):
+            return False
         return not (parts.loads.entries(now) or parts.warm.to_tell(now))
 
     def _direct_seconds(self) -> float:
@@ -124,6 +126,7 @@
         parts.quarantine.heard(
             digest.crashes, digest.finished, now, self._is_near(digest)
         )
+        parts.throttle.heard_of(digest.limits, now)
         self._hear_usage(digest)
         if digest.follows:
             self._followers.heard(digest.host, now)
@@ -210,6 +213,7 @@
         changed = entries != self._last or bool(reads) or self._is_news(word)
         changed = changed or parts.quarantine.has_news(now)
         changed = changed or parts.usage.has_news(now)
+        changed = changed or bool(parts.throttle.to_tell(now, own_alone=True))
         if not changed and now - self._last_at < REPEAT_SECONDS:
             return None
         idle = not entries and not phases and not parts.watch.follows
--- a/berylshift/tests/gathered_world.py
+++ b/berylshift/tests/gathered_world.py
@@ -31,6 +31,7 @@
 from berylshift.stand_ins.fake_directory import FakeDirectory, FakeHostRows
 from berylshift.store.interfaces import AnswerLostError, StoreUnavailableError
 from berylshift.tests.entry_world import PLAIN, routes
+from berylshift.tests.support import no_limits
 from berylshift.tests.usage_support import no_usage
 
 WAY_SECONDS = 0.002
@@ -176,6 +177,7 @@
         self.peers = PeerLoads(self.name, self.domain)
         self.warm = WarmParts()
         self.quarantine = Quarantine(1.2)
+        self.throttle = no_limits(self.replicas)
         self.watch = StoreWatch(world.in_force, trio.current_time)
         self.directory = DirectoryLoop(
             self.view,
@@ -199,6 +201,7 @@
                     watch=self.watch,
                     quarantine=self.quarantine,
                     usage=no_usage(),
+                    throttle=self.throttle,
                 ),
                 address=self.address,
                 rows=world.rows,
--- a/berylshift/tests/support.py
+++ b/berylshift/tests/support.py
@@ -1,5 +1,6 @@
 """Shared by the tests: rows, tables, virtual time."""
 
+import random
 import unittest
 from collections.abc import Awaitable, Callable
 
@@ -8,6 +9,10 @@
 from hypothesis import HealthCheck, settings
 
 from berylshift.ids import TableVersion
+from berylshift.process.directory.replica_set import ReplicaSet
+from berylshift.process.targets.limit_shares import LimitShare
+from berylshift.process.targets.rate_limits import RateLimits
+from berylshift.process.targets.throttle import Throttle
 from berylshift.replay.determinism import fix_schedule
 from berylshift.version.rows import OrderCheck, Row, RowKind
 from berylshift.version.table import Table
@@ -64,6 +69,13 @@
     return Table(TableVersion(version), rows)
 
 
+def no_limits(replicas: ReplicaSet | None = None) -> Throttle:
+    """Return what a host that is alone with all limits knows of them: nothing yet."""
+    limits = RateLimits(lambda name, rate: LimitShare(1.0, True), random.Random(SEED))
+    listed = ReplicaSet() if replicas is None else replicas
+    return Throttle(limits, listed.instance_of)
+
+
 def run_virtual(task: Callable[..., Awaitable], *args):
     """Run a task on a virtual clock that jumps over waits; always in one order."""
     fix_schedule(SEED)
--- a/berylshift/tests/test_targets_knowledge.py
+++ b/berylshift/tests/test_targets_knowledge.py
@@ -16,6 +16,7 @@
 from berylshift.messages.load_digest import (
     CrashReport,
     FeedWord,
+    LimitTold,
     LoadDigest,
     LoadEntry,
     PartRead,
@@ -30,6 +31,7 @@
 from berylshift.process.directory.route_holder import RouteHolder
 from berylshift.process.limits.arrival_budget import ArrivalBudget
 from berylshift.process.quarantine.crash_news import MOST_CRASHES_TOLD
+from berylshift.process.targets.limit_news import MOST_TOLD as MOST_LIMITS
 from berylshift.process.targets.target_load import SEVERE, TargetLoads
 from berylshift.process.targets.warm_parts import MOST_KEPT, SHARED_ROOM, WarmParts
 from berylshift.process.telling.collecting import MOST_READS, READS_A_CRASH
@@ -233,6 +235,7 @@
         (PhaseTold(7, EnginePhase.DECODE, 1.5),),
         crashes=(CrashReport(joined(2**31, 5), 7, 0.5),),
         finished=(joined(2**31, 6),),
+        limits=(LimitTold(9, 2.5, 0.5), LimitTold(7, None, 1.5)),
     )
 
     def test_round_trip(self):
@@ -297,6 +300,9 @@
             True,
             StoreWord(feed, feed, 86_300_000),
             reports,
+            limits=tuple(
+                LimitTold(2**31 + n * 77_777, 2.5, 1.5) for n in range(MOST_LIMITS)
+            ),
         )
         data = LoadCodec("key").encode(digest, LARGEST_DATAGRAM)
         self.assertLessEqual(len(data), LARGEST_DATAGRAM)
--- a/berylshift/tests/test_telling_telling.py
+++ b/berylshift/tests/test_telling_telling.py
@@ -14,6 +14,7 @@
 from berylshift.process.telling.peer_loads import PeerLoads
 from berylshift.process.telling.telling import SUM_SECONDS, Role, Teller
 from berylshift.store.host_rows import HostRecord
+from berylshift.tests.support import no_limits
 from berylshift.tests.usage_support import no_usage
 
 BYTE_BUDGET = 16_384
@@ -47,6 +48,7 @@
             StoreWatch(4.0, lambda: 0.0),
             Quarantine(1.2),
             no_usage(),
+            no_limits(),
         )
         return Teller(
             parts,
