--- /dev/null
+++ b/berylshift/tests/test_request_target_gate.py
@@ -0,0 +1,113 @@
+"""The gate that all calls to replicas pass."""
+
+import random
+import unittest
+
+import trio
+
+from berylshift.clock import LoopClock
+from berylshift.connection.errors import ThrottledError
+from berylshift.connection.target_client import TargetClient, TargetRequest
+from berylshift.ids import DomainName, InstanceId, ServiceName
+from berylshift.messages.replicas import Replica, ReplicaChanges
+from berylshift.messages.routed import TargetWishes
+from berylshift.platform import names
+from berylshift.platform.exchange import PlatformLanguage
+from berylshift.process.directory.replica_set import ReplicaSet
+from berylshift.process.targets.limit_shares import LimitShare
+from berylshift.process.targets.rate_limits import RateLimits
+from berylshift.process.targets.throttle import Throttle
+from berylshift.request.target_gate import AnswerGate
+from berylshift.stand_ins.entry_replica import EntryReplica, Fault
+from berylshift.stand_ins.pipes import pipe_pair
+from berylshift.tests.support import VirtualTestCase
+
+NAME = InstanceId("plain-1")
+ADDRESS = "10.0.0.1:80"
+
+
+class GateTest(VirtualTestCase):
+    """A client, its gate and one replica."""
+
+    def setUp(self):
+        self.replica = EntryReplica(NAME, ADDRESS)
+        self.replicas = ReplicaSet()
+        entry = Replica(NAME, ServiceName("s"), ADDRESS, DomainName("d"), 8)
+        self.replicas.apply(ReplicaChanges((entry,), (), 1, whole=True), 0.0)
+        limits = RateLimits(lambda name, rate: LimitShare(1.0, True), random.Random(1))
+        self.throttle = Throttle(limits, self.replicas.instance_of)
+        self.dials = 0
+
+    async def call(self, client: TargetClient, path: bytes = b"/x") -> int:
+        """Make one call and return its status."""
+        headers = [(b"host", b"h"), (names.ATTEMPT_ID, b"r1")]
+        out = TargetRequest(NAME, ADDRESS, b"GET", path, headers)
+        async with client.exchange(out) as answer:
+            await answer.read(1000)
+            return answer.status
+
+    def play(self, task):
+        """Run ``task(client)`` before the replica."""
+
+        async def main():
+            async with trio.open_nursery() as nursery:
+
+                async def dial(address):
+                    self.dials += 1
+                    near, far = pipe_pair()
+                    nursery.start_soon(self.replica.serve, far)
+                    return near
+
+                client = TargetClient(0.3, dial)
+                language, clock = PlatformLanguage(), LoopClock()
+                gate = AnswerGate(language, self.throttle, self.replicas, clock)
+                client.guard_by(gate)
+                found = await task(client)
+                nursery.cancel_scope.cancel()
+                return found
+
+        return self.run_virtual(main)
+
+    def test_a_throttled_call_opens_no_connection(self):
+        """Guards against a call that is held back and has been sent all the same."""
+
+        async def task(client):
+            wishes = TargetWishes(rest_seconds=3.0)
+            now = trio.current_time()
+            self.throttle.heard(NAME, wishes, now, now)
+            with self.assertRaises(ThrottledError):
+                await self.call(client)
+
+        self.play(task)
+        self.assertEqual(self.dials, 0)
+
+    def test_answers_to_calls_of_every_kind_are_heard(self):
+        """Guards against words that come with a freed cache, a report or an order."""
+        for path in (b"/x", b"/v1/kv-handle/a", names.REPORT_PATH):
+            with self.subTest(path=path):
+                self.setUp()
+                self.replica.rate_limit = 2.0
+                self.play(lambda client, path=path: self.call(client, path))
+                self.assertEqual(len(self.throttle), 1)
+
+    def test_a_call_to_a_replica_that_leaves_is_held_back(self):
+        async def task(client):
+            self.replica.says_leaving = True
+            await self.call(client)
+            with self.assertRaises(ThrottledError):
+                await self.call(client)
+
+        self.play(task)
+
+    def test_a_late_answer_that_is_passed_over_is_heard_too(self):
+        async def task(client):
+            self.replica.faults = [Fault.EXTRA]
+            self.replica.rate_limit = 2.0
+            await self.call(client)
+            return len(self.throttle)
+
+        self.assertEqual(self.play(task), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
