Have other engines answer while those that do are in need

What callers saw: where all engines that answer name a limit, those that read stand by while two of three streams are refused.

Cause: the split of phases counted engines in need like any other. Now an engine that has named a limit for two seconds is left out of the plan, by all hosts alike since they tell each other of limits.

test_reading_engines_answer_in_their_place plays the load: nine hosts, six reading and three answering engines on the virtual clock, 25 streams a second.

--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -361,6 +361,9 @@
             hosts=self._hosts_that_share,
             holder=cfg.host.name,
             leaving=lambda: self.leaving,
+            in_need=lambda instance: self.throttle.is_in_need(
+                instance, ports.clock.monotonic()
+            ),
         )
 
     def adopt(self, cfg: Settings) -> None:
--- a/berylshift/process/duties/phase_loop.py
+++ b/berylshift/process/duties/phase_loop.py
@@ -7,7 +7,7 @@
 import trio
 
 from berylshift.clock import Clock
-from berylshift.ids import ServiceName
+from berylshift.ids import InstanceId, ServiceName
 from berylshift.messages.engine_control import (
     EngineControl,
     OrderAnswer,
@@ -50,8 +50,13 @@
         hosts: Callable[[], int],
         holder: str,
         leaving: Callable[[], bool],
+        in_need: Callable[[InstanceId], bool],
     ):
-        """Order as ``holder``, unless it is ``leaving``; ``calm``: no traffic."""
+        """Order as ``holder``, unless it is ``leaving``; ``calm``: no traffic.
+
+        Engines ``in_need`` take little work, whatever their phase.
+        """
+        self._in_need = in_need
         self._hosts = hosts
         self._service = service
         self._planner = planner
@@ -91,7 +96,8 @@
         if self._leaving():
             return ()
         now = self._clock.monotonic()
-        engines = self._replicas.as_ordered(self._service, now)
+        listed = self._replicas.as_ordered(self._service, now)
+        engines = [rep for rep in listed if not self._in_need(rep.instance)]
         if any(rep.phase is EnginePhase.NONE for rep in engines):
             return ()
         changes = self._planner.plan(engines, now, self._calm())
--- a/berylshift/process/targets/rate_limits.py
+++ b/berylshift/process/targets/rate_limits.py
@@ -13,6 +13,8 @@
 
 # What a limit of nothing is taken for, so that its end is noticed.
 LEAST_PER_SECOND = 0.02
+# How long a limit has to stand before other replicas take over for good.
+LASTING_SECONDS = 2.0
 # How long a share is gone by before the hosts are looked at again.
 SHARE_SECONDS = 1.0
 
@@ -25,6 +27,7 @@
     """
 
     per_second: float
+    since: float
     named_at: float
     counted_from: float
     phase: float
@@ -79,7 +82,7 @@
         share = self._share_of(instance, per_second)
         # Hosts learn of a limit together: a random phase keeps their turns apart.
         phase = self._rng.random()
-        self._limits[instance] = _Limit(per_second, now, now, phase, share, now)
+        self._limits[instance] = _Limit(per_second, now, now, now, phase, share, now)
         return True
 
     def not_named(self, instance: InstanceId, sent_at: float) -> bool:
@@ -127,6 +130,11 @@
         limit = self._limits.get(instance)
         return None if limit is None else limit.share
 
+    def lasts(self, instance: InstanceId, now: float) -> bool:
+        """Return whether a replica has named a limit for longer than a moment."""
+        limit = self._limits.get(instance)
+        return limit is not None and now - limit.since >= LASTING_SECONDS
+
     def forget(self, instance: InstanceId) -> None:
         """Drop a replica that is gone."""
         self._limits.pop(instance, None)
--- a/berylshift/process/targets/throttle.py
+++ b/berylshift/process/targets/throttle.py
@@ -90,6 +90,10 @@
             self._limits.sent(instance, now)
         return wait
 
+    def is_in_need(self, instance: InstanceId, now: float) -> bool:
+        """Return whether a replica has named a limit for some time."""
+        return self._limits.lasts(instance, now)
+
     def closed(self, now: float) -> list[InstanceId]:
         """Return the replicas that take nothing of this host now."""
         return self._limits.closed(now) + self._rests.resting(now)
--- a/berylshift/tests/test_entry_limits.py
+++ b/berylshift/tests/test_entry_limits.py
@@ -131,3 +131,23 @@
             return len(world.hosts[0].throttle)
 
         self.assertEqual(run_entry(play, plain=1), 0)
+
+
+class OtherEnginesTest(unittest.TestCase):
+    """All engines that answer name a limit, those that read have room."""
+
+    def test_reading_engines_answer_in_their_place(self):
+        """Guards against callers refused for as long as the answering engines need."""
+
+        async def play(world):
+            callers = LimitPlay(world, UNEVEN)
+            await callers.callers("/note/", 25, 2)
+            for engine in list(world.replicas.values())[-3:]:
+                engine.rate_limit = 2.6
+            await callers.callers("/note/", 25, 7)
+            callers.replies.clear()
+            await callers.callers("/note/", 25, 5)
+            return callers
+
+        callers = run_entry(play, hosts=9, engines="ppppppddd", reading_share=0.65)
+        self.assertGreater(callers.served, 0.9 * len(callers.replies))
