Keep a throttled engine's turn while the prompt is read elsewhere

What callers saw: where all engines that answer are at their limits, 95 prompts were read for 79 answers: the turn that was open before a reading was used by another request before its end, and the caller was refused after the reading in vain.

--- a/berylshift/connection/target_client.py
+++ b/berylshift/connection/target_client.py
@@ -42,7 +42,10 @@
 
 
 class TargetRequest(msgspec.Struct, frozen=True):
-    """One request for one instance; ``target`` is path and query."""
+    """One request for one instance; ``target`` is path and query.
+
+    ``has_turn``: the instance's throttle was asked for this request before.
+    """
 
     instance: InstanceId
     address: str
@@ -50,13 +53,17 @@
     target: bytes
     headers: list[Header]
     body: RequestBody = NO_BODY
+    has_turn: bool = False
 
 
 class TargetGate(Protocol):
     """Decides which requests may go out; every request and answer passes it."""
 
-    def enter(self, instance: InstanceId) -> float:
-        """Return the time of a request that may go out; raise ``ThrottledError``."""
+    def enter(self, instance: InstanceId, has_turn: bool) -> float:
+        """Return the time of a request that may go out; raise ``ThrottledError``.
+
+        ``has_turn``: it was counted before against what the instance takes.
+        """
 
     def answered(
         self,
@@ -71,7 +78,7 @@
 class OpenGate:
     """Lets everything through."""
 
-    def enter(self, instance: InstanceId) -> float:
+    def enter(self, instance: InstanceId, has_turn: bool) -> float:
         """Let a request out."""
         return 0.0
 
@@ -179,7 +186,7 @@
         other connection errors if the replica may have read the request. A connection
         is kept only if its answer was read to the end and nothing lies behind it.
         """
-        entered_at = self._gate.enter(out.instance)
+        entered_at = self._gate.enter(out.instance, out.has_turn)
 
         def on_head(status: int, headers: list[Header]) -> None:
             self._gate.answered(out.instance, status, headers, entered_at)
--- a/berylshift/process/targets/throttle.py
+++ b/berylshift/process/targets/throttle.py
@@ -83,13 +83,29 @@
         logger.info("limit lifted", extra={"instance": instance, "told": told})
         return True
 
-    def take(self, instance: InstanceId, now: float) -> float:
-        """Take leave for one request and return 0, or return the seconds to wait."""
-        wait = max(self._rests.wait(instance, now), self._limits.wait(instance, now))
+    def take(self, instance: InstanceId, now: float, has_turn: bool = False) -> float:
+        """Take leave for one request and return 0, or return the seconds to wait.
+
+        One that ``has_turn`` has been counted against the replica's limit already.
+        """
+        wait = self._rests.wait(instance, now)
+        if has_turn:
+            return wait
+        wait = max(wait, self._limits.wait(instance, now))
         if wait <= 0:
             self._limits.sent(instance, now)
         return wait
 
+    def reserve(self, instance: InstanceId, now: float) -> bool:
+        """Count a request to come against a replica's limit; return whether it has one.
+
+        It is called for a replica that takes a request now.
+        """
+        if self._limits.share(instance) is None:
+            return False
+        self._limits.sent(instance, now)
+        return True
+
     def is_in_need(self, instance: InstanceId, now: float) -> bool:
         """Return whether a replica has named a limit for some time."""
         return self._limits.lasts(instance, now)
--- a/berylshift/request/relay.py
+++ b/berylshift/request/relay.py
@@ -88,6 +88,8 @@
         self.crash_watch = RoutedWatch(parts, req)
         self._open_place: Placement | None = None
         self._open_since = 0.0
+        # The answering replica whose turn is kept for this request.
+        self._reserved: InstanceId | None = None
         self._source: KvSource | None = None
         self._source_uses = 0
         self._reads = 0
@@ -239,9 +241,11 @@
         if self._req.prompt is None:
             place = self._parts.placer.plain(self._pool(), self._avoided(), self._now())
             return await self._send(place, None)
-        if self._answerer(None) is None:
+        place = self._answerer(None)
+        if place is None:
             return await self._send(None, None)
         if self._source is None and not self._out.started:
+            self._reserve(place.target.instance)
             if not await self._read_prompt(self._req.prompt):
                 return None
             # A replica may have ended under another try of it meanwhile.
@@ -263,9 +267,19 @@
 
     def _avoided(self) -> list[InstanceId]:
         """Return the replicas that may not answer the request."""
-        avoided = [*self._tried, *self._parts.throttle.closed(self._now())]
+        closed = self._parts.throttle.closed(self._now())
+        avoided = [*self._tried, *(name for name in closed if name != self._reserved)]
         return self.crash_watch.avoided(self._pool(), avoided, self._out.started)
 
+    def _reserve(self, instance: InstanceId) -> None:
+        """Keep a throttled replica's turn while the prompt is read elsewhere.
+
+        Other requests would use it meanwhile, and this one be refused after a reading
+        in vain.
+        """
+        if self._parts.throttle.reserve(instance, self._now()):
+            self._reserved = instance
+
     def _check_room(self) -> None:
         """Raise ``NoRoomError`` if those that are left are throttled, all of them."""
         throttle, now = self._parts.throttle, self._now()
@@ -385,6 +399,7 @@
         end = SendEnd.NOT_REACHED
         try:
             out = self._outgoing(place.target, source)
+            self._reserved = None
             end = await self._sender.run(out, reading)
         finally:
             reading.done()
@@ -483,5 +498,11 @@
         )
         headers = self._parts.language.onward_headers(req, dispatch)
         return TargetRequest(
-            target.instance, target.address, req.method, req.target, headers, req.body
+            target.instance,
+            target.address,
+            req.method,
+            req.target,
+            headers,
+            req.body,
+            has_turn=not prefill_only and target.instance == self._reserved,
         )
--- a/berylshift/request/target_gate.py
+++ b/berylshift/request/target_gate.py
@@ -28,12 +28,12 @@
         self._replicas = replicas
         self._clock = clock
 
-    def enter(self, instance: InstanceId) -> float:
+    def enter(self, instance: InstanceId, has_turn: bool) -> float:
         """Return the time of a call that may go out; raise ``ThrottledError``."""
         if self._replicas.has_left(instance):
             raise ThrottledError(f"{instance} leaves")
         now = self._clock.monotonic()
-        wait = self._throttle.take(instance, now)
+        wait = self._throttle.take(instance, now, has_turn)
         if wait > 0:
             raise ThrottledError(f"{instance} takes no request for {wait:.2f} s")
         return now
--- a/berylshift/tests/test_entry_limits.py
+++ b/berylshift/tests/test_entry_limits.py
@@ -86,7 +86,7 @@
         for replica in replicas:
             self.assertLessEqual(most_from_told(replica), most_allowed(2.6))
         reads = sum(len(rep.reads) for rep in callers.world.replicas.values())
-        self.assertLess(reads, 1.2 * callers.served)
+        self.assertLessEqual(reads, callers.served)
 
 
 class LiftedTest(unittest.TestCase):
