Leave the own interface's targets alone for as long as they ask

The same cause elsewhere: a refusal of an engine or a plain service of the own interface weighed as any failure, whatever Retry-After it had. The header is read in one place for both interfaces.

--- a/berylshift/connection/service_client.py
+++ b/berylshift/connection/service_client.py
@@ -2,6 +2,7 @@
 
 from berylshift.connection.errors import ConnectFailedError, ConnectionLayerError
 from berylshift.connection.http_client import HttpClient, Outgoing
+from berylshift.messages.retry_after import seconds_of
 from berylshift.targets import (
     ServiceAnswer,
     ServiceCall,
@@ -55,7 +56,8 @@
         except ConnectionLayerError as exc:
             raise TargetBrokenError(str(exc)) from exc
         if resp.headers.get(REFUSED_HEADER) == "true":
-            raise TargetRefusedError(f"status {resp.status}")
+            rest = seconds_of(resp.headers.get("retry-after"))
+            raise TargetRefusedError(f"status {resp.status}", rest)
         kept = {
             name: value
             for name, value in resp.headers.items()
--- a/berylshift/platform/exchange.py
+++ b/berylshift/platform/exchange.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from berylshift.ids import CustomerName, PartId, ReplicaName, RequestId
+from berylshift.messages.retry_after import seconds_of
 from berylshift.messages.routed import (
     AnswerHead,
     Body,
@@ -144,7 +145,7 @@
             return None
         found = dict(headers)
         return TargetWishes(
-            rate_limit=_number(found.get(names.RATE_LIMIT)),
+            rate_limit=_rate(found.get(names.RATE_LIMIT)),
             leaving=found.get(names.LEAVING) == LEAVES,
             rest_seconds=_rest(status, found),
         )
@@ -245,11 +246,11 @@
     """Return the seconds of rest that a refusal asks for."""
     if status not in TURNED_AWAY:
         return 0.0
-    return _number(headers.get(RETRY_AFTER)) or 0.0
+    return seconds_of(headers.get(RETRY_AFTER, b"").decode("latin-1"))
 
 
-def _number(value: bytes | None) -> float | None:
-    """Return a number from 0 up; ``None``: it is none."""
+def _rate(value: bytes | None) -> float | None:
+    """Return requests a second; a value that is none names no limit."""
     try:
         found = float(value) if value is not None else -1.0
     except ValueError:
--- a/berylshift/stand_ins/fake_service.py
+++ b/berylshift/stand_ins/fake_service.py
@@ -19,6 +19,8 @@
     """
 
     refuse: bool = False
+    # Seconds of rest that a refusal asks for.
+    rest_seconds: float = 0.0
     crashes_on: bytes | None = None
     lose_answers: int = 0
     seconds: float = 0.02
@@ -39,12 +41,14 @@
     ran: Counter = field(default_factory=Counter)
     script: ServiceScript = field(default_factory=ServiceScript)
     calls: int = 0
+    refused: int = 0
     alive: bool = True
 
     def run(self, call: ServiceCall) -> ServiceAnswer:
         """Run a call and return its answer; raise ``TargetRefusedError``."""
         if self.script.refuse:
-            raise TargetRefusedError("scripted refusal")
+            self.refused += 1
+            raise TargetRefusedError("scripted refusal", self.script.rest_seconds)
         self.calls += 1
         if self.script.crashes_on is not None:
             self.alive = self.alive and call.body != self.script.crashes_on
--- a/berylshift/stand_ins/service_server.py
+++ b/berylshift/stand_ins/service_server.py
@@ -51,8 +51,10 @@
         )
         try:
             answer = self._service.run(call)
-        except TargetRefusedError:
+        except TargetRefusedError as exc:
             headers = {**JSON_TYPE, REFUSED_HEADER: "true"}
+            if exc.rest_seconds:
+                headers["retry-after"] = f"{exc.rest_seconds:.1f}"
             await responder.full(STATUS_REFUSED, headers, b"{}")
             return
         await trio.sleep(self._service.script.seconds)
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -33,6 +33,11 @@
 USAGE = "test_usage_loop"
 SCALING = "test_scaling_planner"
 STREAMS = "test_request_streams"
+LIMITS = "test_entry_limits"
+RATES = "test_targets_rate_limits"
+LEAVING = "test_entry_leaving"
+RESTS = "test_entry_rests"
+TARGET_GATE = "test_request_target_gate"
 PROOFS = (
     Proof(
         "a replica hears the customer and never the key",
@@ -904,6 +909,90 @@
         "            pass",
         "test_store_eras_hosts.JoinAgainTest",
     ),
+    Proof(
+        "every call to a replica asks the gate",
+        "connection/target_client.py",
+        "        entered_at = self._gate.enter(out.instance, out.has_turn)\n",
+        "        entered_at = 0.0\n",
+        TARGET_GATE,
+    ),
+    Proof(
+        "every answer's head is heard",
+        "connection/target_client.py",
+        "        self._on_head(self.status, self.headers)\n",
+        "",
+        f"{LIMITS}.KeptTest.test_all_hosts_together_keep_a_replicas_limit",
+    ),
+    Proof(
+        "another replica's answer asks for nothing",
+        "platform/exchange.py",
+        "        if status == STATUS_WRONG_INSTANCE:\n            return None\n",
+        "",
+        f"{LIMITS}.LiftedTest.test_another_replicas_answer_sets_no_limit",
+    ),
+    Proof(
+        "hosts share a limit",
+        "process/targets/limit_shares.py",
+        "            return LimitShare(HELD_PART / count, True)\n",
+        "            return LimitShare(1.0, True)\n",
+        RATES,
+    ),
+    Proof(
+        "turns are not saved up by hosts without a share",
+        "process/targets/rate_limits.py",
+        "if now > limit.lapses_at:",
+        "if False:",
+        RATES,
+    ),
+    Proof(
+        "an answer to an older request lifts no limit",
+        "process/targets/rate_limits.py",
+        "if limit is None or sent_at <= limit.named_at:",
+        "if limit is None:",
+        RATES,
+    ),
+    Proof(
+        "placing leaves out replicas that take nothing now",
+        "request/relay.py",
+        "        closed = self._parts.throttle.closed(self._now())\n        avoided",
+        "        closed = []\n        avoided",
+        f"{RESTS}.RestTest.test_a_reading_engine_that_asks_for_rest_gets_it",
+    ),
+    Proof(
+        "a throttled engine's turn is kept while a prompt is read",
+        "request/relay.py",
+        "            self._reserve(place.target.instance)\n",
+        "",
+        f"{LIMITS}.NoRoomTest.test_no_prompt_is_read_that_no_engine_would_answer",
+    ),
+    Proof(
+        "other engines answer for those in need",
+        "process/duties/phase_loop.py",
+        "if not self._in_need(rep.instance)",
+        "if True",
+        f"{LIMITS}.OtherEnginesTest",
+    ),
+    Proof(
+        "a limit's end is told to all hosts",
+        "process/targets/throttle.py",
+        "            self._news.given(target_hash(instance), None, now)\n",
+        "            pass\n",
+        "test_targets_limit_news.SpreadTest",
+    ),
+    Proof(
+        "a replica's own word that it leaves counts",
+        "request/target_gate.py",
+        "if wishes.leaving and",
+        "if False and",
+        LEAVING,
+    ),
+    Proof(
+        "a refusal's time of rest is kept",
+        "process/targets/throttle.py",
+        "        if wishes.rest_seconds > 0:\n",
+        "        if False:\n",
+        RESTS,
+    ),
     Proof(
         "the first answer to either feed ends an outage",
         "process/directory/directory_loop.py",
