--- a/berylshift/request/relay.py
+++ b/berylshift/request/relay.py
@@ -11,7 +11,6 @@
 from berylshift.messages.load_digest import Urgency
 from berylshift.messages.replicas import Replica
 from berylshift.messages.routed import Dispatch, Prompt, RoutedRequest
-from berylshift.process.directory.pools import Pool
 from berylshift.process.targets.target_load import MILD, SEVERE
 from berylshift.request.allowance import TimeBound, allowance_of
 from berylshift.request.answer_stream import AnswerStream
@@ -28,6 +27,7 @@
     Result,
     Verdict,
 )
+from berylshift.request.replica_choice import ReplicaChoice
 from berylshift.request.retry_rule import (
     NEVER_SENT,
     SendEnd,
@@ -82,14 +82,12 @@
         self._out = AnswerStream(responder, parts.clock)
         self._history = SendHistory()
         self._budget = parts.budget(service)
-        self._tried: list[InstanceId] = []
         self._sends: list[str] = []
         self._sender = SingleSend(parts, req, route, self._out, self._history)
         self.crash_watch = RoutedWatch(parts, req)
+        self._choice = ReplicaChoice(parts, service, self.crash_watch)
         self._open_place: Placement | None = None
         self._open_since = 0.0
-        # The answering replica whose turn is kept for this request.
-        self._reserved: InstanceId | None = None
         self._source: KvSource | None = None
         self._source_uses = 0
         self._reads = 0
@@ -239,13 +237,12 @@
         """Place and send once; ``None`` if there is no place."""
         self._check_may_go()
         if self._req.prompt is None:
-            place = self._parts.placer.plain(self._pool(), self._avoided(), self._now())
-            return await self._send(place, None)
+            return await self._send(self._choice.plain(self._out.started), None)
         place = self._answerer(None)
         if place is None:
             return await self._send(None, None)
         if self._source is None and not self._out.started:
-            self._reserve(place.target.instance)
+            self._choice.reserve(place.target.instance)
             if not await self._read_prompt(self._req.prompt):
                 return None
             # A replica may have ended under another try of it meanwhile.
@@ -261,44 +258,13 @@
         prompt = self._req.prompt
         if prompt is None:
             return None
-        return self._parts.placer.answerer(
-            self._pool(), prompt, reader, self._avoided(), self._now()
-        )
-
-    def _avoided(self) -> list[InstanceId]:
-        """Return the replicas that may not answer the request."""
-        closed = self._parts.throttle.closed(self._now())
-        avoided = [*self._tried, *(name for name in closed if name != self._reserved)]
-        return self.crash_watch.avoided(self._pool(), avoided, self._out.started)
-
-    def _reserve(self, instance: InstanceId) -> None:
-        """Keep a throttled replica's turn while the prompt is read elsewhere.
-
-        Other requests would use it meanwhile, and this one be refused after a reading
-        in vain.
-        """
-        if self._parts.throttle.reserve(instance, self._now()):
-            self._reserved = instance
-
-    def _check_room(self) -> None:
-        """Raise ``NoRoomError`` if those that are left are throttled, all of them."""
-        throttle, now = self._parts.throttle, self._now()
-        closed = set(throttle.closed(now)).difference(self._tried)
-        answerers = [rep.instance for rep in self._pool().answerers]
-        waits = [
-            throttle.retry_after(name, now) for name in answerers if name in closed
-        ]
-        if waits:
-            raise NoRoomError(min(waits))
+        return self._choice.answerer(prompt, reader, self._out.started)
 
     def _check_hope(self, seconds: float) -> None:
         """Raise ``HopelessError`` if a first piece in ``seconds`` comes too late."""
         if not self._out.started and self._now() + seconds > self._first_until:
             raise HopelessError(seconds)
 
-    def _pool(self) -> Pool:
-        return self._parts.replicas.pool(self.service)
-
     # Reading a prompt apart
 
     async def _read_prompt(self, prompt: Prompt) -> bool:
@@ -365,11 +331,11 @@
         return choice
 
     def _ask(self, prompt: Prompt, tried: list[InstanceId]) -> ReadingAsk:
-        avoided = self._avoided()
+        avoided = self._choice.avoided(self._out.started)
         return ReadingAsk(
             goal=self._route,
             service=self.service,
-            pool=self._pool(),
+            pool=self._choice.pool(),
             prompt=prompt,
             waited=self._now() - self._started,
             avoid=[*tried, *avoided],
@@ -387,10 +353,10 @@
     ) -> Sent | None:
         """Send once and relay what comes; return how it ended."""
         if place is None:
-            self._check_room()
+            self._choice.check_room()
             return None
         loads, instance = self._parts.loads, place.target.instance
-        self._tried.append(instance)
+        has_turn = self._choice.use(instance)
         loads.sent(instance, place.tokens, self._urgency)
         reading = Reading(loads, instance, place.tokens, self._urgency)
         self._open_place = place
@@ -398,8 +364,7 @@
         had_begun = self._out.started
         end = SendEnd.NOT_REACHED
         try:
-            out = self._outgoing(place.target, source)
-            self._reserved = None
+            out = self._outgoing(place.target, source, has_turn=has_turn)
             end = await self._sender.run(out, reading)
         finally:
             reading.done()
@@ -483,6 +448,7 @@
         target: Replica,
         source: KvSource | None = None,
         prefill_only: bool = False,
+        has_turn: bool = False,
     ) -> TargetRequest:
         req = self._req
         after = req.resume_after
@@ -504,5 +470,5 @@
             req.target,
             headers,
             req.body,
-            has_turn=not prefill_only and target.instance == self._reserved,
+            has_turn=has_turn,
         )
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -953,7 +953,7 @@
     ),
     Proof(
         "placing leaves out replicas that take nothing now",
-        "request/relay.py",
+        "request/replica_choice.py",
         "        closed = self._parts.throttle.closed(self._now())\n        avoided",
         "        closed = []\n        avoided",
         f"{RESTS}.RestTest.test_a_reading_engine_that_asks_for_rest_gets_it",
@@ -961,7 +961,7 @@
     Proof(
         "a throttled engine's turn is kept while a prompt is read",
         "request/relay.py",
-        "            self._reserve(place.target.instance)\n",
+        "            self._choice.reserve(place.target.instance)\n",
         "",
         f"{LIMITS}.NoRoomTest.test_no_prompt_is_read_that_no_engine_would_answer",
     ),
