Call what replicas ask for by the field's terms

Log lines follow (`rate limit set`, `rate limit lifted`, `backing off`). No behaviour changes; tests of both matters and of the adapter pass as before, under names that say which failure they guard against.

--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -361,7 +361,7 @@
             hosts=self._hosts_that_share,
             holder=cfg.host.name,
             leaving=lambda: self.leaving,
-            in_need=lambda instance: self.throttle.is_in_need(
+            is_limited=lambda instance: self.throttle.is_limited(
                 instance, ports.clock.monotonic()
             ),
         )
--- a/berylshift/messages/routed.py
+++ b/berylshift/messages/routed.py
@@ -116,18 +116,18 @@
     length: int | None = None
 
 
-class TargetWishes(msgspec.Struct, frozen=True):
+class FlowControl(msgspec.Struct, frozen=True):
     """What a replica asks of its callers in an answer.
 
     ``rate_limit``: the requests a second that it takes from all hosts together;
-    ``None``: it names no limit. ``leaving``: it takes no new request.
-    ``rest_seconds``: for so long it wants nothing of the host that it answers; 0: it
+    ``None``: it names no limit. ``draining``: it takes no new request.
+    ``retry_after``: for so long it wants nothing of the host that it answers; 0: it
     does not say so.
     """
 
     rate_limit: float | None = None
-    leaving: bool = False
-    rest_seconds: float = 0.0
+    draining: bool = False
+    retry_after: float = 0.0
 
 
 class KvHandle(msgspec.Struct, frozen=True):
@@ -166,7 +166,9 @@
     def read_answer(self, status: int, headers: list[Header]) -> AnswerHead:
         """Return the head of a replica's answer."""
 
-    def read_wishes(self, status: int, headers: list[Header]) -> TargetWishes | None:
+    def read_flow_control(
+        self, status: int, headers: list[Header]
+    ) -> FlowControl | None:
         """Return what an answer asks for; ``None``: another replica gave it."""
 
     def read_handle(self, body: bytes) -> KvHandle | None:
--- a/berylshift/platform/exchange.py
+++ b/berylshift/platform/exchange.py
@@ -9,13 +9,13 @@
     Body,
     ControlCall,
     Dispatch,
+    FlowControl,
     Header,
     KvHandle,
     Prompt,
     PromptPart,
     ReportedLoad,
     RoutedRequest,
-    TargetWishes,
 )
 from berylshift.platform import names
 from berylshift.platform.unknown_headers import UnknownHeaders
@@ -139,15 +139,17 @@
             length=_length(found.get(b"content-length")),
         )
 
-    def read_wishes(self, status: int, headers: list[Header]) -> TargetWishes | None:
+    def read_flow_control(
+        self, status: int, headers: list[Header]
+    ) -> FlowControl | None:
         """Return what an answer asks for; ``None``: another replica gave it."""
         if status == STATUS_WRONG_INSTANCE:
             return None
         found = dict(headers)
-        return TargetWishes(
+        return FlowControl(
             rate_limit=_rate(found.get(names.RATE_LIMIT)),
-            leaving=found.get(names.LEAVING) == LEAVES,
-            rest_seconds=_rest(status, found),
+            draining=found.get(names.LEAVING) == LEAVES,
+            retry_after=_retry_after(status, found),
         )
 
     def read_handle(self, body: bytes) -> KvHandle | None:
@@ -242,8 +244,8 @@
     return ReportedLoad(running, waiting, slots)
 
 
-def _rest(status: int, headers: dict[bytes, bytes]) -> float:
-    """Return the seconds of rest that a refusal asks for."""
+def _retry_after(status: int, headers: dict[bytes, bytes]) -> float:
+    """Return the seconds for which a refusal asks to back off."""
     if status not in TURNED_AWAY:
         return 0.0
     return seconds_of(headers.get(RETRY_AFTER, b"").decode("latin-1"))
--- a/berylshift/process/directory/departed.py
+++ b/berylshift/process/directory/departed.py
@@ -49,7 +49,7 @@
             return msgspec.structs.replace(replica, draining=True)
         return replica
 
-    def says_it_leaves(self, replica: Replica) -> Replica:
+    def as_draining(self, replica: Replica) -> Replica:
         """Return a listed replica as leaving, by its own word."""
         return self.as_known(msgspec.structs.replace(replica, draining=True))
 
--- a/berylshift/process/directory/replica_set.py
+++ b/berylshift/process/directory/replica_set.py
@@ -227,21 +227,21 @@
         found = (entry.domain for entry in entries if entry.instance == instance)
         return next(found, None)
 
-    def says_it_leaves(self, instance: InstanceId, now: float) -> bool:
+    def mark_draining(self, instance: InstanceId, now: float) -> bool:
         """Take a replica's own word that it leaves; return whether that is news.
 
         It holds for this start of the replica, whatever its entry says.
         """
-        if self.has_left(instance):
+        if self.is_draining(instance):
             return False
         for name, entry in self._listed.items():
             if entry.instance == instance:
-                self._listed[name] = self._departed.says_it_leaves(entry)
+                self._listed[name] = self._departed.as_draining(entry)
                 self._index(now)
                 return True
         return False
 
-    def has_left(self, instance: InstanceId) -> bool:
+    def is_draining(self, instance: InstanceId) -> bool:
         """Return whether a replica was said to leave."""
         return self._departed.is_leaving(instance)
 
--- a/berylshift/process/duties/phase_loop.py
+++ b/berylshift/process/duties/phase_loop.py
@@ -50,13 +50,13 @@
         hosts: Callable[[], int],
         holder: str,
         leaving: Callable[[], bool],
-        in_need: Callable[[InstanceId], bool],
+        is_limited: Callable[[InstanceId], bool],
     ):
         """Order as ``holder``, unless it is ``leaving``; ``calm``: no traffic.
 
-        Engines ``in_need`` take little work, whatever their phase.
+        Engines that are ``is_limited`` take little work, whatever their phase.
         """
-        self._in_need = in_need
+        self._is_limited = is_limited
         self._hosts = hosts
         self._service = service
         self._planner = planner
@@ -97,7 +97,7 @@
             return ()
         now = self._clock.monotonic()
         listed = self._replicas.as_ordered(self._service, now)
-        engines = [rep for rep in listed if not self._in_need(rep.instance)]
+        engines = [rep for rep in listed if not self._is_limited(rep.instance)]
         if any(rep.phase is EnginePhase.NONE for rep in engines):
             return ()
         changes = self._planner.plan(engines, now, self._calm())
--- a/berylshift/process/knowledge/health.py
+++ b/berylshift/process/knowledge/health.py
@@ -27,7 +27,7 @@
     def __init__(self) -> None:
         """Start with all targets in good health."""
         self._records: dict[TargetName, _Record] = {}
-        self._rests: dict[TargetName, float] = {}
+        self._backoffs: dict[TargetName, float] = {}
 
     def succeeded(self, target: TargetName) -> None:
         """Note a call that ended well."""
@@ -43,12 +43,12 @@
             seconds = min(LONGEST_SUSPENSION, FIRST_SUSPENSION * 2**over)
             record.until = now + seconds
 
-    def asked_for_rest(self, target: TargetName, seconds: float, now: float) -> None:
+    def back_off(self, target: TargetName, seconds: float, now: float) -> None:
         """Send nothing to a target for ``seconds``, by its own word."""
         if seconds <= 0:
             return
-        until = max(now + seconds, self._rests.get(target, now))
-        self._rests[target] = until
+        until = max(now + seconds, self._backoffs.get(target, now))
+        self._backoffs[target] = until
 
     def started(self, target: TargetName) -> None:
         """Note that a call goes out; a suspended target is on trial by it."""
@@ -64,7 +64,7 @@
 
     def usable(self, target: TargetName, now: float) -> bool:
         """Return whether a call may go there now."""
-        if now < self._rests.get(target, now):
+        if now < self._backoffs.get(target, now):
             return False
         record = self._records.get(target)
         if record is None or record.failures < FAILURES_ALLOWED:
@@ -73,5 +73,5 @@
 
     def suspended(self, now: float) -> list[TargetName]:
         """Return the targets that take no call now."""
-        known = self._records.keys() | self._rests.keys()
+        known = self._records.keys() | self._backoffs.keys()
         return sorted(name for name in known if not self.usable(name, now))
--- a/berylshift/process/targets/rests.py
+++ b/berylshift/process/targets/backoffs.py
@@ -3,14 +3,14 @@
 from berylshift.ids import InstanceId
 
 
-class Rests:
+class Backoffs:
     """Times in seconds on the monotonic clock."""
 
     def __init__(self) -> None:
-        """Start with no replica resting."""
+        """Start with no replica to back off from."""
         self._until: dict[InstanceId, float] = {}
 
-    def asked(self, instance: InstanceId, seconds: float, now: float) -> None:
+    def back_off(self, instance: InstanceId, seconds: float, now: float) -> None:
         """Leave a replica alone for ``seconds``; an earlier word may last longer."""
         until = max(now + seconds, self._until.get(instance, now))
         self._until[instance] = until
@@ -19,7 +19,7 @@
         """Return the seconds until a replica may be sent to; 0: now."""
         return max(0.0, self._until.get(instance, now) - now)
 
-    def resting(self, now: float) -> list[InstanceId]:
+    def active(self, now: float) -> list[InstanceId]:
         """Return the replicas that want nothing now."""
         self._until = {name: at for name, at in self._until.items() if at > now}
         return list(self._until)
--- a/berylshift/process/targets/rate_limits.py
+++ b/berylshift/process/targets/rate_limits.py
@@ -32,7 +32,7 @@
 
     per_second: float
     since: float
-    named_at: float
+    confirmed_at: float
     counted_from: float
     phase: float
     share: LimitShare
@@ -77,7 +77,7 @@
         """Return how many replicas name a limit."""
         return len(self._limits)
 
-    def named(self, instance: InstanceId, per_second: float, now: float) -> bool:
+    def set_limit(self, instance: InstanceId, per_second: float, now: float) -> bool:
         """Take over a limit that a replica names; return whether it had none."""
         per_second = max(LEAST_PER_SECOND, per_second)
         limit = self._limits.get(instance)
@@ -85,7 +85,7 @@
             if per_second != limit.per_second:
                 self._look_again()
             limit.per_second = per_second
-            limit.named_at = now
+            limit.confirmed_at = now
             return False
         self._look_again()
         share = self._share_of(instance, per_second)
@@ -94,13 +94,13 @@
         self._limits[instance] = _Limit(per_second, now, now, now, phase, share, now)
         return True
 
-    def not_named(self, instance: InstanceId, sent_at: float) -> bool:
+    def lift(self, instance: InstanceId, sent_at: float) -> bool:
         """Drop a limit that an answer no longer names; return whether there was one.
 
         An answer to what was sent before the limit was last named may be older.
         """
         limit = self._limits.get(instance)
-        if limit is None or sent_at <= limit.named_at:
+        if limit is None or sent_at <= limit.confirmed_at:
             return False
         self.forget(instance)
         return True
--- a/berylshift/process/targets/throttle.py
+++ b/berylshift/process/targets/throttle.py
@@ -5,10 +5,10 @@
 
 from berylshift.ids import InstanceId
 from berylshift.messages.load_digest import LimitTold, target_hash
-from berylshift.messages.routed import TargetWishes
+from berylshift.messages.routed import FlowControl
+from berylshift.process.targets.backoffs import Backoffs
 from berylshift.process.targets.limit_news import LimitNews
 from berylshift.process.targets.rate_limits import RateLimits
-from berylshift.process.targets.rests import Rests
 
 logger = logging.getLogger(__name__)
 
@@ -22,22 +22,22 @@
         """Go by ``limits``; ``instance_of`` finds a replica by its short hash."""
         self._limits = limits
         self._instance_of = instance_of
-        self._rests = Rests()
+        self._backoffs = Backoffs()
         self._news = LimitNews()
 
     def heard(
-        self, instance: InstanceId, wishes: TargetWishes, sent_at: float, now: float
+        self, instance: InstanceId, control: FlowControl, sent_at: float, now: float
     ) -> None:
         """Take over what an answer to a request of ``sent_at`` asks for."""
-        if wishes.rest_seconds > 0:
-            self._rests.asked(instance, wishes.rest_seconds, now)
+        if control.retry_after > 0:
+            self._backoffs.back_off(instance, control.retry_after, now)
             logger.info(
-                "rest asked for",
-                extra={"instance": instance, "seconds": wishes.rest_seconds},
+                "backing off",
+                extra={"instance": instance, "seconds": control.retry_after},
             )
-        if wishes.rate_limit is not None:
-            self._named(instance, wishes.rate_limit, now, told=False)
-            self._news.given(target_hash(instance), wishes.rate_limit, now)
+        if control.rate_limit is not None:
+            self._named(instance, control.rate_limit, now, told=False)
+            self._news.given(target_hash(instance), control.rate_limit, now)
         elif self._lifted(instance, sent_at, told=False):
             self._news.given(target_hash(instance), None, now)
 
@@ -63,11 +63,11 @@
     def _named(
         self, instance: InstanceId, per_second: float, at: float, told: bool
     ) -> None:
-        if not self._limits.named(instance, per_second, at):
+        if not self._limits.set_limit(instance, per_second, at):
             return
         share = self._limits.share(instance)
         logger.info(
-            "limit named",
+            "rate limit set",
             extra={
                 "instance": instance,
                 "per_second": round(per_second, 3),
@@ -78,9 +78,9 @@
         )
 
     def _lifted(self, instance: InstanceId, at: float, told: bool) -> bool:
-        if not self._limits.not_named(instance, at):
+        if not self._limits.lift(instance, at):
             return False
-        logger.info("limit lifted", extra={"instance": instance, "told": told})
+        logger.info("rate limit lifted", extra={"instance": instance, "told": told})
         return True
 
     def take(self, instance: InstanceId, now: float, has_turn: bool = False) -> float:
@@ -88,7 +88,7 @@
 
         One that ``has_turn`` is not counted against the replica's limit.
         """
-        wait = self._rests.wait(instance, now)
+        wait = self._backoffs.wait(instance, now)
         if has_turn:
             return wait
         wait = max(wait, self._limits.wait(instance, now))
@@ -106,25 +106,25 @@
         self._limits.sent(instance, now)
         return True
 
-    def is_in_need(self, instance: InstanceId, now: float) -> bool:
+    def is_limited(self, instance: InstanceId, now: float) -> bool:
         """Return whether a replica has named a limit for some time."""
         return self._limits.lasts(instance, now)
 
     def closed(self, now: float) -> list[InstanceId]:
         """Return the replicas that take nothing of this host now."""
-        return self._limits.closed(now) + self._rests.resting(now)
+        return self._limits.closed(now) + self._backoffs.active(now)
 
     def retry_after(self, instance: InstanceId, now: float) -> float:
         """Return the seconds after which a caller may come back for a replica."""
-        rest = self._rests.wait(instance, now)
-        return max(rest, self._limits.retry_after(instance, now))
+        backoff = self._backoffs.wait(instance, now)
+        return max(backoff, self._limits.retry_after(instance, now))
 
     def forget(self, instance: InstanceId) -> None:
         """Drop a replica that is gone."""
         self._limits.forget(instance)
-        self._rests.forget(instance)
+        self._backoffs.forget(instance)
         self._news.forget(target_hash(instance))
 
     def __len__(self) -> int:
         """Return how many replicas are used less than others on their own word."""
-        return len(self._limits) + len(self._rests)
+        return len(self._limits) + len(self._backoffs)
--- a/berylshift/request/engine_attempt.py
+++ b/berylshift/request/engine_attempt.py
@@ -19,7 +19,7 @@
 from berylshift.request.messages import (
     ModelCall,
 )
-from berylshift.request.retry_rule import SendEnd, end_of, rest_of
+from berylshift.request.retry_rule import SendEnd, end_of, retry_after_of
 from berylshift.settings import TargetSettings
 from berylshift.targets import (
     EngineCall,
@@ -131,7 +131,7 @@
             raise AttemptFailedError(name, SendEnd.SILENT) from exc
         except TargetError as exc:
             health = self._parts.know.health
-            health.asked_for_rest(name, rest_of(exc), self._now())
+            health.back_off(name, retry_after_of(exc), self._now())
             raise AttemptFailedError(name, end_of(exc)) from exc
 
     async def _take_all(
--- a/berylshift/request/plain_send.py
+++ b/berylshift/request/plain_send.py
@@ -14,7 +14,7 @@
 from berylshift.request.crash_watch import CrashWatch, QuarantinedError
 from berylshift.request.decisions import DecisionLog
 from berylshift.request.messages import Ending, Outcome, PlainCall, Reason
-from berylshift.request.retry_rule import SendEnd, end_of, rest_of
+from berylshift.request.retry_rule import SendEnd, end_of, retry_after_of
 from berylshift.request.target_check import takes_connections
 from berylshift.targets import (
     ServiceAnswer,
@@ -120,7 +120,7 @@
         except TargetError as exc:
             now = self.clock.monotonic()
             health.failed(name, now)
-            health.asked_for_rest(name, rest_of(exc), now)
+            health.back_off(name, retry_after_of(exc), now)
             return PlainSent(end_of(exc))
         except trio.Cancelled:
             health.cancelled(name)
--- a/berylshift/request/retry_rule.py
+++ b/berylshift/request/retry_rule.py
@@ -58,9 +58,9 @@
             return SendEnd.BROKEN
 
 
-def rest_of(exc: TargetError) -> float:
+def retry_after_of(exc: TargetError) -> float:
     """Return the seconds for which a target wants no other call."""
-    return exc.rest_seconds if isinstance(exc, TargetRefusedError) else 0.0
+    return exc.retry_after if isinstance(exc, TargetRefusedError) else 0.0
 
 
 class Sent(msgspec.Struct, frozen=True):
--- a/berylshift/request/target_gate.py
+++ b/berylshift/request/target_gate.py
@@ -30,7 +30,7 @@
 
     def enter(self, instance: InstanceId, has_turn: bool) -> float:
         """Return the time of a call that may go out; raise ``ThrottledError``."""
-        if self._replicas.has_left(instance):
+        if self._replicas.is_draining(instance):
             raise ThrottledError(f"{instance} leaves")
         now = self._clock.monotonic()
         wait = self._throttle.take(instance, now, has_turn)
@@ -46,10 +46,10 @@
         entered_at: float,
     ) -> None:
         """Take over what the head of an answer asks for."""
-        wishes = self._language.read_wishes(status, headers)
-        if wishes is None:
+        control = self._language.read_flow_control(status, headers)
+        if control is None:
             return
         now = self._clock.monotonic()
-        self._throttle.heard(instance, wishes, entered_at, now)
-        if wishes.leaving and self._replicas.says_it_leaves(instance, now):
+        self._throttle.heard(instance, control, entered_at, now)
+        if control.draining and self._replicas.mark_draining(instance, now):
             logger.info("replica leaves", extra={"instance": instance})
--- a/berylshift/stand_ins/entry_replica.py
+++ b/berylshift/stand_ins/entry_replica.py
@@ -74,7 +74,7 @@
 
 
 @dataclass
-class Rest:
+class Backoff:
     """A host was turned away and asked to send nothing for ``seconds``."""
 
     host: str
@@ -161,8 +161,8 @@
         # When each host was first told of the limit.
         self.told_limit: dict[str, float] = {}
         # Seconds for which it asks a host that it turns away to send nothing.
-        self.rest_seconds: float | None = None
-        self.rests: list[Rest] = []
+        self.retry_after: float | None = None
+        self.backoffs: list[Backoff] = []
         # Whether its answers say that it leaves, and when each host was first told.
         self.says_leaving = False
         self.told_leaving: dict[str, float] = {}
@@ -295,8 +295,8 @@
     async def _request(self, headers, body: bytes, fault) -> None:
         request = headers.get(names.ATTEMPT_ID, b"").decode()
         self.replica.arrivals.append(request)
-        if self.replica.rest_seconds is not None:
-            await self._ask_for_rest(headers, self.replica.rest_seconds)
+        if self.replica.retry_after is not None:
+            await self._ask_to_back_off(headers, self.replica.retry_after)
         elif fault is Fault.REFUSE:
             await self._answer(
                 503, b"", headers, signed=False, more=[(names.NOT_RUN, b"1")]
@@ -310,9 +310,9 @@
         else:
             await self._run(request, headers, body, fault)
 
-    async def _ask_for_rest(self, headers, seconds: float) -> None:
-        rest = Rest(self.host, trio.current_time(), seconds)
-        self.replica.rests.append(rest)
+    async def _ask_to_back_off(self, headers, seconds: float) -> None:
+        backoff = Backoff(self.host, trio.current_time(), seconds)
+        self.replica.backoffs.append(backoff)
         more = [(names.NOT_RUN, b"1"), (b"retry-after", b"%.1f" % seconds)]
         await self._answer(503, b"", headers, signed=False, more=more)
 
--- a/berylshift/stand_ins/fake_service.py
+++ b/berylshift/stand_ins/fake_service.py
@@ -19,8 +19,8 @@
     """
 
     refuse: bool = False
-    # Seconds of rest that a refusal asks for.
-    rest_seconds: float = 0.0
+    # Seconds for which a refusal asks to back off.
+    retry_after: float = 0.0
     crashes_on: bytes | None = None
     lose_answers: int = 0
     seconds: float = 0.02
@@ -48,7 +48,7 @@
         """Run a call and return its answer; raise ``TargetRefusedError``."""
         if self.script.refuse:
             self.refused += 1
-            raise TargetRefusedError("scripted refusal", self.script.rest_seconds)
+            raise TargetRefusedError("scripted refusal", self.script.retry_after)
         self.calls += 1
         if self.script.crashes_on is not None:
             self.alive = self.alive and call.body != self.script.crashes_on
--- a/berylshift/stand_ins/service_server.py
+++ b/berylshift/stand_ins/service_server.py
@@ -53,8 +53,8 @@
             answer = self._service.run(call)
         except TargetRefusedError as exc:
             headers = {**JSON_TYPE, REFUSED_HEADER: "true"}
-            if exc.rest_seconds:
-                headers["retry-after"] = f"{exc.rest_seconds:.1f}"
+            if exc.retry_after:
+                headers["retry-after"] = f"{exc.retry_after:.1f}"
             await responder.full(STATUS_REFUSED, headers, b"{}")
             return
         await trio.sleep(self._service.script.seconds)
--- a/berylshift/targets.py
+++ b/berylshift/targets.py
@@ -21,13 +21,13 @@
 class TargetRefusedError(TargetError):
     """The target says that it refused the call: it was not run.
 
-    ``rest_seconds``: for so long it wants no other one; 0: it does not say so.
+    ``retry_after``: for so long it wants no other one; 0: it does not say so.
     """
 
-    def __init__(self, reason: str, rest_seconds: float = 0.0):
-        """Keep the time of rest asked for."""
+    def __init__(self, reason: str, retry_after: float = 0.0):
+        """Keep the time asked for."""
         super().__init__(reason)
-        self.rest_seconds = rest_seconds
+        self.retry_after = retry_after
 
 
 class TargetBrokenError(TargetError):
--- a/berylshift/tests/test_platform_adapter.py
+++ b/berylshift/tests/test_platform_adapter.py
@@ -375,7 +375,7 @@
         def limit(value: bytes) -> float | None:
             return (
                 PlatformLanguage()
-                .read_wishes(200, [(names.RATE_LIMIT, value)])
+                .read_flow_control(200, [(names.RATE_LIMIT, value)])
                 .rate_limit
             )
 
@@ -383,12 +383,12 @@
         self.assertEqual(limit(b"0"), 0)
         for value in (b"-1", b"nan", b"inf", b"soon", b""):
             self.assertIsNone(limit(value))
-        self.assertIsNone(PlatformLanguage().read_wishes(200, []).rate_limit)
+        self.assertIsNone(PlatformLanguage().read_flow_control(200, []).rate_limit)
 
-    def test_a_refusal_may_ask_for_rest(self):
+    def test_a_refusal_may_ask_to_back_off(self):
         def rest(status: int, value: bytes) -> float:
             headers = [(b"retry-after", value)]
-            return PlatformLanguage().read_wishes(status, headers).rest_seconds
+            return PlatformLanguage().read_flow_control(status, headers).retry_after
 
         self.assertEqual(rest(503, b"2.5"), 2.5)
         self.assertEqual(rest(429, b"3"), 3)
@@ -397,14 +397,18 @@
 
     def test_leaving_is_said_by_one_value(self):
         def leaving(value: bytes) -> bool:
-            return PlatformLanguage().read_wishes(200, [(names.LEAVING, value)]).leaving
+            return (
+                PlatformLanguage()
+                .read_flow_control(200, [(names.LEAVING, value)])
+                .draining
+            )
 
         self.assertTrue(leaving(b"1"))
         self.assertFalse(leaving(b"0"))
 
     def test_an_answer_of_another_replica_asks_for_nothing(self):
         headers = [(names.RATE_LIMIT, b"2.6")]
-        self.assertIsNone(PlatformLanguage().read_wishes(421, headers))
+        self.assertIsNone(PlatformLanguage().read_flow_control(421, headers))
 
     def test_headers_of_the_connection_are_not_passed_on(self):
         head = self.read(200, (b"connection", b"close"), (b"x-one", b"1"))
--- a/berylshift/tests/test_request_target_gate.py
+++ b/berylshift/tests/test_request_target_gate.py
@@ -10,7 +10,7 @@
 from berylshift.connection.target_client import TargetClient, TargetRequest
 from berylshift.ids import DomainName, InstanceId, ServiceName
 from berylshift.messages.replicas import EnginePhase, Replica, ReplicaChanges
-from berylshift.messages.routed import TargetWishes
+from berylshift.messages.routed import FlowControl
 from berylshift.platform import names
 from berylshift.platform.engines import PlatformEngines
 from berylshift.platform.exchange import PlatformLanguage
@@ -73,9 +73,9 @@
         """Guards against a call that is held back and has been sent all the same."""
 
         async def task(client):
-            wishes = TargetWishes(rest_seconds=3.0)
+            control = FlowControl(retry_after=3.0)
             now = trio.current_time()
-            self.throttle.heard(NAME, wishes, now, now)
+            self.throttle.heard(NAME, control, now, now)
             with self.assertRaises(ThrottledError):
                 await self.call(client)
 
--- a/berylshift/tests/test_targets_limit_news.py
+++ b/berylshift/tests/test_targets_limit_news.py
@@ -6,7 +6,7 @@
 
 from berylshift.ids import InstanceId
 from berylshift.messages.load_digest import LimitTold, target_hash
-from berylshift.messages.routed import TargetWishes
+from berylshift.messages.routed import FlowControl
 from berylshift.process.targets.limit_news import (
     AGAIN_SECONDS,
     MOST_TOLD,
@@ -73,7 +73,7 @@
 
     def hear(self, host: GatheredHost, rate: float | None) -> None:
         now = trio.current_time()
-        host.throttle.heard(NAME, TargetWishes(rate_limit=rate), now, now)
+        host.throttle.heard(NAME, FlowControl(rate_limit=rate), now, now)
 
     def test_many_hosts_know_of_a_limit_and_of_its_end(self):
         """Guards against hundreds of hosts that each find out by themselves."""
--- a/berylshift/tests/test_targets_rate_limits.py
+++ b/berylshift/tests/test_targets_rate_limits.py
@@ -39,7 +39,7 @@
                 lambda name, rate, shares=shares: shares.share(name, domain, rate),
                 random.Random(self.rng.random()),
             )
-            limits.named(TARGET, limit, 0.0)
+            limits.set_limit(TARGET, limit, 0.0)
             self.hosts.append(limits)
         self.sent: list[float] = []
 
@@ -102,7 +102,7 @@
         fleet = Fleet(9, 2.6)
         for second in range(40):
             for host in fleet.hosts:
-                host.named(TARGET, 2.6 - 0.01 * (second % 2), second)
+                host.set_limit(TARGET, 2.6 - 0.01 * (second % 2), second)
             fleet.load(30, second, second + 1)
         self.assertLessEqual(fleet.most_in_window(), most_allowed(2.6))
 
@@ -116,7 +116,7 @@
         self.limits = RateLimits(
             lambda name, rate: shares.share(name, domain, rate), random.Random(1)
         )
-        self.limits.named(TARGET, 2.0, 10.0)
+        self.limits.set_limit(TARGET, 2.0, 10.0)
 
     def test_what_is_closed_follows_turns_and_words(self):
         """Guards against an answer that is kept for longer than it holds."""
@@ -127,19 +127,19 @@
         self.assertEqual(self.limits.closed(20.5), [])
         self.limits.sent(TARGET, 20.5)
         self.assertEqual(self.limits.closed(20.6), [TARGET])
-        self.limits.named(TARGET, 20.0, 20.6)
+        self.limits.set_limit(TARGET, 20.0, 20.6)
         self.assertEqual(self.limits.closed(20.61), [])
         self.limits.sent(TARGET, 20.61)
-        self.limits.not_named(TARGET, 20.62)
+        self.limits.lift(TARGET, 20.62)
         self.assertEqual(self.limits.closed(20.62), [])
 
     def test_an_answer_that_names_none_lifts_it(self):
-        self.assertTrue(self.limits.not_named(TARGET, 10.1))
+        self.assertTrue(self.limits.lift(TARGET, 10.1))
         self.assertEqual(self.limits.wait(TARGET, 10.2), 0)
 
     def test_an_answer_to_an_older_request_lifts_nothing(self):
         """Guards against answers that overtake each other."""
-        self.assertFalse(self.limits.not_named(TARGET, 9.9))
+        self.assertFalse(self.limits.lift(TARGET, 9.9))
         self.limits.sent(TARGET, 10.2)
         self.assertGreater(self.limits.wait(TARGET, 10.3), 0)
 
@@ -165,7 +165,7 @@
         self.assertEqual(self.limits.retry_after(InstanceId("other"), 20.1), 0)
 
     def test_a_limit_of_nothing_is_tried_again(self):
-        self.limits.named(TARGET, 0.0, 30.0)
+        self.limits.set_limit(TARGET, 0.0, 30.0)
         self.limits.sent(TARGET, 30.0)
         self.assertGreater(self.limits.wait(TARGET, 40.0), 0)
         self.assertEqual(self.limits.wait(TARGET, 100.0), 0)
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -36,7 +36,7 @@
 LIMITS = "test_entry_limits"
 RATES = "test_targets_rate_limits"
 LEAVING = "test_entry_leaving"
-RESTS = "test_entry_rests"
+BACKOFF = "test_entry_backoff"
 TARGET_GATE = "test_request_target_gate"
 PROOFS = (
     Proof(
@@ -947,7 +947,7 @@
     Proof(
         "an answer to an older request lifts no limit",
         "process/targets/rate_limits.py",
-        "if limit is None or sent_at <= limit.named_at:",
+        "if limit is None or sent_at <= limit.confirmed_at:",
         "if limit is None:",
         RATES,
     ),
@@ -968,7 +968,7 @@
     Proof(
         "other engines answer for those in need",
         "process/duties/phase_loop.py",
-        "if not self._in_need(rep.instance)",
+        "if not self._is_limited(rep.instance)",
         "if True",
         f"{LIMITS}.OtherEnginesTest",
     ),
@@ -982,16 +982,16 @@
     Proof(
         "a replica's own word that it leaves counts",
         "request/target_gate.py",
-        "if wishes.leaving and",
+        "if control.draining and",
         "if False and",
         LEAVING,
     ),
     Proof(
         "a refusal's time of rest is kept",
         "process/targets/throttle.py",
-        "        if wishes.rest_seconds > 0:\n",
+        "        if control.retry_after > 0:\n",
         "        if False:\n",
-        RESTS,
+        BACKOFF,
     ),
     Proof(
         "the first answer to either feed ends an outage",
