--- a/berylshift/connection/target_client.py
+++ b/berylshift/connection/target_client.py
@@ -44,7 +44,7 @@
 class TargetRequest(msgspec.Struct, frozen=True):
     """One request for one instance; ``target`` is path and query.
 
-    ``has_turn``: it does not wait for its turn under the instance's limit.
+    ``limit_exempt``: it does not wait for its turn under the instance's limit.
     """
 
     instance: InstanceId
@@ -53,16 +53,16 @@
     target: bytes
     headers: list[Header]
     body: RequestBody = NO_BODY
-    has_turn: bool = False
+    limit_exempt: bool = False
 
 
 class TargetGate(Protocol):
     """Decides which requests may go out; every request and answer passes it."""
 
-    def enter(self, instance: InstanceId, has_turn: bool) -> float:
+    def enter(self, instance: InstanceId, limit_exempt: bool) -> float:
         """Return the time of a request that may go out; raise ``ThrottledError``.
 
-        ``has_turn``: it does not wait for its turn under the instance's limit.
+        ``limit_exempt``: it does not wait for its turn under the instance's limit.
         """
 
     def answered(
@@ -78,7 +78,7 @@
 class OpenGate:
     """Lets everything through."""
 
-    def enter(self, instance: InstanceId, has_turn: bool) -> float:
+    def enter(self, instance: InstanceId, limit_exempt: bool) -> float:
         """Let a request out."""
         return 0.0
 
@@ -186,7 +186,7 @@
         other connection errors if the replica may have read the request. A connection
         is kept only if its answer was read to the end and nothing lies behind it.
         """
-        entered_at = self._gate.enter(out.instance, out.has_turn)
+        entered_at = self._gate.enter(out.instance, out.limit_exempt)
 
         def on_head(status: int, headers: list[Header]) -> None:
             self._gate.answered(out.instance, status, headers, entered_at)
--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -48,7 +48,7 @@
 from berylshift.request.reading_choice import ReadingChooser
 from berylshift.request.relay_parts import RelayParts
 from berylshift.request.routed_front import RoutedFront
-from berylshift.request.target_gate import AnswerGate
+from berylshift.request.target_gate import ReplicaGate
 from berylshift.settings import Settings
 from berylshift.store.crash_rows import CrashRows
 from berylshift.store.directory import Directory
@@ -204,7 +204,7 @@
 
         throttle = Throttle(RateLimits(share_of, ports.rng), self.replicas.instance_of)
         ports.client.guard_by(
-            AnswerGate(ports.language, throttle, self.replicas, ports.clock)
+            ReplicaGate(ports.language, throttle, self.replicas, ports.clock)
         )
         return throttle
 
--- a/berylshift/platform/engines.py
+++ b/berylshift/platform/engines.py
@@ -89,7 +89,7 @@
             headers,
             RequestBody.of(body),
             # Orders are few, and relieve an engine that is at its limit.
-            has_turn=True,
+            limit_exempt=True,
         )
         with trio.move_on_after(self._timeout):
             try:
--- a/berylshift/process/targets/rate_limits.py
+++ b/berylshift/process/targets/rate_limits.py
@@ -160,7 +160,7 @@
         limit = self._limits.get(instance)
         return None if limit is None else limit.share
 
-    def lasts(self, instance: InstanceId, now: float) -> bool:
+    def is_lasting(self, instance: InstanceId, now: float) -> bool:
         """Return whether a replica has named a limit for longer than a moment."""
         limit = self._limits.get(instance)
         return limit is not None and now - limit.since >= LASTING_SECONDS
--- a/berylshift/process/targets/throttle.py
+++ b/berylshift/process/targets/throttle.py
@@ -83,13 +83,15 @@
         logger.info("rate limit lifted", extra={"instance": instance, "told": told})
         return True
 
-    def take(self, instance: InstanceId, now: float, has_turn: bool = False) -> float:
+    def take(
+        self, instance: InstanceId, now: float, limit_exempt: bool = False
+    ) -> float:
         """Take leave for one request and return 0, or return the seconds to wait.
 
-        One that ``has_turn`` is not counted against the replica's limit.
+        One that is ``limit_exempt`` is not counted against the replica's limit.
         """
         wait = self._backoffs.wait(instance, now)
-        if has_turn:
+        if limit_exempt:
             return wait
         wait = max(wait, self._limits.wait(instance, now))
         if wait <= 0:
@@ -108,7 +110,7 @@
 
     def is_limited(self, instance: InstanceId, now: float) -> bool:
         """Return whether a replica has named a limit for some time."""
-        return self._limits.lasts(instance, now)
+        return self._limits.is_lasting(instance, now)
 
     def closed(self, now: float) -> list[InstanceId]:
         """Return the replicas that take nothing of this host now."""
--- a/berylshift/request/relay.py
+++ b/berylshift/request/relay.py
@@ -356,7 +356,7 @@
             self._choice.check_room()
             return None
         loads, instance = self._parts.loads, place.target.instance
-        has_turn = self._choice.use(instance)
+        limit_exempt = self._choice.use(instance)
         loads.sent(instance, place.tokens, self._urgency)
         reading = Reading(loads, instance, place.tokens, self._urgency)
         self._open_place = place
@@ -364,7 +364,7 @@
         had_begun = self._out.started
         end = SendEnd.NOT_REACHED
         try:
-            out = self._outgoing(place.target, source, has_turn=has_turn)
+            out = self._outgoing(place.target, source, limit_exempt=limit_exempt)
             end = await self._sender.run(out, reading)
         finally:
             reading.done()
@@ -448,7 +448,7 @@
         target: Replica,
         source: KvSource | None = None,
         prefill_only: bool = False,
-        has_turn: bool = False,
+        limit_exempt: bool = False,
     ) -> TargetRequest:
         req = self._req
         after = req.resume_after
@@ -470,5 +470,5 @@
             req.target,
             headers,
             req.body,
-            has_turn=has_turn,
+            limit_exempt=limit_exempt,
         )
--- a/berylshift/request/target_gate.py
+++ b/berylshift/request/target_gate.py
@@ -12,7 +12,7 @@
 logger = logging.getLogger(__name__)
 
 
-class AnswerGate:
+class ReplicaGate:
     """Lets calls out that replicas take, by what their answers said."""
 
     def __init__(
@@ -28,12 +28,12 @@
         self._replicas = replicas
         self._clock = clock
 
-    def enter(self, instance: InstanceId, has_turn: bool) -> float:
+    def enter(self, instance: InstanceId, limit_exempt: bool) -> float:
         """Return the time of a call that may go out; raise ``ThrottledError``."""
         if self._replicas.is_draining(instance):
             raise ThrottledError(f"{instance} leaves")
         now = self._clock.monotonic()
-        wait = self._throttle.take(instance, now, has_turn)
+        wait = self._throttle.take(instance, now, limit_exempt)
         if wait > 0:
             raise ThrottledError(f"{instance} takes no request for {wait:.2f} s")
         return now
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -911,7 +911,7 @@
     Proof(
         "every call to a replica asks the gate",
         "connection/target_client.py",
-        "        entered_at = self._gate.enter(out.instance, out.has_turn)\n",
+        "        entered_at = self._gate.enter(out.instance, out.limit_exempt)\n",
         "        entered_at = 0.0\n",
         TARGET_GATE,
     ),
