--- a/berylshift/process/knowledge/health.py
+++ b/berylshift/process/knowledge/health.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from berylshift.ids import TargetName
+from berylshift.process.targets.backoffs import Backoffs
 
 FAILURES_ALLOWED = 2
 FIRST_SUSPENSION = 0.5
@@ -27,7 +28,7 @@
     def __init__(self) -> None:
         """Start with all targets in good health."""
         self._records: dict[TargetName, _Record] = {}
-        self._backoffs: dict[TargetName, float] = {}
+        self._backoffs: Backoffs[TargetName] = Backoffs()
 
     def succeeded(self, target: TargetName) -> None:
         """Note a call that ended well."""
@@ -45,10 +46,8 @@
 
     def back_off(self, target: TargetName, seconds: float, now: float) -> None:
         """Send nothing to a target for ``seconds``, by its own word."""
-        if seconds <= 0:
-            return
-        until = max(now + seconds, self._backoffs.get(target, now))
-        self._backoffs[target] = until
+        if seconds > 0:
+            self._backoffs.back_off(target, seconds, now)
 
     def started(self, target: TargetName) -> None:
         """Note that a call goes out; a suspended target is on trial by it."""
@@ -64,7 +63,7 @@
 
     def usable(self, target: TargetName, now: float) -> bool:
         """Return whether a call may go there now."""
-        if now < self._backoffs.get(target, now):
+        if self._backoffs.wait(target, now) > 0:
             return False
         record = self._records.get(target)
         if record is None or record.failures < FAILURES_ALLOWED:
@@ -73,5 +72,5 @@
 
     def suspended(self, now: float) -> list[TargetName]:
         """Return the targets that take no call now."""
-        known = self._records.keys() | self._backoffs.keys()
+        known = self._records.keys() | self._backoffs.active(now)
         return sorted(name for name in known if not self.usable(name, now))
--- a/berylshift/process/targets/throttle.py
+++ b/berylshift/process/targets/throttle.py
@@ -22,7 +22,7 @@
         """Go by ``limits``; ``instance_of`` finds a replica by its short hash."""
         self._limits = limits
         self._instance_of = instance_of
-        self._backoffs = Backoffs()
+        self._backoffs: Backoffs[InstanceId] = Backoffs()
         self._news = LimitNews()
 
     def heard(
