Count the hosts that a host can't hear among those that share limits

A host that is cut off from the others for 15 s took itself for the only one, and each limit for its own: five hosts of which one is cut off counted 1 and 4 that share, four cut off 1 each, so replicas' limits would have been kept several times over.

A host that hears fewer than half of the listed others counts them all. SharingHostsTest was red before ([1, 4] and [1, 1] of five hosts), now [5, 4] and [5, 5].

--- a/berylshift/process/telling/load_loop.py
+++ b/berylshift/process/telling/load_loop.py
@@ -89,20 +89,26 @@
         """Return the hosts that share limits, this one too; ``None``: not known yet.
 
         Where hosts tell each other directly, those that have been silent for long are
-        left out.
+        left out. A host that hears few of the others may be cut off itself: taken for
+        gone, they would go on using the limits beside it.
         """
         if not self._hosts.was_read:
             return None
-        found = self._hosts.records()
-        if not self._teller.is_gathered:
-            now = self._parts.clock.monotonic()
-            peers = self._parts.digest.peers
-            young = self._hosts.young(now, MEMBER_SECONDS)
-            found = [
-                rec for rec in found if rec.host in young or peers.heard(rec.host, now)
-            ]
+        listed = self._hosts.records()
+        found = listed if self._teller.is_gathered else self._not_silent(listed)
+        if 2 * len(found) < len(listed):
+            found = listed
         return [self._own_record(), *found]
 
+    def _not_silent(self, records: list[HostRecord]) -> list[HostRecord]:
+        """Return the hosts that were heard lately, or have had no time to be."""
+        now = self._parts.clock.monotonic()
+        peers = self._parts.digest.peers
+        young = self._hosts.young(now, MEMBER_SECONDS)
+        return [
+            rec for rec in records if rec.host in young or peers.heard(rec.host, now)
+        ]
+
     def _own_record(self) -> HostRecord:
         parts = self._parts
         return HostRecord(parts.digest.host, parts.address, parts.digest.domain)
--- a/berylshift/tests/test_entry_limits.py
+++ b/berylshift/tests/test_entry_limits.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import trio
+
 from berylshift.messages.replicas import EnginePhase
 from berylshift.tests.entry_world import run_entry
 from berylshift.tests.limit_play import LimitPlay, most_allowed, most_from_told
@@ -151,3 +153,28 @@
 
         callers = run_entry(play, hosts=9, engines="ppppppddd", reading_share=0.65)
         self.assertGreater(callers.served, 0.9 * len(callers.replies))
+
+
+class SharingHostsTest(unittest.TestCase):
+    """Which hosts a host takes to share the limits."""
+
+    def sharing(self, cut: int) -> tuple[int, int]:
+        """Cut hosts off for 20 s; return how many the first and the last one count."""
+
+        async def play(world):
+            await trio.sleep(3)
+            for link in world.links[:cut]:
+                world.links.remove(link)
+                link._links = []
+            await trio.sleep(20)
+            first, last = world.hosts[0], world.hosts[-1]
+            return [len(host.load_loop.sharing_hosts()) for host in (first, last)]
+
+        return run_entry(play, hosts=5)
+
+    def test_a_host_that_is_cut_off_counts_the_others(self):
+        """Guards against hosts that each take themselves for the only one."""
+        self.assertEqual(self.sharing(cut=1), [5, 4])
+
+    def test_all_count_each_other_where_most_are_cut_off(self):
+        self.assertEqual(self.sharing(cut=4), [5, 5])
