Point two proofs at the list of replicas, now that the gate stands behind it

"the answering engine is chosen after the reading" and "what leaves does not come back from an older copy" named whole-path tests, which stay green without those safeguards since the gate stops any call to a replica that drains. The tests stay; the proofs name tests of the list of replicas itself, one of them new, both red without.

--- a/berylshift/tests/test_directory_replica_set.py
+++ b/berylshift/tests/test_directory_replica_set.py
@@ -51,6 +51,19 @@
         self.assertEqual(self.names(), ["i-2"])
         self.assertEqual(change.drained, ("i-1",))
 
+    def test_one_that_was_draining_is_not_taken_back_from_a_copy(self):
+        """Guards against a list that forgets what has been acknowledged."""
+        self.found.apply(put(entry(1, draining=True)), 1.0)
+        self.found.apply(put(entry(1), entry(2), whole=True), 2.0)
+        self.assertEqual(self.names(), ["i-2"])
+
+    def test_its_own_word_takes_a_replica_out_whatever_its_entry_says(self):
+        self.assertTrue(self.found.mark_draining("i-1", 1.0))
+        self.assertFalse(self.found.mark_draining("i-1", 1.1))
+        self.assertEqual(self.names(), ["i-2"])
+        self.found.apply(put(entry(1)), 2.0)
+        self.assertEqual(self.names(), ["i-2"])
+
     def test_removed_is_gone_at_once_while_the_store_is_well(self):
         change = self.found.apply(removed("i-1"), 1.0)
         self.assertEqual((self.names(), change.removed), (["i-2"], ("i-1",)))
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -38,6 +38,7 @@
 LEAVING = "test_entry_leaving"
 BACKOFF = "test_entry_backoff"
 TARGET_GATE = "test_request_target_gate"
+REPLICA_SET = "test_directory_replica_set.ReplicaSetTest"
 PROOFS = (
     Proof(
         "a replica hears the customer and never the key",
@@ -343,7 +344,7 @@
         "process/directory/replica_set.py",
         "            if usable is not None and not entry.draining:\n",
         "            if usable is not None:\n",
-        "test_entry_application.LeavingReplicaTest",
+        f"{REPLICA_SET}.test_draining_takes_no_new_work_at_once",
     ),
     Proof(
         "versions only rise",
@@ -857,7 +858,7 @@
         "process/directory/departed.py",
         "elif replica.instance in self._leaving:",
         "elif False:",
-        "test_store_eras.ReplicaTest",
+        f"{REPLICA_SET}.test_one_that_was_draining_is_not_taken_back_from_a_copy",
     ),
     Proof(
         "what has gone does not come back from an older copy",
