Release a key only after its caller was answered

A booking was answered "not-run", but a second request with the same key had run it: a caller that believes the answer books a second time by other means.

Cause: a call that did not run set its row to abandoned before it answered. From that write on another host may take the key over and run it.

Change: the row stays "started" until the response has been handed to the caller's connection, and is set to abandoned then, at once and with the upkeep loop as a fallback. A "started" row is never taken over, so nobody has run the key when the answer is sent.

test_process_paused_past_the_deadline_does_not_send asserted that the row is written before the answer, which is the fault. It asserts now that the answer comes first, that the row must still be abandoned, and the same record and outcome as before.

--- a/berylshift/request/confirmation.py
+++ b/berylshift/request/confirmation.py
@@ -38,6 +38,9 @@
     ABANDONED = "abandoned"
 
 
+RESULT_STATES = (RowState.DONE, RowState.UNKNOWN)
+
+
 class ConfirmRow(msgspec.Struct, frozen=True, omit_defaults=True):
     """The row of a key; ``expires`` in seconds since the Unix epoch.
 
@@ -71,7 +74,7 @@
     WAIT = "wait a little, then read the row"
     SEND = "send the call, once"
     RECORD = "write the result into the row"
-    ANSWER = "answer the caller"
+    ANSWER = "answer the caller, then set a row that is left to abandoned"
 
 
 class Event(Enum):
@@ -115,8 +118,13 @@
 
     @property
     def needs_abandon(self) -> bool:
-        """Return whether a row may exist that must still be set to abandoned."""
-        return self.record is None and (self.owns_row or self.is_insert_uncertain)
+        """Return whether a row may exist that must be set to abandoned.
+
+        This is done after the caller has been answered: until then, the row keeps other
+        requests with the key from running, so "not run" is still true.
+        """
+        is_result = self.record is not None and self.record.state in RESULT_STATES
+        return not is_result and (self.owns_row or self.is_insert_uncertain)
 
     # Events
 
@@ -207,14 +215,15 @@
 
     def _send_if_in_time(self, now: float) -> None:
         # The process may have been paused after the insert. Past the deadline nothing
-        # is sent, and the row is set to abandoned.
+        # is sent.
         if now >= self.deadline:
             self._abandon(Reason.TOO_LATE)
         else:
             self.step = Step.SEND
 
     def _abandon(self, reason: Reason) -> None:
-        self._record(RowState.ABANDONED, Outcome.NOT_RUN, reason)
+        self.record = self.row(RowState.ABANDONED)
+        self._end(Outcome.NOT_RUN, reason)
 
     def _record(self, state: RowState, outcome: Outcome, reason: Reason) -> None:
         self.record = self.row(state)
--- a/berylshift/request/native_handler.py
+++ b/berylshift/request/native_handler.py
@@ -36,7 +36,7 @@
     StreamSink,
     encode_completion,
 )
-from berylshift.request.service_call import ServiceCalls
+from berylshift.request.service_call import Respond, ServiceCalls
 from berylshift.settings import CallerSettings, Credential
 
 logger = logging.getLogger(__name__)
@@ -75,6 +75,10 @@
     stream: bool = False
 
 
+async def _no_response(_: ServiceCallResult) -> None:
+    """Respond to nobody: the call's result is returned instead."""
+
+
 @dataclass
 class NativeHandlerDependencies:
     """Dependencies of the native API's handler."""
@@ -224,21 +228,23 @@
             key=req.headers.get(KEY_HEADER, ""),
         )
         _check_key(call)
-        found = await self.call_service(call)
-        if found.result.outcome is Outcome.COMPLETE:
-            await out.forward(found)
-        else:
-            await out.send_problem(found.result)
+        await self.call_service(call, out.send_service_result)
+
+    async def call_service(
+        self, call: PlainCall, respond: Respond = _no_response
+    ) -> ServiceCallResult:
+        """Run a service call, answer it with ``respond`` and log how it ended."""
+
+        async def log_and_respond(found: ServiceCallResult) -> None:
+            self._deps.decisions.log_result(call.request, found.result)
+            await respond(found)
 
-    async def call_service(self, call: PlainCall) -> ServiceCallResult:
-        """Run a service call and log how it ended."""
         result = self.admit(call.caller)
         if result is None:
             with self._in_flight():
-                found = await self._deps.services.run(call)
-        else:
-            found = await self._deps.services.refuse(call, result)
-        self._deps.decisions.log_result(call.request, found.result)
+                return await self._deps.services.run(call, log_and_respond)
+        found = await self._deps.services.refuse(call, result)
+        await log_and_respond(found)
         return found
 
 
--- a/berylshift/request/response_writer.py
+++ b/berylshift/request/response_writer.py
@@ -95,6 +95,13 @@
         headers = {**found.headers, **self._headers(Outcome.COMPLETE)}
         await self._responder.full(found.status, headers, found.body)
 
+    async def send_service_result(self, found: ServiceCallResult) -> None:
+        """Forward the response of a plain service, or send why there is none."""
+        if found.result.outcome is Outcome.COMPLETE:
+            await self.forward(found)
+        else:
+            await self.send_problem(found.result)
+
     async def send_problem(self, result: NativeResult) -> None:
         """Send an error, with Retry-After where a retry can help."""
         status = STATUS_BY_REASON[result.reason]
--- a/berylshift/request/service_call.py
+++ b/berylshift/request/service_call.py
@@ -2,6 +2,7 @@
 
 import logging
 import random
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 import msgspec
@@ -38,6 +39,7 @@
 
 logger = logging.getLogger(__name__)
 
+Respond = Callable[[ServiceCallResult], Awaitable[None]]
 KEY_TTL_SECONDS = 24 * 3600.0
 RECORD_TIMEOUT_SECONDS = 2.0
 STORE_RETRY_SECONDS = 0.05
@@ -78,11 +80,22 @@
             self._nursery = nursery
             await trio.sleep_forever()
 
-    async def run(self, call: PlainCall) -> ServiceCallResult:
-        """Run a call and return how it ended."""
+    async def run(self, call: PlainCall, respond: Respond) -> ServiceCallResult:
+        """Run a call, pass its result to ``respond`` and return the result.
+
+        A key that this call holds is released only once ``respond`` has ended.
+        """
         if call.idempotent:
-            return await self._run_lookup(call)
-        return await self._confirm_in_background(call)
+            found = await self._run_lookup(call)
+            await respond(found)
+            return found
+        answered = trio.Event()
+        try:
+            found = await self._confirm_in_background(call, answered)
+            await respond(found)
+            return found
+        finally:
+            answered.set()
 
     async def _run_lookup(self, call: PlainCall) -> ServiceCallResult:
         lookup = RetryableCall(self._deps.sender, call, self._deps.retry_budget)
@@ -91,7 +104,9 @@
             return await lookup.run()
         return lookup.shutdown_result()
 
-    async def _confirm_in_background(self, call: PlainCall) -> ServiceCallResult:
+    async def _confirm_in_background(
+        self, call: PlainCall, answered: trio.Event
+    ) -> ServiceCallResult:
         """Run the confirmation in a task that is not cancelled with the request.
 
         Otherwise a caller that disconnects would leave its key's row without a result,
@@ -100,21 +115,24 @@
         done = trio.Event()
         found: list[ServiceCallResult] = []
 
+        def publish(result: ServiceCallResult) -> None:
+            found.append(result)
+            done.set()
+
         async def run_confirmation() -> None:
             self.open_confirmations += 1
             try:
-                found.append(await self._confirm(call))
+                await self._confirm(call, publish, answered)
             except Exception:
                 # An error must not stop the process and all other requests.
                 logger.exception("confirmation failed")
-                found.append(
+                publish(
                     ServiceCallResult(
                         NativeResult(Outcome.UNKNOWN, Reason.FATE_UNKNOWN)
                     )
                 )
             finally:
                 self.open_confirmations -= 1
-            done.set()
 
         self._nursery.start_soon(run_confirmation)
         await done.wait()
@@ -142,9 +160,24 @@
 
     # Confirmations
 
-    async def _confirm(self, call: PlainCall) -> ServiceCallResult:
+    async def _confirm(
+        self,
+        call: PlainCall,
+        publish: Callable[[ServiceCallResult], None],
+        answered: trio.Event,
+    ) -> None:
+        """Run a confirmation, ``publish`` its result, and release a key it holds."""
         state = self._new_state(call)
         key = confirmation.row_key(call.caller.customer, call.key)
+        publish(await self._run_to_result(state, call, key))
+        if state.needs_abandon:
+            await answered.wait()
+            state.record = state.row(confirmation.RowState.ABANDONED)
+            await self._abandon(state, key)
+
+    async def _run_to_result(
+        self, state: Confirmation, call: PlainCall, key: str
+    ) -> ServiceCallResult:
         tried: set[TargetName] = set()
         watch = self._deps.sender.crash_watches.for_service_call(call)
         refusal = self._deps.sender.quarantine_refusal(watch)
@@ -159,11 +192,15 @@
                 return await self.refuse(call, draining)
             while state.step is not Step.ANSWER:
                 await self._run_step(state, call, key, tried, watch)
-        if state.needs_abandon:
-            row = state.row(confirmation.RowState.ABANDONED)
-            self._deps.pending.add(key, row)
         return _confirmed(state)
 
+    async def _abandon(self, state: Confirmation, key: str) -> None:
+        if state.owns_row:
+            await self._record(state, key)
+        else:
+            # A lost insert may still take effect; the upkeep loop reads the row first.
+            self._deps.pending.add(key, state.record)
+
     def _new_state(self, call: PlainCall) -> Confirmation:
         deps = self._deps
         digest = confirmation.body_digest(call.method, call.path, call.body)
--- a/berylshift/tests/test_confirmations.py
+++ b/berylshift/tests/test_confirmations.py
@@ -21,6 +21,7 @@
 from berylshift.request.messages import Outcome, Reason
 from berylshift.request.retry_policy import AttemptOutcome, AttemptRecord
 from berylshift.targets import ServiceResponse
+from berylshift.tests.test_confirmation_machine import ConfirmationMachine
 from berylshift.tests.world import call_service, plain_call, run_world
 
 ANSWER = ServiceResponse(200, {}, b"booked")
@@ -85,9 +86,10 @@
 
     def test_process_paused_past_the_deadline_does_not_send(self):
         # The process was paused between the commit and the send, past the deadline.
-        # The row is set to abandoned instead of sending the call.
+        # The caller is answered first; only then is the row set to abandoned.
         self.state.on_insert(Event.COMMITTED, 11.0)
-        self.assertIs(self.state.step, Step.RECORD)
+        self.assertIs(self.state.step, Step.ANSWER)
+        self.assertTrue(self.state.needs_abandon)
         self.assertIs(self.state.record.state, RowState.ABANDONED)
         self.assertIs(self.state.outcome, Outcome.NOT_RUN)
 
@@ -311,6 +313,64 @@
         self.assertIs(run_world(task), RowState.DONE)
 
 
+class KeyReleaseTest(unittest.TestCase):
+    """A key that a call holds is released after its caller was told "not run"."""
+
+    def test_key_taken_over_before_its_first_caller_is_answered(self):
+        """Guards against "not run" for a key that another host has run meanwhile."""
+        machine = ConfirmationMachine()
+        machine.arrive(key="k1")
+        machine.advance(seconds=6.0)
+        machine.step(place=0, lose=False, down=False)
+        machine.step(place=0, lose=False, down=False)
+        machine.two_at_once(key="k1")
+        machine.deliver(place=0, end="answered")
+        machine.step(place=0, lose=False, down=False)
+        machine.no_key_ran_twice()
+
+    def test_second_host_waits_until_the_refusal_is_sent(self):
+        """Guards against a key that is released while its refusal is being sent."""
+        ran_before, outcome, ran = run_world(self.refused_then_retried(hold=1.0))
+        self.assertEqual(ran_before, 0)
+        self.assertEqual((outcome, ran), (Outcome.COMPLETE, 1))
+
+    def test_key_is_released_though_its_caller_has_left(self):
+        """Guards against a key that stays held when its caller disconnects."""
+        _, outcome, ran = run_world(self.refused_then_retried(hold=30.0, leave=1.0))
+        self.assertEqual((outcome, ran), (Outcome.COMPLETE, 1))
+
+    def refused_then_retried(self, hold: float, leave: float = 60.0):
+        """Return a task in which all replicas refuse a call, then another host runs it.
+
+        Sending the refusal takes ``hold`` s; its caller leaves after ``leave`` s. The
+        task returns how often the key had run when the refusal was sent, the outcome
+        at the other host and how often the key ran in the end.
+        """
+
+        async def task(world):
+            ran_before = []
+
+            async def respond(found):
+                for replica in world.services.values():
+                    replica.script.refuse = False
+                await trio.sleep(hold)
+                ran_before.append(world.ran["k"])
+
+            async def ask():
+                with trio.move_on_after(leave), world.hosts["host-1"].call() as app:
+                    await app.handler.call_service(plain_call("k"), respond)
+
+            for replica in world.services.values():
+                replica.script.refuse = True
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask)
+                await trio.sleep(0.5)
+                again = await call_service(world.hosts["host-2"], plain_call("k"))
+            return sum(ran_before), again.result.outcome, world.ran["k"]
+
+        return task
+
+
 async def _ignore_host_down(task) -> None:
     with contextlib.suppress(HostDownError):
         await task()
