Count a request that was resent as one that may have run

A lookup or completion of the native API was answered "not-run" though a target had read it, and an order to an engine counted as "not sent" though it may have arrived.

Cause: HttpClient sends a request again by itself if a pooled connection breaks before a response. If the new connection is refused, the error says that no byte was sent; if the target refuses the second copy, that refusal counted for both.

Change: after a first copy was sent, a failed connection attempt is a broken connection, and a refusal of the second copy does not count as "not run". Orders use a new connection each. Pooled connections that the peer has closed are noticed before they are used, as TargetClient does.

--- a/berylshift/connection/engine_client.py
+++ b/berylshift/connection/engine_client.py
@@ -99,8 +99,12 @@
         return _decode(data, LoadReport)
 
     async def order(self, address: str, order: Order) -> None:
-        """Send an order; return once the engine has accepted it."""
-        await self._call(self._make_request(address, "POST", "/v1/orders", order))
+        """Send an order; return once the engine has accepted it.
+
+        On a pooled connection that breaks, the order might be sent twice.
+        """
+        req = self._make_request(address, "POST", "/v1/orders", order, reuse=False)
+        await self._call(req)
 
     async def cache_events(self, address: str, after: int) -> list[CacheEvent]:
         """Return the cache events after a sequence number."""
@@ -109,10 +113,15 @@
         return _decode(data, list[CacheEvent])
 
     def _make_request(
-        self, address: str, method: str, path: str, body: object = None
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: object = None,
+        reuse: bool = True,
     ) -> Outgoing:
         data = b"" if body is None else msgspec.json.encode(body)
-        return Outgoing(address, method, path, self._headers, data)
+        return Outgoing(address, method, path, self._headers, data, reuse)
 
     async def _call(self, req: Outgoing) -> bytes:
         with trio.move_on_after(CALL_TIMEOUT_SECONDS):
@@ -130,6 +139,13 @@
 def _check_status(resp: HttpResponse) -> None:
     if resp.status == STATUS_OK:
         return
+    if not resp.was_resent:
+        _raise_refusal(resp)
+    raise TargetBrokenError(f"status {resp.status}")
+
+
+def _raise_refusal(resp: HttpResponse) -> None:
+    """Raise the error of a response by which the engine refused the request."""
     if resp.status == STATUS_CONFLICT:
         raise StaleOrderError("stale fencing token")
     if resp.status == STATUS_LOCKED:
@@ -137,7 +153,6 @@
     if resp.status in REFUSAL_STATUSES:
         retry_after = parse_retry_after(resp.headers.get("retry-after"))
         raise TargetRefusedError(f"status {resp.status}", retry_after)
-    raise TargetBrokenError(f"status {resp.status}")
 
 
 def _decode(data: bytes, kind: type):
--- a/berylshift/connection/http_client.py
+++ b/berylshift/connection/http_client.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 client on trio streams, based on h11, with a pool of idle connections."""
 
+import select
 from collections import defaultdict
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
@@ -104,10 +105,16 @@
 
 
 class HttpResponse:
-    """A response whose body is streamed."""
+    """A response whose body is streamed.
+
+    ``was_resent``: the peer may have received a first copy of the request, on a pooled
+    connection that broke.
+    """
 
     def __init__(self, connection: ClientConnection, head: h11.Response):
         """Wrap the response head and the connection that it arrived on."""
+        self.connection = connection
+        self.was_resent = False
         self.status = head.status_code
         self.headers = {
             name.decode(): val.decode("latin-1") for name, val in head.headers
@@ -117,7 +124,7 @@
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives; return only at the end of the message."""
         while True:
-            event = await self._connection.next_event()
+            event = await self.connection.next_event()
             if isinstance(event, h11.EndOfMessage):
                 return
             if isinstance(event, h11.Data):
@@ -150,35 +157,44 @@
         A connection returns to the pool only if its response was read to the end:
         the remainder of one response would otherwise be read as the next one.
         """
-        connection, head = await self._exchange(out)
+        response = await self._exchange(out)
         try:
-            yield HttpResponse(connection, head)
+            yield response
         finally:
-            self._release(out, connection)
+            self._release(out, response.connection)
 
     async def connect(self, address: str) -> None:
         """Open a connection and pool it; raise ``ConnectFailedError``."""
         self._add_idle(address, await self._open(address))
 
-    async def _exchange(self, out: Outgoing) -> tuple[ClientConnection, h11.Response]:
+    async def _exchange(self, out: Outgoing) -> HttpResponse:
         pooled = self._pop_idle(out) if out.reuse else None
-        if pooled is not None:
-            try:
-                return await self._send(pooled, out)
-            except ConnectionBrokenError:
-                # The peer closed the idle connection during the write. Only
-                # requests that may run twice are sent on pooled connections.
-                if pooled.received_bytes:
-                    raise
-        return await self._send(await self._open(out.address), out)
-
-    async def _send(
-        self, connection: ClientConnection, out: Outgoing
-    ) -> tuple[ClientConnection, h11.Response]:
+        if pooled is None:
+            return await self._send(await self._open(out.address), out)
+        try:
+            return await self._send(pooled, out)
+        except ConnectionBrokenError:
+            # The peer closed the idle connection during the write. Only
+            # requests that may run twice are sent on pooled connections.
+            if pooled.received_bytes:
+                raise
+        return await self._resend(out)
+
+    async def _resend(self, out: Outgoing) -> HttpResponse:
+        """Send a request again whose first copy the peer may have received."""
+        try:
+            connection = await self._open(out.address)
+        except ConnectFailedError as exc:
+            raise ConnectionBrokenError(f"not resent: {exc}") from exc
+        response = await self._send(connection, out)
+        response.was_resent = True
+        return response
+
+    async def _send(self, connection: ClientConnection, out: Outgoing) -> HttpResponse:
         connection.received_bytes = False
         try:
             await connection.send_request(out)
-            return connection, await connection.read_head()
+            return HttpResponse(connection, await connection.read_head())
         except BaseException:
             close_now(connection.stream)
             raise
@@ -195,7 +211,8 @@
         connections = self._idle[out.address]
         while connections:
             connection = connections.pop()
-            if trio.current_time() - connection.idle_since < self._idle_seconds:
+            is_fresh = trio.current_time() - connection.idle_since < self._idle_seconds
+            if is_fresh and has_no_input(connection.stream):
                 return connection
             close_now(connection.stream)
         return None
@@ -231,3 +248,16 @@
         return
     for half in (stream.send_stream, stream.receive_stream):
         half.close()
+
+
+def has_no_input(stream: trio.abc.Stream) -> bool:
+    """Return whether no input is pending on an idle connection.
+
+    Pending input is either end of file, or a late response to an earlier request
+    that would be taken for the response to the next one.
+    """
+    if not isinstance(stream, trio.SocketStream):
+        return True
+    poll = select.poll()
+    poll.register(stream.socket.fileno(), select.POLLIN)
+    return not poll.poll(0)
--- a/berylshift/connection/service_client.py
+++ b/berylshift/connection/service_client.py
@@ -56,6 +56,8 @@
         except ConnectionLayerError as exc:
             raise TargetBrokenError(str(exc)) from exc
         if resp.headers.get(REFUSED_HEADER) == "true":
+            if resp.was_resent:
+                raise TargetBrokenError("refused, but a first copy may have run")
             retry_after = parse_retry_after(resp.headers.get("retry-after"))
             raise TargetRefusedError(f"status {resp.status}", retry_after)
         forwarded_headers = {
--- a/berylshift/connection/target_client.py
+++ b/berylshift/connection/target_client.py
@@ -5,7 +5,6 @@
 """
 
 import contextlib
-import select
 from collections import defaultdict
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
@@ -25,6 +24,7 @@
     Dial,
     close_now,
     dial_tcp,
+    has_no_input,
 )
 from berylshift.connection.request_body import BodyBrokenError, RequestBody
 from berylshift.ids import InstanceId
@@ -276,7 +276,7 @@
         now = trio.current_time()
         while connections:
             connection = connections.pop()
-            if now < connection.reusable_until and _has_no_input(connection.stream):
+            if now < connection.reusable_until and has_no_input(connection.stream):
                 return connection
             close_now(connection.stream)
         return None
@@ -367,16 +367,3 @@
             return
         await connection.stream.send_all(conn.send(h11.EndOfMessage()) or b"")
         sent.set()
-
-
-def _has_no_input(stream: trio.abc.Stream) -> bool:
-    """Return whether no input is pending on an idle connection.
-
-    Pending input is either end of file, or a late response to an earlier request
-    that would be taken for the response to the next one.
-    """
-    if not isinstance(stream, trio.SocketStream):
-        return True
-    poll = select.poll()
-    poll.register(stream.socket.fileno(), select.POLLIN)
-    return not poll.poll(0)
--- a/berylshift/tests/test_connection_http.py
+++ b/berylshift/tests/test_connection_http.py
@@ -28,8 +28,11 @@
         self.server = HttpServer(handler, limits)
         self.nursery = nursery
         self.dial_count = 0
+        self.refuse_dials = False
 
     async def dial(self, address: str):
+        if self.refuse_dials:
+            raise OSError("refused")
         self.dial_count += 1
         client_end, server_end = trio.testing.memory_stream_pair()
         self.nursery.start_soon(self.server.serve_stream, server_end)
@@ -209,6 +212,22 @@
 
         self.assertEqual(self.with_client(echo, use), (200, 2))
 
+    def test_request_that_a_closed_peer_may_have_read_is_not_unreached(self):
+        """Guards against "not reached" for a request whose first copy was read."""
+
+        async def handler(req, responder):
+            if req.path == "/crash":
+                raise trio.BrokenResourceError
+
+        async def use(client, harness):
+            await client.connect("a")
+            harness.refuse_dials = True
+            async with client.request(Outgoing("a", "GET", "/crash", {})):
+                pass
+
+        with self.assertRaises(ConnectionBrokenError):
+            self.with_client(handler, use)
+
     def test_non_repeatable_request_gets_a_new_connection(self):
         # The peer may close a pooled connection just as the request is sent, and it
         # would be unknown whether the request ran.
