Hold a key while its call is refused

A host refused a booking as "not-run" while another host ran a second request with the same key.

Cause: a refusal (limit, draining, quarantine) read the key's row and reported "not run" if there was none. The row may appear between the read and the answer.

Evidence: with a refusal whose sending takes a second, the key has run once at another host when the refusal is sent.

Change: a refusal claims the key as a call does, answers and releases it. A row that a refusal inserted is deleted, so refused calls leave none. If the claim takes longer than 0.25 s, the outcome is "unknown", as it was where the row could not be read. A stopping host waits for these releases.

Proofs: the safeguard of quarantined confirmations is named where it stands now; three safeguards are added.

--- a/berylshift/application.py
+++ b/berylshift/application.py
@@ -49,6 +49,7 @@
 from berylshift.request.decisions import DecisionLog
 from berylshift.request.engine_attempt import CompletionDependencies
 from berylshift.request.fingerprint import RequestFingerprinter
+from berylshift.request.key_row import RECORD_TIMEOUT_SECONDS
 from berylshift.request.native_handler import NativeHandler, NativeHandlerDependencies
 from berylshift.request.router import (
     LeastLateness,
@@ -57,11 +58,7 @@
     RoutingContext,
 )
 from berylshift.request.router_baselines import LeastReported, RoundRobin
-from berylshift.request.service_call import (
-    RECORD_TIMEOUT_SECONDS,
-    ServiceCalls,
-    ServiceDependencies,
-)
+from berylshift.request.service_call import ServiceCalls, ServiceDependencies
 from berylshift.request.service_sender import ServiceSender
 from berylshift.settings import CallerSettings, Credential, PolicySettings, Settings
 from berylshift.store.batch import TableGate
@@ -406,9 +403,14 @@
 
     async def _wait_until_done(self) -> None:
         """Return once nothing is in flight, including requests still being read."""
+        await self._wait_until_rows_written()
+        await self._wait_until_responses_sent()
+        # A refused call releases its key only after its response.
+        await self._wait_until_rows_written()
+
+    async def _wait_until_rows_written(self) -> None:
         while self.services.open_confirmations or self.pending:
             await trio.sleep(DRAIN_POLL_SECONDS)
-        await self._wait_until_responses_sent()
 
     async def _wait_until_responses_sent(self) -> None:
         while self.handler.in_flight:
--- a/berylshift/request/confirmation.py
+++ b/berylshift/request/confirmation.py
@@ -20,11 +20,14 @@
     RetryBounds,
     may_retry,
 )
+from berylshift.store.interfaces import ABSENT
 from berylshift.targets import ServiceResponse
 
 PREFIX = "confirm/"
 POLL_SECONDS = 0.25
 RETRY_AFTER_SECONDS = 2.0
+# Revision of a row that was just inserted.
+FIRST_REVISION = ABSENT + 1
 # A call is tried at up to three replicas, as long as each of them refuses it.
 AT_MOST_ONCE_BOUNDS = RetryBounds(repeatable=False, max_runs=1, max_attempts=3)
 
@@ -88,12 +91,17 @@
 
 @dataclass(eq=False)
 class Confirmation:
-    """State of one request with a key; ``deadline`` in monotonic seconds."""
+    """State of one request with a key; ``deadline`` in monotonic seconds.
+
+    With a ``refusal``, the call is not sent: its row only keeps other requests with the
+    key from running until the caller has been told so.
+    """
 
     attempt: AttemptId
     digest: str
     deadline: float
     expires: float
+    refusal: Reason | None = None
     step: Step = Step.INSERT
     outcome: Outcome = Outcome.NOT_RUN
     reason: Reason = Reason.OK
@@ -126,6 +134,11 @@
         is_result = self.record is not None and self.record.state in RESULT_STATES
         return not is_result and (self.owns_row or self.is_insert_uncertain)
 
+    @property
+    def leaves_no_row(self) -> bool:
+        """Return whether the row holds nothing but the key of a refused call."""
+        return self.refusal is not None and self.revision == FIRST_REVISION
+
     # Events
 
     def on_insert(self, event: Event, now: float) -> None:
@@ -216,7 +229,9 @@
     def _send_if_in_time(self, now: float) -> None:
         # The process may have been paused after the insert. Past the deadline nothing
         # is sent.
-        if now >= self.deadline:
+        if self.refusal is not None:
+            self._abandon(self.refusal)
+        elif now >= self.deadline:
             self._abandon(Reason.TOO_LATE)
         else:
             self.step = Step.SEND
--- a/berylshift/request/native_handler.py
+++ b/berylshift/request/native_handler.py
@@ -243,9 +243,7 @@
         if result is None:
             with self._in_flight():
                 return await self._deps.services.run(call, log_and_respond)
-        found = await self._deps.services.refuse(call, result)
-        await log_and_respond(found)
-        return found
+        return await self._deps.services.refuse(call, result, log_and_respond)
 
 
 def _completion_body(req: HttpRequest) -> CompletionBody:
--- a/berylshift/request/service_call.py
+++ b/berylshift/request/service_call.py
@@ -11,12 +11,12 @@
 from berylshift.clock import Clock
 from berylshift.ids import AttemptId, TargetName
 from berylshift.process.limits.retry_budget import RetryBudget
-from berylshift.process.limits.store_budget import Priority
 from berylshift.process.records.pending_records import PendingRecords
 from berylshift.process.shutdown import Shutdown
 from berylshift.request import confirmation
-from berylshift.request.confirmation import Confirmation, ConfirmRow, Event, Step
+from berylshift.request.confirmation import Confirmation, Step
 from berylshift.request.crash_watch import CrashWatch
+from berylshift.request.key_row import KeyRow, KeyRowDependencies
 from berylshift.request.messages import (
     NativeResult,
     Outcome,
@@ -28,22 +28,13 @@
 from berylshift.request.retryable_call import RetryableCall
 from berylshift.request.service_sender import ServiceSender
 from berylshift.store.batch import TableGate
-from berylshift.store.interfaces import (
-    ABSENT,
-    Condition,
-    PlatformError,
-    ResponseLostError,
-    Write,
-    as_raw,
-)
 
 logger = logging.getLogger(__name__)
 
 Respond = Callable[[ServiceCallResult], Awaitable[None]]
 KEY_TTL_SECONDS = 24 * 3600.0
-RECORD_TIMEOUT_SECONDS = 2.0
-STORE_RETRY_SECONDS = 0.05
-KEY_LOOKUP_TIMEOUT_SECONDS = 0.25
+# How long a refusal may wait until this host holds its key.
+KEY_CLAIM_TIMEOUT_SECONDS = 0.25
 # Retry-After of a confirmation that a draining host does not start.
 DRAINING_RETRY_SECONDS = 1.0
 
@@ -89,9 +80,29 @@
             found = await self._run_lookup(call)
             await respond(found)
             return found
+        return await self._answer_by_key(call, None, respond)
+
+    async def refuse(
+        self, call: PlainCall, refusal: NativeResult, respond: Respond
+    ) -> ServiceCallResult:
+        """Refuse a call that is not admitted, and return what ``respond`` was passed.
+
+        An earlier request with the key, at another host, may have run, and a
+        simultaneous one may still: "not run" is reported only while this host holds
+        the key.
+        """
+        if call.idempotent:
+            found = ServiceCallResult(refusal)
+            await respond(found)
+            return found
+        return await self._answer_by_key(call, refusal, respond)
+
+    async def _answer_by_key(
+        self, call: PlainCall, refusal: NativeResult | None, respond: Respond
+    ) -> ServiceCallResult:
         answered = trio.Event()
         try:
-            found = await self._confirm_in_background(call, answered)
+            found = await self._confirm_in_background(call, refusal, answered)
             await respond(found)
             return found
         finally:
@@ -105,7 +116,7 @@
         return lookup.shutdown_result()
 
     async def _confirm_in_background(
-        self, call: PlainCall, answered: trio.Event
+        self, call: PlainCall, refusal: NativeResult | None, answered: trio.Event
     ) -> ServiceCallResult:
         """Run the confirmation in a task that is not cancelled with the request.
 
@@ -122,7 +133,7 @@
         async def run_confirmation() -> None:
             self.open_confirmations += 1
             try:
-                await self._confirm(call, publish, answered)
+                await self._confirm(call, refusal, publish, answered)
             except Exception:
                 # An error must not stop the process and all other requests.
                 logger.exception("confirmation failed")
@@ -138,134 +149,77 @@
         await done.wait()
         return found[0]
 
-    async def refuse(self, call: PlainCall, result: NativeResult) -> ServiceCallResult:
-        """Return the refusal of a call that is not admitted.
-
-        "Not run" may be reported for a key only if its row can be read: an earlier
-        request with the key, at another host, may have run.
-        """
-        if call.idempotent:
-            return ServiceCallResult(result)
-        state = self._new_state(call)
-        with trio.move_on_after(KEY_LOOKUP_TIMEOUT_SECONDS):
-            await self._read(
-                state, confirmation.row_key(call.caller.customer, call.key)
-            )
-            if state.step is Step.ANSWER:
-                return _confirmed(state)
-            if state.step in (Step.INSERT, Step.TAKE_OVER):
-                return ServiceCallResult(result)
-        unknown = msgspec.structs.replace(result, outcome=Outcome.UNKNOWN)
-        return ServiceCallResult(unknown)
-
     # Confirmations
 
     async def _confirm(
         self,
         call: PlainCall,
+        refusal: NativeResult | None,
         publish: Callable[[ServiceCallResult], None],
         answered: trio.Event,
     ) -> None:
-        """Run a confirmation, ``publish`` its result, and release a key it holds."""
-        state = self._new_state(call)
+        """Run or refuse a confirmation, ``publish`` how, and release a key it holds."""
+        deps = self._deps
+        watch = deps.sender.crash_watches.for_service_call(call)
+        refusal = refusal or self._refusal(watch)
+        state = self._new_state(call, refusal)
+        bounds = deps.last_sends if refusal is None else deps.shutdown
         key = confirmation.row_key(call.caller.customer, call.key)
-        publish(await self._run_to_result(state, call, key))
+        store = KeyRowDependencies(deps.clock, deps.gate, deps.pending)
+        row = KeyRow(store, state, key, bounds)
+        with bounds.bounding(state):
+            if refusal is None:
+                result = await self._run_to_result(state, row, call, watch)
+            else:
+                result = await self._claim_to_refuse(state, row, refusal)
+        publish(result)
         if state.needs_abandon:
             await answered.wait()
-            state.record = state.row(confirmation.RowState.ABANDONED)
-            await self._abandon(state, key)
+            await row.release()
+
+    def _refusal(self, watch: CrashWatch) -> NativeResult | None:
+        """Return why a call may not be sent, if that is known beforehand."""
+        if self._deps.last_sends.seconds_left <= 0:
+            # The process would stop before the call has finished.
+            return NativeResult(
+                Outcome.NOT_RUN, Reason.DRAINING, "", DRAINING_RETRY_SECONDS
+            )
+        return self._deps.sender.quarantine_refusal(watch)
 
     async def _run_to_result(
-        self, state: Confirmation, call: PlainCall, key: str
+        self, state: Confirmation, row: KeyRow, call: PlainCall, watch: CrashWatch
     ) -> ServiceCallResult:
         tried: set[TargetName] = set()
-        watch = self._deps.sender.crash_watches.for_service_call(call)
-        refusal = self._deps.sender.quarantine_refusal(watch)
-        if refusal is not None:
-            return await self.refuse(call, refusal)
-        with self._deps.last_sends.bounding(state):
-            if self._deps.clock.monotonic() >= state.deadline:
-                # The process would stop before the call has finished.
-                draining = NativeResult(
-                    Outcome.NOT_RUN, Reason.DRAINING, "", DRAINING_RETRY_SECONDS
-                )
-                return await self.refuse(call, draining)
-            while state.step is not Step.ANSWER:
-                await self._run_step(state, call, key, tried, watch)
+        while state.step is not Step.ANSWER:
+            if state.step is Step.SEND:
+                await self._send_once(state, call, tried, watch)
+            else:
+                await row.run_step()
         return _confirmed(state)
 
-    async def _abandon(self, state: Confirmation, key: str) -> None:
-        if state.owns_row:
-            await self._record(state, key)
-        else:
-            # A lost insert may still take effect; the upkeep loop reads the row first.
-            self._deps.pending.add(key, state.record)
+    async def _claim_to_refuse(
+        self, state: Confirmation, row: KeyRow, refusal: NativeResult
+    ) -> ServiceCallResult:
+        """Return ``refusal`` once this host holds the key, or what the row tells."""
+        while state.step not in (Step.ANSWER, Step.WAIT):
+            await row.run_step()
+        if state.step is Step.WAIT or state.reason is Reason.STORE_DOWN:
+            unknown = msgspec.structs.replace(refusal, outcome=Outcome.UNKNOWN)
+            return ServiceCallResult(unknown)
+        if state.needs_abandon:
+            return ServiceCallResult(refusal)
+        return _confirmed(state)
 
-    def _new_state(self, call: PlainCall) -> Confirmation:
+    def _new_state(self, call: PlainCall, refusal: NativeResult | None) -> Confirmation:
         deps = self._deps
         digest = confirmation.body_digest(call.method, call.path, call.body)
         expires = deps.clock.now().timestamp() + KEY_TTL_SECONDS
         attempt = AttemptId(f"{call.request}.{deps.rng.getrandbits(48):012x}")
-        return Confirmation(attempt, digest, call.deadline, expires)
-
-    async def _run_step(
-        self,
-        state: Confirmation,
-        call: PlainCall,
-        key: str,
-        tried: set[TargetName],
-        watch: CrashWatch,
-    ) -> None:
-        clock = self._deps.clock
-        match state.step:
-            case Step.INSERT | Step.TAKE_OVER:
-                row = state.row(confirmation.RowState.STARTED)
-                event = await self._put(key, state.revision, row, state.deadline)
-                state.on_insert(event, clock.monotonic())
-            case Step.READ:
-                scope = trio.CancelScope()
-                with scope, self._deps.last_sends.bounding(scope):
-                    await self._read(state, key)
-            case Step.WAIT:
-                await trio.sleep(confirmation.POLL_SECONDS)
-                state.on_wait_over()
-            case Step.SEND:
-                await self._send_once(state, call, tried, watch)
-            case Step.RECORD:
-                await self._record(state, key)
-
-    async def _put(
-        self, key: str, revision: int, row: ConfirmRow, until: float
-    ) -> Event:
-        """Write the row, waiting for the store until the deadline at most."""
-        write = Write(key, as_raw(row))
-        scope = trio.CancelScope(deadline=until)
-        with scope, self._deps.last_sends.bounding(scope):
-            try:
-                answer = await self._deps.gate.put_row(Condition(key, revision), write)
-                return Event.COMMITTED if answer.committed else Event.CONFLICT
-            except ResponseLostError:
-                return Event.LOST
-            except PlatformError:
-                await trio.sleep(STORE_RETRY_SECONDS)
-                return Event.UNAVAILABLE
-        return Event.LOST
-
-    async def _read(self, state: Confirmation, key: str) -> None:
-        clock = self._deps.clock
-        with trio.move_on_at(state.deadline):
-            try:
-                found = await self._deps.gate.read([key], Priority.CONFIRMATION)
-                stored = found[0]
-                row = None
-                if stored is not None:
-                    row = msgspec.json.decode(stored.value, type=ConfirmRow)
-                revision = stored.revision if stored else ABSENT
-                state.on_read(row, revision, clock.monotonic())
-                return
-            except PlatformError:
-                await trio.sleep(STORE_RETRY_SECONDS)
-        state.on_read_failed(clock.monotonic())
+        state = Confirmation(attempt, digest, call.deadline, expires)
+        if refusal is not None:
+            state.refusal = refusal.reason
+            state.deadline = deps.clock.monotonic() + KEY_CLAIM_TIMEOUT_SECONDS
+        return state
 
     async def _send_once(
         self,
@@ -284,23 +238,6 @@
         sent = AttemptRecord(plan.target.name, found.outcome)
         state.on_attempt(sent, found.answer, self._deps.clock.monotonic())
 
-    async def _record(self, state: Confirmation, key: str) -> None:
-        """Write the result; if that fails, queue it for the upkeep loop."""
-        written = False
-        with trio.move_on_after(RECORD_TIMEOUT_SECONDS):
-            condition = Condition(key, state.revision)
-            write = Write(key, as_raw(state.record))
-            try:
-                answer = await self._deps.gate.put_row(condition, write)
-                written = answer.committed
-            except PlatformError:
-                logger.warning("confirmation result not written; queued for retry")
-        if written:
-            state.owns_row = state.is_insert_uncertain = False
-        else:
-            self._deps.pending.add(key, state.record)
-        state.on_recorded()
-
 
 def _confirmed(state: Confirmation) -> ServiceCallResult:
     result = NativeResult(state.outcome, state.reason, "", state.retry_after)
--- a/berylshift/tests/test_confirmations.py
+++ b/berylshift/tests/test_confirmations.py
@@ -339,12 +339,51 @@
         _, outcome, ran = run_world(self.refused_then_retried(hold=30.0, leave=1.0))
         self.assertEqual((outcome, ran), (Outcome.COMPLETE, 1))
 
-    def refused_then_retried(self, hold: float, leave: float = 60.0):
+    def test_refusal_at_admission_holds_its_key(self):
+        """Guards against a refusal as "not run" whose key another host then runs."""
+        task = self.refused_then_retried(hold=1.0, at_admission=True)
+        ran_before, outcome, ran = run_world(task)
+        self.assertEqual(ran_before, 0)
+        self.assertEqual((outcome, ran), (Outcome.COMPLETE, 1))
+
+    def test_refusal_at_admission_leaves_no_row(self):
+        """Guards against a row for each refused call, kept for a day."""
+
+        async def task(world):
+            app = world.hosts["host-1"].app
+            app.limits.admit = lambda customer, now: 5.0
+            found = await call_service(world.hosts["host-1"], plain_call("k"))
+            await trio.sleep(1)
+            return found.result.outcome, list(world.platform.scan(PREFIX, "", 9))
+
+        self.assertEqual(run_world(task), (Outcome.NOT_RUN, []))
+
+    def test_refusal_without_its_key_is_unknown(self):
+        """Guards against "not run" where the store does not say who holds the key."""
+
+        async def task(world):
+            world.platform.script.delay = 1.0
+            app = world.hosts["host-1"].app
+            app.limits.admit = lambda customer, now: 5.0
+            start = trio.current_time()
+            found = await call_service(world.hosts["host-1"], plain_call("k"))
+            seconds = trio.current_time() - start
+            world.platform.script.delay = 0.0
+            await trio.sleep(3)
+            again = await call_service(world.hosts["host-2"], plain_call("k"))
+            return found.result.outcome, seconds < 0.5, again.result.outcome
+
+        self.assertEqual(run_world(task), (Outcome.UNKNOWN, True, Outcome.COMPLETE))
+
+    def refused_then_retried(
+        self, hold: float, leave: float = 60.0, at_admission: bool = False
+    ):
         """Return a task in which all replicas refuse a call, then another host runs it.
 
-        Sending the refusal takes ``hold`` s; its caller leaves after ``leave`` s. The
-        task returns how often the key had run when the refusal was sent, the outcome
-        at the other host and how often the key ran in the end.
+        With ``at_admission``, the customer's limit refuses it instead. Sending the
+        refusal takes ``hold`` s; its caller leaves after ``leave`` s. The task returns
+        how often the key had run when the refusal was sent, the outcome at the other
+        host and how often the key ran in the end.
         """
 
         async def task(world):
@@ -360,8 +399,11 @@
                 with trio.move_on_after(leave), world.hosts["host-1"].call() as app:
                     await app.handler.call_service(plain_call("k"), respond)
 
+            if at_admission:
+                app = world.hosts["host-1"].app
+                app.limits.admit = lambda customer, now: 5.0
             for replica in world.services.values():
-                replica.script.refuse = True
+                replica.script.refuse = not at_admission
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(ask)
                 await trio.sleep(0.5)
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -893,12 +893,34 @@
     Proof(
         "a confirmation that crashed replicas is quarantined",
         "request/service_call.py",
-        "        if refusal is not None:\n"
-        "            return await self.refuse(call, refusal)\n",
-        "",
+        "        return self._deps.sender.quarantine_refusal(watch)\n",
+        "        return None\n",
         "test_crashing_calls.CrashingPlainCallTest."
         "test_a_confirmation_under_a_new_key_each_time",
     ),
+    Proof(
+        "a key is released only after its caller was answered",
+        "request/service_call.py",
+        "            await answered.wait()\n",
+        "",
+        "test_confirmations.KeyReleaseTest",
+    ),
+    Proof(
+        "a refused call leaves no row",
+        "request/key_row.py",
+        "        if self._state.leaves_no_row:\n"
+        "            return Write(self._key, delete=True)\n",
+        "",
+        "test_confirmations.KeyReleaseTest.test_refusal_at_admission_leaves_no_row",
+    ),
+    Proof(
+        "a request that was resent may have run",
+        "connection/http_client.py",
+        "        except ConnectFailedError as exc:\n"
+        '            raise ConnectionBrokenError(f"not resent: {exc}") from exc\n',
+        "        finally:\n            pass\n",
+        "test_connection_targets.ResentRequestTest",
+    ),
     Proof(
         "a feed continues only from a position of the same era",
         "process/directory/store_watch.py",
