Answer 502 where a replica's status would promise "not run"

A booking that a replica had run was answered 503 or 429. On the platform these statuses promise that the request has not run and never will.

Cause: a signed response was forwarded with its status even if it did not state that the request was not run (Berylshift-Not-Executed).

Evidence: test_error_of_a_booking_that_ran_is_not_forwarded_as_not_run. The stand-in runs a booking and answers with a signed 503 or 429; before the change the caller gets (503, 1) and (429, 1): status and runs.

Change: for requests that may not be repeated, 408, 421, 429 and 503 without that statement end as a failed attempt, and the host answers 502 without the replica's signature. Requests that may be repeated keep their replica's status, body and signature; a test holds that.

--- a/berylshift/application.py
+++ b/berylshift/application.py
@@ -423,6 +423,8 @@
         """Wait until responses sent at the shutdown deadline reach their callers."""
         with trio.move_on_after(FINAL_RESPONSE_SECONDS) as scope:
             await self._wait_until_responses_sent()
+            while self.services.open_confirmations:
+                await trio.sleep(DRAIN_POLL_SECONDS)
         if scope.cancelled_caught:
             logger.error("stopped with work in flight")
 
--- a/berylshift/request/refusals.py
+++ b/berylshift/request/refusals.py
@@ -13,6 +13,8 @@
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
 STATUS_GATEWAY_TIMEOUT = 504
+# Statuses that tell a caller that its request has not run and never will.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, STATUS_UNAVAILABLE})
 # The authentication scheme for keys (RFC 9110, section 11.6.1).
 AUTH_CHALLENGE: Header = (b"www-authenticate", b"Bearer")
 PROBLEM_TYPE: Header = (b"content-type", b"application/problem+json")
--- a/berylshift/request/replica_exchange.py
+++ b/berylshift/request/replica_exchange.py
@@ -16,6 +16,7 @@
 from berylshift.messages.load_digest import Urgency
 from berylshift.messages.routed import ResponseHead, RoutedRequest
 from berylshift.process.targets.target_load import TargetLoads
+from berylshift.request.refusals import NOT_RUN_STATUSES
 from berylshift.request.relay_dependencies import RelayDependencies
 from berylshift.request.response_stream import ResponseStream, StreamBrokenError
 from berylshift.request.retry_policy import AttemptHistory, AttemptOutcome
@@ -181,6 +182,10 @@
         self, answer: TargetResponse, head: ResponseHead, limit: ReadTimeout
     ) -> AttemptOutcome:
         body = await limit.wait_for(answer.read(MAX_BUFFERED_BODY_BYTES))
+        if head.status in NOT_RUN_STATUSES and not self._route.repeatable:
+            # The replica does not state that the request was not run, but these
+            # statuses would tell the caller so.
+            return AttemptOutcome.FAILED
         if head.status >= MIN_SERVER_ERROR_STATUS or self._out.started:
             self.failure = FailedResponse(head, body)
             return AttemptOutcome.FAILED
--- a/berylshift/request/routed_handler.py
+++ b/berylshift/request/routed_handler.py
@@ -292,7 +292,7 @@
         elif result.outcome is RelayOutcome.FAILED and relay.failure is not None:
             await self._forward_failure(relay.failure, responder)
         elif result.outcome is RelayOutcome.FAILED:
-            refusal = Refusal(STATUS_BAD_GATEWAY, "the replica broke off")
+            refusal = Refusal(STATUS_BAD_GATEWAY, "the replica failed")
             await refuse(responder, refusal)
         elif result.outcome is RelayOutcome.TIMED_OUT:
             await refuse(responder, self._timed_out(relay))
--- a/berylshift/stand_ins/entry_replica.py
+++ b/berylshift/stand_ins/entry_replica.py
@@ -44,6 +44,12 @@
     EARLY = "early"
     RESET_EARLY = "reset-early"
     ERROR = "error"
+    UNAVAILABLE = "unavailable"
+    TOO_MANY = "too-many"
+
+
+# Signed errors of a request that has run.
+ERROR_STATUSES = {Fault.ERROR: 500, Fault.UNAVAILABLE: 503, Fault.TOO_MANY: 429}
 
 
 class PhaseBody(msgspec.Struct):
@@ -402,8 +408,8 @@
     async def _send_plain(self, headers, fault) -> None:
         await trio.sleep(self.replica.work_seconds)
         body = b"body of " + headers[names.ATTEMPT_ID]
-        if fault is Fault.ERROR:
-            await self._send_response(500, b"failed", headers)
+        if fault in ERROR_STATUSES:
+            await self._send_response(ERROR_STATUSES[fault], b"failed", headers)
         elif fault is Fault.UNSIGNED:
             await self._send_response(200, body, headers, signed=False)
         elif fault is Fault.ENCODED:
--- a/berylshift/tests/test_request_relay.py
+++ b/berylshift/tests/test_request_relay.py
@@ -149,6 +149,20 @@
         reply, runs = self.ask(Fault.MUTE)
         self.assertEqual((reply.status, runs), (504, 1))
 
+    def test_error_of_a_booking_that_ran_is_not_forwarded_as_not_run(self):
+        """Guards against a replica's own 503 or 429 for a booking that it has run."""
+        for fault in (Fault.UNAVAILABLE, Fault.TOO_MANY):
+            with self.subTest(fault=fault):
+                reply, runs = self.ask(fault)
+                self.assertEqual((reply.status, runs), (502, 1))
+                self.assertNotIn(names.SIGNATURE, reply.headers)
+
+    def test_error_of_a_lookup_is_forwarded_unchanged(self):
+        """A lookup may be repeated, so its replica's status is kept."""
+        reply, _ = self.ask(Fault.UNAVAILABLE, "/look/x")
+        self.assertEqual((reply.status, reply.body), (503, b"failed"))
+        self.assertIn(names.SIGNATURE, reply.headers)
+
     def test_refusal_by_replica_is_not_run_with_retry_after(self):
         reply, runs = self.ask(Fault.REFUSE)
         self.assertEqual((reply.status, runs), (503, 0))
