Refuse a keyed request as unknown where its key was not looked up

A booking has run, its response was lost, and the caller repeats it with its key. A host that has too many connections, is leaving, does not know the token or can't read a header answered "not-run".

Cause: for a confirmation the outcome refers to its key. These refusals come before the key's row is read, and told what is true of the request alone.

Change: a request of /services/ with a key that may not be repeated is refused there with the outcome "unknown", and so is one whose head was not read.

--- a/berylshift/application.py
+++ b/berylshift/application.py
@@ -50,7 +50,11 @@
 from berylshift.request.engine_attempt import CompletionDependencies
 from berylshift.request.fingerprint import RequestFingerprinter
 from berylshift.request.key_row import RECORD_TIMEOUT_SECONDS
-from berylshift.request.native_handler import NativeHandler, NativeHandlerDependencies
+from berylshift.request.native_handler import (
+    NativeHandler,
+    NativeHandlerDependencies,
+    outcome_unhandled,
+)
 from berylshift.request.router import (
     LeastLateness,
     ReplicaChooser,
@@ -172,7 +176,11 @@
         self.last_sends = Shutdown(clock)
         self.gate = self._make_gate()
         self.handler = self._make_handler(callers)
-        self.server = HttpServer(self.handler.handle, _server_limits(cfg.callers))
+        self.server = HttpServer(
+            self.handler.handle,
+            _server_limits(cfg.callers),
+            outcome_unhandled=outcome_unhandled,
+        )
         self._make_loops(addresses)
 
     def _make_gate(self) -> TableGate:
--- a/berylshift/connection/http_server.py
+++ b/berylshift/connection/http_server.py
@@ -12,6 +12,7 @@
     STATUS_UNAVAILABLE,
     Handler,
     ServerConnection,
+    UnhandledOutcome,
 )
 from berylshift.connection.server_limits import (
     LINGER_SECONDS,
@@ -42,12 +43,15 @@
         handler: Handler,
         limits: ServerLimits | None = None,
         streams_bodies: bool = False,
+        outcome_unhandled: UnhandledOutcome = lambda head: "not-run",
     ):
         """Serve with ``handler``, which is cancelled when its caller disconnects.
 
         With ``streams_bodies`` it receives long bodies while they still arrive.
+        ``outcome_unhandled`` returns the outcome of a request that no handler has seen.
         """
         self.handler = handler
+        self.outcome_unhandled = outcome_unhandled
         self.max_buffered_bytes = (
             MAX_BUFFERED_BODY_BYTES if streams_bodies else float("inf")
         )
--- a/berylshift/connection/server_connection.py
+++ b/berylshift/connection/server_connection.py
@@ -38,17 +38,21 @@
 STATUS_GATEWAY_TIMEOUT = 504
 
 Handler = Callable[[HttpRequest, Responder], Awaitable[None]]
+# Takes the request's head; ``None``: it was not read.
+UnhandledOutcome = Callable[[h11.Request | None], str]
 
 
 class ServerInterface(Protocol):
     """The server that a connection belongs to.
 
+    ``outcome_unhandled`` returns the outcome of a request that no handler has seen;
     ``max_buffered_bytes``: how much of a body is read before its request is handled;
     ``draining``: each connection is closed after its next response;
     ``accepts_requests``: new requests are read.
     """
 
     handler: Handler
+    outcome_unhandled: UnhandledOutcome
     max_buffered_bytes: float
     draining: bool
     accepts_requests: bool
@@ -83,6 +87,7 @@
     read_deadline: float = float("inf")
     # Whether the current request is a HEAD request: the response has no body.
     is_head_request: bool = False
+    head: h11.Request | None = None
     write_scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
     def __post_init__(self) -> None:
@@ -133,6 +138,7 @@
     async def _serve_one(self) -> bool:
         """Serve a request; return whether the connection may be reused."""
         with self.server.count_request():
+            self.head = None
             try:
                 req = await self._read_request()
                 return req is not None and await self._handle_request(req)
@@ -149,8 +155,9 @@
         status = STATUS_GATEWAY_TIMEOUT if exc.status == STATUS_TIMEOUT else exc.status
         await self.refuse(status, exc.reason, "unknown")
 
-    async def refuse(self, status: int, reason: str, outcome: str = "not-run") -> None:
+    async def refuse(self, status: int, reason: str, outcome: str = "") -> None:
         """Send an error response to a request that no handler answers."""
+        outcome = outcome or self.server.outcome_unhandled(self.head)
         if self.conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         body = b'{"title":"%s"}' % reason.encode()
@@ -299,6 +306,7 @@
         head = await self._next_event()
         if not isinstance(head, h11.Request):
             return None
+        self.head = head
         self.is_head_request = head.method == b"HEAD"
         check_framing(head)
         body = RequestBody(declared_length(head))
--- a/berylshift/request/native_handler.py
+++ b/berylshift/request/native_handler.py
@@ -2,10 +2,11 @@
 
 import logging
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
 from dataclasses import dataclass
 
+import h11
 import msgspec
 
 from berylshift.clock import Clock
@@ -131,7 +132,7 @@
     async def _route(self, req: HttpRequest, out: ResponseWriter) -> None:
         caller = self._caller(req)
         if caller is None:
-            await out.send_problem(_not_run(Reason.UNKNOWN_CALLER))
+            await out.send_problem(_unread(req, Reason.UNKNOWN_CALLER))
             return
         try:
             if req.path == COMPLETIONS_PATH:
@@ -141,7 +142,7 @@
             else:
                 await out.send_problem(_not_run(Reason.NO_SUCH_WORK, "no such path"))
         except BadRequestError as exc:
-            await out.send_problem(_not_run(Reason.BAD_REQUEST, str(exc)))
+            await out.send_problem(_unread(req, Reason.BAD_REQUEST, str(exc)))
 
     async def _health(self, req: HttpRequest, responder: Responder) -> None:
         is_healthy = req.path == LIVE_PATH or self._deps.ready()
@@ -224,7 +225,7 @@
             headers=_passed_headers(req),
             body=req.body,
             deadline=self._deadline(req),
-            idempotent=_is_idempotent(req),
+            idempotent=_is_idempotent(req.method, req.headers),
             key=req.headers.get(KEY_HEADER, ""),
         )
         _check_key(call)
@@ -246,6 +247,35 @@
         return await self._deps.services.refuse(call, result, log_and_respond)
 
 
+def outcome_unhandled(head: h11.Request | None) -> str:
+    """Return the outcome of a request that is refused before it is handled.
+
+    ``head``: its head, ``None`` if that was not read.
+    """
+    if head is None:
+        return Outcome.UNKNOWN.value
+    headers = {name.decode(): val.decode("latin-1") for name, val in head.headers}
+    path = head.target.decode("latin-1")
+    return _outcome_unread(head.method.decode(), path, headers).value
+
+
+def _outcome_unread(method: str, path: str, headers: Mapping[str, str]) -> Outcome:
+    """Return the outcome of a request whose key, if it has one, can't be looked up.
+
+    An earlier confirmation with the key may have run.
+    """
+    has_key = path.startswith(SERVICES_PATH) and KEY_HEADER in headers
+    if has_key and not _is_idempotent(method, headers):
+        return Outcome.UNKNOWN
+    return Outcome.NOT_RUN
+
+
+def _unread(req: HttpRequest, reason: Reason, detail: str = "") -> NativeResult:
+    """Return the refusal of a request that can't be read or authorized."""
+    outcome = _outcome_unread(req.method, req.path, req.headers)
+    return msgspec.structs.replace(_not_run(reason, detail), outcome=outcome)
+
+
 def _completion_body(req: HttpRequest) -> CompletionBody:
     if req.method != "POST":
         raise BadRequestError("completions are asked for by POST")
@@ -268,10 +298,10 @@
     }
 
 
-def _is_idempotent(req: HttpRequest) -> bool:
-    if req.method in IDEMPOTENT_METHODS:
+def _is_idempotent(method: str, headers: Mapping[str, str]) -> bool:
+    if method in IDEMPOTENT_METHODS:
         return True
-    return req.headers.get(IDEMPOTENT_HEADER) == "true"
+    return headers.get(IDEMPOTENT_HEADER) == "true"
 
 
 def _check_key(call: PlainCall) -> None:
--- a/berylshift/tests/test_native_handler.py
+++ b/berylshift/tests/test_native_handler.py
@@ -6,7 +6,7 @@
 
 from berylshift.connection.admin import Admin
 from berylshift.connection.http_client import HttpClient, Outgoing
-from berylshift.connection.http_server import HttpServer
+from berylshift.connection.http_server import HttpServer, ServerLimits
 from berylshift.replay.http_fleet import _read_stream
 from berylshift.replay.result import CallerOutcome
 from berylshift.settings import Credential
@@ -18,6 +18,21 @@
 AUTH = {"authorization": f"Bearer {TOKEN}"}
 
 
+async def _outcome_of(server: HttpServer, data: bytes) -> str:
+    """Send a part of a request; return the outcome in the response."""
+    near, far = trio.testing.memory_stream_pair()
+    received = b""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(server.serve_stream, far)
+        await near.send_all(data)
+        while part := await near.receive_some():
+            received += part
+        nursery.cancel_scope.cancel()
+    lines = received.decode().split("\r\n")
+    (line,) = [line for line in lines if line.startswith("berylshift-outcome: ")]
+    return line.partition(": ")[2]
+
+
 class Callers:
     """A client of one host of a virtual fleet."""
 
@@ -140,6 +155,43 @@
 
         self.assert_problem(self.with_callers(use), 401, "unknown-caller")
 
+    def test_refused_confirmation_whose_key_is_not_read_is_unknown(self):
+        """Guards against "not run" for a key that ran with an earlier request."""
+
+        async def use(callers, world):
+            path = f"/services/{SERVICE}/book"
+            key = {"idempotency-key": "k1"}
+            await callers.ask(path, b"x", headers={**AUTH, **key})
+            late = {"berylshift-deadline-ms": "soon"}
+            return [
+                await callers.ask(path, b"x", headers=key),
+                await callers.ask(path, b"x", headers={**AUTH, **key, **late}),
+            ]
+
+        unauthorized, bad = self.with_callers(use)
+        self.assert_problem(unauthorized, 401, "unknown-caller", "unknown")
+        self.assert_problem(bad, 400, "bad-request", "unknown")
+
+    def test_confirmation_refused_on_its_connection_is_unknown(self):
+        """Guards against "not run" for a key that ran, from a busy or leaving host."""
+
+        async def use(callers, world):
+            server = callers.app.server
+            head = b"POST /services/booking/book HTTP/1.1\r\nhost: h\r\n"
+            key = b"idempotency-key: k1\r\n"
+            slow = [head + key, head + key + b"content-length: 9\r\n\r\n"]
+            plain = [head + b"content-length: 9\r\n\r\n"]
+            found = []
+            for data in slow + plain:
+                server.limits = ServerLimits(request_seconds=1.0)
+                found.append(await _outcome_of(server, data))
+            server.limits = ServerLimits(connections=0)
+            found.append(await _outcome_of(server, head + key))
+            return found
+
+        found = self.with_callers(use)
+        self.assertEqual(found, ["unknown", "unknown", "not-run", "unknown"])
+
     def test_unknown_path_gets_404(self):
         async def use(callers, world):
             return await callers.ask("/v2/other")
