Show a usage window as reported once any host was told so

"berylshift usage" listed a window as "given up: too late" and failed though the platform had its report; reporting it by hand would count its customers twice.

Cause: the command showed a window's last line, whichever host wrote it. A host that takes over sends the settled report again, or gives it up, if it has not heard of the first one. The metric's text said "dropped unreported", which no single host can know.

Evidence: two tests with the lines of such hosts fail before the change.

Change: a window answered "done" stays so; one that is given up after a report without an answer is shown as "may have been reported".

--- a/berylshift/entry_gauges.py
+++ b/berylshift/entry_gauges.py
@@ -123,7 +123,11 @@
         )
     tasks = app.leader_tasks
     gauge("usage_reported", "Usage windows reported.", tasks.windows_reported)
-    gauge("usage_given_up", "Usage windows dropped unreported.", tasks.windows_given_up)
+    gauge(
+        "usage_given_up",
+        "Usage windows given up; one that was sent unanswered may have been reported.",
+        tasks.windows_given_up,
+    )
     gauge(
         "connections_opened", "Connections opened to replicas.", app.ports.client.opened
     )
--- a/berylshift/tests/test_tools_usage.py
+++ b/berylshift/tests/test_tools_usage.py
@@ -41,6 +41,24 @@
         self.assertIn("given up: too late", tester.io.fetch_output())
         self.assertEqual(self.run_command(DONE).status_code, Exit.OK)
 
+    def test_reported_window_that_another_host_gives_up_is_reported(self):
+        """Guards against "given up" for a window that the platform has accepted."""
+        for later in (
+            line("10:00:19,000", "h2", "usage given up", window=7, reason="too late"),
+            line("10:00:19,000", "h2", "usage sent", window=7, answer="unknown"),
+        ):
+            tester = self.run_command([*DONE, later])
+            self.assertEqual(tester.status_code, Exit.OK)
+
+    def test_unanswered_report_that_is_given_up_may_have_arrived(self):
+        """Guards against "given up" alone for a report that got no answer."""
+        sent = line("10:00:18,000", "h1", "usage sent", window=8, answer="unknown")
+        tester = self.run_command([sent, GIVEN_UP])
+        self.assertEqual(tester.status_code, Exit.FAILED)
+        self.assertIn(
+            "given up: too late; may have been reported", tester.io.fetch_output()
+        )
+
     def test_logs_without_a_window_fail_the_command(self):
         self.assertEqual(self.run_command(["nothing"]).status_code, Exit.FAILED)
 
--- a/berylshift/tools/usage_command.py
+++ b/berylshift/tools/usage_command.py
@@ -6,18 +6,24 @@
 from cleo.commands.command import Command
 from cleo.helpers import option
 
+from berylshift.messages.leader_calls import CallResult
 from berylshift.tools.log_reader import LogLine, read_lines
 from berylshift.tools.session import Exit
 
 SETTLED = "usage settled"
 SENT = "usage sent"
 GIVEN_UP = "usage given up"
+DONE = str(CallResult.DONE)
+UNKNOWN = str(CallResult.UNKNOWN)
 MESSAGES = frozenset({SETTLED, SENT, GIVEN_UP})
 COLUMNS = ["window", "host", "requests", "customers", "answer", "sends", "at"]
 
 
 class LoggedWindow(msgspec.Struct):
-    """One usage window as logged; ``sends`` counts the calls to the platform."""
+    """One usage window as logged; ``sends`` counts the calls to the platform.
+
+    ``is_unanswered``: a call got no answer, so the platform may have its report.
+    """
 
     window: int
     host: str = ""
@@ -26,6 +32,7 @@
     answer: str = "not sent"
     sends: int = 0
     at: str = ""
+    is_unanswered: bool = False
 
 
 def read_windows(lines: Iterable[LogLine]) -> list[LoggedWindow]:
@@ -39,15 +46,21 @@
 
 
 def _apply_line(window: LoggedWindow, line: LogLine) -> None:
-    window.host, window.at = line.host, line.time
     if line.message == SETTLED:
         window.requests = line.values.get("requests")
         window.customers = line.values.get("customers")
-    elif line.message == SENT:
+    window.sends += line.message == SENT
+    if window.answer == DONE:
+        # Another host may not know yet, and repeat the report or give it up.
+        return
+    window.host, window.at = line.host, line.time
+    if line.message == SENT:
         window.answer = str(line.values.get("answer"))
-        window.sends += 1
-    else:
+        window.is_unanswered |= window.answer == UNKNOWN
+    elif line.message == GIVEN_UP:
         window.answer = f"given up: {line.values.get('reason')}"
+        if window.is_unanswered:
+            window.answer += "; may have been reported"
 
 
 class UsageCommand(Command):
@@ -76,7 +89,7 @@
         table.set_headers(COLUMNS)
         table.set_rows([_format_row(window) for window in windows])
         table.render()
-        all_done = all(window.answer == "done" for window in windows)
+        all_done = all(window.answer == DONE for window in windows)
         return Exit.OK if all_done else Exit.FAILED
 
 
