Print why requests of the demonstration did not complete

So the run could not tell a host that refuses because its table is stale from one that is leaving, or from targets at their limits.

Change: a request that does not complete is printed with its id, status and the problem's title. The counter kept such details, of lost and cut requests only, and nothing printed them.

--- a/berylshift/replay/http_fleet.py
+++ b/berylshift/replay/http_fleet.py
@@ -13,7 +13,12 @@
 from berylshift.replay.result import CallerOutcome, RequestResult
 from berylshift.replay.runner import TargetCounts
 from berylshift.replay.trace import Kind, TraceEvent, TraceRequest
-from berylshift.request.messages import DEADLINE_HEADER, KEY_HEADER, OUTCOME_HEADER
+from berylshift.request.messages import (
+    DEADLINE_HEADER,
+    KEY_HEADER,
+    OUTCOME_HEADER,
+    REQUEST_HEADER,
+)
 from berylshift.stand_ins.fake_service import service_echo
 from berylshift.stand_ins.text import completion_text, make_prompt
 
@@ -73,6 +78,12 @@
     data: bytes
 
 
+class _Problem(msgspec.Struct):
+    """The part of a problem document that tells why a request did not complete."""
+
+    title: str = ""
+
+
 @dataclass
 class _AttemptResult:
     """Result of sending a request once."""
@@ -197,8 +208,7 @@
         data = msgspec.json.encode(body)
         async with self._post("/v1/completions", headers, data) as resp:
             if resp.status != STATUS_OK:
-                await resp.read()
-                return _error_result(resp)
+                return _error_result(resp, await resp.read())
             received = await _read_stream(resp)
         if received.outcome is CallerOutcome.COMPLETE:
             if received.text != completion_text(prompt, request.output_tokens):
@@ -219,7 +229,7 @@
         async with self._post(path, headers, body) as resp:
             data = await resp.read()
         if resp.headers.get(OUTCOME_HEADER) != CallerOutcome.COMPLETE.value:
-            return _error_result(resp)
+            return _error_result(resp, data)
         if msgspec.json.decode(data).get("echo") != service_echo(body):
             return _AttemptResult(
                 CallerOutcome.CUT, detail=f"request {number}: wrong answer"
@@ -227,14 +237,24 @@
         return _AttemptResult(CallerOutcome.COMPLETE)
 
 
-def _error_result(resp: HttpResponse) -> _AttemptResult:
+def _error_result(resp: HttpResponse, body: bytes) -> _AttemptResult:
     reported = resp.headers.get(OUTCOME_HEADER, "")
     outcomes = {"not-run": CallerOutcome.NOT_RUN, "unknown": CallerOutcome.UNKNOWN}
+    request = resp.headers.get(REQUEST_HEADER, "")
     return _AttemptResult(
-        outcomes.get(reported, CallerOutcome.LOST), detail=f"status {resp.status}"
+        outcomes.get(reported, CallerOutcome.LOST),
+        detail=f"request {request}: status {resp.status}, {_problem_title(body)}",
     )
 
 
+def _problem_title(body: bytes) -> str:
+    """Return the title of a problem document."""
+    try:
+        return msgspec.json.decode(body, type=_Problem).title
+    except msgspec.DecodeError:
+        return "no problem document"
+
+
 async def _read_stream(resp: HttpResponse) -> _AttemptResult:
     """Read server-sent events up to the outcome."""
     texts: list[str] = []
--- a/berylshift/replay/result.py
+++ b/berylshift/replay/result.py
@@ -9,6 +9,7 @@
 from berylshift.replay.trace import Expect
 
 FIRST_TOKEN_QUANTILE = 0.95
+MAX_DETAILS = 50
 
 
 class CallerOutcome(Enum):
@@ -47,6 +48,8 @@
     first_token_p95: float
     role_changes: int
     unmet: list[str] = []
+    # Why requests did not complete, the first MAX_DETAILS of them.
+    details: list[str] = []
 
 
 class ResultCounter:
@@ -65,8 +68,10 @@
         self.in_time += result.in_time and result.outcome is CallerOutcome.COMPLETE
         if result.first_token_seconds is not None:
             self.first_tokens.add(result.first_token_seconds)
-        if result.outcome in (CallerOutcome.LOST, CallerOutcome.CUT):
-            self.details.append(result.detail)
+        if result.outcome is CallerOutcome.COMPLETE:
+            return
+        if len(self.details) < MAX_DETAILS:
+            self.details.append(f"{result.outcome.value}: {result.detail}")
 
     def result(
         self,
@@ -92,6 +97,7 @@
             goodput=round(self.in_time / total, 4) if total else 0.0,
             first_token_p95=round(p95 or 0.0, 3),
             role_changes=role_changes,
+            details=self.details,
         )
         return msgspec.structs.replace(result, unmet=_unmet(result, expect))
 
--- a/berylshift/tools/demo.py
+++ b/berylshift/tools/demo.py
@@ -132,6 +132,8 @@
             sys.stdout.write("interrupted\n")
             sys.exit(130)
         violations = result.lost + result.doubled + result.cut
+        for detail in result.details:
+            sys.stdout.write(f"incomplete: {detail}\n")
         if violations:
             _print_logs(Path(name))
     fields = (
