--- a/berylshift/tests/test_scaling_loop.py
+++ b/berylshift/tests/test_scaling_loop.py
@@ -155,6 +155,19 @@
 
         self.assertEqual(len(play(task).duties.orders), 3)
 
+    def test_an_order_without_an_answer_counts_as_carried_out(self):
+        """Guards against replicas ordered twice, here or by a successor."""
+
+        async def task(world):
+            world.duties.answers = [CallResult.UNKNOWN] * 3
+            await trio.sleep(4)
+            world.scopes[0].cancel()
+            world.gone.add("h0")
+            await trio.sleep(RANK_DELAY_SECONDS + 8)
+
+        orders = play(task).duties.orders
+        self.assertEqual({order.desired for order in orders}, {5})
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -905,6 +905,38 @@
         "",
         "test_confirmations.KeyReleaseTest",
     ),
+    Proof(
+        "a call that did not run is answered before its key is abandoned",
+        "request/confirmation.py",
+        "        self.record = self.row(RowState.ABANDONED)\n"
+        "        self._end(Outcome.NOT_RUN, reason)\n",
+        "        self._record(RowState.ABANDONED, Outcome.NOT_RUN, reason)\n",
+        "test_confirmations.KeyReleaseTest."
+        "test_key_taken_over_before_its_first_caller_is_answered",
+    ),
+    Proof(
+        "a replica's status does not promise that a booking was not run",
+        "request/replica_exchange.py",
+        "        if head.status in NOT_RUN_STATUSES and not self._route.repeatable:\n",
+        "        if False:\n",
+        "test_request_relay.NotRunTest."
+        "test_error_of_a_booking_that_ran_is_not_forwarded_as_not_run",
+    ),
+    Proof(
+        "a request that was forwarded is not refused as not run",
+        "connection/server_connection.py",
+        "            result.rejected.may_have_run = req.body_stream.is_forwarded\n",
+        "",
+        "test_request_bodies.BrokenBodyTest",
+    ),
+    Proof(
+        "a key that is not looked up is not reported as not run",
+        "request/native_handler.py",
+        "    if has_key and not _is_idempotent(method, headers):\n"
+        "        return Outcome.UNKNOWN\n",
+        "",
+        "test_native_handler.NativeHandlerTest",
+    ),
     Proof(
         "a refused call leaves no row",
         "request/key_row.py",
