Do not send the demonstration's requests to a host that is leaving

Cause, very likely: the demonstration's balancer took a host that did not answer one health check within 0.5 s for not ready. If none answered, as on a busy machine, it used all hosts, also the one that had said that it is leaving, and that one refuses.

The logs of the run itself are gone.

Change: an answer "not ready" counts until the host answers otherwise, a missing one only after two in a row, as balancers do. If no host is left, those are used that have not said that they are not ready.

--- a/berylshift/replay/http_fleet.py
+++ b/berylshift/replay/http_fleet.py
@@ -1,6 +1,7 @@
 """Replays over HTTP against running entry hosts: the callers and their balancer."""
 
 import random
+from collections import Counter
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
@@ -24,6 +25,7 @@
 
 HEALTH_INTERVAL_SECONDS = 0.5
 HEALTH_TIMEOUT_SECONDS = 0.5
+MAX_MISSED_CHECKS = 2
 MAX_ATTEMPTS = 4
 RETRY_PAUSE_SECONDS = 0.2
 GRACE_SECONDS = 60.0
@@ -31,35 +33,68 @@
 
 
 class HttpBalancer:
-    """Picks ready entry hosts in round-robin order."""
+    """Picks ready entry hosts in round-robin order.
+
+    A host that answers that it is not ready is left out at once, one that does not
+    answer after MAX_MISSED_CHECKS. If no host is left, those are picked that have not
+    said that they are not ready.
+    """
 
     def __init__(self, client: HttpClient, entries: list[str]):
         """Balance over ``entries``, each an ``IP:PORT``."""
         self._client = client
         self._entries = entries
-        self._ready = list(entries)
+        self._refusing: set[str] = set()
+        self._missed: Counter[str] = Counter()
         self._next_index = 0
 
+    @property
+    def _ready(self) -> list[str]:
+        return [entry for entry in self._not_refusing if not self._is_silent(entry)]
+
+    @property
+    def _not_refusing(self) -> list[str]:
+        return [entry for entry in self._entries if entry not in self._refusing]
+
+    def _is_silent(self, entry: str) -> bool:
+        return self._missed[entry] >= MAX_MISSED_CHECKS
+
     def pick(self) -> str:
         """Return an entry host's address."""
-        candidates = self._ready or self._entries
+        candidates = self._ready or self._not_refusing or self._entries
         self._next_index += 1
         return candidates[self._next_index % len(candidates)]
 
     async def run(self) -> None:
         """Check the hosts' health until cancelled."""
         while True:
-            ready = [entry for entry in self._entries if await self._is_ready(entry)]
-            self._ready = ready
+            await self._check_all()
             await trio.sleep(HEALTH_INTERVAL_SECONDS)
 
     async def wait_until_ready(self, count: int) -> None:
-        """Return once ``count`` hosts are ready."""
-        while len(self._ready) < count or not await self._is_ready(self._ready[0]):
-            self._ready = [e for e in self._entries if await self._is_ready(e)]
+        """Return once ``count`` hosts have answered that they are ready."""
+        await self._check_all()
+        while len(self._ready) < count or any(self._missed.values()):
             await trio.sleep(0.05)
+            await self._check_all()
+
+    async def _check_all(self) -> None:
+        for entry in self._entries:
+            self._record(entry, await self._ask(entry))
+
+    def _record(self, entry: str, is_ready: bool | None) -> None:
+        """Record an answer; ``None``: there was none."""
+        if is_ready is None:
+            self._missed[entry] += 1
+            return
+        self._missed[entry] = 0
+        if is_ready:
+            self._refusing.discard(entry)
+        else:
+            self._refusing.add(entry)
 
-    async def _is_ready(self, entry: str) -> bool:
+    async def _ask(self, entry: str) -> bool | None:
+        """Return whether a host is ready; ``None``: it did not answer in time."""
         out = Outgoing(entry, "GET", "/ready", {}, reuse=False)
         with trio.move_on_after(HEALTH_TIMEOUT_SECONDS):
             try:
@@ -68,7 +103,7 @@
                     return resp.status == STATUS_OK
             except ConnectionLayerError:
                 return False
-        return False
+        return None
 
 
 class _Event(msgspec.Struct):
