Log delays of the event loop and connections beyond the limit

The logs can't tell the hypotheses apart: a host that is suspended or short of processor time accepts nothing and writes nothing, one at its limit of connections refused without a line, and one that is down writes nothing either.

Change: a host logs "event loop delayed" when a sleep of 0.25 s takes 0.25 s longer, and "connection refused" with the number of open connections when its limit is reached.

--- a/berylshift/connection/http_server.py
+++ b/berylshift/connection/http_server.py
@@ -160,6 +160,7 @@
                 logger.info("connection closed unread", extra={"reason": "stopping"})
                 return False
             if self.open_connections > self.limits.connections:
+                logger.info("connection refused", extra={"open": self.open_connections})
                 await connection.refuse(STATUS_UNAVAILABLE, "too many connections")
                 return True
             return await connection.run()
--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -35,6 +35,7 @@
     DEFAULT_HOST_COUNT,
     SharedRetryBudget,
 )
+from berylshift.process.loop_monitor import LoopMonitor
 from berylshift.process.quarantine.quarantine import Quarantine
 from berylshift.process.quarantine.quarantine_loop import QuarantineLoop
 from berylshift.process.queues.queue_loop import (
@@ -590,6 +591,7 @@
                 nursery.start_soon(self.queue_loop.run)
             nursery.start_soon(self.quarantine_loop.run)
             nursery.start_soon(report_gauges, self)
+            nursery.start_soon(LoopMonitor(self.ports.clock).run)
             nursery.start_soon(self.leader_tasks.run)
 
     def on_start(self) -> None:
