Log what a prediction rests on when a request is refused as hopeless

A refused request logs no attempt, so the logs can't tell a long prompt without a cached prefix from a queue, a slow engine, a pool without prefill engines or a prior speed.

Change: "request ended" of such a request has "refused_placement": the engine, its phase, the tokens of the prompt and ahead of it, the time factor, the learned speed or "prior", how many queues registrars have told and how many engines prefill.

--- a/berylshift/request/relay.py
+++ b/berylshift/request/relay.py
@@ -25,6 +25,7 @@
     KeyRevokedError,
     RelayOutcome,
     RelayResult,
+    describe_refused,
 )
 from berylshift.request.replica_exchange import (
     FailedResponse,
@@ -104,6 +105,8 @@
         self._slo_status = SloStatus.ON_TIME
         # Engines whose queues registrars reported for the last placement.
         self._known_queues: int | None = None
+        # The placement that a request was refused by, for the log.
+        self.refused_placement: str | None = None
         self._started_at = deps.clock.monotonic()
         self._timeout = request_timeout(route, req)
         self._deadline = self._started_at + self._timeout.seconds
@@ -315,7 +318,7 @@
         source = None if self._out.started else self._kv_source
         placement = self._decode_placement(source and source.engine)
         if placement is not None and source is None:
-            self._check_first_chunk(placement.seconds)
+            self._check_first_chunk(placement, placement.seconds)
         return await self._send_attempt(placement, source)
 
     def _decode_placement(self, prefill_engine: Replica | None) -> Placement | None:
@@ -327,7 +330,7 @@
             prompt, prefill_engine, self._out.started, self._route.event_gap_seconds
         )
 
-    def _check_first_chunk(self, seconds: float) -> None:
+    def _check_first_chunk(self, placement: Placement, seconds: float) -> None:
         """Raise ``DeadlineUnreachableError`` if a first chunk would be too late.
 
         ``seconds`` is the predicted time to it. A started stream is not checked.
@@ -335,6 +338,12 @@
         if self._out.started or self._now() + seconds <= self._first_chunk_deadline:
             return
         if self._turn.may_refuse(self._choice.pool()):
+            self.refused_placement = describe_refused(
+                placement,
+                len(self._choice.pool().prefill_engines),
+                self._deps.speeds.learned_prefill_rate(self.service),
+                self._known_queues,
+            )
             raise DeadlineUnreachableError(seconds)
 
     # Disaggregated prefill
@@ -490,7 +499,7 @@
         self._slo_status = choice.slo_status if choice else SloStatus.ON_TIME
         self._turn.on_choice(choice, self._now() - self._started_at)
         if choice is not None:
-            self._check_first_chunk(choice.seconds)
+            self._check_first_chunk(choice.placement, choice.seconds)
         return choice
 
     async def _with_known_queues(self, job: PrefillJob) -> PrefillJob:
--- a/berylshift/request/relay_result.py
+++ b/berylshift/request/relay_result.py
@@ -4,6 +4,7 @@
 from enum import StrEnum
 
 from berylshift.request.request_timeout import TimeoutSource
+from berylshift.scheduling.placement import Placement
 
 
 class RelayOutcome(StrEnum):
@@ -57,3 +58,20 @@
         """Keep the seconds predicted until a first chunk."""
         super().__init__(f"first piece in {seconds:.2f} s")
         self.seconds = seconds
+
+
+def describe_refused(
+    placement: Placement, prefill_engines: int, rate: float | None, queues: int | None
+) -> str:
+    """Return what the prediction rests on by which a request is refused, for the log.
+
+    ``rate``: the learned prefill speed in tokens a second, ``None`` if it is the prior;
+    ``queues``: how many engines' queues registrars have told.
+    """
+    learned = "prior" if rate is None else round(rate)
+    return (
+        f"{placement.target.instance} {placement.target.phase}"
+        f" tokens={placement.tokens} ahead={placement.queued:.0f}"
+        f" factor={placement.factor:.2f} rate={learned} queues={queues}"
+        f" prefill_engines={prefill_engines}"
+    )
--- a/berylshift/request/routed_handler.py
+++ b/berylshift/request/routed_handler.py
@@ -332,9 +332,11 @@
         now = self._deps.clock.monotonic()
         table = self._routes.table
         replicas = self._deps.replicas
+        refused = relay.refused_placement
         logger.info(
             "request ended",
             extra={
+                **({} if refused is None else {"refused_placement": refused}),
                 "request": relay.request,
                 "same": fingerprint_hex(relay.crash_watch.fingerprint),
                 "route": route.name,
--- a/berylshift/tests/test_request_streams.py
+++ b/berylshift/tests/test_request_streams.py
@@ -109,7 +109,10 @@
             reply = await world.ask("/note/x", headers=prompt_headers())
             return reply, trio.current_time() - start
 
-        reply, seconds = run_entry(task, plain=0, engines="pd")
+        with self.assertLogs("berylshift", "INFO") as logs:
+            reply, seconds = run_entry(task, plain=0, engines="pd")
+        refused = [getattr(rec, "refused_placement", "") for rec in logs.records]
+        self.assertIn("ahead=400000 factor=1.00 rate=prior", "".join(refused))
         self.assertEqual(reply.status, 503)
         self.assertLess(seconds, 0.05)
         self.assertGreater(reply.retry_after_seconds, 1)
