--- a/berylshift/request/relay.py
+++ b/berylshift/request/relay.py
@@ -46,11 +46,7 @@
 from berylshift.request.routed_crash_watch import RoutedCrashWatch
 from berylshift.scheduling.handle_policy import Refusal
 from berylshift.scheduling.placement import Placement
-from berylshift.scheduling.prefill_scheduler import (
-    PrefillDecision,
-    PrefillJob,
-    engines_to_compare,
-)
+from berylshift.scheduling.prefill_scheduler import PrefillDecision, PrefillJob
 from berylshift.scheduling.slo_status import SloStatus, urgency_for
 from berylshift.version.routes import Route
 
@@ -513,7 +509,7 @@
         asked = self._deps.prefill_scheduler.engines_to_ask(job, self._now())
         known = await self._deps.queues.ask(asked)
         self._known_queues = len(known)
-        return msgspec.structs.replace(job, among=engines_to_compare(asked, known))
+        return msgspec.structs.replace(job, among=known)
 
     def _has_retry_budget(self) -> bool:
         return self._retry_budget.available(self._now()) >= 1
--- a/berylshift/scheduling/prefill_scheduler.py
+++ b/berylshift/scheduling/prefill_scheduler.py
@@ -22,9 +22,6 @@
 # Engines whose queues are asked for: the home engine and a few others. The shortest of
 # four queues is rarely long.
 MAX_ASKED = 4
-# Engines are compared by their queues only if more than this share of those asked for
-# are known.
-MIN_KNOWN_SHARE = 0.5
 
 
 class PrefillJob(msgspec.Struct, frozen=True):
@@ -50,17 +47,6 @@
     waits_for_share: bool = False
 
 
-def engines_to_compare(
-    asked: Collection[InstanceId], known: Collection[InstanceId]
-) -> Collection[InstanceId]:
-    """Return the engines to compare, whose queues are ``known``; empty: all engines.
-
-    While most registrars do not reply, as after a start of all hosts, the few engines
-    that are known would get all prompts, however long their queues are.
-    """
-    return known if len(known) > len(asked) * MIN_KNOWN_SHARE else ()
-
-
 class PrefillDecision(msgspec.Struct, frozen=True):
     """The engine to prefill a prompt, its SLO status and the seconds to first token."""
 
