--- a/berylshift/tests/test_request_bodies.py
+++ b/berylshift/tests/test_request_bodies.py
@@ -174,32 +174,29 @@
 
     def test_unfinished_body_that_was_forwarded_is_not_reported_as_not_run(self):
         """Guards against 408 for a request that a replica was sent in part."""
-
-        async def task(world):
-            world.hosts[0].server.limits = ServerLimits(request_seconds=1.0)
-            upload = Upload(world.connect())
-            await upload.begin("/book/x")
-            for _ in range(4):
-                await upload.part()
-            reply = await upload.link.read()
-            return reply.status, reply.headers[b"berylshift-outcome"]
-
-        self.assertEqual(run_entry(task, plain=1), (504, b"unknown"))
+        self.assertEqual(self.reply_to_forwarded(b""), (504, b"unknown"))
 
     def test_broken_body_that_was_forwarded_is_not_reported_as_not_run(self):
         """Guards against "not run" for a request that a replica was sent in part."""
+        found = self.reply_to_forwarded(b"not a chunk\r\n")
+        self.assertEqual(found, (400, b"unknown"))
+
+    def reply_to_forwarded(self, rest: bytes) -> tuple[int, bytes]:
+        """Return status and outcome if ``rest`` follows forwarded parts of a body."""
 
         async def task(world):
+            world.hosts[0].server.limits = ServerLimits(request_seconds=1.0)
             upload = Upload(world.connect())
             await upload.begin("/book/x")
             for _ in range(4):
                 await upload.part()
             await trio.sleep(0.1)
-            await upload.link.stream.send_all(b"not a chunk\r\n")
+            if rest:
+                await upload.link.stream.send_all(rest)
             reply = await upload.link.read()
             return reply.status, reply.headers[b"berylshift-outcome"]
 
-        self.assertEqual(run_entry(task, plain=1), (400, b"unknown"))
+        return run_entry(task, plain=1)
 
     def test_content_length_over_the_limit_is_refused_at_once(self):
         async def task(world):
