Tell attempts that wait for a connection from those that wait for a response

Cause: a request whose time passed showed its attempt as `open`, whether it had a connection or not, and one whose caller left showed no attempt at all; no metric told how attempts end.

Change: `connecting` and `open` in the log of attempts, which also has those of callers that left; `berylshift_attempts_total{service,outcome}`; `berylshift_replicas_not_reached`. The log of attempts is a class of its own now.

Result: test_request_attempt_log passes, also with the tests of the relay, outcomes, silence, entry application and log reader; the whole suite was not run for this commit.

--- a/berylshift/connection/target_client.py
+++ b/berylshift/connection/target_client.py
@@ -172,6 +172,8 @@
         self._send_nursery: trio.Nursery | None = None
         self._gate: TargetGate = UnlimitedGate()
         self.opened = 0
+        # Replicas that the last attempt to open a connection did not reach.
+        self.unreached: set[InstanceId] = set()
 
     def set_gate(self, gate: TargetGate) -> None:
         """Call ``gate`` for each request and response."""
@@ -184,19 +186,25 @@
             await trio.sleep_forever()
 
     @asynccontextmanager
-    async def exchange(self, out: TargetRequest) -> AsyncIterator[TargetResponse]:
+    async def exchange(
+        self, out: TargetRequest, on_connected: Callable[[], None] = lambda: None
+    ) -> AsyncIterator[TargetResponse]:
         """Send a request and yield its response.
 
-        Raises ``ThrottledError`` or ``ConnectFailedError`` if no byte was sent, and
-        other connection errors if the replica may have read the request. A connection
-        is pooled only if its response was read to the end and no bytes follow it.
+        ``on_connected`` is called once there is a connection. Raises
+        ``ThrottledError`` or ``ConnectFailedError`` if no byte was sent, and other
+        connection errors if the replica may have read the request. A connection is
+        pooled only if its response was read to the end and no bytes follow it.
         """
         admitted_at = self._gate.admit(out.instance, out.limit_exempt)
 
         def on_head(status: int, headers: list[Header]) -> None:
             self._gate.record_response(out.instance, status, headers, admitted_at)
 
-        connection = self._pop_idle(out.instance) or await self._open(out.address)
+        connection = self._pop_idle(out.instance)
+        if connection is None:
+            connection = await self._open(out.instance, out.address)
+        on_connected()
         sending = trio.CancelScope()
         response: TargetResponse | None = None
         is_reusable = False
@@ -246,13 +254,15 @@
         )
         return sent
 
-    async def _open(self, address: str) -> ClientConnection:
+    async def _open(self, instance: InstanceId, address: str) -> ClientConnection:
+        self.unreached.add(instance)
         with trio.move_on_after(self._connect_seconds):
             try:
                 connection = ClientConnection(await self._dial(address))
             except OSError as exc:
                 raise ConnectFailedError(f"{address}: {exc}") from exc
             self.opened += 1
+            self.unreached.discard(instance)
             return connection
         raise ConnectFailedError(f"{address}: connection attempt timed out")
 
@@ -265,7 +275,7 @@
         """
         with trio.move_on_after(seconds):
             try:
-                connection = await self._open(address)
+                connection = await self._open(instance, address)
             except ConnectFailedError:
                 return False
             self._add_idle(instance, connection, DEFAULT_KEEP_ALIVE_SECONDS)
@@ -301,6 +311,7 @@
 
     def forget(self, instance: InstanceId) -> None:
         """Close the idle connections of a replica."""
+        self.unreached.discard(instance)
         for connection in self._idle.pop(instance, []):
             close_now(connection.stream)
 
--- a/berylshift/entry_gauges.py
+++ b/berylshift/entry_gauges.py
@@ -131,6 +131,11 @@
     gauge(
         "connections_opened", "Connections opened to replicas.", app.ports.client.opened
     )
+    gauge(
+        "replicas_not_reached",
+        "Replicas that this host's last attempt to connect did not reach.",
+        len(app.ports.client.unreached),
+    )
     if table is not None:
         for service in table.services.values():
             if service.engine is not None:
--- a/berylshift/request/prefill_client.py
+++ b/berylshift/request/prefill_client.py
@@ -90,17 +90,19 @@
         urgency: Urgency,
         out: TargetRequest,
         seconds: float,
+        on_connected: Callable[[], None] = lambda: None,
     ) -> PrefillResult:
         """Have the engine of ``placement`` prefill the prompt of ``out``.
 
-        The call times out after ``seconds``.
+        The call times out after ``seconds``. ``on_connected`` is called once there is a
+        connection.
         """
         instance = placement.target.instance
         self._loads.record_sent(instance, placement.tokens, urgency)
         opened = self._queues.open(placement.target, placement.tokens, urgency)
         try:
             with trio.move_on_after(seconds):
-                async with self._client.exchange(out) as response:
+                async with self._client.exchange(out, on_connected) as response:
                     return await self._parse_response(
                         request, placement.target, response
                     )
--- a/berylshift/request/relay.py
+++ b/berylshift/request/relay.py
@@ -13,6 +13,7 @@
 from berylshift.messages.replicas import Replica
 from berylshift.messages.routed import Dispatch, Prompt, RoutedRequest
 from berylshift.process.targets.target_load import MILD_FAILURE, SEVERE_FAILURE
+from berylshift.request.attempt_log import AttemptLog
 from berylshift.request.crash_watch import QuarantinedError
 from berylshift.request.handle_offers import HandleOffers
 from berylshift.request.messages import Outcome
@@ -91,12 +92,10 @@
         self._out = ResponseStream(responder, deps.clock)
         self._history = AttemptHistory()
         self._retry_budget = deps.retry_budget_for(service)
-        self._attempt_log: list[str] = []
+        self.attempts = AttemptLog(deps.clock, self._describe_state)
         self._exchange = ReplicaExchange(deps, req, route, self._out, self._history)
         self.crash_watch = RoutedCrashWatch(deps, req)
         self._choice = ReplicaSelector(deps, service, self.crash_watch)
-        self._open_placement: Placement | None = None
-        self._attempt_started = 0.0
         self._kv_source: KvSource | None = None
         self._kv_source_uses = 0
         self._handles = HandleOffers(deps, service)
@@ -137,21 +136,19 @@
                 return self._result_unless_run(RelayOutcome.KEY_REVOKED, exc, 0.0)
             finally:
                 self._release_kv_source()
-            return RelayResult(outcome, self._last_outcome(), self._attempt_log)
-        if self._open_placement is not None:
-            description = f"{self._open_placement.reason} open"
-            self._log_attempt(self._open_placement, description, self._attempt_started)
+            return RelayResult(outcome, self._last_outcome(), self.attempts.texts)
+        self.attempts.cancel()
         if self._out.started:
             return RelayResult(
                 RelayOutcome.CUT,
                 "time is up",
-                self._attempt_log,
+                self.attempts.texts,
                 timeout_source=self._timeout_source(),
             )
         return RelayResult(
             RelayOutcome.TIMED_OUT,
             self._last_outcome(),
-            self._attempt_log,
+            self.attempts.texts,
             timeout_source=self._timeout_source(),
         )
 
@@ -160,7 +157,7 @@
         return RelayResult(
             RelayOutcome.CUT,
             reason,
-            self._attempt_log,
+            self.attempts.texts,
             timeout_source=self._timeout_source(),
         )
 
@@ -196,7 +193,7 @@
         found = self._final_outcome()
         if found is RelayOutcome.NOT_RUN:
             found = outcome
-        return RelayResult(found, str(exc), self._attempt_log, retry_after_seconds)
+        return RelayResult(found, str(exc), self.attempts.texts, retry_after_seconds)
 
     @property
     def first_ms(self) -> float | None:
@@ -232,34 +229,13 @@
         last = self._history.last
         return str(last.outcome) if last is not None else "no replica"
 
-    def _log_attempt(
-        self, placement: Placement, description: str, sent_at: float
-    ) -> None:
-        """Add an attempt to the log: its prediction, start and end."""
-        ms = (self._now() - self._started_at) * 1000
-        sent_ms = (sent_at - self._started_at) * 1000
-        details = (
-            f"predicted={placement.seconds * 1000:.0f}ms tokens={placement.tokens}"
-        )
-        details += (
-            f" again={placement.uncached_prefix_tokens} ahead={placement.queued:.0f}"
-        )
-        if placement.factor != 1.0:
-            details += f" factor={placement.factor:.2f}"
-        if placement.event_gap is not None:
-            details += f" gap={placement.event_gap * 1000:.0f}ms"
+    def _describe_state(self) -> str:
+        """Return what the scheduler knew of the request, for the attempt log."""
+        state = ""
         if self._known_queues is not None:
-            details += f" queues={self._known_queues}"
-        if placement.fetch is not None:
-            fetch = placement.fetch
-            details += f" fetch={fetch.tokens}@{fetch.source.instance}"
-        details += f" standing={self._slo_status}"
-        if self._turn.waits_for_share:
-            details += " waits=share"
-        details += f" sent={sent_ms:.0f}ms"
-        self._attempt_log.append(
-            f"{placement.target.instance} {description} {details} {ms:.0f}ms"
-        )
+            state += f" queues={self._known_queues}"
+        state += f" standing={self._slo_status}"
+        return state + (" waits=share" if self._turn.waits_for_share else "")
 
     async def _run_attempts(self) -> RelayOutcome:
         stop_reason = await run_attempts(
@@ -272,7 +248,7 @@
         if stop_reason is StopReason.DONE:
             return RelayOutcome.ANSWERED
         if stop_reason is StopReason.RETRY_BUDGET_SPENT:
-            self._attempt_log.append(str(stop_reason))
+            self.attempts.note(str(stop_reason))
         return self._final_outcome()
 
     def is_past_deadline(self) -> bool:
@@ -376,7 +352,7 @@
         if reason is None:
             return False
         ms = (self._now() - self._started_at) * 1000
-        self._attempt_log.append(
+        self.attempts.note(
             f"{source.engine.instance} handle not offered: {reason} {ms:.0f}ms"
         )
         self._release_kv_source()
@@ -408,8 +384,7 @@
 
     async def _prefill_at(self, placement: Placement) -> AttemptOutcome:
         """Prefill at one engine; keep its KV cache for the decode engine."""
-        sent_at = self._attempt_started = self._now()
-        self._open_placement = placement
+        sent_at = self.attempts.begin(placement, is_prefill=True)
         found = await self._deps.prefill_client.prefill(
             self._req.id,
             placement,
@@ -418,10 +393,10 @@
                 placement.target, prefill_only=True, fetch_from=placement.fetch_from
             ),
             self._first_chunk_deadline - sent_at,
+            self.attempts.on_connected,
         )
         self._prefills += found.end not in NEVER_SENT
-        self._open_placement = None
-        self._log_attempt(placement, f"read {placement.reason} {found.end}", sent_at)
+        self.attempts.end(found.end)
         if found.source is None:
             await self._record_health(placement.target, found.end)
         else:
@@ -557,8 +532,7 @@
         limit_exempt = self._choice.record_send(instance)
         loads.record_sent(instance, placement.tokens, self._urgency)
         prefill = PendingPrefill(loads, instance, placement.tokens, self._urgency)
-        self._open_placement = placement
-        sent_at = self._attempt_started = self._now()
+        sent_at = self.attempts.begin(placement)
         if placement.fetch is not None:
             self._deps.fetches.record_sent(placement.fetch, placement.target, sent_at)
         response_had_started = self._out.started
@@ -571,7 +545,10 @@
                 fetch_from=placement.fetch_from,
             )
             outcome = await self._exchange.run(
-                out, prefill, lambda: self._on_streaming(placement, source)
+                out,
+                prefill,
+                lambda: self._on_streaming(placement, source),
+                self.attempts.on_connected,
             )
         finally:
             prefill.done()
@@ -580,11 +557,7 @@
                 sent_at, self._history.has_open_attempt or outcome.may_have_run
             )
         refusal = self._settle_kv_source(outcome, instance, sent_at)
-        self._open_placement = None
-        description = f"{placement.reason} {outcome}"
-        if refusal is not None:
-            description += f" {refusal}"
-        self._log_attempt(placement, description, sent_at)
+        self.attempts.end(outcome, "" if refusal is None else f" {refusal}")
         # Recording the health may wait for a connection probe. If the deadline passes
         # meanwhile, the attempt must still count as one that may have run.
         self._history.has_open_attempt = outcome.may_have_run
--- a/berylshift/request/replica_exchange.py
+++ b/berylshift/request/replica_exchange.py
@@ -92,27 +92,32 @@
         out: TargetRequest,
         prefill: PendingPrefill,
         on_streaming: Callable[[], None] = lambda: None,
+        on_connected: Callable[[], None] = lambda: None,
     ) -> AttemptOutcome:
         """Send ``out`` once and return the outcome.
 
         A cancelled attempt stays open in the history, since the replica may run it.
         ``on_streaming`` is called when the first data of a stream arrives.
+        ``on_connected`` is called once there is a connection.
         """
         self._history.has_open_attempt = True
         self._on_streaming = on_streaming
         self.run_started_at = None
-        outcome = await self._exchange(out, prefill)
+        outcome = await self._exchange(out, prefill, on_connected)
         self._history.has_open_attempt = False
         return outcome
 
     async def _exchange(
-        self, out: TargetRequest, prefill: PendingPrefill
+        self,
+        out: TargetRequest,
+        prefill: PendingPrefill,
+        on_connected: Callable[[], None],
     ) -> AttemptOutcome:
         limit = ReadTimeout(NEVER)
         limit.restart(self._first_byte_timeout())
         try:
             async with AsyncExitStack() as stack:
-                exchange = self._deps.client.exchange(out)
+                exchange = self._deps.client.exchange(out, on_connected)
                 answer = await limit.wait_for(stack.enter_async_context(exchange))
                 return await self._receive_response(
                     out.instance, answer, limit, prefill
--- a/berylshift/request/routed_handler.py
+++ b/berylshift/request/routed_handler.py
@@ -52,11 +52,16 @@
 
 
 class RequestSummary(msgspec.Struct, frozen=True):
-    """A finished request, for metrics; ``timeout_source``: which limit ended it."""
+    """A finished request, for metrics; ``timeout_source``: which limit ended it.
+
+    ``attempt_outcomes``: how its attempts at replicas of ``service`` ended.
+    """
 
     route: RouteName
+    service: ServiceName
     outcome: RelayOutcome
     seconds: float
+    attempt_outcomes: tuple[str, ...] = ()
     timeout_source: TimeoutSource | None = None
     customer: CustomerName | None = None
 
@@ -235,19 +240,22 @@
             result = relay.truncated_result(str(exc))
             raise
         except (trio.BrokenResourceError, trio.ClosedResourceError):
-            result = RelayResult(RelayOutcome.CALLER_LEFT, attempts=result.attempts)
+            result = RelayResult(RelayOutcome.CALLER_LEFT)
             raise
         finally:
             if result.outcome is RelayOutcome.GIVEN_UP and responder.caller_left:
-                result = RelayResult(RelayOutcome.CALLER_LEFT, attempts=result.attempts)
+                result = RelayResult(RelayOutcome.CALLER_LEFT)
             self._deps.recent_durations.end(measured, result.outcome in TIMED_OUTCOMES)
             seconds = clock.monotonic() - started
+            relay.attempts.cancel()
             self._log(relay, req, route, result, seconds)
             self._observe(
                 RequestSummary(
                     route.name,
+                    relay.service,
                     result.outcome,
                     seconds,
+                    tuple(relay.attempts.outcomes),
                     result.timeout_source,
                     req.customer,
                 )
@@ -344,7 +352,7 @@
                 "service": relay.service,
                 "outcome": result.outcome,
                 "detail": result.detail,
-                "sends": result.attempts,
+                "sends": relay.attempts.texts,
                 "bound": result.timeout_source,
                 "stopping_for": _rounded(self._deps.shutdown.seconds_since_begin),
                 "ms": round(seconds * 1000, 1),
--- a/berylshift/telemetry.py
+++ b/berylshift/telemetry.py
@@ -48,6 +48,12 @@
             ["customer", "outcome"],
             registry=self.registry,
         )
+        self._attempts = Counter(
+            "berylshift_attempts",
+            "Attempts of requests at replicas ended, by service and outcome.",
+            ["service", "outcome"],
+            registry=self.registry,
+        )
         self._customers: set[str] = set()
         self._gauges: dict[str, Gauge] = {}
 
@@ -55,6 +61,8 @@
         """Count a finished request."""
         self._requests.labels(ended.route, ended.outcome).inc()
         self._seconds.labels(ended.route).observe(ended.seconds)
+        for outcome in ended.attempt_outcomes:
+            self._attempts.labels(ended.service, outcome).inc()
         if ended.timeout_source is not None:
             self._out_of_time.labels(ended.route, ended.timeout_source).inc()
         if ended.customer is not None:
--- a/berylshift/tests/test_request_silence.py
+++ b/berylshift/tests/test_request_silence.py
@@ -79,7 +79,7 @@
         self._late = late
 
     @asynccontextmanager
-    async def exchange(self, out):
+    async def exchange(self, out, on_connected):
         """Yield the response."""
         if self._late == "head":
             await wait_until_timeouts_expire()
