--- a/berylshift/tests/entry_world.py
+++ b/berylshift/tests/entry_world.py
@@ -51,7 +51,7 @@
 SETTINGS = """
 [host]
 name = {name}
-domain = domain-1
+domain = {domain}
 [directory]
 kind = platform
 [entry]
@@ -234,6 +234,7 @@
     async def add_host(
         self,
         name: str = "",
+        domain: str = "domain-1",
         scheduling: Mapping[str, str] = NO_SCHEDULING,
         **entry: object,
     ) -> EntryApplication:
@@ -243,7 +244,7 @@
         """
         name = name or f"host-{len(self.hosts) + 1}"
         values = {"grace": 8, "reading_share": 0, **entry}
-        text = SETTINGS.format(name=name)
+        text = SETTINGS.format(name=name, domain=domain)
         text += "".join(f"{key} = {value}\n" for key, value in values.items())
         text += "[scheduling]\n"
         text += "".join(f"{key} = {value}\n" for key, value in scheduling.items())
