Let the replicas of the shutdown scenario serve again

Cause: the test world passes a replica the name of the host that connects.

Change: they take the name.

--- a/berylshift/tests/shutdown_scenario.py
+++ b/berylshift/tests/shutdown_scenario.py
@@ -56,9 +56,9 @@
 
     plan: dict[str, Fault]
 
-    async def serve(self, stream: SimulatedSocket) -> None:
+    async def serve(self, stream: SimulatedSocket, host: str = "") -> None:
         """Serve one connection until either side ends it."""
-        session = _PlannedSession(self, stream)
+        session = _PlannedSession(self, stream, host)
         try:
             while await session.serve_one():
                 pass
