Reach replicas through other hosts where the direct paths are lost

Requests were refused within 10 ms, or waited until their time was up on connections that had gone silent.

Cause: a host sends to replicas itself or not at all. Whether it reaches them enters neither what it does with a request nor what it tells the balancer, and nothing tells a lost path from a lost replica. The class: a host takes its own view of the network for that of all.

Change: a connection that is refused, or takes over 50 ms, is opened through another host: a tunnel to the replica, of this failure domain first. The host that took the request keeps all decisions, so attempts, budgets, "not run", draining and callers that leave are what they were. A path counts as lost once another host has reached the replica; lost ones are used through tunnels at once and tried again every 0.5 s. A response that is overdue has the path checked. Failures and crashes that were the path's are not told to others; a host that is cut off gives no orders.

Why it works: what a host needs to know is whether another one reaches the replica at the same time, and the attempt to serve the request tells just that.

--- a/berylshift/connection/http_client.py
+++ b/berylshift/connection/http_client.py
@@ -14,6 +14,7 @@
     ConnectFailedError,
     ConnectionBrokenError,
 )
+from berylshift.connection.tunnel_stream import TunnelStream
 
 READ_BYTES = 65536
 MAX_IDLE_PER_ADDRESS = 64
@@ -243,6 +244,8 @@
 
 def close_now(stream: trio.abc.Stream) -> None:
     """Close a stream immediately, without waiting."""
+    if isinstance(stream, TunnelStream):
+        stream = stream.inner
     if isinstance(stream, trio.SocketStream):
         stream.socket.close()
         return
--- a/berylshift/connection/target_client.py
+++ b/berylshift/connection/target_client.py
@@ -11,9 +11,9 @@
 from typing import Protocol
 
 import h11
-import msgspec
 import trio
 
+from berylshift.connection.awaited_responses import AwaitedResponses
 from berylshift.connection.errors import (
     BadResponseError,
     ConnectFailedError,
@@ -27,6 +27,8 @@
     has_no_input,
 )
 from berylshift.connection.request_body import BodyBrokenError, RequestBody
+from berylshift.connection.target_request import TargetRequest
+from berylshift.connection.tunnel_stream import TunnelStream
 from berylshift.ids import InstanceId
 from berylshift.messages.routed import Header
 
@@ -43,22 +45,6 @@
 KEEP_ALIVE_FRACTION = 0.5
 # Maximum body size of a late response to an earlier request that is skipped.
 MAX_SKIPPED_BYTES = 1 << 20
-NO_BODY = RequestBody.of(b"")
-
-
-class TargetRequest(msgspec.Struct, frozen=True):
-    """One request for one instance; ``target`` is path and query.
-
-    ``limit_exempt``: it is not throttled by the instance's rate limit.
-    """
-
-    instance: InstanceId
-    address: str
-    method: bytes
-    target: bytes
-    headers: list[Header]
-    body: RequestBody = NO_BODY
-    limit_exempt: bool = False
 
 
 class TargetGate(Protocol):
@@ -97,6 +83,51 @@
         """Ignore a response."""
 
 
+class ReplicaDialer(Protocol):
+    """Opens connections to replicas and learns from what happens on them."""
+
+    async def open(self, instance: InstanceId, address: str) -> trio.abc.Stream:
+        """Return a connection, direct or a tunnel; raise ``OSError``."""
+
+    async def open_direct(self, address: str) -> trio.abc.Stream:
+        """Return a direct connection; raise ``OSError``."""
+
+    def may_reuse(self, address: str) -> bool:
+        """Return whether open connections may be used again."""
+
+    def record_life(self, address: str) -> None:
+        """Record a response on a direct connection."""
+
+    def suspect(self, instance: InstanceId, address: str) -> None:
+        """Record that a response on a direct connection is overdue."""
+
+
+class DirectDialer:
+    """Opens direct connections only."""
+
+    def __init__(self, dial: Dial):
+        """Open them by ``dial``."""
+        self._dial = dial
+
+    async def open(self, instance: InstanceId, address: str) -> trio.abc.Stream:
+        """Return a connection; raise ``OSError``."""
+        return await self._dial(address)
+
+    async def open_direct(self, address: str) -> trio.abc.Stream:
+        """Return a connection; raise ``OSError``."""
+        return await self._dial(address)
+
+    def may_reuse(self, address: str) -> bool:
+        """Return ``True``."""
+        return True
+
+    def record_life(self, address: str) -> None:
+        """Ignore a response."""
+
+    def suspect(self, instance: InstanceId, address: str) -> None:
+        """Ignore an overdue response."""
+
+
 class TargetResponse:
     """A response whose body is streamed."""
 
@@ -167,7 +198,9 @@
     def __init__(self, connect_seconds: float, dial: Dial = dial_tcp):
         """Open streams by ``dial`` within ``connect_seconds``."""
         self._connect_seconds = connect_seconds
-        self._dial = dial
+        self.dial = dial
+        self._dialer: ReplicaDialer = DirectDialer(dial)
+        self._awaited = AwaitedResponses(self._on_overdue)
         self._idle: dict[InstanceId, list[ClientConnection]] = defaultdict(list)
         self._send_nursery: trio.Nursery | None = None
         self._gate: TargetGate = UnlimitedGate()
@@ -179,43 +212,69 @@
         """Call ``gate`` for each request and response."""
         self._gate = gate
 
+    def set_dialer(self, dialer: ReplicaDialer) -> None:
+        """Open connections by ``dialer`` from now on."""
+        self._dialer = dialer
+
     async def run(self) -> None:
         """Run the tasks that send large bodies, until cancelled."""
         async with trio.open_nursery() as nursery:
             self._send_nursery = nursery
-            await trio.sleep_forever()
+            await self._awaited.run()
+
+    def _on_overdue(self, out: TargetRequest) -> None:
+        self._dialer.suspect(out.instance, out.address)
+
+    def break_silent(self, address: str) -> None:
+        """Break connections to a replica out of reach whose requests are repeatable.
+
+        A response to any other request may still come once the path is back.
+        """
+        for connection, out in self._awaited.open_at(address):
+            if out.repeatable:
+                close_now(connection.stream)
 
     @asynccontextmanager
     async def exchange(
-        self, out: TargetRequest, on_connected: Callable[[], None] = lambda: None
+        self,
+        out: TargetRequest,
+        on_connected: Callable[[str | None], None] = lambda via: None,
     ) -> AsyncIterator[TargetResponse]:
         """Send a request and yield its response.
 
-        ``on_connected`` is called once there is a connection. Raises
-        ``ThrottledError`` or ``ConnectFailedError`` if no byte was sent, and other
-        connection errors if the replica may have read the request. A connection is
-        pooled only if its response was read to the end and no bytes follow it.
+        ``on_connected`` is called once there is a connection, with the host that it
+        leads through, if any. Raises ``ThrottledError`` or ``ConnectFailedError`` if no
+        byte was sent, and other connection errors if the replica may have read the
+        request. A direct connection is pooled if its response was read to the end and
+        no bytes follow it.
         """
         admitted_at = self._gate.admit(out.instance, out.limit_exempt)
 
         def on_head(status: int, headers: list[Header]) -> None:
             self._gate.record_response(out.instance, status, headers, admitted_at)
 
-        connection = self._pop_idle(out.instance)
+        connection = self._pop_idle(out.instance, out.address)
         if connection is None:
-            connection = await self._open(out.instance, out.address)
-        on_connected()
+            connection = await self._open(out.instance, out.address, out.direct_only)
+        via = _tunnel_host(connection.stream)
+        on_connected(via)
+        is_direct = via is None
         sending = trio.CancelScope()
         response: TargetResponse | None = None
         is_reusable = False
         try:
             sent = await self._send(connection, out, sending)
-            response = TargetResponse(
-                connection, out, await connection.read_head(), on_head
-            )
+            with self._awaited.awaiting(connection, out, is_direct):
+                head = await connection.read_head()
+            if is_direct:
+                self._dialer.record_life(out.address)
+            response = TargetResponse(connection, out, head, on_head)
             yield response
             is_reusable = (
-                sent.is_set() and response.may_reuse and connection.is_reusable()
+                sent.is_set()
+                and is_direct
+                and response.may_reuse
+                and connection.is_reusable()
             )
         finally:
             sending.cancel()
@@ -254,11 +313,18 @@
         )
         return sent
 
-    async def _open(self, instance: InstanceId, address: str) -> ClientConnection:
+    async def _open(
+        self, instance: InstanceId, address: str, direct_only: bool = False
+    ) -> ClientConnection:
         self.unreached.add(instance)
+        dialer = self._dialer
         with trio.move_on_after(self._connect_seconds):
             try:
-                connection = ClientConnection(await self._dial(address))
+                if direct_only:
+                    stream = await dialer.open_direct(address)
+                else:
+                    stream = await dialer.open(instance, address)
+                connection = ClientConnection(stream)
             except OSError as exc:
                 raise ConnectFailedError(f"{address}: {exc}") from exc
             self.opened += 1
@@ -271,18 +337,23 @@
     ) -> bool:
         """Return whether a replica accepts a new connection within ``seconds``.
 
-        The connection is pooled for the next request.
+        A direct connection is pooled for the next request.
         """
         with trio.move_on_after(seconds):
             try:
                 connection = await self._open(instance, address)
             except ConnectFailedError:
                 return False
-            self._add_idle(instance, connection, DEFAULT_KEEP_ALIVE_SECONDS)
+            if isinstance(connection.stream, TunnelStream):
+                close_now(connection.stream)
+            else:
+                self._add_idle(instance, connection, DEFAULT_KEEP_ALIVE_SECONDS)
             return True
         return False
 
-    def _pop_idle(self, instance: InstanceId) -> ClientConnection | None:
+    def _pop_idle(self, instance: InstanceId, address: str) -> ClientConnection | None:
+        if not self._dialer.may_reuse(address):
+            self.forget(instance)
         connections = self._idle.get(instance)
         now = trio.current_time()
         while connections:
@@ -326,6 +397,11 @@
             self.forget(instance)
 
 
+def _tunnel_host(stream: trio.abc.Stream) -> str | None:
+    """Return the host that a connection leads through; ``None``: it is direct."""
+    return stream.host if isinstance(stream, TunnelStream) else None
+
+
 def _encode_head(conn: h11.Connection, out: TargetRequest) -> bytes:
     headers = list(out.headers)
     body = out.body
--- /dev/null
+++ b/berylshift/connection/target_request.py
@@ -0,0 +1,29 @@
+"""A request to a replica."""
+
+import msgspec
+
+from berylshift.connection.request_body import RequestBody
+from berylshift.ids import InstanceId
+from berylshift.messages.routed import Header
+
+NO_BODY = RequestBody.of(b"")
+
+
+class TargetRequest(msgspec.Struct, frozen=True):
+    """One request for one instance; ``target`` is path and query.
+
+    ``limit_exempt``: it is not throttled by the instance's rate limit.
+    ``direct_only``: it must come from this host. ``repeatable``: it may be given up
+    without a response. ``response_seconds``: when a response is overdue.
+    """
+
+    instance: InstanceId
+    address: str
+    method: bytes
+    target: bytes
+    headers: list[Header]
+    body: RequestBody = NO_BODY
+    limit_exempt: bool = False
+    direct_only: bool = False
+    repeatable: bool = False
+    response_seconds: float = float("inf")
--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -9,10 +9,12 @@
 
 from berylshift.clock import Clock
 from berylshift.connection.entry_status import EntryStatus
+from berylshift.connection.http_client import Dial, dial_tcp
 from berylshift.connection.http_server import HttpServer, ServerLimits
 from berylshift.connection.target_client import TargetClient
 from berylshift.entry_gauges import report_gauges
 from berylshift.entry_leader_tasks import EntryLeaderTasks, LeaderTaskDependencies
+from berylshift.entry_paths import EntryPaths, PathDependencies
 from berylshift.ids import DomainName, HostName, InstanceId, ServiceName
 from berylshift.messages.engine_control import EngineControl
 from berylshift.messages.replicas import ENTRY_TTL_HEARTBEATS
@@ -130,6 +132,8 @@
     announces_contention: Callable[[str], bool] = lambda contracts: False
     # Makes the link for queue messages; ``None``: hosts exchange none.
     make_queue_link: Callable[[str], QueueLink] | None = None
+    # Opens connections to other hosts, for tunnels.
+    dial_peer: Dial = dial_tcp
 
 
 class EntryApplication:
@@ -186,14 +190,12 @@
         self.customer_demand = CustomerDemand(cfg.host.name, cfg.host.domain)
         self.fair_queueing = self._make_fair_queueing()
         self.replica_updates = ReplicaUpdates(cfg.host.name, self._uses_replica_gossip)
+        self.paths = self._make_paths()
         self.leader_tasks = self._make_leader_tasks()
         self.load_loop = self._make_load_loop()
         self.quarantine_loop = self._make_quarantine_loop()
         self.handler = self._make_handler()
-        self.server = HttpServer(self.handler.handle, streams_bodies=True)
-        self.status_server = HttpServer(
-            EntryStatus(cfg.entry.ready_path, self.is_ready, self.telemetry.text).handle
-        )
+        self.server, self.status_server = self._make_servers()
         self.directory_loop = DirectoryLoop(
             ports.directory,
             self.routes,
@@ -207,6 +209,23 @@
             self.replica_updates,
         )
 
+    def _make_paths(self) -> EntryPaths:
+        """Return the paths to replicas, installed in the client."""
+        deps = PathDependencies(
+            host=HostName(self.cfg.host.name),
+            domain=DomainName(self.cfg.host.domain),
+            client=self.ports.client,
+            dial_peer=self.ports.dial_peer,
+            replicas=self.replicas,
+            hosts=lambda: self.load_loop.sharing_hosts(),
+            clock=self.ports.clock,
+            rng=self.ports.rng,
+            start_task=self._start_background_task,
+            is_stopping=lambda: self.is_stopping,
+            on_path_at_fault=self.loads.clear_failures,
+        )
+        return EntryPaths(deps)
+
     def _make_quarantine_loop(self) -> QuarantineLoop:
         """Return the loop that keeps quarantined requests in the store."""
         ports = self.ports
@@ -271,6 +290,14 @@
             deps, self.routes, key_gate, ports.rng, self.telemetry.request_ended
         )
 
+    def _make_servers(self) -> tuple[HttpServer, HttpServer]:
+        """Return the servers of callers' requests and of the status."""
+        status = EntryStatus(
+            self.cfg.entry.ready_path, self.is_ready, self.telemetry.text
+        )
+        callers = HttpServer(self.handler.handle, streams_bodies=True)
+        return callers, HttpServer(status.handle)
+
     def _make_placement_context(self) -> PlacementContext:
         """Return the state that placement works with."""
         return PlacementContext(
@@ -306,6 +333,7 @@
     def _use_key(self, key: str) -> None:
         """Use the key that all hosts share."""
         self.fingerprints.use_key(key)
+        self.paths.use_key(key)
         if self.queue_loop is not None:
             self.queue_loop.use_key(key)
 
@@ -542,7 +570,7 @@
             is_idle=self.is_idle,
             host_count=self._sharing_host_count,
             holder=cfg.host.name,
-            is_stopping=lambda: self.is_stopping,
+            is_stopping=lambda: self.is_stopping or self.paths.is_cut_off_from(service),
             is_limited=lambda instance: self.throttle.is_limited(
                 instance, ports.clock.monotonic()
             ),
@@ -618,6 +646,7 @@
             await trio.sleep(BALANCER_NOTICE_SECONDS)
             self.server.close_idle()
             await self.server.wait_until_idle(QUIET_SECONDS)
+            await self.paths.tunnel_server.wait_until_idle()
         with trio.move_on_after(FINAL_RESPONSE_SECONDS) as scope:
             await self.server.finish()
         if scope.cancelled_caught:
--- a/berylshift/entry_gauges.py
+++ b/berylshift/entry_gauges.py
@@ -131,15 +131,37 @@
     gauge(
         "connections_opened", "Connections opened to replicas.", app.ports.client.opened
     )
+    _set_path_gauges(app)
+    if table is not None:
+        for service in table.services.values():
+            if service.engine is not None:
+                _set_capacity_gauges(app, service.name)
+
+
+def _set_path_gauges(app: "EntryApplication") -> None:
+    """Set the gauges of connections to replicas."""
+    gauge, paths = app.telemetry.gauge, app.paths
+    paths.states.retain_listed()
     gauge(
         "replicas_not_reached",
         "Replicas that this host's last attempt to connect did not reach.",
         len(app.ports.client.unreached),
     )
-    if table is not None:
-        for service in table.services.values():
-            if service.engine is not None:
-                _set_capacity_gauges(app, service.name)
+    gauge(
+        "replica_paths_lost",
+        "Replicas that other hosts reach and this one does not.",
+        len(paths.states),
+    )
+    gauge(
+        "tunnels_used",
+        "Connections to replicas opened through other hosts.",
+        paths.dialer.tunnels_opened,
+    )
+    gauge(
+        "tunnels_served",
+        "Connections to replicas opened for other hosts.",
+        paths.tunnel_server.opened,
+    )
 
 
 def _set_capacity_gauges(app: "EntryApplication", service: ServiceName) -> None:
--- a/berylshift/platform/engines.py
+++ b/berylshift/platform/engines.py
@@ -90,6 +90,8 @@
             RequestBody.of(body),
             # Orders are rare, and they relieve an engine that is at its limit.
             limit_exempt=True,
+            # Engines tell holders of the lease by the host that an order comes from.
+            direct_only=True,
         )
         with trio.move_on_after(self._timeout_seconds):
             try:
--- a/berylshift/process/directory/replica_set.py
+++ b/berylshift/process/directory/replica_set.py
@@ -276,6 +276,10 @@
         """Return a service's replicas as listed, including draining ones."""
         return [entry for entry in self._listed.values() if entry.service == service]
 
+    def entries(self) -> list[Replica]:
+        """Return the replicas of all services as listed, including draining ones."""
+        return list(self._listed.values())
+
     def instance_of(self, target: int) -> InstanceId | None:
         """Return the listed instance with a given short hash."""
         found = (entry.instance for entry in self._listed.values())
--- /dev/null
+++ b/berylshift/process/paths/__init__.py
@@ -0,0 +1,1 @@
+"""Paths to replicas: direct ones, and tunnels through other hosts."""
--- a/berylshift/process/targets/target_load.py
+++ b/berylshift/process/targets/target_load.py
@@ -139,6 +139,10 @@
         load.failure_at = now
         load.refusals = 0
 
+    def clear_failures(self, instance: InstanceId) -> None:
+        """Drop failures that were not the replica's fault."""
+        self.of(instance).failure = 0.0
+
     def record_refusal(self, instance: InstanceId, now: float) -> None:
         """Record that a replica refused a request without running it."""
         load = self.of(instance)
--- a/berylshift/request/attempt_log.py
+++ b/berylshift/request/attempt_log.py
@@ -23,6 +23,7 @@
         self._prefix = ""
         self._opened_at = 0.0
         self._is_connected = False
+        self._via: str | None = None
         self.texts: list[str] = []
         self.outcomes: list[str] = []
 
@@ -30,13 +31,13 @@
         """Begin an attempt; return the time."""
         self._open = placement
         self._prefix = PREFILL_PREFIX if is_prefill else ""
-        self._is_connected = False
+        self._is_connected, self._via = False, None
         self._opened_at = self._clock.monotonic()
         return self._opened_at
 
-    def on_connected(self) -> None:
-        """Record that the open attempt has a connection."""
-        self._is_connected = True
+    def on_connected(self, via: str | None) -> None:
+        """Record that the open attempt has a connection, through the host ``via``."""
+        self._is_connected, self._via = True, via
 
     def end(self, outcome: str, suffix: str = "") -> None:
         """End the open attempt."""
@@ -68,5 +69,8 @@
         if placement.fetch is not None:
             fetch = placement.fetch
             details += f" fetch={fetch.tokens}@{fetch.source.instance}"
-        details += f"{self._describe_state()} sent={sent_ms:.0f}ms"
+        details += self._describe_state()
+        if self._via is not None:
+            details += f" via={self._via}"
+        details += f" sent={sent_ms:.0f}ms"
         return f"{placement.target.instance} {description} {details} {ms:.0f}ms"
--- a/berylshift/request/prefill_client.py
+++ b/berylshift/request/prefill_client.py
@@ -90,7 +90,7 @@
         urgency: Urgency,
         out: TargetRequest,
         seconds: float,
-        on_connected: Callable[[], None] = lambda: None,
+        on_connected: Callable[[str | None], None] = lambda via: None,
     ) -> PrefillResult:
         """Have the engine of ``placement`` prefill the prompt of ``out``.
 
--- a/berylshift/request/relay.py
+++ b/berylshift/request/relay.py
@@ -32,6 +32,7 @@
     FailedResponse,
     PendingPrefill,
     ReplicaExchange,
+    overdue_seconds,
 )
 from berylshift.request.replica_selector import ReplicaSelector
 from berylshift.request.request_timeout import TimeoutSource, request_timeout
@@ -62,6 +63,9 @@
 WRITE_GRACE_SECONDS = 0.25
 # Prefill engines that are tried for one prompt.
 MAX_PREFILLS = 2
+# A prefill is overdue after this multiple of its predicted time, and this long beyond.
+OVERDUE_PREFILL_FACTOR = 3.0
+MIN_OVERDUE_PREFILL_SECONDS = 0.3
 # Decode engines that are offered one KV cache. An engine that refuses may be full or
 # unable to fetch the cache; a second refusal means that the cache is gone.
 MAX_KV_SOURCE_USES = 2
@@ -390,7 +394,11 @@
             placement,
             self._urgency,
             self._target_request(
-                placement.target, prefill_only=True, fetch_from=placement.fetch_from
+                placement.target,
+                prefill_only=True,
+                fetch_from=placement.fetch_from,
+                response_seconds=MIN_OVERDUE_PREFILL_SECONDS
+                + OVERDUE_PREFILL_FACTOR * placement.seconds,
             ),
             self._first_chunk_deadline - sent_at,
             self.attempts.on_connected,
@@ -683,6 +691,7 @@
         prefill_only: bool = False,
         limit_exempt: bool = False,
         fetch_from: Replica | None = None,
+        response_seconds: float | None = None,
     ) -> TargetRequest:
         req = self._req
         after = req.resume_after
@@ -706,4 +715,6 @@
             headers,
             req.body,
             limit_exempt=limit_exempt,
+            repeatable=prefill_only or self._route.repeatable,
+            response_seconds=response_seconds or overdue_seconds(self._route),
         )
--- a/berylshift/request/replica_exchange.py
+++ b/berylshift/request/replica_exchange.py
@@ -40,6 +40,14 @@
 MAX_EVENT_GAP_SECONDS = 1.2
 
 
+def overdue_seconds(route: Route) -> float:
+    """Return the time after which a response has taken unusually long."""
+    factor = STREAM_SILENCE_FACTOR
+    if route.kind is not RouteKind.STREAM:
+        factor = SILENCE_FACTOR
+    return max(MIN_SILENCE_SECONDS, factor * route.objective_seconds)
+
+
 class FailedResponse(msgspec.Struct, frozen=True):
     """An error response of a replica, which may be forwarded as it is."""
 
@@ -92,7 +100,7 @@
         out: TargetRequest,
         prefill: PendingPrefill,
         on_streaming: Callable[[], None] = lambda: None,
-        on_connected: Callable[[], None] = lambda: None,
+        on_connected: Callable[[str | None], None] = lambda via: None,
     ) -> AttemptOutcome:
         """Send ``out`` once and return the outcome.
 
@@ -111,7 +119,7 @@
         self,
         out: TargetRequest,
         prefill: PendingPrefill,
-        on_connected: Callable[[], None],
+        on_connected: Callable[[str | None], None],
     ) -> AttemptOutcome:
         limit = ReadTimeout(NEVER)
         limit.restart(self._first_byte_timeout())
@@ -141,9 +149,7 @@
         """
         if not self._may_retry_elsewhere() or not self._req.body.ended:
             return NEVER
-        stream = self._route.kind is RouteKind.STREAM
-        factor = STREAM_SILENCE_FACTOR if stream else SILENCE_FACTOR
-        return max(MIN_SILENCE_SECONDS, factor * self._route.objective_seconds)
+        return overdue_seconds(self._route)
 
     def _may_retry_elsewhere(self) -> bool:
         more = self._history.possible_runs + 1 < self._route.max_attempts
--- a/berylshift/serve_entry.py
+++ b/berylshift/serve_entry.py
@@ -83,6 +83,7 @@
     """Serve the platform's routes until SIGTERM, then shut down gracefully."""
     listener = open_listener(cfg.host.address)
     status_listener = open_listener(cfg.entry.status_address)
+    tunnel_listener = open_listener(cfg.host.peer_address)
     sock = await _open_datagram_socket(cfg.host.peer_address)
     queue_sock = await _open_datagram_socket(queue_address(cfg.host.peer_address))
     ports = make_entry_ports(
@@ -99,6 +100,7 @@
         nursery.start_soon(app.run)
         nursery.start_soon(app.status_server.serve, status_listener)
         nursery.start_soon(app.server.serve, listener)
+        nursery.start_soon(app.paths.tunnel_server.serve, tunnel_listener)
         if cfg.entry.metrics_address:
             metrics_listener = open_listener(cfg.entry.metrics_address)
             nursery.start_soon(app.status_server.serve, metrics_listener)
--- a/berylshift/tests/entry_world.py
+++ b/berylshift/tests/entry_world.py
@@ -52,6 +52,7 @@
 [host]
 name = {name}
 domain = {domain}
+peer_address = {peer_address}
 [directory]
 kind = platform
 [entry]
@@ -231,6 +232,20 @@
         self.nursery.start_soon(replica.serve, far, host)
         return near
 
+    async def dial_host(self, address: str) -> trio.abc.Stream:
+        """Connect to a host, for a tunnel."""
+        await trio.sleep(0.001)
+        for app in self.hosts:
+            if app.cfg.host.peer_address == address:
+                near, far = self.host_link()
+                self.nursery.start_soon(app.paths.tunnel_server.serve_stream, far)
+                return near
+        raise OSError("connection refused")
+
+    def host_link(self) -> tuple[trio.abc.Stream, trio.abc.Stream]:
+        """Return the ends of a connection between two hosts."""
+        return pipe_pair()
+
     async def add_host(
         self,
         name: str = "",
@@ -244,7 +259,8 @@
         """
         name = name or f"host-{len(self.hosts) + 1}"
         values = {"grace": 8, "reading_share": 0, **entry}
-        text = SETTINGS.format(name=name, domain=domain)
+        peer_address = f"10.1.0.{len(self.hosts) + 1}:7380"
+        text = SETTINGS.format(name=name, domain=domain, peer_address=peer_address)
         text += "".join(f"{key} = {value}\n" for key, value in values.items())
         text += "[scheduling]\n"
         text += "".join(f"{key} = {value}\n" for key, value in scheduling.items())
@@ -266,6 +282,7 @@
             scale_ordering=self.duties,
             scale_rows=self.scale_rows,
             make_link=lambda key: MemoryLink(self.links),
+            dial_peer=self.dial_host,
         )
         app = EntryApplication(parse_settings(text).unwrap(), ports)
         self.hosts.append(app)
--- a/berylshift/tests/lost_paths_world.py
+++ b/berylshift/tests/lost_paths_world.py
@@ -4,6 +4,7 @@
 """
 
 import itertools
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 from functools import partial
@@ -40,6 +41,7 @@
     def __init__(self, window: int):
         """Start in reach."""
         super().__init__(window)
+        self.address = ""
         self.hangs = False
         self._held = bytearray()
 
@@ -93,14 +95,20 @@
     def __init__(self, nursery: trio.Nursery):
         """Start with all paths open."""
         super().__init__(nursery)
-        self.cuts: dict[str, Cut] = {}
+        # Cuts of each host, by address; the empty address stands for all others.
+        self.cuts: dict[str, dict[str, Cut]] = {}
         self.sockets: dict[str, list[CutSocket]] = {}
+        self.host_links: list[SimulatedSocket] = []
+        # Addresses of hosts of an older build, which serve no tunnels.
+        self.without_tunnels: set[str] = set()
         self.ids = itertools.count(1)
 
-    def cut(self, host: str, cut: Cut) -> None:
-        """Cut a host off from all replicas."""
-        self.cuts[host] = cut
+    def cut(self, host: str, cut: Cut, addresses: Iterable[str] = ("",)) -> None:
+        """Cut a host off from some replicas; default: all."""
+        self.cuts[host] = cuts = dict.fromkeys(addresses, cut)
         for sock in self.sockets.get(host, []):
+            if cuts.get(sock.address, cuts.get("", Cut.NONE)) is Cut.NONE:
+                continue
             if cut is Cut.HANG:
                 sock.hangs = True
             elif cut is Cut.RESET and not sock.closed:
@@ -109,7 +117,7 @@
 
     def heal(self, host: str) -> None:
         """Restore a host's paths."""
-        self.cuts[host] = Cut.NONE
+        self.cuts[host] = {}
         for sock in self.sockets.get(host, []):
             if sock.hangs:
                 sock.heal()
@@ -118,17 +126,31 @@
         """Connect ``host`` to a replica, unless it is cut off."""
         self.dials += 1
         await trio.sleep(LATENCY_SECONDS)
-        cut = self.cuts.get(host, Cut.NONE)
+        cuts = self.cuts.get(host, {})
+        cut = cuts.get(address, cuts.get("", Cut.NONE))
         if cut is Cut.HANG:
             await trio.sleep_forever()
         replica = self.replicas.get(address)
         if cut is not Cut.NONE or replica is None or not replica.alive:
             raise OSError("connection refused")
         near, far = socket_pair(near_type=CutSocket)
+        near.address = address
         self.sockets.setdefault(host, []).append(near)
         self.nursery.start_soon(replica.serve, far, host)
         return near
 
+    async def dial_host(self, address: str) -> trio.abc.Stream:
+        """Connect to a host, for a tunnel."""
+        if address in self.without_tunnels:
+            raise OSError("connection refused")
+        return await super().dial_host(address)
+
+    def host_link(self) -> tuple[SimulatedSocket, SimulatedSocket]:
+        """Return the ends of a connection between two hosts."""
+        near, far = socket_pair()
+        self.host_links.append(far)
+        return near, far
+
     async def call_steadily(self, host: int, seconds: float) -> Tally:
         """Send a host requests of each kind for ``seconds`` and count the answers."""
         tally = Tally()
--- a/berylshift/tests/shutdown_scenario.py
+++ b/berylshift/tests/shutdown_scenario.py
@@ -189,7 +189,10 @@
         if not self.processes:
             return
         app = self.rng.choice(self.processes).app
-        text = SETTINGS.format(name=app.cfg.host.name)
+        host = app.cfg.host
+        text = SETTINGS.format(
+            name=host.name, domain=host.domain, peer_address=host.peer_address
+        )
         text += f"retry_ratio = {self.rng.choice([0.1, 0.3])}\n"
         text += "grace = 8\nreading_share = 0\n"
         text += f"[callers]\nconnections = {self.rng.choice([8, 2048])}\n"
--- a/berylshift/tests/test_platform_adapter.py
+++ b/berylshift/tests/test_platform_adapter.py
@@ -10,7 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from berylshift.connection.target_client import NO_BODY
+from berylshift.connection.target_request import NO_BODY
 from berylshift.messages.replicas import EnginePhase
 from berylshift.messages.routed import Dispatch
 from berylshift.platform import names
--- a/berylshift/tests/test_request_key_gate.py
+++ b/berylshift/tests/test_request_key_gate.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from berylshift.connection.target_client import NO_BODY
+from berylshift.connection.target_request import NO_BODY
 from berylshift.ids import CustomerName, ReplicaName, TableVersion
 from berylshift.messages.routed import Dispatch
 from berylshift.platform import names
