Give up on a replica that other hosts don't reach either

What callers saw: a connection to a replica whose machine has gone silent was awaited for a second, also while two other hosts had said within 0.2 s that they don't reach it.

Cause: the race for a connection ended only with its last attempt, which hangs; and a race that the caller's deadline ended left no memory of it, so each further attempt asked up to eight hosts again. A host that had not answered was asked first again.

Change: two hosts that have just reached other replicas end the race, and its end is remembered for a second, whoever ended it. A host without an answer within 50 ms is asked last for two seconds. The race is a module of its own.

--- a/berylshift/process/paths/replica_dialer.py
+++ b/berylshift/process/paths/replica_dialer.py
@@ -1,7 +1,9 @@
 """Opens connections to replicas, through other hosts where the direct path is lost."""
 
 import itertools
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from functools import partial
 
 import trio
 
@@ -11,6 +13,11 @@
 from berylshift.connection.tunnel_client import TunnelClient, TunnelRefusedError
 from berylshift.ids import InstanceId
 from berylshift.messages.tunnel import TunnelRequest, TunnelStatus
+from berylshift.process.paths.connection_race import (
+    STAGGER_SECONDS,
+    Attempt,
+    ConnectionRace,
+)
 from berylshift.process.paths.replica_paths import (
     LIFE_SECONDS,
     PathState,
@@ -20,9 +27,6 @@
 from berylshift.process.paths.tunnel_hosts import TunnelHosts
 from berylshift.store.host_rows import HostRecord
 
-# A connection that takes longer is tried through another host, too: several round
-# trips between regions, and short for a caller.
-STAGGER_SECONDS = 0.05
 # How long a path may take after another host has reached the replica.
 CONFIRM_SECONDS = 0.2
 # How long a background check waits for a connection.
@@ -34,43 +38,25 @@
 # Hosts that reach other replicas, but not this one, until it counts as gone.
 MIN_WITNESSES = 2
 
-Attempt = Callable[[], Awaitable[trio.abc.Stream]]
 
+@dataclass
+class _Opening:
+    """One connection that is being opened.
 
-class _Race:
-    """Attempts at one connection: each starts when the former failed or is slow."""
+    ``direct_state``: how the direct attempt fails so far; ``None``: it was not started.
+    ``refusals``: hosts that opened no tunnel. ``witnesses``: those among them that can
+    tell that the replica is gone.
+    """
 
-    def __init__(self) -> None:
-        """Start without a winner."""
-        self.winner: trio.abc.Stream | None = None
-        self.error: Exception = ConnectFailedError("no attempt")
+    request: TunnelRequest
+    hosts: list[HostRecord]
+    direct_state: PathState | None = None
+    refusals: set[str] = field(default_factory=set)
+    witnesses: set[str] = field(default_factory=set)
 
-    async def run(self, attempts: list[Attempt]) -> trio.abc.Stream:
-        """Return the first connection; raise the last error if there is none."""
-        async with trio.open_nursery() as nursery:
-            for attempt in attempts:
-                failed = trio.Event()
-                nursery.start_soon(self._try, attempt, failed, nursery.cancel_scope)
-                with trio.move_on_after(STAGGER_SECONDS):
-                    await failed.wait()
-        if self.winner is None:
-            raise self.error
-        return self.winner
-
-    async def _try(
-        self, attempt: Attempt, failed: trio.Event, scope: trio.CancelScope
-    ) -> None:
-        try:
-            stream = await attempt()
-        except (OSError, ConnectFailedError) as exc:
-            self.error = exc
-            failed.set()
-            return
-        if self.winner is not None:
-            close_now(stream)
-            return
-        self.winner = stream
-        scope.cancel()
+    def is_hopeless(self) -> bool:
+        """Return whether other hosts have shown that the replica is gone."""
+        return len(self.witnesses) >= min(MIN_WITNESSES, len(self.hosts) or 1)
 
 
 class ReplicaDialer:
@@ -103,6 +89,8 @@
         self._checks = trio.CapacityLimiter(MAX_CHECKS)
         self.tunnels_opened = 0
 
+    # For the target client
+
     async def open_direct(self, address: str) -> trio.abc.Stream:
         """Return a direct connection; raise ``OSError``."""
         stream = await self._dial(address)
@@ -115,20 +103,27 @@
     async def open(self, instance: InstanceId, address: str) -> trio.abc.Stream:
         """Return a connection to a replica; raise ``OSError`` if there is none."""
         now = self._clock.monotonic()
-        direct = _DirectAttempt(self, address)
-        tunnels = self._tunnel_attempts(instance, address, direct, now)
-        if self.paths.first_route(address) is Route.TUNNEL and tunnels:
+        hosts = []
+        if self.paths.may_tunnel(address, now):
+            hosts = self._hosts.candidates(now)
+        opening = _Opening(TunnelRequest(instance, address), hosts)
+        direct: Attempt = partial(self._open_direct, opening)
+        attempts: list[Attempt] = [
+            partial(self._open_tunnel, opening, host) for host in hosts
+        ]
+        if hosts and self.paths.first_route(address) is Route.TUNNEL:
             self._recheck_if_due(address)
-            attempts: list[Attempt] = [*tunnels, direct.run]
+            attempts.append(direct)
         else:
-            attempts = [direct.run, *tunnels]
+            attempts.insert(0, direct)
         try:
-            return await _Race().run(attempts)
+            return await ConnectionRace(opening.is_hopeless).run(attempts)
         except (OSError, ConnectFailedError) as exc:
-            if tunnels:
-                # In an outage of the replica each further attempt would ask all hosts.
-                self.paths.record_unreached(address, self._clock.monotonic())
+            self._on_failed(opening)
             raise OSError(str(exc)) from exc
+        except trio.Cancelled:
+            self._on_failed(opening)
+            raise
 
     def may_reuse(self, address: str) -> bool:
         """Return whether open connections to a replica may be used again."""
@@ -143,83 +138,77 @@
         if self.paths.take_check(address, self._clock.monotonic()):
             self._start_task(self._check, instance, address)
 
-    def _tunnel_attempts(
-        self,
-        instance: InstanceId,
-        address: str,
-        direct: "_DirectAttempt",
-        now: float,
-    ) -> list[Attempt]:
-        if not self.paths.may_tunnel(address, now):
-            return []
-        request = TunnelRequest(instance, address)
-        witnesses: set[str] = set()
-
-        def attempt(host: HostRecord) -> Attempt:
-            async def run() -> trio.abc.Stream:
-                return await self._open_tunnel(host, request, direct, witnesses)
-
-            return run
+    # One connection
 
-        return [attempt(host) for host in self._hosts.candidates(now)]
+    async def _open_direct(self, opening: _Opening) -> trio.abc.Stream:
+        opening.direct_state = PathState.SILENT
+        try:
+            return await self.open_direct(opening.request.address)
+        except OSError:
+            opening.direct_state = PathState.REFUSED
+            raise
 
     async def _open_tunnel(
-        self,
-        host: HostRecord,
-        request: TunnelRequest,
-        direct: "_DirectAttempt",
-        witnesses: set[str],
+        self, opening: _Opening, host: HostRecord
     ) -> trio.abc.Stream:
-        if len(witnesses) >= MIN_WITNESSES:
-            raise ConnectFailedError("other hosts don't reach the replica")
+        asked_at = self._clock.monotonic()
         try:
-            stream = await self._tunnels.open(host, request)
+            stream = await self._tunnels.open(host, opening.request)
         except TunnelRefusedError as exc:
-            self._record_refusal(host, request, exc.status, witnesses)
+            self._on_refused(opening, host, exc.status)
             raise
         except ConnectFailedError:
             self._hosts.record_failed(host.host, self._clock.monotonic())
             raise
-        now = self._clock.monotonic()
-        self._hosts.record_opened(host.host, now)
-        self.tunnels_opened += 1
-        if direct.state is PathState.REFUSED:
-            self._record_lost(request, PathState.REFUSED, now)
-        elif direct.state is PathState.SILENT:
-            self._start_task(self._confirm_silence, request)
+        except trio.Cancelled:
+            now = self._clock.monotonic()
+            if now - asked_at >= STAGGER_SECONDS:
+                self._hosts.record_failed(host.host, now)
+            raise
+        self._on_opened(opening, host)
         return stream
 
-    def _record_refusal(
-        self,
-        host: HostRecord,
-        request: TunnelRequest,
-        status: TunnelStatus,
-        witnesses: set[str],
+    def _on_opened(self, opening: _Opening, host: HostRecord) -> None:
+        self._hosts.record_opened(host.host, self._clock.monotonic())
+        self.tunnels_opened += 1
+        if opening.direct_state is PathState.REFUSED:
+            self._record_lost(opening.request, PathState.REFUSED)
+        elif opening.direct_state is PathState.SILENT:
+            self._start_task(self._confirm_silence, opening.request)
+
+    def _on_refused(
+        self, opening: _Opening, host: HostRecord, status: TunnelStatus
     ) -> None:
-        now = self._clock.monotonic()
+        opening.refusals.add(host.host)
         if status is TunnelStatus.NOT_REACHED:
-            witnesses.add(host.host)
+            opening.witnesses.add(host.host)
         elif status not in (TunnelStatus.NOT_LISTED, TunnelStatus.UNSURE):
-            self._hosts.record_failed(host.host, now)
+            self._hosts.record_failed(host.host, self._clock.monotonic())
 
-    def _record_lost(
-        self, request: TunnelRequest, state: PathState, now: float
-    ) -> None:
+    def _on_failed(self, opening: _Opening) -> None:
+        """Ask no host again soon: in an outage each attempt would ask all of them."""
+        if opening.refusals:
+            address = opening.request.address
+            self.paths.record_unreached(address, self._clock.monotonic())
+
+    def _record_lost(self, request: TunnelRequest, state: PathState) -> None:
+        now = self._clock.monotonic()
         self.paths.record_lost(request.address, state, now)
         self._on_path_at_fault(request.instance)
         if self.paths.take_check_all(now):
             self._start_task(self._check_others)
 
+    # In the background
+
     async def _confirm_silence(self, request: TunnelRequest) -> None:
         """Record a lost path unless a direct connection only takes long."""
         with trio.move_on_after(CONFIRM_SECONDS):
             try:
                 close_now(await self.open_direct(request.address))
             except OSError:
-                now = self._clock.monotonic()
-                self._record_lost(request, PathState.REFUSED, now)
+                self._record_lost(request, PathState.REFUSED)
             return
-        self._record_lost(request, PathState.SILENT, self._clock.monotonic())
+        self._record_lost(request, PathState.SILENT)
 
     async def _check_others(self) -> None:
         """Check the replicas that were not heard from since a path was lost."""
@@ -245,23 +234,3 @@
                 close_now(await self.open_direct(address))
             except OSError:
                 return
-
-
-class _DirectAttempt:
-    """One direct attempt, and how it stands."""
-
-    def __init__(self, dialer: ReplicaDialer, address: str):
-        """Dial ``address``."""
-        self._dialer = dialer
-        self._address = address
-        # How the attempt fails so far; ``None``: it was not started.
-        self.state: PathState | None = None
-
-    async def run(self) -> trio.abc.Stream:
-        """Return the connection; raise ``OSError``."""
-        self.state = PathState.SILENT
-        try:
-            return await self._dialer.open_direct(self._address)
-        except OSError:
-            self.state = PathState.REFUSED
-            raise
--- a/berylshift/tests/test_entry_tunnels.py
+++ b/berylshift/tests/test_entry_tunnels.py
@@ -304,6 +304,59 @@
         expected = (OrderAnswer.UNKNOWN, [], [True, True])
         self.assertEqual(run_lost_paths(task, 3), expected)
 
+    def test_host_that_is_cut_off_gives_no_orders(self):
+        """Guards against a holder of the lease that reaches no engine."""
+        names = {"host-1", "host-2", "host-3"}
+        for name in names:
+            with self.subTest(name):
+                found = self.lease_holders(names - {name})
+                self.assertEqual(found, ({name}, True))
+
+    def lease_holders(self, cut_off):
+        """Return who asks for the lease of orders, and whether any were given."""
+
+        async def task(world):
+            await tally_all(world, 1.0)
+            for name in cut_off:
+                world.cut(name, Cut.HANG)
+            await tally_all(world, 2.0)
+            holders, swap = set(), world.leases.compare_and_swap
+
+            async def recorded(name, record, expected):
+                holders.add(record.holder)
+                return await swap(name, record, expected)
+
+            world.leases.compare_and_swap = recorded
+            for number in range(6):
+                world.add_replica(f"new-{number}", ENGINES, EnginePhase.PREFILL)
+            await tally_all(world, 5.0)
+            ordered = sum(len(rep.orders) for rep in world.replicas.values())
+            return holders, ordered > 0
+
+        return run_lost_paths(task, 3, reading_share=0.5)
+
+    def test_dark_replica_costs_little_time(self):
+        """Guards against attempts that wait for a replica that no host reaches."""
+
+        async def task(world):
+            await tally_all(world, 1.5)
+            for app in world.hosts:
+                world.cut(app.cfg.host.name, Cut.HANG, PLAIN_ADDRESSES[:1])
+            await tally_all(world, 0.5)
+            app = world.hosts[0]
+            [name] = [
+                rep.instance
+                for rep in app.replicas.entries()
+                if rep.address == PLAIN_ADDRESSES[0]
+            ]
+            await trio.sleep(1.5)
+            started = trio.current_time()
+            with trio.move_on_after(0.9), self.assertRaises(OSError):
+                await app.paths.dialer.open(name, PLAIN_ADDRESSES[0])
+            return trio.current_time() - started
+
+        self.assertLess(run_lost_paths(task, 3), 0.4)
+
 
 if __name__ == "__main__":
     unittest.main()
