--- a/berylshift/tests/lost_paths_world.py
+++ b/berylshift/tests/lost_paths_world.py
@@ -43,14 +43,14 @@
         super().__init__(window)
         self.address = ""
         self.hangs = False
-        self._held = bytearray()
+        self.held = bytearray()
 
     def send_nowait(self, data: bytes) -> int | None:
         """Send what fits, or hold it."""
         if not self.hangs:
             return super().send_nowait(data)
         self._check_open()
-        self._held += data
+        self.held += data
         return len(data)
 
     def _read_nowait(self, max_bytes: int) -> bytes | None:
@@ -65,7 +65,7 @@
             super().close()
             return
         self.closed = True
-        self._held.clear()
+        self.held.clear()
         self._notify()
 
     def heal(self) -> None:
@@ -74,7 +74,7 @@
         if self.closed:
             self.peer.reset()
             return
-        held, self._held = bytes(self._held), bytearray()
+        held, self.held = bytes(self.held), bytearray()
         if held:
             super().send_nowait(held)
         self._notify()
--- a/berylshift/tests/test_entry_tunnels.py
+++ b/berylshift/tests/test_entry_tunnels.py
@@ -7,8 +7,12 @@
 
 import trio
 
+from berylshift.connection.tunnel_client import TunnelClient, TunnelRefusedError
 from berylshift.messages.engine_control import OrderAnswer, PhaseOrder
 from berylshift.messages.replicas import EnginePhase
+from berylshift.messages.tunnel import TunnelRequest, TunnelStatus
+from berylshift.process.paths.replica_paths import PathState
+from berylshift.store.host_rows import HostRecord
 from berylshift.tests.entry_world import (
     ENGINES,
     PLAIN,
@@ -122,11 +126,16 @@
 
         async def task(world):
             for replica in world.replicas.values():
-                replica.work_seconds = 1.0
-            replies = {}
+                replica.work_seconds = 3.5
+            replies, open_at_exit = {}, []
 
             async def ask(request):
-                replies[request] = (await world.ask("/book/1", request)).status
+                reply = await world.ask("/book/1", request, left_ms=3900)
+                replies[request] = reply.status
+
+            async def shut_down(app):
+                await app.on_shutdown()
+                open_at_exit.append(app.paths.tunnel_server.open_count)
 
             async with trio.open_nursery() as nursery:
                 for number in range(8):
@@ -135,15 +144,19 @@
                 [carrier, *_] = [
                     app for app in world.hosts if app.paths.tunnel_server.open_count
                 ]
-                nursery.start_soon(carrier.on_shutdown)
+                for replica in world.replicas.values():
+                    replica.work_seconds = 0.1
+                nursery.start_soon(ask, "last-before")
+                await trio.sleep(0.05)
+                nursery.start_soon(shut_down, carrier)
                 await trio.sleep(0.1)
                 opened = carrier.paths.tunnel_server.opened
                 for number in range(8):
                     nursery.start_soon(ask, f"after-{number}")
             later = carrier.paths.tunnel_server.opened - opened
-            return set(replies.values()), len(replies), later
+            return set(replies.values()), len(replies), later, open_at_exit
 
-        self.assertEqual(self.run_cut(task), ({200}, 16, 0))
+        self.assertEqual(self.run_cut(task), ({200}, 17, 0, [0]))
 
     def test_hosts_without_tunnels_are_passed_over(self):
         """Guards against failures while hosts of an older build are in use."""
@@ -172,6 +185,91 @@
             with self.subTest(cut):
                 self.assertEqual(self.run_cut(task, cut), (True, 0))
 
+    def test_prompt_at_a_silent_engine_is_prefilled_elsewhere(self):
+        """Guards against prompts that wait for an engine that is out of reach."""
+
+        async def task(world):
+            await tally_all(world, 1.0)
+            for replica in world.replicas.values():
+                replica.prefill_seconds = 0.3
+            found = []
+
+            async def ask():
+                headers = prompt_headers(prefix_tokens=0)
+                found.append((await world.ask("/note/1", "n1", headers=headers)).status)
+                found.append(trio.current_time())
+
+            async with trio.open_nursery() as nursery:
+                started = trio.current_time()
+                nursery.start_soon(ask)
+                await trio.sleep(0.1)
+                world.cut("host-1", Cut.HANG)
+            return found[0], found[1] - started
+
+        status, seconds = run_lost_paths(task, 3)
+        self.assertEqual(status, 200)
+        self.assertLess(seconds, 2.5)
+
+    def test_silent_connections_are_not_used_again(self):
+        """Guards against requests sent on connections that are silent for good."""
+
+        async def task(world):
+            await tally_all(world, 2.0)
+            paths, used = world.hosts[0].paths, []
+            for state in (PathState.REFUSED, PathState.SILENT):
+                for _ in range(8):
+                    await world.ask("/look/1")
+                for address in PLAIN_ADDRESSES:
+                    now = trio.current_time()
+                    paths.states.record_lost(address, state, now)
+                before = paths.dialer.tunnels_opened
+                await world.ask("/look/1")
+                used.append(paths.dialer.tunnels_opened - before)
+            return used
+
+        self.assertEqual(run_lost_paths(task, 3), [0, 1])
+
+    def test_tunnel_carries_one_request(self):
+        """Guards against tunnels that stay open at other hosts without a request."""
+
+        async def task(world):
+            await tally_all(world, 1.0)
+            await trio.sleep(0.5)
+            return [app.paths.tunnel_server.open_count for app in world.hosts]
+
+        self.assertEqual(self.run_cut(task), [0, 0, 0])
+
+    def test_replica_that_leaves_gets_no_tunnel(self):
+        """Guards against requests that reach a leaving replica through a host."""
+
+        async def task(world):
+            await tally_all(world, 1.0)
+            client = TunnelClient(world.dial_host)
+            client.use_key(await world.host_rows.get_or_set_shared_key(""))
+            host = HostRecord("host-2", "10.1.0.2:7380")
+            [first, second, *_] = world.hosts[1].replicas.listed(PLAIN)
+            requests = {
+                "listed": TunnelRequest(first.instance, first.address),
+                "other address": TunnelRequest(first.instance, second.address),
+                "unknown": TunnelRequest("unknown", first.address),
+            }
+            world.list_replica(world.replicas[second.address], PLAIN, draining=True)
+            await trio.sleep(0.5)
+            requests["leaving"] = TunnelRequest(second.instance, second.address)
+            found = {}
+            for title, request in requests.items():
+                try:
+                    await client.open(host, request)
+                    found[title] = TunnelStatus.OPEN
+                except TunnelRefusedError as exc:
+                    found[title] = exc.status
+            return found
+
+        refused = TunnelStatus.NOT_LISTED
+        expected = {"other address": refused, "unknown": refused, "leaving": refused}
+        expected["listed"] = TunnelStatus.OPEN
+        self.assertEqual(run_lost_paths(task, 3), expected)
+
     def test_paths_to_one_service_only(self):
         """Guards against refusals where one service's replicas are out of reach."""
         for addresses in (PLAIN_ADDRESSES, ENGINE_ADDRESSES, ENGINE_ADDRESSES[:3]):
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -53,6 +53,11 @@
 CUT_OFF = "test_gossip_replica_updates"
 PACING = "test_scheduling_decode_pacing"
 WEIGHTS = "test_scheduling_capacity_weights"
+TUNNELLED = "test_entry_tunnels.TunnelledRequestsTest"
+CONCLUSIONS = "test_entry_tunnels.ConclusionsTest"
+TUNNELS = "test_tunnels.TunnelTest"
+DIALER = "process/paths/replica_dialer.py"
+TUNNEL_SERVER = "connection/tunnel_server.py"
 PROOFS = (
     Proof(
         "replicas receive the customer name, never the key",
@@ -1451,6 +1456,133 @@
         "False",
         "test_entry_fair_shares.WaitingTest",
     ),
+    Proof(
+        "a replica that is not reached is reached through another host",
+        DIALER,
+        "            hosts = self._hosts.candidates(now)\n",
+        "            hosts = []\n",
+        f"{TUNNELLED}.test_long_body_arrives_whole",
+    ),
+    Proof(
+        "connections that fell silent are not used again",
+        "connection/target_client.py",
+        "        if not self._dialer.may_reuse(address):\n",
+        "        if False:\n",
+        f"{TUNNELLED}.test_silent_connections_are_not_used_again",
+    ),
+    Proof(
+        "a prompt at an engine that fell silent is prefilled elsewhere",
+        "entry_paths.py",
+        "ReplicaPaths(self._addresses, deps.client.break_silent)",
+        "ReplicaPaths(self._addresses)",
+        f"{TUNNELLED}.test_prompt_at_a_silent_engine_is_prefilled_elsewhere",
+    ),
+    Proof(
+        "tunnels are not pooled",
+        "connection/target_client.py",
+        "                and is_direct\n",
+        "",
+        f"{TUNNELLED}.test_tunnel_carries_one_request",
+    ),
+    Proof(
+        "a leaving replica gets no tunnel",
+        "entry_paths.py",
+        "            and not rep.draining\n",
+        "",
+        f"{TUNNELLED}.test_replica_that_leaves_gets_no_tunnel",
+    ),
+    Proof(
+        "a stopping host opens no tunnel",
+        "entry_paths.py",
+        "        if self._deps.is_stopping():\n",
+        "        if False:\n",
+        f"{TUNNELLED}.test_stopping_host_ends_what_it_carries",
+    ),
+    Proof(
+        "a stopping host waits for its tunnels",
+        "entry_application.py",
+        "            await self.paths.tunnel_server.wait_until_idle()\n",
+        "",
+        f"{TUNNELLED}.test_stopping_host_ends_what_it_carries",
+    ),
+    Proof(
+        "failures of a lost path are not told",
+        DIALER,
+        "        self._on_path_at_fault(request.instance)\n",
+        "",
+        f"{CONCLUSIONS}.test_other_hosts_hear_of_no_failures",
+    ),
+    Proof(
+        "orders take no tunnel",
+        "platform/engines.py",
+        "            direct_only=True,\n",
+        "",
+        f"{CONCLUSIONS}.test_orders_take_no_tunnel",
+    ),
+    Proof(
+        "a host that is cut off does not ask for the lease of orders",
+        "entry_application.py",
+        "self.is_stopping or self.paths.is_cut_off_from(service)",
+        "self.is_stopping",
+        f"{CONCLUSIONS}.test_host_that_is_cut_off_gives_no_orders",
+    ),
+    Proof(
+        "a replica that is gone is not asked for again and again",
+        "process/paths/replica_paths.py",
+        "        self._unreached_until[address] = now + UNREACHED_SECONDS\n",
+        "",
+        f"{CONCLUSIONS}.test_outage_of_all_replicas_is_no_lost_path",
+    ),
+    Proof(
+        "witnesses end the wait for a replica",
+        DIALER,
+        "ConnectionRace(opening.is_hopeless)",
+        "ConnectionRace()",
+        f"{CONCLUSIONS}.test_dark_replica_costs_little_time",
+    ),
+    Proof(
+        "a lost tunnel is no end of a response",
+        "connection/tunnel_stream.py",
+        '            raise trio.BrokenResourceError("the tunnel ended early")\n',
+        "            data = END_FRAME\n",
+        f"{TUNNELS}.test_host_that_dies_is_no_end_of_a_response",
+    ),
+    Proof(
+        "a reset by the replica is no end of a response",
+        TUNNEL_SERVER,
+        "            return False\n        return True\n\n\nasync def _try_send",
+        "            await self._stream.send_all(END_FRAME)\n"
+        "        return True\n\n\nasync def _try_send",
+        f"{TUNNELS}.test_reset_by_the_replica_is_no_end_of_a_response",
+    ),
+    Proof(
+        "a closed tunnel closes the connection to the replica",
+        TUNNEL_SERVER,
+        '                data = b""\n        self._scope.cancel()\n',
+        '                data = b""\n',
+        f"{TUNNELS}.test_closed_tunnel_closes_the_connection_to_the_replica",
+    ),
+    Proof(
+        "tunnels of a host are bounded",
+        TUNNEL_SERVER,
+        "        if self.open_count >= MAX_TUNNELS:\n",
+        "        if False:\n",
+        f"{TUNNELS}.test_tunnels_of_a_host_are_bounded",
+    ),
+    Proof(
+        "a tunnel without bytes is closed",
+        TUNNEL_SERVER,
+        "        self._scope.deadline = trio.current_time() + IDLE_SECONDS\n",
+        "        pass\n",
+        f"{TUNNELS}.test_tunnel_without_bytes_is_closed",
+    ),
+    Proof(
+        "a host that opened no tunnel is asked last",
+        "process/paths/tunnel_hosts.py",
+        "        self._avoid_until[host] = now + AVOID_SECONDS\n",
+        "",
+        "test_paths.TunnelHostsTest.test_hosts_that_failed_are_asked_again_later",
+    ),
 )
 
 
