Ask other hosts for a replica less often while connections are slow

Cause: in an overload all connections are slow. Two hosts whose own connections had taken over 0.1 s ended a wait that would have ended well.

Change: a direct connection has 0.15 s; then two hosts are asked, for two connections at a time, and not if this process itself runs late. A connection that was only slow makes the host ask less often, for up to 4 s, until a path is found lost. Overdue responses cause one check in 0.25 s. The wiring of paths serves both APIs now (host_paths.py).

--- a/berylshift/connection/tunnel_server.py
+++ b/berylshift/connection/tunnel_server.py
@@ -45,12 +45,13 @@
         dial: Dial,
         admit: Admit,
         on_dialed: Callable[[str], None],
-        on_not_reached: Callable[[TunnelRequest], TunnelStatus],
+        on_not_reached: Callable[[TunnelRequest, bool], TunnelStatus],
     ):
         """Connect to replicas by ``dial`` if ``admit`` allows.
 
         ``on_dialed`` is called with the address of each replica that was reached;
-        ``on_not_reached`` returns the status for one that was not.
+        ``on_not_reached`` returns the status for one that was not, and is told whether
+        it refused the connection.
         """
         self._dial = dial
         self._admit = admit
@@ -121,10 +122,10 @@
             try:
                 replica = await self._dial(request.address)
             except OSError:
-                return self._on_not_reached(request), None
+                return self._on_not_reached(request, True), None
             self._on_dialed(request.address)
             return TunnelStatus.OPEN, replica
-        return self._on_not_reached(request), None
+        return self._on_not_reached(request, False), None
 
 
 class _Carrier:
--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -14,7 +14,7 @@
 from berylshift.connection.target_client import TargetClient
 from berylshift.entry_gauges import report_gauges
 from berylshift.entry_leader_tasks import EntryLeaderTasks, LeaderTaskDependencies
-from berylshift.entry_paths import EntryPaths, PathDependencies
+from berylshift.host_paths import HostPaths, PathDependencies, PathTarget
 from berylshift.ids import DomainName, HostName, InstanceId, ServiceName
 from berylshift.messages.engine_control import EngineControl
 from berylshift.messages.replicas import ENTRY_TTL_HEARTBEATS
@@ -209,22 +209,37 @@
             self.replica_updates,
         )
 
-    def _make_paths(self) -> EntryPaths:
+    def _make_paths(self) -> HostPaths:
         """Return the paths to replicas, installed in the client."""
+        client = self.ports.client
         deps = PathDependencies(
             host=HostName(self.cfg.host.name),
             domain=DomainName(self.cfg.host.domain),
-            client=self.ports.client,
+            dial=client.dial,
             dial_peer=self.ports.dial_peer,
-            replicas=self.replicas,
+            targets=self._path_targets,
             hosts=lambda: self.load_loop.sharing_hosts(),
             clock=self.ports.clock,
             rng=self.ports.rng,
             start_task=self._start_background_task,
             is_stopping=lambda: self.is_stopping,
+            on_silent=client.break_silent,
             on_path_at_fault=self.loads.clear_failures,
         )
-        return EntryPaths(deps)
+        paths = HostPaths(deps)
+        client.set_dialer(paths.dialer)
+        return paths
+
+    def _path_targets(self) -> list[PathTarget]:
+        return [
+            PathTarget(rep.instance, rep.address, rep.draining)
+            for rep in self.replicas.entries()
+        ]
+
+    def _is_cut_off_from(self, service: ServiceName) -> bool:
+        """Return whether most paths to a service's replicas are lost."""
+        listed = self.replicas.listed(service)
+        return self.paths.states.is_cut_off(rep.address for rep in listed)
 
     def _make_quarantine_loop(self) -> QuarantineLoop:
         """Return the loop that keeps quarantined requests in the store."""
@@ -570,7 +585,7 @@
             is_idle=self.is_idle,
             host_count=self._sharing_host_count,
             holder=cfg.host.name,
-            is_stopping=lambda: self.is_stopping or self.paths.is_cut_off_from(service),
+            is_stopping=lambda: self.is_stopping or self._is_cut_off_from(service),
             is_limited=lambda instance: self.throttle.is_limited(
                 instance, ports.clock.monotonic()
             ),
--- a/berylshift/messages/tunnel.py
+++ b/berylshift/messages/tunnel.py
@@ -11,7 +11,7 @@
     """What a host answers to a request for a tunnel."""
 
     OPEN = 0
-    # The host has just reached other replicas, but not this one.
+    # The replica refused the host, which has just reached others.
     NOT_REACHED = 1
     # The host did not reach the replica; its own path to it may be at fault.
     UNSURE = 2
--- a/berylshift/process/engine_state/report_poller.py
+++ b/berylshift/process/engine_state/report_poller.py
@@ -1,6 +1,7 @@
 """The loop that polls engines for their load reports and cache events."""
 
 import logging
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import trio
@@ -26,6 +27,8 @@
     clock: Clock
     interval_seconds: float
     timeout_seconds: float
+    # Called with the address of an engine that did not answer in time.
+    on_timeout: Callable[[str], None] = lambda address: None
 
 
 class ReportPoller:
@@ -47,7 +50,7 @@
 
     async def _poll(self, name: TargetName, address: str) -> None:
         asked_at = self._deps.clock.monotonic()
-        with trio.move_on_after(self._deps.timeout_seconds):
+        with trio.move_on_after(self._deps.timeout_seconds) as scope:
             try:
                 old = self._deps.load.report(name)
                 report = await self._deps.client.report(address)
@@ -58,6 +61,8 @@
                 await self._read_events(name, address)
             except TargetError as exc:
                 logger.debug("no report", extra={"engine": name, "why": str(exc)})
+        if scope.cancelled_caught:
+            self._deps.on_timeout(address)
 
     async def _read_events(self, name: TargetName, address: str) -> None:
         after = self._last_events.get(name, 0)
--- a/berylshift/process/paths/replica_dialer.py
+++ b/berylshift/process/paths/replica_dialer.py
@@ -1,7 +1,7 @@
 """Opens connections to replicas, through other hosts where the direct path is lost."""
 
 import itertools
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from functools import partial
 
@@ -11,6 +11,7 @@
 from berylshift.connection.errors import ConnectFailedError
 from berylshift.connection.http_client import Dial, close_now
 from berylshift.connection.tunnel_client import TunnelClient, TunnelRefusedError
+from berylshift.connection.tunnel_stream import TunnelStream
 from berylshift.ids import InstanceId
 from berylshift.messages.tunnel import TunnelRequest, TunnelStatus
 from berylshift.process.paths.connection_race import (
@@ -27,8 +28,22 @@
 from berylshift.process.paths.tunnel_hosts import TunnelHosts
 from berylshift.store.host_rows import HostRecord
 
+# A direct connection is slow after this long: many round trips between regions.
+HEAD_START_SECONDS = 0.15
 # How long a path may take after another host has reached the replica.
-CONFIRM_SECONDS = 0.2
+CONFIRM_SECONDS = 0.3
+# A timer that fires later than this shows that this process is short of processor time.
+# Connections are slow then, and paths can't be judged.
+MAX_LAG_SECONDS = 0.05
+# Slow connections for which other hosts are asked at one time, and hosts asked for
+# each: in an overload all connections are slow, and questions would add to it.
+MAX_EXPLORING = 2
+MAX_ASKED_IF_SLOW = 2
+# Pause after a connection that was only slow, doubled with each one up to the maximum.
+FIRST_FALSE_ALARM_SECONDS = 0.5
+MAX_FALSE_ALARM_SECONDS = 4.0
+# Pause between two checks of replicas whose responses are overdue.
+OVERDUE_CHECK_SECONDS = 0.25
 # How long a background check waits for a connection.
 CHECK_SECONDS = 0.5
 # Replicas that are checked at one time.
@@ -44,13 +59,16 @@
     """One connection that is being opened.
 
     ``direct_state``: how the direct attempt fails so far; ``None``: it was not started.
+    ``is_exploring``: other hosts are asked since it is slow.
     ``refusals``: hosts that opened no tunnel. ``witnesses``: those among them that can
     tell that the replica is gone.
     """
 
     request: TunnelRequest
     hosts: list[HostRecord]
+    started_at: float = 0.0
     direct_state: PathState | None = None
+    is_exploring: bool = False
     refusals: set[str] = field(default_factory=set)
     witnesses: set[str] = field(default_factory=set)
 
@@ -87,6 +105,10 @@
         self._listed = listed
         self._on_path_at_fault = on_path_at_fault
         self._checks = trio.CapacityLimiter(MAX_CHECKS)
+        self._exploring = 0
+        self._explores_after = float("-inf")
+        self._false_alarm_seconds = FIRST_FALSE_ALARM_SECONDS
+        self._overdue_checked_at = float("-inf")
         self.tunnels_opened = 0
 
     # For the target client
@@ -106,24 +128,27 @@
         hosts = []
         if self.paths.may_tunnel(address, now):
             hosts = self._hosts.candidates(now)
-        opening = _Opening(TunnelRequest(instance, address), hosts)
-        direct: Attempt = partial(self._open_direct, opening)
-        attempts: list[Attempt] = [
-            partial(self._open_tunnel, opening, host) for host in hosts
-        ]
+        opening = _Opening(TunnelRequest(instance, address), hosts, now)
         if hosts and self.paths.first_route(address) is Route.TUNNEL:
             self._recheck_if_due(address)
-            attempts.append(direct)
+            race = ConnectionRace(opening.is_hopeless)
+            attempts = iter([*self._tunnels_of(opening), self._direct_of(opening)])
         else:
-            attempts.insert(0, direct)
+            race = ConnectionRace(opening.is_hopeless, HEAD_START_SECONDS)
+            attempts = self._direct_first(opening)
+        stream: trio.abc.Stream | None = None
         try:
-            return await ConnectionRace(opening.is_hopeless).run(attempts)
+            stream = await race.run(attempts)
         except (OSError, ConnectFailedError) as exc:
-            self._on_failed(opening)
             raise OSError(str(exc)) from exc
-        except trio.Cancelled:
-            self._on_failed(opening)
-            raise
+        finally:
+            self._exploring -= opening.is_exploring
+            # Also if the time is up and the attempts are cancelled.
+            if stream is None:
+                self._on_failed(opening)
+        if opening.is_exploring and not isinstance(stream, TunnelStream):
+            self._on_false_alarm()
+        return stream
 
     def may_reuse(self, address: str) -> bool:
         """Return whether open connections to a replica may be used again."""
@@ -135,11 +160,53 @@
 
     def suspect(self, instance: InstanceId, address: str) -> None:
         """Check the path to a replica that was not heard from when expected."""
-        if self.paths.take_check(address, self._clock.monotonic()):
+        now = self._clock.monotonic()
+        if now - self._overdue_checked_at < OVERDUE_CHECK_SECONDS:
+            return
+        if self._start_check(instance, address):
+            self._overdue_checked_at = now
+
+    def _start_check(self, instance: InstanceId, address: str) -> bool:
+        is_due = self.paths.take_check(address, self._clock.monotonic())
+        if is_due:
             self._start_task(self._check, instance, address)
+        return is_due
 
     # One connection
 
+    def _direct_of(self, opening: _Opening) -> Attempt:
+        return partial(self._open_direct, opening)
+
+    def _tunnels_of(
+        self, opening: _Opening, max_hosts: int | None = None
+    ) -> list[Attempt]:
+        hosts = opening.hosts[:max_hosts]
+        return [partial(self._open_tunnel, opening, host) for host in hosts]
+
+    def _direct_first(self, opening: _Opening) -> Iterator[Attempt]:
+        """Yield the direct attempt, then tunnels if it fails or is too slow."""
+        yield self._direct_of(opening)
+        if opening.direct_state is PathState.REFUSED:
+            yield from self._tunnels_of(opening)
+        elif self._may_explore(opening):
+            opening.is_exploring = True
+            self._exploring += 1
+            yield from self._tunnels_of(opening, MAX_ASKED_IF_SLOW)
+
+    def _may_explore(self, opening: _Opening) -> bool:
+        """Return whether to ask other hosts, since a direct connection is slow."""
+        now = self._clock.monotonic()
+        if now < self._explores_after or self._exploring >= MAX_EXPLORING:
+            return False
+        return now - opening.started_at - HEAD_START_SECONDS < MAX_LAG_SECONDS
+
+    def _on_false_alarm(self) -> None:
+        """Ask less often: connections are slow, but paths are not lost."""
+        self._explores_after = self._clock.monotonic() + self._false_alarm_seconds
+        self._false_alarm_seconds = min(
+            MAX_FALSE_ALARM_SECONDS, 2 * self._false_alarm_seconds
+        )
+
     async def _open_direct(self, opening: _Opening) -> trio.abc.Stream:
         opening.direct_state = PathState.SILENT
         try:
@@ -182,7 +249,7 @@
         opening.refusals.add(host.host)
         if status is TunnelStatus.NOT_REACHED:
             opening.witnesses.add(host.host)
-        elif status not in (TunnelStatus.NOT_LISTED, TunnelStatus.UNSURE):
+        elif status is not TunnelStatus.NOT_LISTED:
             self._hosts.record_failed(host.host, self._clock.monotonic())
 
     def _on_failed(self, opening: _Opening) -> None:
@@ -194,6 +261,8 @@
     def _record_lost(self, request: TunnelRequest, state: PathState) -> None:
         now = self._clock.monotonic()
         self.paths.record_lost(request.address, state, now)
+        self._explores_after = float("-inf")
+        self._false_alarm_seconds = FIRST_FALSE_ALARM_SECONDS
         self._on_path_at_fault(request.instance)
         if self.paths.take_check_all(now):
             self._start_task(self._check_others)
@@ -202,19 +271,23 @@
 
     async def _confirm_silence(self, request: TunnelRequest) -> None:
         """Record a lost path unless a direct connection only takes long."""
+        started_at = self._clock.monotonic()
         with trio.move_on_after(CONFIRM_SECONDS):
             try:
                 close_now(await self.open_direct(request.address))
+                self._on_false_alarm()
             except OSError:
                 self._record_lost(request, PathState.REFUSED)
             return
-        self._record_lost(request, PathState.SILENT)
+        late = self._clock.monotonic() - started_at - CONFIRM_SECONDS
+        if late < MAX_LAG_SECONDS:
+            self._record_lost(request, PathState.SILENT)
 
     async def _check_others(self) -> None:
         """Check the replicas that were not heard from since a path was lost."""
         await trio.sleep(LIFE_SECONDS)
         for instance, address in itertools.islice(self._listed(), MAX_SUSPECTS):
-            self.suspect(instance, address)
+            self._start_check(instance, address)
 
     async def _check(self, instance: InstanceId, address: str) -> None:
         async with self._checks:
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -1472,8 +1472,8 @@
     ),
     Proof(
         "a prompt at an engine that fell silent is prefilled elsewhere",
-        "entry_paths.py",
-        "ReplicaPaths(self._addresses, deps.client.break_silent)",
+        "host_paths.py",
+        "ReplicaPaths(self._addresses, deps.on_silent)",
         "ReplicaPaths(self._addresses)",
         f"{TUNNELLED}.test_prompt_at_a_silent_engine_is_prefilled_elsewhere",
     ),
@@ -1486,14 +1486,14 @@
     ),
     Proof(
         "a leaving replica gets no tunnel",
-        "entry_paths.py",
-        "            and not rep.draining\n",
+        "host_paths.py",
+        "            and not target.is_leaving\n",
         "",
         f"{TUNNELLED}.test_replica_that_leaves_gets_no_tunnel",
     ),
     Proof(
         "a stopping host opens no tunnel",
-        "entry_paths.py",
+        "host_paths.py",
         "        if self._deps.is_stopping():\n",
         "        if False:\n",
         f"{TUNNELLED}.test_stopping_host_ends_what_it_carries",
@@ -1522,7 +1522,7 @@
     Proof(
         "a host that is cut off does not ask for the lease of orders",
         "entry_application.py",
-        "self.is_stopping or self.paths.is_cut_off_from(service)",
+        "self.is_stopping or self._is_cut_off_from(service)",
         "self.is_stopping",
         f"{CONCLUSIONS}.test_host_that_is_cut_off_gives_no_orders",
     ),
@@ -1538,7 +1538,7 @@
         DIALER,
         "ConnectionRace(opening.is_hopeless)",
         "ConnectionRace()",
-        f"{CONCLUSIONS}.test_dark_replica_costs_little_time",
+        f"{CONCLUSIONS}.test_dead_replica_is_no_lost_path",
     ),
     Proof(
         "a lost tunnel is no end of a response",
