Have hosts with the native API reach targets through other hosts, too

What callers would see: the same as on the platform. A host with the native API that lost its paths to all targets refuses calls that the others complete.

Change: its clients of engines and services dial by the same paths; hosts are found by their peer entries, tunnels arrive at the TCP port of the peer address, under the cluster's key. An engine that does not report in time has its path checked. Tunnels are not pooled; connections that fell silent are closed, and their repeatable requests broken.

--- a/berylshift/application.py
+++ b/berylshift/application.py
@@ -2,13 +2,17 @@
 
 import logging
 import random
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, field
 
 import trio
 
 from berylshift.clock import Clock
+from berylshift.connection.http_client import Dial, dial_tcp
 from berylshift.connection.http_server import HttpServer, ServerLimits
-from berylshift.ids import DomainName, HostName
+from berylshift.connection.target_dial import TargetDial
+from berylshift.host_paths import HostPaths, PathDependencies, PathTarget
+from berylshift.ids import DomainName, HostName, InstanceId
 from berylshift.metrics import Metrics
 from berylshift.process.control.demand_meter import DemandMeter
 from berylshift.process.control.plans import Plans
@@ -66,6 +70,7 @@
 from berylshift.request.service_sender import ServiceSender
 from berylshift.settings import CallerSettings, Credential, PolicySettings, Settings
 from berylshift.store.batch import TableGate
+from berylshift.store.host_rows import HostRecord
 from berylshift.store.interfaces import (
     HostEntry,
     HostList,
@@ -109,6 +114,12 @@
     services: ServiceClient
     link: PeerLink
     peer_views: PeerViews
+    # Dials targets for ``engines`` and ``services``.
+    target_dial: TargetDial = field(default_factory=TargetDial)
+    # Opens connections to other hosts, for tunnels.
+    dial_peer: Dial = dial_tcp
+    # Breaks requests to a target whose connections have become silent.
+    break_silent: Callable[[str], None] = lambda address: None
 
 
 @dataclass(frozen=True)
@@ -175,6 +186,8 @@
         self.shutdown = Shutdown(clock)
         self.last_sends = Shutdown(clock)
         self.gate = self._make_gate()
+        self._nursery: trio.Nursery | None = None
+        self.paths = self._make_paths()
         self.handler = self._make_handler(callers)
         self.server = HttpServer(
             self.handler.handle,
@@ -183,6 +196,52 @@
         )
         self._make_loops(addresses)
 
+    def _make_paths(self) -> HostPaths:
+        """Return the paths to targets, installed in the clients' dial."""
+        ports = self.ports
+        deps = PathDependencies(
+            host=HostName(self.cfg.host.name),
+            domain=DomainName(self.cfg.host.domain),
+            dial=ports.target_dial.direct,
+            dial_peer=ports.dial_peer,
+            targets=self._path_targets,
+            hosts=self._live_hosts,
+            clock=ports.clock,
+            rng=ports.rng,
+            start_task=self._start_task,
+            is_stopping=lambda: self.peer_loop.leaving,
+            on_silent=ports.break_silent,
+            on_path_at_fault=self._clear_failures,
+        )
+        paths = HostPaths(deps)
+        ports.target_dial.set_dialer(paths.dialer)
+        return paths
+
+    def _path_targets(self) -> list[PathTarget]:
+        """Return the targets of the table; clients know them by their addresses."""
+        return [
+            PathTarget(InstanceId(row.address), row.address)
+            for row in self.holder.table.targets.values()
+        ]
+
+    def _live_hosts(self) -> list[HostRecord]:
+        return [
+            HostRecord(entry.host, entry.peer_address, entry.domain)
+            for entry in self.members.entries()
+            if entry.state is HostState.LIVE
+        ]
+
+    def _start_task(self, task, *args) -> None:
+        """Run a task that no request waits for."""
+        if self._nursery is not None:
+            self._nursery.start_soon(task, *args)
+
+    def _clear_failures(self, instance: InstanceId) -> None:
+        """Drop the failures of a target that its path was to blame for."""
+        for row in self.holder.table.targets.values():
+            if row.address == instance:
+                self.context.health.record_success(row.target)
+
     def _make_gate(self) -> TableGate:
         cfg, ports = self.cfg.platform, self.ports
         return TableGate(
@@ -275,6 +334,9 @@
             clock=ports.clock,
             interval_seconds=cfg.targets.report_interval,
             timeout_seconds=cfg.targets.report_timeout,
+            on_timeout=lambda address: self.paths.dialer.suspect(
+                InstanceId(address), address
+            ),
         )
         self.poller = ReportPoller(poller)
         peers = PeerDependencies(
@@ -339,6 +401,8 @@
             metrics.gauge("in_flight", self.handler.in_flight)
             metrics.gauge("pending_records", len(self.pending))
             metrics.gauge("quarantined", len(self.quarantine))
+            self.paths.states.retain_listed()
+            metrics.gauge("replica_paths_lost", len(self.paths.states))
             await trio.sleep(GAUGE_SECONDS)
 
     def peer_view(self) -> PeerView:
@@ -354,6 +418,7 @@
     async def run(self) -> None:
         """Run the loops until cancelled."""
         async with trio.open_nursery() as nursery:
+            self._nursery = nursery
             nursery.start_soon(self.gate.run)
             nursery.start_soon(self.services.serve)
             nursery.start_soon(self.follower.run)
@@ -390,6 +455,7 @@
         with trio.move_on_after(cfg.longest) as scope:
             await self._release_leases()
             await self._wait_until_done()
+            await self.paths.tunnel_server.wait_until_idle()
         if scope.cancelled_caught:
             await self._flush_final_responses()
 
--- a/berylshift/connection/http_client.py
+++ b/berylshift/connection/http_client.py
@@ -144,8 +144,15 @@
         dial: Dial = dial_tcp,
         connect_seconds: float = 1.0,
         idle_seconds: float = 5.0,
+        may_reuse: Callable[[str], bool] = lambda address: True,
     ):
-        """Open streams by ``dial``; pool idle connections for ``idle_seconds``."""
+        """Open streams by ``dial``; pool idle connections for ``idle_seconds``.
+
+        ``may_reuse`` returns whether connections to an address may be used again.
+        """
+        self._may_reuse = may_reuse
+        # Connections with a request that may be repeated, by address.
+        self._repeatable: dict[str, set[ClientConnection]] = defaultdict(set)
         self._dial = dial
         self._connect_seconds = connect_seconds
         self._idle_seconds = idle_seconds
@@ -162,8 +169,20 @@
         try:
             yield response
         finally:
+            self._end(out, response.connection)
             self._release(out, response.connection)
 
+    def break_silent(self, address: str) -> None:
+        """Break connections to a peer out of reach whose requests may be repeated."""
+        for connection in self._repeatable.get(address, ()):
+            close_now(connection.stream)
+
+    def _end(self, out: Outgoing, connection: ClientConnection) -> None:
+        found = self._repeatable.get(out.address, set())
+        found.discard(connection)
+        if not found:
+            self._repeatable.pop(out.address, None)
+
     async def connect(self, address: str) -> None:
         """Open a connection and pool it; raise ``ConnectFailedError``."""
         self._add_idle(address, await self._open(address))
@@ -193,10 +212,13 @@
 
     async def _send(self, connection: ClientConnection, out: Outgoing) -> HttpResponse:
         connection.received_bytes = False
+        if out.reuse and not isinstance(connection.stream, TunnelStream):
+            self._repeatable[out.address].add(connection)
         try:
             await connection.send_request(out)
             return HttpResponse(connection, await connection.read_head())
         except BaseException:
+            self._end(out, connection)
             close_now(connection.stream)
             raise
 
@@ -210,10 +232,11 @@
 
     def _pop_idle(self, out: Outgoing) -> ClientConnection | None:
         connections = self._idle[out.address]
+        may_reuse = self._may_reuse(out.address)
         while connections:
             connection = connections.pop()
             is_fresh = trio.current_time() - connection.idle_since < self._idle_seconds
-            if is_fresh and has_no_input(connection.stream):
+            if may_reuse and is_fresh and has_no_input(connection.stream):
                 return connection
             close_now(connection.stream)
         return None
@@ -226,9 +249,10 @@
         self._add_idle(out.address, connection)
 
     def _add_idle(self, address: str, connection: ClientConnection) -> None:
-        """Pool an idle connection, or close it if the pool is full."""
+        """Pool an idle connection, or close a tunnel, or one that has no room."""
         connections = self._idle[address]
-        if len(connections) >= MAX_IDLE_PER_ADDRESS:
+        is_tunnel = isinstance(connection.stream, TunnelStream)
+        if is_tunnel or len(connections) >= MAX_IDLE_PER_ADDRESS:
             close_now(connection.stream)
             return
         connection.idle_since = trio.current_time()
--- a/berylshift/replay/virtual_fleet.py
+++ b/berylshift/replay/virtual_fleet.py
@@ -195,7 +195,7 @@
         name = cfg.host.name
         store = MemoryPlatform(self.platform)
         self.store_links[name] = store
-        addresses = Addresses(peer=f"{name}:peer", admin=f"{name}:admin")
+        addresses = self.addresses_of(name)
         self.hub.host_names[addresses.admin] = name
         ports = Ports(
             clock=self.clock,
@@ -215,6 +215,10 @@
         self.hub.views[addresses.admin] = app.peer_view
         return app
 
+    def addresses_of(self, name: str) -> Addresses:
+        """Return the addresses that a host listens on."""
+        return Addresses(peer=f"{name}:peer", admin=f"{name}:admin")
+
     def table_log(self) -> TableLog:
         """Return access to the operators' table."""
         rng = random.Random(self.spec.seed)
--- a/berylshift/serve_native.py
+++ b/berylshift/serve_native.py
@@ -17,6 +17,7 @@
 from berylshift.connection.peer_link import UdpPeerLink
 from berylshift.connection.peer_views import HttpPeerViews
 from berylshift.connection.service_client import HttpServiceClient
+from berylshift.connection.target_dial import TargetDial
 from berylshift.metrics import make_metrics
 from berylshift.settings import Credentials, Settings
 from berylshift.signals import watch_signals
@@ -32,7 +33,10 @@
 
 def make_ports(cfg: Settings, creds: Credentials, link: UdpPeerLink) -> Ports:
     """Return the real dependencies, over HTTP and UDP."""
-    client = HttpClient(connect_seconds=cfg.targets.connect_timeout)
+    seconds = cfg.targets.connect_timeout
+    client = HttpClient(connect_seconds=seconds)
+    target_dial = TargetDial()
+    targets = HttpClient(target_dial.dial, seconds, may_reuse=target_dial.may_reuse)
     store, timeout = cfg.platform, cfg.platform.timeout
     return Ports(
         clock=LoopClock(),
@@ -42,10 +46,12 @@
         objects=HttpObjectStore(client, store.objects, timeout),
         hosts=HttpHostList(client, store.hosts, timeout),
         weights=HttpWeightStore(client, store.weights, timeout),
-        engines=HttpEngineClient(client, cfg.targets.credential),
-        services=HttpServiceClient(client, cfg.targets.credential),
+        engines=HttpEngineClient(targets, cfg.targets.credential),
+        services=HttpServiceClient(targets, cfg.targets.credential),
         link=link,
         peer_views=HttpPeerViews(client, creds.cluster_key),
+        target_dial=target_dial,
+        break_silent=targets.break_silent,
     )
 
 
@@ -56,10 +62,12 @@
     )
     link = UdpPeerLink(PeerCodec(creds.cluster_key), max_digest_bytes)
     peer_address = await link.bind(cfg.host.peer_address)
+    tunnel_listener = open_listener(peer_address)
     listener = open_listener(cfg.host.address)
     admin_listener = open_listener(cfg.host.admin_address)
     addresses = Addresses(peer_address, bound_address(admin_listener))
     app = Application(cfg, make_ports(cfg, creds, link), addresses, creds.callers)
+    app.paths.use_key(creds.cluster_key)
     admin = HttpServer(Admin(app, creds.cluster_key).handle)
     stop = trio.Event()
     app.on_start()
@@ -68,6 +76,7 @@
         nursery.start_soon(app.run)
         nursery.start_soon(admin.serve, admin_listener)
         nursery.start_soon(app.server.serve, listener)
+        nursery.start_soon(app.paths.tunnel_server.serve, tunnel_listener)
         await stop.wait()
         await app.on_shutdown()
         nursery.cancel_scope.cancel()
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -1463,6 +1463,13 @@
         "            hosts = []\n",
         f"{TUNNELLED}.test_long_body_arrives_whole",
     ),
+    Proof(
+        "native API: a target that is not reached is reached through another host",
+        "application.py",
+        "        ports.target_dial.set_dialer(paths.dialer)\n",
+        "",
+        "test_native_lost_paths",
+    ),
     Proof(
         "connections that fell silent are not used again",
         "connection/target_client.py",
@@ -1534,7 +1541,7 @@
         f"{CONCLUSIONS}.test_outage_of_all_replicas_is_no_lost_path",
     ),
     Proof(
-        "witnesses end the wait for a replica",
+        "two witnesses are enough for a replica that is gone",
         DIALER,
         "ConnectionRace(opening.is_hopeless)",
         "ConnectionRace()",
