--- a/berylshift/tests/test_entry_tunnels.py
+++ b/berylshift/tests/test_entry_tunnels.py
@@ -328,6 +328,23 @@
         # Each of six hosts asks two others for two replicas, once a second.
         self.assertLessEqual(asked, 6 * 2 * 2 * (4 + 1))
 
+    def test_two_refused_hosts_are_enough(self):
+        """Guards against questions to all hosts for a replica that is gone."""
+
+        async def task(world):
+            await tally_all(world, 1.5)
+            address = PLAIN_ADDRESSES[0]
+            world.replicas[address].alive = False
+            app, asked = world.hosts[0], len(world.host_links)
+            [name] = [
+                rep.instance for rep in app.replicas.entries() if rep.address == address
+            ]
+            with self.assertRaises(OSError):
+                await app.paths.dialer.open(name, address)
+            return len(world.host_links) - asked
+
+        self.assertEqual(run_lost_paths(task, 6), 2)
+
     def test_outage_of_all_replicas_is_no_lost_path(self):
         """Guards against hosts that flood each other when replicas are gone for all."""
 
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -1545,7 +1545,7 @@
         DIALER,
         "ConnectionRace(opening.is_hopeless)",
         "ConnectionRace()",
-        f"{CONCLUSIONS}.test_dead_replica_is_no_lost_path",
+        f"{CONCLUSIONS}.test_two_refused_hosts_are_enough",
     ),
     Proof(
         "a lost tunnel is no end of a response",
