Judge all paths once one is lost, and record no failures on lost ones

What callers saw: nothing yet; test_other_hosts_hear_of_no_failures failed with another order of random numbers: a host that reaches all replicas believed that one fails.

Cause: of connections that are slow at the same time only two ask other hosts, and the checks of all paths after a first one was lost came under that limit, too. An engine whose path was not judged kept the failure of one attempt at each of two hosts that were cut off, and two hosts that agree are believed.

Attempts on a path that is lost count as no failure of the replica. Hosts are ranked for a tunnel only when one is needed.

--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -295,6 +295,7 @@
             prefix_cache=self.prefix_cache,
             queues=queues,
             suspects=self.replicas.suspects,
+            is_path_lost=self.paths.states.is_lost,
         )
         key_gate = KeyGate(
             self.routes,
--- a/berylshift/process/paths/replica_dialer.py
+++ b/berylshift/process/paths/replica_dialer.py
@@ -58,17 +58,20 @@
 class _Opening:
     """One connection that is being opened.
 
+    ``hosts``: those to ask for a tunnel, once they are needed.
     ``direct_state``: how the direct attempt fails so far; ``None``: it was not started.
-    ``is_exploring``: other hosts are asked since it is slow.
+    ``is_exploring``: other hosts are asked since it is slow. ``must_explore``: they
+    are asked in any case, since other paths are known to be lost.
     ``refusals``: hosts that opened no tunnel. ``witnesses``: those among them that can
     tell that the replica is gone.
     """
 
     request: TunnelRequest
-    hosts: list[HostRecord]
-    started_at: float = 0.0
+    started_at: float
+    hosts: list[HostRecord] = field(default_factory=list)
     direct_state: PathState | None = None
     is_exploring: bool = False
+    must_explore: bool = False
     refusals: set[str] = field(default_factory=set)
     witnesses: set[str] = field(default_factory=set)
 
@@ -124,12 +127,12 @@
 
     async def open(self, instance: InstanceId, address: str) -> trio.abc.Stream:
         """Return a connection to a replica; raise ``OSError`` if there is none."""
-        now = self._clock.monotonic()
-        hosts = []
-        if self.paths.may_tunnel(address, now):
-            hosts = self._hosts.candidates(now)
-        opening = _Opening(TunnelRequest(instance, address), hosts, now)
-        if hosts and self.paths.first_route(address) is Route.TUNNEL:
+        request = TunnelRequest(instance, address)
+        return await self._open(_Opening(request, self._clock.monotonic()))
+
+    async def _open(self, opening: _Opening) -> trio.abc.Stream:
+        address = opening.request.address
+        if self.paths.first_route(address) is Route.TUNNEL:
             self._recheck_if_due(address)
             race = ConnectionRace(opening.is_hopeless)
             attempts = iter([*self._tunnels_of(opening), self._direct_of(opening)])
@@ -166,10 +169,15 @@
         if self._start_check(instance, address):
             self._overdue_checked_at = now
 
-    def _start_check(self, instance: InstanceId, address: str) -> bool:
-        is_due = self.paths.take_check(address, self._clock.monotonic())
+    def _start_check(
+        self, instance: InstanceId, address: str, must_explore: bool = False
+    ) -> bool:
+        now = self._clock.monotonic()
+        is_due = self.paths.take_check(address, now)
         if is_due:
-            self._start_task(self._check, instance, address)
+            request = TunnelRequest(instance, address)
+            opening = _Opening(request, now, must_explore=must_explore)
+            self._start_task(self._check, opening)
         return is_due
 
     # One connection
@@ -180,8 +188,10 @@
     def _tunnels_of(
         self, opening: _Opening, max_hosts: int | None = None
     ) -> list[Attempt]:
-        hosts = opening.hosts[:max_hosts]
-        return [partial(self._open_tunnel, opening, host) for host in hosts]
+        now = self._clock.monotonic()
+        if self.paths.may_tunnel(opening.request.address, now):
+            opening.hosts = self._hosts.candidates(now)[:max_hosts]
+        return [partial(self._open_tunnel, opening, host) for host in opening.hosts]
 
     def _direct_first(self, opening: _Opening) -> Iterator[Attempt]:
         """Yield the direct attempt, then tunnels if it fails or is too slow."""
@@ -195,6 +205,8 @@
 
     def _may_explore(self, opening: _Opening) -> bool:
         """Return whether to ask other hosts, since a direct connection is slow."""
+        if opening.must_explore:
+            return True
         now = self._clock.monotonic()
         if now < self._explores_after or self._exploring >= MAX_EXPLORING:
             return False
@@ -287,13 +299,14 @@
         """Check the replicas that were not heard from since a path was lost."""
         await trio.sleep(LIFE_SECONDS)
         for instance, address in itertools.islice(self._listed(), MAX_SUSPECTS):
-            self._start_check(instance, address)
+            self._start_check(instance, address, must_explore=True)
 
-    async def _check(self, instance: InstanceId, address: str) -> None:
+    async def _check(self, opening: _Opening) -> None:
         async with self._checks:
+            opening.started_at = self._clock.monotonic()
             with trio.move_on_after(CHECK_SECONDS):
                 try:
-                    close_now(await self.open(instance, address))
+                    close_now(await self._open(opening))
                 except OSError:
                     return
 
--- a/berylshift/request/relay.py
+++ b/berylshift/request/relay.py
@@ -678,7 +678,7 @@
                 loads.record_refusal(instance, now)
         elif outcome is AttemptOutcome.THROTTLED:
             logger.info("attempt throttled by replica", extra={"instance": instance})
-        else:
+        elif not self._deps.is_path_lost(replica.address):
             loads.record_failure(instance, SEVERE_FAILURE, now)
             self._deps.client.forget(instance)
         if outcome is AttemptOutcome.BROKEN:
--- a/berylshift/request/relay_dependencies.py
+++ b/berylshift/request/relay_dependencies.py
@@ -60,3 +60,5 @@
     fair_queueing: FairQueueing | None = None
     prefix_cache: PrefixCacheIndex = field(default_factory=PrefixCacheIndex)
     suspects: SuspectedGone = field(default_factory=SuspectedGone)
+    # Returns whether this host's path to an address is lost.
+    is_path_lost: Callable[[str], bool] = lambda address: False
--- a/berylshift/tests/test_native_lost_paths.py
+++ b/berylshift/tests/test_native_lost_paths.py
@@ -1,11 +1,12 @@
 """Tests of hosts with the native API that lost their paths to all targets."""
 
 import unittest
+from dataclasses import replace
 from functools import partial
 
 import trio
 
-from berylshift.application import Application, Ports
+from berylshift.application import Application
 from berylshift.connection.engine_client import HttpEngineClient
 from berylshift.connection.http_client import HttpClient
 from berylshift.connection.http_server import HttpServer
@@ -48,19 +49,10 @@
         name = cfg.host.name
         dial = TargetDial(partial(self.dial, name))
         targets = HttpClient(dial.dial, 0.5, may_reuse=dial.may_reuse)
-        former = super()._make_app(cfg, rng).ports
-        ports = Ports(
-            clock=former.clock,
-            rng=former.rng,
-            metrics=former.metrics,
-            table_service=former.table_service,
-            objects=former.objects,
-            hosts=former.hosts,
-            weights=former.weights,
+        ports = replace(
+            super()._make_app(cfg, rng).ports,
             engines=HttpEngineClient(targets, ""),
             services=HttpServiceClient(targets, ""),
-            link=former.link,
-            peer_views=former.peer_views,
             target_dial=dial,
             dial_peer=self.dial_host,
             break_silent=targets.break_silent,
