Check overdue responses less often after false alarms

Cause: in an overload most responses are overdue, and each host checked a path every 0.25 s, to replicas that are overloaded themselves.

Change: a check whose connection is accepted pauses further ones, as a connection does that was only slow: 0.5 s, doubled up to 2 s, until a path is found lost.

--- a/berylshift/process/paths/replica_dialer.py
+++ b/berylshift/process/paths/replica_dialer.py
@@ -39,9 +39,10 @@
 # each: in an overload all connections are slow, and questions would add to it.
 MAX_EXPLORING = 2
 MAX_ASKED_IF_SLOW = 2
-# Pause after a connection that was only slow, doubled with each one up to the maximum.
+# Pause after a connection or response that was only slow, doubled with each one up to
+# the maximum.
 FIRST_FALSE_ALARM_SECONDS = 0.5
-MAX_FALSE_ALARM_SECONDS = 4.0
+MAX_FALSE_ALARM_SECONDS = 2.0
 # Pause between two checks of replicas whose responses are overdue.
 OVERDUE_CHECK_SECONDS = 0.25
 # How long a background check waits for a connection.
@@ -164,7 +165,8 @@
     def suspect(self, instance: InstanceId, address: str) -> None:
         """Check the path to a replica that was not heard from when expected."""
         now = self._clock.monotonic()
-        if now - self._overdue_checked_at < OVERDUE_CHECK_SECONDS:
+        is_paused = now < self._explores_after
+        if is_paused or now - self._overdue_checked_at < OVERDUE_CHECK_SECONDS:
             return
         if self._start_check(instance, address):
             self._overdue_checked_at = now
@@ -306,9 +308,12 @@
             opening.started_at = self._clock.monotonic()
             with trio.move_on_after(CHECK_SECONDS):
                 try:
-                    close_now(await self._open(opening))
+                    stream = await self._open(opening)
                 except OSError:
                     return
+                if not (opening.must_explore or isinstance(stream, TunnelStream)):
+                    self._on_false_alarm()
+                close_now(stream)
 
     def _recheck_if_due(self, address: str) -> None:
         if self.paths.take_recheck(address, self._clock.monotonic()):
