Log and count the software versions of replicas and attempts

Neither log nor metric told at which version an attempt ran, nor whether a request resumes a stream, so the hypotheses could not be told apart.

Now a replica's version is read from its entry and travels with the entries that hosts send each other. The log of a request names the version of each attempt, the one that brought the first event (began_at), and what a caller resumes (resumes, after); 'replicas changed' counts the versions; berylshift_streams_resumed_total counts resumptions by whom and whether at the same version, berylshift_software_versions the versions of a service. No decision reads the version yet.

--- a/berylshift/connection/load_digest.capnp
+++ b/berylshift/connection/load_digest.capnp
@@ -84,6 +84,8 @@
   hasStart @8 :Bool;
   draining @9 :Bool;
   interruptible @10 :Bool;
+  # Index of the software version in the texts, plus one; 0: unknown.
+  version @11 :UInt8;
 }
 
 # What hosts learned of replicas' speeds; one item of each list per update.
--- a/berylshift/connection/replica_piece_codec.py
+++ b/berylshift/connection/replica_piece_codec.py
@@ -1,10 +1,18 @@
 """Encoding of replica changes in load digests."""
 
-from berylshift.ids import DomainName, ReplicaName, Revision, ServiceName, StoreEra
+from berylshift.ids import (
+    DomainName,
+    ReplicaName,
+    Revision,
+    ServiceName,
+    SoftwareVersion,
+    StoreEra,
+)
 from berylshift.messages.replica_updates import (
     ReplicaLink,
     ReplicaPiece,
     RevisionRange,
+    shared_texts,
 )
 from berylshift.messages.replicas import EnginePhase, Replica, instance_of
 
@@ -20,13 +28,15 @@
         slot.era = link.start.era
         slot.since, slot.until, slot.to = link.start.since, link.start.until, link.to
         slot.index, slot.count = piece.index, piece.count
-        texts = sorted({text for rep in link.put for text in (rep.service, rep.domain)})
+        texts = sorted({text for rep in link.put for text in shared_texts(rep)})
         slot.texts = texts
         entries = slot.init("put", len(link.put))
         for entry, replica in zip(entries, link.put, strict=True):
             _pack_entry(entry, replica)
             entry.service = texts.index(replica.service)
             entry.domain = texts.index(replica.domain)
+            if replica.version:
+                entry.version = texts.index(replica.version) + 1
         slot.removed = list(link.removed)
 
 
@@ -66,19 +76,17 @@
 
 
 def _unpack_entries(slots, texts: list[str]) -> tuple[Replica, ...]:
-    return tuple(
-        _unpack_entry(slot, texts[slot.service], texts[slot.domain]) for slot in slots
-    )
+    return tuple(_unpack_entry(slot, texts) for slot in slots)
 
 
-def _unpack_entry(slot, service: str, domain: str) -> Replica:
+def _unpack_entry(slot, texts: list[str]) -> Replica:
     name = ReplicaName(slot.name)
     started_ms = slot.startedMs if slot.hasStart else None
     return Replica(
         instance=instance_of(name, started_ms),
-        service=ServiceName(service),
+        service=ServiceName(texts[slot.service]),
         address=slot.address,
-        domain=DomainName(domain),
+        domain=DomainName(texts[slot.domain]),
         slots=slot.slots,
         draining=slot.draining,
         phase=PHASES[slot.phase],
@@ -86,4 +94,5 @@
         started_ms=started_ms,
         revision=Revision(slot.revision),
         interruptible=slot.interruptible,
+        version=SoftwareVersion(texts[slot.version - 1] if slot.version else ""),
     )
--- a/berylshift/entry_gauges.py
+++ b/berylshift/entry_gauges.py
@@ -56,6 +56,14 @@
         "1 if this host reads the store's feeds.",
         app.store_watch.reads_feeds,
     )
+    for service, versions in app.replicas.count_versions().items():
+        app.telemetry.service_gauge(
+            "software_versions",
+            "Software versions of the replicas that take work.",
+            service,
+            EnginePhase.NONE,
+            len(versions),
+        )
     era = app.store_watch.eras.current or FIRST_ERA
     gauge("store_era", "Era of the store.", era)
     gauge(
--- a/berylshift/messages/replica_updates.py
+++ b/berylshift/messages/replica_updates.py
@@ -42,3 +42,9 @@
     link: ReplicaLink
     index: int = 0
     count: int = 1
+
+
+def shared_texts(replica: Replica) -> tuple[str, ...]:
+    """Return the texts of an entry that other entries of a piece may share."""
+    found = (replica.service, replica.domain)
+    return (*found, replica.version) if replica.version else found
--- a/berylshift/messages/replicas.py
+++ b/berylshift/messages/replicas.py
@@ -10,6 +10,7 @@
     ReplicaName,
     Revision,
     ServiceName,
+    SoftwareVersion,
     StoreEra,
 )
 from berylshift.store.eras import FIRST_ERA
@@ -35,7 +36,8 @@
     known of it is kept by ``instance``, which differs for each start. ``started_ms`` is
     the Unix time of the start, ``None`` where the replica does not report it; then its
     name identifies its only instance. ``revision`` is that of its entry; 0: unknown. An
-    ``interruptible`` replica may be reclaimed within seconds.
+    ``interruptible`` replica may be reclaimed within seconds. ``version`` is that of
+    its software, which changes only with a restart; empty: unknown.
     """
 
     instance: InstanceId
@@ -49,6 +51,7 @@
     started_ms: int | None = None
     revision: Revision = Revision(0)
     interruptible: bool = False
+    version: SoftwareVersion = SoftwareVersion("")
 
     def __post_init__(self) -> None:
         """Use the instance as the name of a replica without one."""
--- a/berylshift/messages/routed.py
+++ b/berylshift/messages/routed.py
@@ -64,7 +64,9 @@
     ``headers`` may be forwarded unchanged. ``seconds_left`` is how long the caller
     waits, counted from the request's arrival. ``key`` is the API key that the caller
     presents; ``None`` if it presents none or an ill-formed one. ``customer`` is set
-    once a host has identified the owner of the key.
+    once a host has identified the owner of the key. A caller that resumes a stream
+    after the event ``resume_after`` names in ``resumes`` the request that brought its
+    first event; ``None``: it did not.
     """
 
     id: RequestId
@@ -75,6 +77,7 @@
     seconds_left: float | None = None
     prompt: Prompt | None = None
     resume_after: bytes | None = None
+    resumes: RequestId | None = None
     key: ApiKey | None = None
     customer: CustomerName | None = None
 
--- a/berylshift/platform/codec.py
+++ b/berylshift/platform/codec.py
@@ -47,6 +47,7 @@
         names.MODEL,
         names.TOKEN_COUNTS,
         names.LAST_EVENT_ID,
+        names.RESUMES,
     }
 )
 # Set anew for each attempt.
@@ -98,6 +99,7 @@
             seconds_left=_time_left_seconds(single.get(names.TIME_LEFT_MS)),
             prompt=_prompt(single),
             resume_after=single.get(names.LAST_EVENT_ID),
+            resumes=_request_id(single.get(names.RESUMES)),
             key=_api_key(headers),
         )
 
@@ -213,6 +215,10 @@
     return ApiKey(words[1]) if len(words[1]) <= MAX_KEY_BYTES else None
 
 
+def _request_id(value: bytes | None) -> RequestId | None:
+    return RequestId(value.decode("latin-1")) if value else None
+
+
 def _time_left_seconds(value: bytes | None) -> float | None:
     if value is None:
         return None
--- a/berylshift/platform/entries.py
+++ b/berylshift/platform/entries.py
@@ -4,7 +4,13 @@
 
 import msgspec
 
-from berylshift.ids import DomainName, ReplicaName, Revision, ServiceName
+from berylshift.ids import (
+    DomainName,
+    ReplicaName,
+    Revision,
+    ServiceName,
+    SoftwareVersion,
+)
 from berylshift.messages.replicas import EnginePhase, Replica, instance_of
 from berylshift.store.directory import MalformedEntryError
 
@@ -55,4 +61,5 @@
         started_ms=started_ms,
         revision=Revision(revision),
         interruptible=decoded.spot_enabled,
+        version=SoftwareVersion(decoded.version),
     )
--- a/berylshift/platform/names.py
+++ b/berylshift/platform/names.py
@@ -7,6 +7,8 @@
 TOKEN_COUNTS = b"berylshift-token-count"
 LENGTH_HINT = b"berylshift-length-hint"
 LAST_EVENT_ID = b"last-event-id"
+# The attempt that brought the first event of a stream that a caller resumes.
+RESUMES = b"resumes"
 SIGNATURE = b"berylshift-response-signature"
 TARGET_INSTANCE = b"berylshift-target-instance"
 INSTANCE = b"berylshift-instance-id"
--- a/berylshift/process/directory/directory_loop.py
+++ b/berylshift/process/directory/directory_loop.py
@@ -216,6 +216,7 @@
                     "drained": change.drained,
                     "removed": change.removed,
                     "lapsed": change.expired,
+                    "versions": self._replicas.count_versions(),
                 },
             )
 
--- a/berylshift/process/directory/replica_set.py
+++ b/berylshift/process/directory/replica_set.py
@@ -1,5 +1,6 @@
 """The replicas that the platform lists, with a grace period for expired entries."""
 
+from collections import Counter
 from collections.abc import Callable
 
 import msgspec
@@ -10,6 +11,7 @@
     ReplicaName,
     Revision,
     ServiceName,
+    SoftwareVersion,
     StoreEra,
 )
 from berylshift.messages.load_digest import target_hash
@@ -280,6 +282,13 @@
         """Return the replicas of all services as listed, including draining ones."""
         return list(self._listed.values())
 
+    def count_versions(self) -> dict[ServiceName, dict[SoftwareVersion, int]]:
+        """Return how many replicas take work at each software version, by service."""
+        return {
+            name: dict(Counter(rep.version for rep in pool.replicas))
+            for name, pool in self._by_service.items()
+        }
+
     def instance_of(self, target: int) -> InstanceId | None:
         """Return the listed instance with a given short hash."""
         found = (entry.instance for entry in self._listed.values())
--- a/berylshift/process/directory/replica_updates.py
+++ b/berylshift/process/directory/replica_updates.py
@@ -21,6 +21,7 @@
     ReplicaLink,
     ReplicaPiece,
     RevisionRange,
+    shared_texts,
 )
 from berylshift.messages.replicas import Replica, ReplicaChanges
 
@@ -30,7 +31,7 @@
 MAX_PIECE_BYTES = MAX_DIGEST_BYTES
 # Upper bounds of what a piece, an entry and a text take beside the texts themselves.
 PIECE_BYTES = 48
-ENTRY_BYTES = 26
+ENTRY_BYTES = 28
 TEXT_BYTES = 8
 # A larger change is not sent: at five digests a second it would take longer than a
 # read by every host.
@@ -290,7 +291,7 @@
     def add(self, change: Replica | ReplicaName) -> bool:
         """Add a change, unless it doesn't fit beside those that the part has."""
         if isinstance(change, Replica):
-            texts = {change.service, change.domain} - self._texts
+            texts = set(shared_texts(change)) - self._texts
             size = ENTRY_BYTES + len(change.name) + len(change.address)
             size += sum(TEXT_BYTES + len(text) for text in texts)
         else:
--- a/berylshift/request/attempt_log.py
+++ b/berylshift/request/attempt_log.py
@@ -62,6 +62,8 @@
             f"predicted={placement.seconds * 1000:.0f}ms tokens={placement.tokens}"
             f" again={placement.uncached_prefix_tokens} ahead={placement.queued:.0f}"
         )
+        if placement.target.version:
+            details += f" version={placement.target.version}"
         if placement.factor != 1.0:
             details += f" factor={placement.factor:.2f}"
         if placement.event_gap is not None:
--- a/berylshift/request/relay.py
+++ b/berylshift/request/relay.py
@@ -46,6 +46,7 @@
     retry_bounds,
 )
 from berylshift.request.routed_crash_watch import RoutedCrashWatch
+from berylshift.request.stream_origin import ResumedBy, StreamOrigin
 from berylshift.scheduling.handle_policy import Refusal
 from berylshift.scheduling.placement import Placement
 from berylshift.scheduling.prefill_scheduler import PrefillDecision, PrefillJob
@@ -94,6 +95,10 @@
         self._req = req
         self._route = route
         self._out = ResponseStream(responder, deps.clock)
+        self._out.on_first_event = self._on_first_event
+        self.origin = StreamOrigin()
+        # Where the current attempt was sent.
+        self._target: Replica | None = None
         self._history = AttemptHistory()
         self._retry_budget = deps.retry_budget_for(service)
         self.attempts = AttemptLog(deps.clock, self._describe_state)
@@ -541,6 +546,7 @@
         loads.record_sent(instance, placement.tokens, self._urgency)
         prefill = PendingPrefill(loads, instance, placement.tokens, self._urgency)
         sent_at = self.attempts.begin(placement)
+        self._target = placement.target
         if placement.fetch is not None:
             self._deps.fetches.record_sent(placement.fetch, placement.target, sent_at)
         response_had_started = self._out.started
@@ -580,9 +586,17 @@
 
     def _on_streaming(self, placement: Placement, source: KvSource | None) -> None:
         """Record what the first data of a stream tells of the engines."""
+        if self._out.started:
+            self.origin.on_resumed(placement.target, ResumedBy.HOST)
+        elif self._req.resume_after is not None:
+            self.origin.on_resumed(placement.target, ResumedBy.CALLER)
         if self._req.prompt is not None:
             self._handles.on_streaming(placement.target, self._req.prompt, source)
 
+    def _on_first_event(self) -> None:
+        if self._target is not None:
+            self.origin.on_first_event(self._target)
+
     def _report_run(self, sent_at: float, may_have_run: bool) -> None:
         """Report the customer of an attempt that started to run, for usage accounting.
 
--- a/berylshift/request/response_stream.py
+++ b/berylshift/request/response_stream.py
@@ -1,5 +1,7 @@
 """The response of one routed request to its caller, across several attempts."""
 
+from collections.abc import Callable
+
 from berylshift.clock import Clock
 from berylshift.connection.responder import Responder
 from berylshift.messages.routed import ResponseHead
@@ -23,6 +25,8 @@
         self._clock = clock
         self._head: ResponseHead | None = None
         self._splitter = EventSplitter()
+        # Called before the first event is forwarded.
+        self.on_first_event: Callable[[], None] = lambda: None
         self.started = False
         self.last_event_id: bytes | None = None
         self.first_event_at: float | None = None
@@ -54,6 +58,8 @@
         if not events:
             return
         self._record_event_time()
+        if not self.started:
+            self.on_first_event()
         self.events += len(events)
         await self._start()
         await self._responder.send(b"".join(event.data for event in events))
--- a/berylshift/request/routed_handler.py
+++ b/berylshift/request/routed_handler.py
@@ -31,6 +31,7 @@
 from berylshift.request.relay_result import RelayOutcome, RelayResult
 from berylshift.request.replica_exchange import FailedResponse
 from berylshift.request.request_timeout import TimeoutSource, request_timeout
+from berylshift.request.stream_origin import Resumption
 from berylshift.utils import host_without_port
 from berylshift.version.routes import Route
 
@@ -64,6 +65,7 @@
     attempt_outcomes: tuple[str, ...] = ()
     timeout_source: TimeoutSource | None = None
     customer: CustomerName | None = None
+    resumptions: tuple[Resumption, ...] = ()
 
 
 class RoutedHandler:
@@ -258,6 +260,7 @@
                     tuple(relay.attempts.outcomes),
                     result.timeout_source,
                     req.customer,
+                    tuple(relay.origin.resumptions),
                 )
             )
 
@@ -347,6 +350,7 @@
                 **({} if refused is None else {"refused_placement": refused}),
                 "request": relay.request,
                 "same": fingerprint_hex(relay.crash_watch.fingerprint),
+                **_resumption(req),
                 "route": route.name,
                 "customer": req.customer,
                 "service": relay.service,
@@ -359,6 +363,7 @@
                 "first_ms": relay.first_ms,
                 "pause_ms": relay.pause_ms,
                 "events": relay.events,
+                "began_at": relay.origin.version,
                 "version": None if table is None else table.version,
                 "routes_age": _rounded(self._routes.age(now)),
                 "replicas_age": _rounded(replicas.age(now)),
@@ -367,5 +372,16 @@
         )
 
 
+def _resumption(req: RoutedRequest) -> dict[str, str | None]:
+    """Return the log fields of a stream that the caller resumes; none for others."""
+    if req.resume_after is None and req.resumes is None:
+        return {}
+    after = req.resume_after
+    return {
+        "resumes": req.resumes,
+        "after": None if after is None else after.decode("latin-1"),
+    }
+
+
 def _rounded(seconds: float | None) -> float | None:
     return None if seconds is None else round(seconds, 2)
--- a/berylshift/stand_ins/entry_replica.py
+++ b/berylshift/stand_ins/entry_replica.py
@@ -12,6 +12,7 @@
 import msgspec
 import trio
 
+from berylshift.ids import SoftwareVersion
 from berylshift.messages.replicas import EnginePhase
 from berylshift.platform import names
 from berylshift.stand_ins.pipes import Pipe
@@ -110,6 +111,8 @@
     released: list[str] = field(default_factory=list)
     crash_paths: set[str] = field(default_factory=set)
     crashes: list[Crash] = field(default_factory=list)
+    # Events after which the stream of a request breaks, once.
+    breaks: dict[str, int] = field(default_factory=dict)
     # Called when a replica crashes; a replica in its own process exits here.
     on_crash: Callable[[], None] = lambda: None
 
@@ -151,6 +154,8 @@
         self.prefills: list[str] = []
         self.prefill_headers: list[dict[bytes, bytes]] = []
         self.orders: list[PhaseBody] = []
+        # The version of its software; set before it is listed.
+        self.version = SoftwareVersion("")
         self.work_seconds = 0.02
         self.prefill_seconds = 0.05
         self.event_count = 4
@@ -446,9 +451,14 @@
             status_code=200, headers=self._response_headers(headers, True)
         )
         await self._send_event(head)
+        breaks = self.replica.fleet_state.breaks
+        break_after = breaks.pop(headers[names.ATTEMPT_ID].decode(), None)
         for number in range(first, event_count + 1):
             await trio.sleep(self.replica.event_seconds)
-            event = b"id: %d\ndata: piece-%d\n\n" % (number, number)
+            event = b"id: %d\ndata: %s\n\n" % (number, self._event_data(number))
+            if break_after is not None and number > break_after:
+                await self.reset()
+                raise trio.BrokenResourceError("stream broken")
             if fault is Fault.HALF_EVENT and number == 3:
                 await self._send_event(h11.Data(data=event[:-6]))
             if fault in (Fault.CUT, Fault.HALF_EVENT) and number == 3:
@@ -458,6 +468,11 @@
             await self._send_event(h11.Data(data=event))
         await self._send_event(h11.EndOfMessage())
 
+    def _event_data(self, number: int) -> bytes:
+        """Return the data of an event, with the software version if there is one."""
+        version = self.replica.version.encode()
+        return b"piece-%d" % number + (b"@" + version if version else b"")
+
     def _response_headers(self, headers, signed: bool) -> list:
         response_headers = [(names.ATTEMPT_ID, headers.get(names.ATTEMPT_ID, b""))]
         load = b"%d,%d,%d" % self.replica.reported_load + self.replica.load_suffix
--- a/berylshift/telemetry.py
+++ b/berylshift/telemetry.py
@@ -54,6 +54,12 @@
             ["service", "outcome"],
             registry=self.registry,
         )
+        self._resumptions = Counter(
+            "berylshift_streams_resumed",
+            "Streams resumed, by whom, and whether at the software version they began.",
+            ["service", "by", "version"],
+            registry=self.registry,
+        )
         self._customers: set[str] = set()
         self._gauges: dict[str, Gauge] = {}
 
@@ -63,6 +69,8 @@
         self._seconds.labels(ended.route).observe(ended.seconds)
         for outcome in ended.attempt_outcomes:
             self._attempts.labels(ended.service, outcome).inc()
+        for resumed in ended.resumptions:
+            self._resumptions.labels(ended.service, resumed.by, resumed.match).inc()
         if ended.timeout_source is not None:
             self._out_of_time.labels(ended.route, ended.timeout_source).inc()
         if ended.customer is not None:
--- a/berylshift/tests/entry_world.py
+++ b/berylshift/tests/entry_world.py
@@ -12,7 +12,14 @@
 from berylshift.clock import LoopClock
 from berylshift.connection.target_client import TargetClient
 from berylshift.entry_application import EntryApplication, EntryPorts
-from berylshift.ids import DomainName, ReplicaName, RouteName, ServiceName, TableVersion
+from berylshift.ids import (
+    DomainName,
+    ReplicaName,
+    RouteName,
+    ServiceName,
+    SoftwareVersion,
+    TableVersion,
+)
 from berylshift.messages.load_digest import LoadDigest
 from berylshift.messages.replicas import EnginePhase, Replica, instance_of
 from berylshift.platform import names
@@ -148,7 +155,10 @@
     duties: FakeLeaderCalls = field(default_factory=FakeLeaderCalls)
     replicas: dict[str, EntryReplica] = field(default_factory=dict)
     hosts: list[EntryApplication] = field(default_factory=list)
+    host_nurseries: list[trio.Nursery] = field(default_factory=list)
     links: list[MemoryLink] = field(default_factory=list)
+    # Peer addresses of hosts that no datagram of another host reaches, nor leaves.
+    cut_hosts: set[str] = field(default_factory=set)
     fleet_state: FleetState = field(default_factory=FleetState)
     unresponsive: set[str] = field(default_factory=set)
     dials: int = 0
@@ -160,10 +170,12 @@
         service: ServiceName = PLAIN,
         phase: EnginePhase = EnginePhase.NONE,
         address: str = "",
+        version: str = "",
     ) -> EntryReplica:
         """Start a replica and write its directory entry."""
         address = address or f"10.0.0.{len(self.replicas) + 1}:80"
         replica = EntryReplica(name, address, self.fleet_state, phase)
+        replica.version = SoftwareVersion(version)
         self.replicas[address] = replica
         self.list_replica(replica, service)
         return replica
@@ -183,6 +195,7 @@
             slots=8,
             draining=draining,
             phase=replica.phase,
+            version=replica.version,
         )
         self.directory.put_replica(entry)
 
@@ -286,16 +299,29 @@
         )
         app = EntryApplication(parse_settings(text).unwrap(), ports)
         self.hosts.append(app)
-        self.nursery.start_soon(app.run)
+        self.host_nurseries.append(await self.nursery.start(self._run_host, app))
         with trio.move_on_after(1):
             while not app.is_ready():
                 await trio.sleep(0.01)
         return app
 
+    async def _run_host(
+        self, app: EntryApplication, task_status=trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Run a host's tasks and connections until its nursery is cancelled."""
+        async with trio.open_nursery() as nursery:
+            task_status.started(nursery)
+            nursery.start_soon(app.run)
+
+    def kill_host(self, host: int) -> None:
+        """End a host's process at once."""
+        self.host_nurseries[host].cancel_scope.cancel()
+
     def connect(self, host: int = 0) -> "CallerLink":
         """Open a caller's connection to a host."""
         near, far = pipe_pair()
-        self.nursery.start_soon(self.hosts[host].server.serve_stream, far)
+        serve = self.hosts[host].server.serve_stream
+        self.host_nurseries[host].start_soon(serve, far)
         return CallerLink(near)
 
     async def ask(self, path: str, request: str = "r1", host: int = 0, **more) -> Reply:
