Let streams go on only at the software version that began them

Cause: the version of a replica was read from its entry and dropped, so a stream that broke was resumed at any replica; and what had begun a stream was known, if at all, at one host only, so one that its caller took up went on anywhere. The class: what belongs to a caller's whole request is decided anew by each attempt and each host.

Change: the first forwarded event binds a request to its service and version (StreamBinding), and ReplicaSelector.pool, through which all choices go, holds those replicas alone. While a service has several versions, hosts tell two holders in different failure domains the version of each stream that may be resumed; a host that gets a resumed stream asks them, then others. Without a record a stream goes on only where one version has served for as long as it can have lasted and another host confirms it; otherwise it is refused at once, not run. Streams that may be resumed do not begin at the last decode engine of a version. The mailbox of queue messages is shared with the new messages.

Why it works: a record is written with the event it speaks of and never changes, so a host that has one is right; a host that has none does not guess.

The log test now expects the caller's resumption at the same version instead of an unknown one.

--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -47,6 +47,12 @@
 )
 from berylshift.process.queues.queue_view import QueueView
 from berylshift.process.shutdown import Shutdown
+from berylshift.process.streams.origin_loop import (
+    OriginLink,
+    OriginLoop,
+    OriginLoopDependencies,
+    VersionSources,
+)
 from berylshift.process.targets.customer_demand import CustomerDemand
 from berylshift.process.targets.engine_speeds import EngineSpeeds
 from berylshift.process.targets.fetch_results import FetchResults
@@ -132,6 +138,8 @@
     announces_contention: Callable[[str], bool] = lambda contracts: False
     # Makes the link for queue messages; ``None``: hosts exchange none.
     make_queue_link: Callable[[str], QueueLink] | None = None
+    # Makes the link for streams' origins; ``None``: hosts tell none.
+    make_origin_link: Callable[[str], OriginLink] | None = None
     # Opens connections to other hosts, for tunnels.
     dial_peer: Dial = dial_tcp
 
@@ -139,6 +147,8 @@
 class EntryApplication:
     """Entry host that serves the platform's routes, without its listeners."""
 
+    _nursery: trio.Nursery | None = None
+
     def __init__(self, cfg: Settings, ports: EntryPorts):
         """Wire the components; ``run`` starts them."""
         self.cfg = cfg
@@ -151,6 +161,7 @@
             self.phases,
             ENTRY_TTL_HEARTBEATS * self.heartbeat_seconds,
             self._uses_replica_gossip,
+            knows_past=cfg.entry.first_start,
         )
         self.loads = TargetLoads(lambda: self.load_loop.notify_work())
         self.is_stopping = False
@@ -159,7 +170,6 @@
         self._started = ports.clock.monotonic()
         self._phase_loop_services: set[ServiceName] = set()
         self._retry_budgets: dict[ServiceName, SharedRetryBudget] = {}
-        self._nursery: trio.Nursery | None = None
         self.peers = PeerLoads(cfg.host.name, cfg.host.domain)
         self.store_watch = StoreWatch(
             min(cfg.directory.in_force_ms, cfg.directory.leaving_ms) / 1000,
@@ -187,6 +197,7 @@
         )
         self.queue_view = QueueView()
         self.queue_loop = self._make_queue_loop()
+        self.origins = self._make_origin_loop()
         self.customer_demand = CustomerDemand(cfg.host.name, cfg.host.domain)
         self.fair_queueing = self._make_fair_queueing()
         self.replica_updates = ReplicaUpdates(cfg.host.name, self._uses_replica_gossip)
@@ -295,6 +306,7 @@
             prefix_cache=self.prefix_cache,
             queues=queues,
             suspects=self.replicas.suspects,
+            origins=self.origins,
             is_path_lost=self.paths.states.is_lost,
         )
         key_gate = KeyGate(
@@ -346,12 +358,37 @@
         )
         return QueueLoop(deps)
 
+    def _make_origin_loop(self) -> OriginLoop | None:
+        """Return the loop that tells where streams began; ``None``: it is off."""
+        ports, replicas = self.ports, self.replicas
+        if ports.make_origin_link is None:
+            return None
+        versions = VersionSources(
+            versions=replicas.versions.versions,
+            is_complete=replicas.versions.is_complete,
+            list_age=replicas.age,
+            services=lambda: [service.name for service in self._services()],
+        )
+        deps = OriginLoopDependencies(
+            host=self.cfg.host.name,
+            hosts=lambda: self.load_loop.sharing_hosts(),
+            make_link=ports.make_origin_link,
+            clock=ports.clock,
+            rng=ports.rng,
+            versions=versions,
+        )
+        loop = OriginLoop(deps)
+        replicas.on_further_version = loop.on_further_version
+        return loop
+
     def _use_key(self, key: str) -> None:
         """Use the key that all hosts share."""
         self.fingerprints.use_key(key)
         self.paths.use_key(key)
         if self.queue_loop is not None:
             self.queue_loop.use_key(key)
+        if self.origins is not None:
+            self.origins.use_key(key)
 
     def _make_fair_queueing(self) -> FairQueueing:
         """Return what decides which prompts wait for their customer's share."""
@@ -633,6 +670,8 @@
             nursery.start_soon(self.load_loop.run)
             if self.queue_loop is not None:
                 nursery.start_soon(self.queue_loop.run)
+            if self.origins is not None:
+                nursery.start_soon(self.origins.run)
             nursery.start_soon(self.quarantine_loop.run)
             nursery.start_soon(report_gauges, self)
             nursery.start_soon(LoopMonitor(self.ports.clock).run)
--- a/berylshift/entry_gauges.py
+++ b/berylshift/entry_gauges.py
@@ -56,14 +56,6 @@
         "1 if this host reads the store's feeds.",
         app.store_watch.reads_feeds,
     )
-    for service, versions in app.replicas.count_versions().items():
-        app.telemetry.service_gauge(
-            "software_versions",
-            "Software versions of the replicas that take work.",
-            service,
-            EnginePhase.NONE,
-            len(versions),
-        )
     era = app.store_watch.eras.current or FIRST_ERA
     gauge("store_era", "Era of the store.", era)
     gauge(
@@ -117,18 +109,6 @@
         "Prefix fetches that took as long as prefilling.",
         app.fetch_results.failed,
     )
-    if app.queue_loop is not None:
-        gauge("queue_queries", "Queries for engines' queues.", app.queue_loop.asked)
-        gauge(
-            "queue_queries_unanswered",
-            "Queries for engines' queues that some registrar did not answer in time.",
-            app.queue_loop.unanswered,
-        )
-        gauge(
-            "queue_prefills_registered",
-            "Open prefills of the engines that this host is the registrar of.",
-            len(app.queue_loop.register),
-        )
     tasks = app.leader_tasks
     gauge("usage_reported", "Usage windows reported.", tasks.windows_reported)
     gauge(
@@ -140,12 +120,46 @@
         "connections_opened", "Connections opened to replicas.", app.ports.client.opened
     )
     _set_path_gauges(app)
+    _set_datagram_gauges(app)
     if table is not None:
         for service in table.services.values():
             if service.engine is not None:
                 _set_capacity_gauges(app, service.name)
 
 
+def _set_datagram_gauges(app: "EntryApplication") -> None:
+    """Set the gauges of what hosts ask and tell each other one by one."""
+    gauge, origins = app.telemetry.gauge, app.origins
+    if app.queue_loop is not None:
+        gauge("queue_queries", "Queries for engines' queues.", app.queue_loop.asked)
+        gauge(
+            "queue_queries_unanswered",
+            "Queries for engines' queues that some registrar did not answer in time.",
+            app.queue_loop.unanswered,
+        )
+        gauge(
+            "queue_prefills_registered",
+            "Open prefills of the engines that this host is the registrar of.",
+            len(app.queue_loop.register),
+        )
+    if origins is not None:
+        gauge("origins_told", "Streams whose origin was told.", origins.told)
+        gauge("origins_held", "Streams whose origin is known.", len(origins.records))
+        gauge(
+            "origins_not_found",
+            "Streams that callers resumed and whose origin was not found.",
+            origins.not_found,
+        )
+    for service, versions in app.replicas.count_versions().items():
+        app.telemetry.service_gauge(
+            "software_versions",
+            "Software versions of the replicas that take work.",
+            service,
+            EnginePhase.NONE,
+            len(versions),
+        )
+
+
 def _set_path_gauges(app: "EntryApplication") -> None:
     """Set the gauges of connections to replicas."""
     gauge, paths = app.telemetry.gauge, app.paths
--- /dev/null
+++ b/berylshift/process/datagrams/__init__.py
@@ -0,0 +1,1 @@
+"""Datagrams between hosts that are sent one by one, outside of load digests."""
--- a/berylshift/process/directory/pools.py
+++ b/berylshift/process/directory/pools.py
@@ -4,13 +4,13 @@
 (the home engines of a prefix block) can be cached for the pool's lifetime.
 """
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Iterable
 from functools import cached_property
 
 import xxhash
 
-from berylshift.ids import BlockId, InstanceId
+from berylshift.ids import BlockId, InstanceId, SoftwareVersion
 from berylshift.messages.load_digest import target_hash
 from berylshift.messages.replicas import EnginePhase, Replica
 
@@ -39,6 +39,7 @@
         self._prefill_engines_by_hash = {
             target_hash(rep.instance): rep for rep in self.prefill_engines
         }
+        self._at_versions: dict[SoftwareVersion, Pool] = {}
         self._homes: OrderedDict[BlockId, tuple[Replica, ...]] = OrderedDict()
 
     def homes(self, block: BlockId) -> tuple[Replica, ...]:
@@ -60,6 +61,33 @@
                 self._homes.popitem(last=False)
         return found
 
+    def at_version(self, version: SoftwareVersion) -> "Pool":
+        """Return the replicas at a software version."""
+        found = self._at_versions.get(version)
+        if found is None:
+            found = self._at_versions[version] = Pool(
+                [rep for rep in self.replicas if rep.version == version],
+                [rep for rep in self._draining if rep.version == version],
+            )
+        return found
+
+    @cached_property
+    def for_resumable(self) -> "Pool":
+        """Return the replicas at which a stream that may be resumed should begin.
+
+        A decode engine that is alone at its version is left out where another version
+        has more of them: if it fails, its streams have no place to go on.
+        """
+        counts = Counter(rep.version for rep in self.decode_engines)
+        if len(counts) < 2 or max(counts.values()) < 2:
+            return self
+        kept = [
+            rep
+            for rep in self.replicas
+            if rep.phase is EnginePhase.PREFILL or counts[rep.version] > 1
+        ]
+        return self if len(kept) == len(self.replicas) else Pool(kept, self._draining)
+
     def prefill_engine(self, instance_hash: int) -> Replica | None:
         """Return the prefill engine whose instance has the short hash."""
         return self._prefill_engines_by_hash.get(instance_hash)
--- a/berylshift/process/directory/replica_set.py
+++ b/berylshift/process/directory/replica_set.py
@@ -20,6 +20,7 @@
 from berylshift.process.directory.pools import EMPTY_POOL, Pool
 from berylshift.process.directory.replica_tombstones import ReplicaTombstones
 from berylshift.process.directory.suspected_gone import SuspectedGone
+from berylshift.process.directory.version_history import VersionHistory
 
 # Entries expire while the store is down, since nobody can renew them. The platform
 # guarantees that a live replica renews its own within two seconds of the recovery.
@@ -63,14 +64,19 @@
         phases: ExpectedPhases | None = None,
         ttl_seconds: float = ENTRY_TTL_SECONDS,
         uses_suspicions: Callable[[], bool] = lambda: False,
+        knows_past: bool = False,
     ) -> None:
         """Start without replicas; orders in ``phases`` override entries.
 
         An entry that is not renewed expires after ``ttl_seconds``. While the store is
         lost, instances that appear to be gone get no work if ``uses_suspicions()``.
+        With ``knows_past`` there were no replicas before.
         """
         self.suspects = SuspectedGone(lambda: self.is_store_lost, uses_suspicions)
         self.suspects.subscribe(self._index)
+        self.versions = VersionHistory(knows_past)
+        # Called with each service that gets a further software version.
+        self.on_further_version: Callable[[ServiceName], None] = lambda service: None
         self._phases = phases or ExpectedPhases()
         self._ttl_seconds = ttl_seconds
         self._tombstones = ReplicaTombstones(ttl_seconds)
@@ -265,6 +271,8 @@
             name: Pool(self.suspects.without_suspects(members), draining.get(name, ()))
             for name, members in found.items()
         }
+        for service in self.versions.observe(self._listed.values(), now):
+            self.on_further_version(service)
 
     def with_ordered_phases(self, service: ServiceName, now: float) -> list[Replica]:
         """Return a service's replicas in the phases that they were ordered to take."""
--- /dev/null
+++ b/berylshift/process/directory/version_history.py
@@ -0,0 +1,60 @@
+"""The software versions of services' replicas that are listed, or were recently."""
+
+from collections.abc import Iterable
+
+from berylshift.ids import ServiceName, SoftwareVersion
+from berylshift.messages.replicas import Replica
+
+# Versions that are gone for longer are forgotten, in seconds.
+MAX_HORIZON_SECONDS = 600.0
+
+
+class VersionHistory:
+    """Versions by service; times in seconds on the monotonic clock."""
+
+    def __init__(self, knows_past: bool = False) -> None:
+        """Start empty; with ``knows_past`` there were no replicas before."""
+        self._known_since = float("-inf") if knows_past else None
+        self._listed: dict[ServiceName, frozenset[SoftwareVersion]] = {}
+        self._gone_at: dict[ServiceName, dict[SoftwareVersion, float]] = {}
+
+    def observe(self, replicas: Iterable[Replica], now: float) -> set[ServiceName]:
+        """Record the listed replicas; return the services with a further version."""
+        found: dict[ServiceName, set[SoftwareVersion]] = {}
+        for replica in replicas:
+            found.setdefault(replica.service, set()).add(replica.version)
+        if found and self._known_since is None:
+            self._known_since = now
+        for service in self._listed.keys() - found.keys():
+            found[service] = set()
+        changed = set()
+        for service, versions in found.items():
+            former = self._listed.get(service, frozenset())
+            if versions == former:
+                continue
+            self._record_gone(service, former - versions, now)
+            if versions - former and former:
+                changed.add(service)
+            self._listed[service] = frozenset(versions)
+        return changed
+
+    def _record_gone(
+        self, service: ServiceName, versions: Iterable[SoftwareVersion], now: float
+    ) -> None:
+        gone_at = self._gone_at.setdefault(service, {})
+        for version, at in list(gone_at.items()):
+            if now - at > MAX_HORIZON_SECONDS:
+                del gone_at[version]
+        gone_at.update(dict.fromkeys(versions, now))
+
+    def versions(
+        self, service: ServiceName, seconds: float, now: float
+    ) -> frozenset[SoftwareVersion]:
+        """Return the versions that were listed in the last ``seconds``."""
+        gone_at = self._gone_at.get(service, {})
+        recent = {version for version, at in gone_at.items() if now - at < seconds}
+        return self._listed.get(service, frozenset()) | recent
+
+    def is_complete(self, seconds: float, now: float) -> bool:
+        """Return whether the versions of the last ``seconds`` are all known."""
+        return self._known_since is not None and now - self._known_since >= seconds
--- a/berylshift/process/queues/queue_loop.py
+++ b/berylshift/process/queues/queue_loop.py
@@ -4,7 +4,6 @@
 import random
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
-from typing import Protocol
 
 import trio
 
@@ -17,11 +16,15 @@
     OpenedPrefill,
     QueueMessage,
 )
+from berylshift.process.datagrams.mailbox_loop import (
+    MailboxLoop,
+    MessageLink,
+    address_beside,
+)
 from berylshift.process.queues.queue_register import QueueRegister
 from berylshift.process.queues.queue_view import QueueView
 from berylshift.process.queues.registrars import Registrars
 from berylshift.store.host_rows import HostRecord
-from berylshift.utils import split_address
 
 logger = logging.getLogger(__name__)
 
@@ -32,22 +35,13 @@
 DECISION_BYTES = 1000
 # Decisions that may follow each other without a pause, in seconds of the budget.
 BURST_SECONDS = 1.0
-# Messages that wait to be sent; more are dropped.
-MAX_PENDING = 256
 # Queries are numbered in 32 bits; 0 is not used.
 MAX_QUERY_NUMBER = 0xFFFFFFFF
 # Registrars receive at the port after the one for load digests.
 PORT_OFFSET = 1
 
 
-class QueueLink(Protocol):
-    """Sends and receives queue messages."""
-
-    async def send(self, address: str, message: QueueMessage) -> None:
-        """Send a message; it may be lost."""
-
-    async def receive(self, on_message: Callable[[QueueMessage], None]) -> None:
-        """Pass each message to ``on_message`` until cancelled."""
+QueueLink = MessageLink[QueueMessage]
 
 
 @dataclass
@@ -81,11 +75,7 @@
         self._queries: dict[int, _Query] = {}
         self._last_query = 0
         self._last_ticket = deps.rng.getrandbits(62)
-        self._send, self._pending = trio.open_memory_channel[tuple[str, QueueMessage]](
-            MAX_PENDING
-        )
-        self._key: str | None = None
-        self._key_changed = trio.Event()
+        self._mailbox = MailboxLoop(deps.make_link, self._receive)
         self._budget_at = now
         self._budget = 0.0
         self.asked = 0
@@ -99,7 +89,7 @@
         Return the engines whose queues are known now.
         """
         now = self._deps.clock.monotonic()
-        if self._key is None or not instances or not self._take_budget(now):
+        if not self._mailbox.has_key or not instances or not self._take_budget(now):
             return []
         query = _Query(set(), trio.Event())
         number = self._register(query)
@@ -124,7 +114,9 @@
             target_hash(instance), self._last_ticket, tokens, urgency
         )
         now = self._deps.clock.monotonic()
-        registrars = self._registrars.of(opened.target, now) if self._key else ()
+        registrars = (
+            self._registrars.of(opened.target, now) if self._mailbox.has_key else ()
+        )
         for registrar in registrars:
             if registrar.host == self._deps.host:
                 self.register.open(opened, now)
@@ -189,34 +181,17 @@
         return True
 
     def _post(self, host: HostRecord, message: QueueMessage) -> bool:
-        try:
-            self._send.send_nowait((queue_address(host.address), message))
-        except trio.WouldBlock:
-            return False
-        return True
+        return self._mailbox.post(queue_address(host.address), message)
 
     # Loop
 
     def use_key(self, key: str) -> None:
         """Authenticate messages with a key that all hosts share."""
-        self._key = key
-        self._key_changed.set()
+        self._mailbox.use_key(key)
 
     async def run(self) -> None:
         """Send and receive until cancelled."""
-        await self._key_changed.wait()
-        while True:
-            self._key_changed = trio.Event()
-            link = self._deps.make_link(self._key or "")
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(link.receive, self._receive)
-                nursery.start_soon(self._send_pending, link)
-                await self._key_changed.wait()
-                nursery.cancel_scope.cancel()
-
-    async def _send_pending(self, link: QueueLink) -> None:
-        async for address, message in self._pending:
-            await link.send(address, message)
+        await self._mailbox.run()
 
     def _receive(self, message: QueueMessage) -> None:
         now = self._deps.clock.monotonic()
@@ -275,5 +250,4 @@
 
 def queue_address(peer_address: str) -> str:
     """Return where a host receives queue messages, from its address for digests."""
-    host, port = split_address(peer_address)
-    return f"{host}:{port + PORT_OFFSET}"
+    return address_beside(peer_address, PORT_OFFSET)
--- /dev/null
+++ b/berylshift/process/streams/origin_loop.py
@@ -0,0 +1,293 @@
+"""Tells holders at which software version streams began, and asks for it."""
+
+import random
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+import trio
+
+from berylshift.clock import Clock
+from berylshift.ids import RequestId, ServiceName, SoftwareVersion
+from berylshift.messages.stream_origins import (
+    OriginMessage,
+    OriginQuery,
+    OriginReply,
+    ServiceKey,
+    StreamKey,
+    StreamOrigin,
+    Variant,
+    service_key,
+    stream_key,
+    variant_of,
+)
+from berylshift.process.datagrams.mailbox_loop import (
+    MailboxLoop,
+    MessageLink,
+    address_beside,
+)
+from berylshift.process.streams.origin_holders import OriginHolders
+from berylshift.process.streams.origin_records import KEEP_SECONDS, OriginRecords
+from berylshift.process.streams.origin_search import Finding, OriginSearch
+from berylshift.store.host_rows import HostRecord
+
+# Origins are received at this many ports after the one for load digests.
+PORT_OFFSET = 2
+# Hosts that hold the record of a stream, besides the one that began it.
+HOLDERS = 2
+# How long the holders may take to reply. Then further hosts are asked: the one that
+# began the stream, which also knows, may be any of them.
+HOLDER_SECONDS = 0.05
+MAX_ASKED = 16
+REPLY_SECONDS = 0.15
+# Queries are numbered in 32 bits; 0 is not used.
+MAX_QUERY_NUMBER = 0xFFFFFFFF
+# Origins in one datagram.
+MAX_TOLD = 64
+# Messages that wait to be sent: a further version makes each host tell all its streams.
+MAX_PENDING = 2048
+# Age up to which this host's list of replicas is good enough to go by it alone.
+FRESH_SECONDS = 2.0
+
+OriginLink = MessageLink[OriginMessage]
+
+
+@dataclass
+class VersionSources:
+    """What is known of services' versions; times in seconds."""
+
+    # The versions of a service that were listed within some seconds.
+    versions: Callable[[ServiceName, float, float], frozenset[SoftwareVersion]]
+    # Whether all versions of the last seconds are known.
+    is_complete: Callable[[float, float], bool]
+    # The age of the list of replicas; ``None``: there is none.
+    list_age: Callable[[float], float | None]
+    services: Callable[[], Iterable[ServiceName]]
+
+
+@dataclass
+class OriginLoopDependencies:
+    """What the loop works with."""
+
+    host: str
+    hosts: Callable[[], Iterable[HostRecord] | None]
+    make_link: Callable[[str], OriginLink]
+    clock: Clock
+    rng: random.Random
+    versions: VersionSources
+
+
+@dataclass
+class _Query:
+    search: OriginSearch
+    waiting: set[str] = field(default_factory=set)
+    changed: trio.Event = field(default_factory=trio.Event)
+
+
+class OriginLoop:
+    """The origins of streams, as one host tells, keeps and asks for them.
+
+    While a service has one version, nothing is told: a stream that no host has a record
+    of began at that version.
+    """
+
+    def __init__(self, deps: OriginLoopDependencies):
+        """Work with ``deps``; nothing is sent before ``run``."""
+        self._deps = deps
+        self._mailbox = MailboxLoop(deps.make_link, self._receive, MAX_PENDING)
+        self._holders = OriginHolders(deps.hosts)
+        self.records = OriginRecords()
+        # Streams that began here, may be resumed and were not told to holders.
+        self._untold: OrderedDict[StreamKey, tuple[ServiceName, Variant, float]] = (
+            OrderedDict()
+        )
+        self._queries: dict[int, _Query] = {}
+        self._last_query = deps.rng.randrange(MAX_QUERY_NUMBER)
+        self.told = 0
+        self.asked = 0
+        self.not_found = 0
+
+    # For requests
+
+    def record(
+        self,
+        request: RequestId,
+        service: ServiceName,
+        version: SoftwareVersion,
+        must_tell: bool = False,
+    ) -> tuple[str, ...]:
+        """Record that a stream's first event is about to be forwarded.
+
+        Return the hosts that are told; ``must_tell``: also while there is one version.
+        """
+        now = self._deps.clock.monotonic()
+        stream, variant = stream_key(request), variant_of(service, version)
+        self.records.record(stream, variant, now)
+        if not must_tell and self._has_sole_version(service, now):
+            self._untold[stream] = (service, variant, now)
+            self._drop_old(now)
+            return ()
+        return self._tell([StreamOrigin(stream, variant)], now)
+
+    def on_complete(self, request: RequestId) -> None:
+        """Record that a stream has reached its caller to its end."""
+        self._untold.pop(stream_key(request), None)
+
+    def on_further_version(self, service: ServiceName) -> None:
+        """Tell the origins of a service that has got a further version."""
+        now = self._deps.clock.monotonic()
+        self._drop_old(now)
+        found = [
+            StreamOrigin(stream, variant)
+            for stream, (name, variant, _) in self._untold.items()
+            if name == service
+        ]
+        for origin in found:
+            del self._untold[origin.stream]
+        self._tell(found, now)
+
+    async def find(
+        self, request: RequestId, service: ServiceName, seconds: float
+    ) -> Finding:
+        """Return what began the stream whose first event ``request`` brought.
+
+        It may have begun ``seconds`` ago and is served by ``service``.
+        """
+        now = self._deps.clock.monotonic()
+        number = self._last_query = self._last_query % MAX_QUERY_NUMBER + 1
+        asked = OriginQuery(number, stream_key(request), service_key(service), seconds)
+        own = self._reply(asked, now)
+        query = _Query(OriginSearch(own, self._trusts_itself(now)))
+        finding = query.search.finding(())
+        if own.variant is not None:
+            return finding
+        hosts = self._hosts_to_ask(asked.stream, now)
+        self._queries[number] = query
+        try:
+            await self._ask(hosts[:HOLDERS], asked, query, HOLDER_SECONDS)
+            if not query.search.is_settled:
+                left = REPLY_SECONDS - (self._deps.clock.monotonic() - now)
+                await self._ask(hosts[HOLDERS:], asked, query, left)
+        finally:
+            del self._queries[number]
+        finding = query.search.finding([rec.host for rec in hosts])
+        self.not_found += finding.variant is None
+        return finding
+
+    def _has_sole_version(self, service: ServiceName, now: float) -> bool:
+        versions = self._deps.versions
+        if not versions.is_complete(KEEP_SECONDS, now):
+            return False
+        return len(versions.versions(service, KEEP_SECONDS, now)) <= 1
+
+    def _trusts_itself(self, now: float) -> bool:
+        """Return whether this host may go by its own list if no other host replies."""
+        if not self._hosts_to_ask(StreamKey(0), now):
+            return True
+        age = self._deps.versions.list_age(now)
+        return age is not None and age < FRESH_SECONDS
+
+    def _hosts_to_ask(self, stream: StreamKey, now: float) -> list[HostRecord]:
+        ranked = self._holders.of(stream, MAX_ASKED, now)
+        return [rec for rec in ranked if rec.host != self._deps.host]
+
+    async def _ask(
+        self,
+        hosts: list[HostRecord],
+        asked: OriginQuery,
+        query: _Query,
+        seconds: float,
+    ) -> None:
+        """Ask hosts; return once the search is settled or no reply is missing."""
+        if not hosts or not self._mailbox.has_key:
+            return
+        self.asked += 1
+        for rec in hosts:
+            query.waiting.add(rec.host)
+            self._post(rec, OriginMessage(self._deps.host, query=asked))
+        with trio.move_on_after(max(0.0, seconds)):
+            while query.waiting and not query.search.is_settled:
+                query.changed = trio.Event()
+                await query.changed.wait()
+
+    # Telling
+
+    def _tell(self, origins: list[StreamOrigin], now: float) -> tuple[str, ...]:
+        """Tell the holders of some streams their origins; return the hosts' names."""
+        by_host: dict[HostRecord, list[StreamOrigin]] = {}
+        for origin in origins:
+            for rec in self._holders.of(origin.stream, HOLDERS, now):
+                if rec.host != self._deps.host:
+                    by_host.setdefault(rec, []).append(origin)
+        self.told += len(origins)
+        for rec, found in by_host.items():
+            for start in range(0, len(found), MAX_TOLD):
+                told = tuple(found[start : start + MAX_TOLD])
+                self._post(rec, OriginMessage(told=told))
+        return tuple(rec.host for rec in by_host)
+
+    def _drop_old(self, now: float) -> None:
+        while self._untold:
+            _, _, at = next(iter(self._untold.values()))
+            if now - at <= KEEP_SECONDS:
+                return
+            self._untold.popitem(last=False)
+
+    def _post(self, rec: HostRecord, message: OriginMessage) -> None:
+        self._mailbox.post(origin_address(rec.address), message)
+
+    # Loop
+
+    def use_key(self, key: str) -> None:
+        """Authenticate messages with a key that all hosts share."""
+        self._mailbox.use_key(key)
+
+    async def run(self) -> None:
+        """Send and receive until cancelled."""
+        await self._mailbox.run()
+
+    def _receive(self, message: OriginMessage) -> None:
+        now = self._deps.clock.monotonic()
+        for origin in message.told:
+            self.records.record(origin.stream, origin.variant, now)
+        if message.query is not None:
+            asker = self._holders.record(message.host, now)
+            if asker is not None:
+                reply = self._reply(message.query, now)
+                self._post(asker, OriginMessage(self._deps.host, reply=reply))
+        if message.reply is not None:
+            self._receive_reply(message.host, message.reply)
+
+    def _receive_reply(self, host: str, reply: OriginReply) -> None:
+        query = self._queries.get(reply.number)
+        if query is None or host not in query.waiting:
+            return
+        query.waiting.discard(host)
+        query.search.add(host, reply)
+        query.changed.set()
+
+    def _reply(self, query: OriginQuery, now: float) -> OriginReply:
+        """Return what this host knows itself."""
+        sole, several = self._sole_variant(query.service, query.seconds, now)
+        known = self.records.find(query.stream, now)
+        return OriginReply(query.number, known, sole, several)
+
+    def _sole_variant(
+        self, key: ServiceKey, seconds: float, now: float
+    ) -> tuple[Variant | None, bool]:
+        """Return a service's only variant, and whether it has had several."""
+        sources = self._deps.versions
+        for service in sources.services():
+            if service_key(service) != key:
+                continue
+            found = sources.versions(service, seconds, now)
+            if len(found) != 1:
+                return None, len(found) > 1
+            if sources.is_complete(seconds, now):
+                return variant_of(service, next(iter(found))), False
+        return None, False
+
+
+def origin_address(peer_address: str) -> str:
+    """Return where a host receives origins, from its address for digests."""
+    return address_beside(peer_address, PORT_OFFSET)
--- a/berylshift/request/relay.py
+++ b/berylshift/request/relay.py
@@ -46,7 +46,7 @@
     retry_bounds,
 )
 from berylshift.request.routed_crash_watch import RoutedCrashWatch
-from berylshift.request.stream_origin import ResumedBy, StreamOrigin
+from berylshift.request.stream_binding import ResumedBy, StreamBinding
 from berylshift.scheduling.handle_policy import Refusal
 from berylshift.scheduling.placement import Placement
 from berylshift.scheduling.prefill_scheduler import PrefillDecision, PrefillJob
@@ -82,10 +82,12 @@
         route: Route,
         service: ServiceName,
         responder: Responder,
+        binding: StreamBinding,
         is_key_valid: Callable[[], bool] = lambda: True,
     ):
         """Relay ``req`` to ``service`` and write the response to ``responder``.
 
+        ``binding`` tells which of the service's replicas may be used;
         ``is_key_valid`` returns whether the caller's API key still authorizes it.
         """
         self._deps = deps
@@ -96,7 +98,7 @@
         self._route = route
         self._out = ResponseStream(responder, deps.clock)
         self._out.on_first_event = self._on_first_event
-        self.origin = StreamOrigin()
+        self.binding = binding
         # Where the current attempt was sent.
         self._target: Replica | None = None
         self._history = AttemptHistory()
@@ -104,7 +106,7 @@
         self.attempts = AttemptLog(deps.clock, self._describe_state)
         self._exchange = ReplicaExchange(deps, req, route, self._out, self._history)
         self.crash_watch = RoutedCrashWatch(deps, req)
-        self._choice = ReplicaSelector(deps, service, self.crash_watch)
+        self._choice = ReplicaSelector(deps, service, self.crash_watch, binding)
         self._kv_source: KvSource | None = None
         self._kv_source_uses = 0
         self._handles = HandleOffers(deps, service)
@@ -580,6 +582,7 @@
         if outcome is AttemptOutcome.DONE:
             self.crash_watch.on_response(placement.target, sent_at)
             self.crash_watch.on_completed()
+            self.binding.on_complete()
         if outcome is AttemptOutcome.DONE and not response_had_started:
             self._update_speeds(placement, source, sent_at)
         return AttemptRecord(instance, outcome)
@@ -587,15 +590,15 @@
     def _on_streaming(self, placement: Placement, source: KvSource | None) -> None:
         """Record what the first data of a stream tells of the engines."""
         if self._out.started:
-            self.origin.on_resumed(placement.target, ResumedBy.HOST)
-        elif self._req.resume_after is not None:
-            self.origin.on_resumed(placement.target, ResumedBy.CALLER)
+            self.binding.on_resumed(placement.target, ResumedBy.HOST)
+        elif self.binding.is_taken_up:
+            self.binding.on_resumed(placement.target, ResumedBy.CALLER)
         if self._req.prompt is not None:
             self._handles.on_streaming(placement.target, self._req.prompt, source)
 
     def _on_first_event(self) -> None:
         if self._target is not None:
-            self.origin.on_first_event(self._target)
+            self.binding.on_first_event(self._target)
 
     def _report_run(self, sent_at: float, may_have_run: bool) -> None:
         """Report the customer of an attempt that started to run, for usage accounting.
--- a/berylshift/request/relay_dependencies.py
+++ b/berylshift/request/relay_dependencies.py
@@ -12,6 +12,7 @@
 from berylshift.process.limits.shared_retry_budget import SharedRetryBudget
 from berylshift.process.quarantine.quarantine import Quarantine
 from berylshift.process.shutdown import Shutdown
+from berylshift.process.streams.origin_loop import OriginLoop
 from berylshift.process.targets.engine_speeds import EngineSpeeds
 from berylshift.process.targets.handle_losses import HandleLosses
 from berylshift.process.targets.prefix_cache_index import PrefixCacheIndex
@@ -60,5 +61,7 @@
     fair_queueing: FairQueueing | None = None
     prefix_cache: PrefixCacheIndex = field(default_factory=PrefixCacheIndex)
     suspects: SuspectedGone = field(default_factory=SuspectedGone)
+    # ``None``: hosts do not tell each other at which versions streams began.
+    origins: OriginLoop | None = None
     # Returns whether this host's path to an address is lost.
     is_path_lost: Callable[[str], bool] = lambda address: False
--- a/berylshift/request/replica_selector.py
+++ b/berylshift/request/replica_selector.py
@@ -7,6 +7,7 @@
 from berylshift.request.relay_dependencies import RelayDependencies
 from berylshift.request.relay_result import AllThrottledError
 from berylshift.request.routed_crash_watch import RoutedCrashWatch
+from berylshift.request.stream_binding import StreamBinding
 from berylshift.scheduling.placement import Placement
 
 
@@ -18,18 +19,26 @@
     """
 
     def __init__(
-        self, deps: RelayDependencies, service: ServiceName, watch: RoutedCrashWatch
+        self,
+        deps: RelayDependencies,
+        service: ServiceName,
+        watch: RoutedCrashWatch,
+        binding: StreamBinding,
     ):
-        """Choose for a request to ``service`` that ``watch`` tracks for crashes."""
+        """Choose for a request to ``service`` that ``watch`` tracks for crashes.
+
+        A stream that has begun stays at the software version of its ``binding``.
+        """
         self._deps = deps
         self._service = service
         self._watch = watch
+        self._binding = binding
         self._tried: list[InstanceId] = []
         self._reserved: InstanceId | None = None
 
     def pool(self) -> Pool:
-        """Return the service's replicas that take new work."""
-        return self._deps.replicas.pool(self._service)
+        """Return the replicas that take new work and may be sent the request."""
+        return self._binding.narrow(self._deps.replicas.pool(self._service))
 
     def choose_plain(self, response_started: bool) -> Placement | None:
         """Return the placement of a request without a prompt.
--- a/berylshift/request/routed_handler.py
+++ b/berylshift/request/routed_handler.py
@@ -2,7 +2,7 @@
 
 import logging
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
 
 import msgspec
@@ -31,7 +31,11 @@
 from berylshift.request.relay_result import RelayOutcome, RelayResult
 from berylshift.request.replica_exchange import FailedResponse
 from berylshift.request.request_timeout import TimeoutSource, request_timeout
-from berylshift.request.stream_origin import Resumption
+from berylshift.request.stream_binding import (
+    CannotResumeError,
+    Resumption,
+    StreamBinding,
+)
 from berylshift.utils import host_without_port
 from berylshift.version.routes import Route
 
@@ -51,6 +55,8 @@
 # whose caller disconnected, is not.
 TIMED_OUTCOMES = (RelayOutcome.ANSWERED, RelayOutcome.CUT, RelayOutcome.TIMED_OUT)
 
+NO_DETAILS: Mapping[str, object] = {}
+
 
 class RequestSummary(msgspec.Struct, frozen=True):
     """A finished request, for metrics; ``timeout_source``: which limit ended it.
@@ -200,7 +206,12 @@
         )
 
     async def _reject(
-        self, req: RoutedRequest, responder: Responder, reason: str, wait_seconds: float
+        self,
+        req: RoutedRequest,
+        responder: Responder,
+        reason: str,
+        wait_seconds: float,
+        details: Mapping[str, object] = NO_DETAILS,
     ) -> None:
         """Refuse a request that this host can't serve now; it is not run."""
         refusal = self._retry_later(reason, wait_seconds)
@@ -213,6 +224,7 @@
                 "outcome": refusal.status,
                 "again": refusal.retry_after,
                 "stopping_for": _rounded(self._deps.shutdown.seconds_since_begin),
+                **details,
             },
         )
         await refuse(responder, refusal)
@@ -221,13 +233,17 @@
         self, req: RoutedRequest, route: Route, responder: Responder
     ) -> None:
         clock = self._deps.clock
-        service = self._service(route)
+        binding = await self._bind(req, route, responder)
+        if binding is None:
+            return
+        service = binding.service or self._service(route)
         relay = Relay(
             self._deps,
             req,
             route,
             service,
             responder,
+            binding,
             lambda: self._gate.is_still_authorized(req, route),
         )
         started = clock.monotonic()
@@ -260,10 +276,24 @@
                     tuple(relay.attempts.outcomes),
                     result.timeout_source,
                     req.customer,
-                    tuple(relay.origin.resumptions),
+                    tuple(relay.binding.resumptions),
                 )
             )
 
+    async def _bind(
+        self, req: RoutedRequest, route: Route, responder: Responder
+    ) -> StreamBinding | None:
+        """Return where a request may be sent; ``None`` if it was refused."""
+        deps = self._deps
+        binding = StreamBinding(req, route, deps.replicas.pool, deps.origins)
+        try:
+            await binding.resolve()
+        except CannotResumeError as exc:
+            wait = NO_REPLICA_RETRY_SECONDS if exc.has_no_replica else 0.0
+            await self._reject(req, responder, str(exc), wait, binding.log_fields())
+            return None
+        return binding
+
     def _log_no_route(self, req: RoutedRequest, host: str, path: str) -> None:
         table, now = self._routes.table, self._deps.clock.monotonic()
         logger.info(
@@ -350,7 +380,7 @@
                 **({} if refused is None else {"refused_placement": refused}),
                 "request": relay.request,
                 "same": fingerprint_hex(relay.crash_watch.fingerprint),
-                **_resumption(req),
+                **relay.binding.log_fields(),
                 "route": route.name,
                 "customer": req.customer,
                 "service": relay.service,
@@ -363,7 +393,6 @@
                 "first_ms": relay.first_ms,
                 "pause_ms": relay.pause_ms,
                 "events": relay.events,
-                "began_at": relay.origin.version,
                 "version": None if table is None else table.version,
                 "routes_age": _rounded(self._routes.age(now)),
                 "replicas_age": _rounded(replicas.age(now)),
@@ -372,16 +401,5 @@
         )
 
 
-def _resumption(req: RoutedRequest) -> dict[str, str | None]:
-    """Return the log fields of a stream that the caller resumes; none for others."""
-    if req.resume_after is None and req.resumes is None:
-        return {}
-    after = req.resume_after
-    return {
-        "resumes": req.resumes,
-        "after": None if after is None else after.decode("latin-1"),
-    }
-
-
 def _rounded(seconds: float | None) -> float | None:
     return None if seconds is None else round(seconds, 2)
--- a/berylshift/serve_entry.py
+++ b/berylshift/serve_entry.py
@@ -10,6 +10,7 @@
 from berylshift.connection.http_client import HttpClient
 from berylshift.connection.listeners import open_listener
 from berylshift.connection.load_codec import LoadCodec
+from berylshift.connection.origin_codec import OriginCodec
 from berylshift.connection.peer_link import UdpPeerLink
 from berylshift.connection.queue_codec import QueueCodec
 from berylshift.connection.target_client import TargetClient
@@ -27,6 +28,7 @@
 )
 from berylshift.platform.store import PlatformDirectory
 from berylshift.process.queues.queue_loop import queue_address
+from berylshift.process.streams.origin_loop import origin_address
 from berylshift.reload import SettingsFile
 from berylshift.settings import Settings
 from berylshift.signals import watch_signals
@@ -38,6 +40,7 @@
     cfg: Settings,
     make_link: Callable[[LoadCodec], UdpPeerLink],
     make_queue_link: Callable[[QueueCodec], UdpPeerLink],
+    make_origin_link: Callable[[OriginCodec], UdpPeerLink],
 ) -> EntryPorts:
     """Return the real dependencies of an entry host."""
     connect = cfg.targets.connect_timeout
@@ -70,6 +73,7 @@
         make_link=lambda key: make_link(LoadCodec(key)),
         announces_contention=announces_contention,
         make_queue_link=lambda key: make_queue_link(QueueCodec(key)),
+        make_origin_link=lambda key: make_origin_link(OriginCodec(key)),
     )
 
 
@@ -86,10 +90,12 @@
     tunnel_listener = open_listener(cfg.host.peer_address)
     sock = await _open_datagram_socket(cfg.host.peer_address)
     queue_sock = await _open_datagram_socket(queue_address(cfg.host.peer_address))
+    origin_sock = await _open_datagram_socket(origin_address(cfg.host.peer_address))
     ports = make_entry_ports(
         cfg,
         lambda codec: UdpPeerLink(codec, MAX_DATAGRAM_BYTES, sock),
         lambda codec: UdpPeerLink(codec, MAX_DATAGRAM_BYTES, queue_sock),
+        lambda codec: UdpPeerLink(codec, MAX_DATAGRAM_BYTES, origin_sock),
     )
     app = EntryApplication(cfg, ports)
     settings_file = SettingsFile(path, cfg, app.apply_settings)
--- a/berylshift/tests/entry_world.py
+++ b/berylshift/tests/entry_world.py
@@ -2,7 +2,7 @@
 
 import itertools
 import random
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from functools import partial
 
@@ -10,6 +10,8 @@
 import trio
 
 from berylshift.clock import LoopClock
+from berylshift.connection.datagram_tag import MAX_DATAGRAM_BYTES
+from berylshift.connection.origin_codec import OriginCodec
 from berylshift.connection.target_client import TargetClient
 from berylshift.entry_application import EntryApplication, EntryPorts
 from berylshift.ids import (
@@ -22,9 +24,11 @@
 )
 from berylshift.messages.load_digest import LoadDigest
 from berylshift.messages.replicas import EnginePhase, Replica, instance_of
+from berylshift.messages.stream_origins import OriginMessage
 from berylshift.platform import names
 from berylshift.platform.codec import PlatformCodec
 from berylshift.platform.engines import PlatformEngines
+from berylshift.process.streams.origin_loop import origin_address
 from berylshift.settings import parse_settings
 from berylshift.stand_ins.entry_replica import EntryReplica, FleetState
 from berylshift.stand_ins.fake_directory import (
@@ -54,6 +58,8 @@
 HOST = "shop.example"
 PLAIN = ServiceName("booking")
 ENGINES = ServiceName("writer")
+# Time that a datagram takes to another host.
+DATAGRAM_SECONDS = 0.001
 NO_SCHEDULING: Mapping[str, str] = {}
 SETTINGS = """
 [host]
@@ -126,6 +132,43 @@
         await trio.sleep_forever()
 
 
+class DatagramLink:
+    """Transport of messages between hosts, through their codec; cut hosts get none."""
+
+    def __init__(self, world: "EntryWorld", address: str, codec: OriginCodec):
+        """Receive at ``address``, beside the peer address of a host."""
+        self._world = world
+        self._address = address
+        self._codec = codec
+        self._on_message: Callable[[OriginMessage], None] | None = None
+        world.datagram_links[address] = self
+
+    async def send(self, address: str, message: OriginMessage) -> None:
+        """Deliver a message a millisecond later, unless one of the two is cut off."""
+        data = self._codec.encode(message, MAX_DATAGRAM_BYTES)
+        self._world.datagrams.append((address, len(data)))
+        if not self._world.cut_hosts & {_ip(self._address), _ip(address)}:
+            self._world.nursery.start_soon(self._deliver, address, data)
+
+    async def _deliver(self, address: str, data: bytes) -> None:
+        await trio.sleep(DATAGRAM_SECONDS)
+        link = self._world.datagram_links.get(address)
+        if link is not None and link._on_message is not None:
+            link._on_message(link._codec.decode(data))
+
+    async def receive(self, on_message: Callable[[OriginMessage], None]) -> None:
+        """Pass on messages until cancelled."""
+        self._on_message = on_message
+        try:
+            await trio.sleep_forever()
+        finally:
+            self._on_message = None
+
+
+def _ip(address: str) -> str:
+    return address.rpartition(":")[0]
+
+
 @dataclass
 class Reply:
     """Response at a caller; ``whole`` tells whether it is complete."""
@@ -157,7 +200,10 @@
     hosts: list[EntryApplication] = field(default_factory=list)
     host_nurseries: list[trio.Nursery] = field(default_factory=list)
     links: list[MemoryLink] = field(default_factory=list)
-    # Peer addresses of hosts that no datagram of another host reaches, nor leaves.
+    datagram_links: dict[str, DatagramLink] = field(default_factory=dict)
+    # Address and size of each datagram sent.
+    datagrams: list[tuple[str, int]] = field(default_factory=list)
+    # Addresses (IP) of hosts that no datagram leaves or reaches.
     cut_hosts: set[str] = field(default_factory=set)
     fleet_state: FleetState = field(default_factory=FleetState)
     unresponsive: set[str] = field(default_factory=set)
@@ -296,6 +342,9 @@
             scale_rows=self.scale_rows,
             make_link=lambda key: MemoryLink(self.links),
             dial_peer=self.dial_host,
+            make_origin_link=lambda key: DatagramLink(
+                self, origin_address(peer_address), OriginCodec(key)
+            ),
         )
         app = EntryApplication(parse_settings(text).unwrap(), ports)
         self.hosts.append(app)
--- a/berylshift/tests/stream_version_world.py
+++ b/berylshift/tests/stream_version_world.py
@@ -21,6 +21,8 @@
 EVENTS = 6
 EVENT_PATTERN = re.compile(rb"id: (\d+)\ndata: piece-\d+@(\S+)\n\n")
 RETURN_SECONDS = 0.1
+# No stream is cut for want of retry budget.
+RETRY_BURST = 1000
 
 
 class FirstHost(Enum):
@@ -120,7 +122,7 @@
         elif end is FirstHost.STOPS and not self.hosts[host].is_stopping:
             self.host_nurseries[host].start_soon(self.hosts[host].on_shutdown)
         elif end is FirstHost.CUT_OFF:
-            self.cut_hosts.add(self.hosts[host].cfg.host.peer_address)
+            self.cut_hosts.add(f"10.1.0.{host + 1}")
 
 
 def run_versions(task, versions: dict[str, int], seed: int = 1, hosts: int = HOSTS):
@@ -136,7 +138,9 @@
             for version, decode in versions.items():
                 world.add_engines(version, decode, prefill=1)
             for number in range(hosts):
-                await world.add_host(domain=f"domain-{number % DOMAINS}")
+                await world.add_host(
+                    domain=f"domain-{number % DOMAINS}", retry_burst=RETRY_BURST
+                )
             await trio.sleep(1.0)
             found = await task(world, random.Random(seed))
             nursery.cancel_scope.cancel()
--- a/berylshift/tests/test_entry_stream_versions.py
+++ b/berylshift/tests/test_entry_stream_versions.py
@@ -16,7 +16,7 @@
 REFUSAL_SECONDS = 0.5
 RESUMED = 'berylshift_streams_resumed_total{by="%s",service="writer",version="%s"} 1.0'
 RESUMED_BY_HOST = RESUMED % ("host", "same")
-RESUMED_BY_CALLER = RESUMED % ("caller", "unknown")
+RESUMED_BY_CALLER = RESUMED % ("caller", "same")
 
 
 def mixed(streams: list[Stream]) -> int:
--- a/berylshift/tests/test_layout.py
+++ b/berylshift/tests/test_layout.py
@@ -11,7 +11,9 @@
 # other and are left out.
 ALLOWED_IMPORTS = {
     "targets": set(),
-    "queues": set(),
+    "datagrams": set(),
+    "queues": {"datagrams"},
+    "streams": {"datagrams"},
     "directory": set(),
     "quarantine": {"directory"},
     "leader_tasks": {"directory"},
