--- a/berylshift/tests/stream_version_world.py
+++ b/berylshift/tests/stream_version_world.py
@@ -83,6 +83,7 @@
         host: int,
         resumes: str | None = None,
         leave_after: float | None = None,
+        path: str = "/brief/x",
     ) -> None:
         """Make one try of a caller; it leaves after ``leave_after`` seconds."""
         headers = prompt_headers(EVENTS, 1000, 0)
@@ -92,8 +93,13 @@
             headers += ((names.RESUMES, resumes.encode()),)
         stream.tries += 1
         began = trio.current_time()
-        link = self.connect(host)
-        await link.send("/brief/x", request, headers=headers)
+        try:
+            link = self.connect(host)
+        except RuntimeError:
+            # The host is dead.
+            stream.statuses.append(0)
+            return
+        await link.send(path, request, headers=headers)
         with trio.move_on_after(leave_after or float("inf")):
             await link.read()
         status = link.head.status_code if link.head else 0
@@ -105,16 +111,59 @@
         await link.close()
 
     async def take_up(
-        self, request: str, first: int, then: int, first_host: FirstHost
+        self, request: str, first: int, then: int, first_host: FirstHost, **more
     ) -> Stream:
-        """Return a stream whose caller breaks off and resumes it at another host."""
+        """Return a stream whose caller breaks off and resumes it at another host.
+
+        ``more`` are arguments of ``stream`` for the second try.
+        """
         stream = Stream()
         await self.stream(stream, request, first, leave_after=0.22)
         await self.end_host(first, first_host)
         await trio.sleep(RETURN_SECONDS)
-        await self.stream(stream, f"{request}-again", then, resumes=request)
+        values = {"resumes": request, **more}
+        await self.stream(stream, f"{request}-again", then, **values)
         return stream
 
+    async def storm(
+        self, rng: random.Random, count: int, seconds: float
+    ) -> list[Stream]:
+        """Return streams that break, are broken off and taken up, while hosts end.
+
+        A third version starts half-way, and the first version's engines leave.
+        """
+        streams: list[Stream] = []
+        ends = [end for end in FirstHost if end is not FirstHost.LIVES]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._release, seconds / 2)
+            for number in range(count):
+                streams.append(Stream())
+                nursery.start_soon(self._caller, streams[-1], f"r{number}", rng)
+                if number == count // 3:
+                    nursery.start_soon(self.end_host, HOSTS - 1, rng.choice(ends))
+                await trio.sleep(rng.uniform(0, 2 * seconds / count))
+        return streams
+
+    async def _release(self, after: float) -> None:
+        await trio.sleep(after)
+        self.add_engines("v1.2", 3, prefill=1)
+        await trio.sleep(1.0)
+        for replica in list(self.replicas.values()):
+            if replica.version == "v1":
+                self.list_replica(replica, ENGINES, draining=True)
+
+    async def _caller(self, stream: Stream, request: str, rng: random.Random) -> None:
+        """Make one caller's tries, each at another host; three in ten break off."""
+        leave_after = rng.uniform(0.1, 0.4) if rng.random() < 0.3 else None
+        if rng.random() < 0.2:
+            self.fleet_state.breaks[request] = rng.randint(1, EVENTS - 1)
+        host = rng.randrange(HOSTS)
+        await self.stream(stream, request, host, leave_after=leave_after)
+        if stream.ids and not stream.is_whole:
+            await trio.sleep(RETURN_SECONDS)
+            again = (host + rng.randrange(1, HOSTS)) % HOSTS
+            await self.stream(stream, f"{request}-again", again, resumes=request)
+
     async def end_host(self, host: int, end: FirstHost) -> None:
         """Make a host end as ``end`` says; it may have ended before."""
         if end is FirstHost.DEAD:
--- /dev/null
+++ b/berylshift/tests/test_stream_origins.py
@@ -0,0 +1,214 @@
+"""Tests of what hosts record, tell and conclude of the versions that began streams."""
+
+import unittest
+
+from berylshift.connection.datagram_tag import BadDatagramError
+from berylshift.connection.origin_codec import OriginCodec
+from berylshift.ids import (
+    DomainName,
+    InstanceId,
+    RequestId,
+    ServiceName,
+    SoftwareVersion,
+)
+from berylshift.messages.replicas import EnginePhase, Replica
+from berylshift.messages.stream_origins import (
+    OriginMessage,
+    OriginQuery,
+    OriginReply,
+    StreamOrigin,
+    service_key,
+    stream_key,
+    variant_of,
+)
+from berylshift.process.directory.pools import Pool
+from berylshift.process.directory.version_history import VersionHistory
+from berylshift.process.streams.origin_holders import REFRESH_SECONDS, OriginHolders
+from berylshift.process.streams.origin_records import (
+    AMBIGUOUS,
+    KEEP_SECONDS,
+    MAX_RECORDS,
+    OriginRecords,
+)
+from berylshift.process.streams.origin_search import Evidence, OriginSearch
+from berylshift.store.host_rows import HostRecord
+
+SERVICE = ServiceName("writer")
+OLD, NEW = SoftwareVersion("v1"), SoftwareVersion("v1.1")
+BEGAN_OLD, BEGAN_NEW = variant_of(SERVICE, OLD), variant_of(SERVICE, NEW)
+STREAM = stream_key(RequestId("r1"))
+NOTHING = OriginReply(1)
+ONLY_OLD = OriginReply(1, sole_variant=BEGAN_OLD)
+SEVERAL = OriginReply(1, has_several=True)
+
+
+def replica(number: int, version: SoftwareVersion, phase=EnginePhase.DECODE):
+    """Return an engine of a software version."""
+    return Replica(
+        InstanceId(f"engine-{number}"),
+        SERVICE,
+        "10.0.0.1:80",
+        DomainName("domain-1"),
+        8,
+        phase=phase,
+        version=version,
+    )
+
+
+class OriginSearchTest(unittest.TestCase):
+    """What a host concludes from its own knowledge and from replies."""
+
+    def find(self, own, *replies, trusts_itself=False):
+        """Return variant and evidence."""
+        search = OriginSearch(own, trusts_itself)
+        for number, reply in enumerate(replies):
+            search.add(f"host-{number}", reply)
+        finding = search.finding(())
+        return finding.variant, finding.evidence
+
+    def test_a_record_is_believed_whatever_versions_serve(self):
+        told = OriginReply(1, variant=BEGAN_NEW)
+        self.assertEqual(
+            self.find(SEVERAL, NOTHING, told), (BEGAN_NEW, Evidence.RECORD)
+        )
+        self.assertEqual(self.find(told, ONLY_OLD), (BEGAN_NEW, Evidence.OWN_RECORD))
+
+    def test_records_that_differ_are_not_believed(self):
+        """Guards against a guess between two streams of one id."""
+        replies = OriginReply(1, variant=BEGAN_OLD), OriginReply(1, variant=BEGAN_NEW)
+        self.assertEqual(self.find(NOTHING, *replies), (None, Evidence.CONTRADICTION))
+        said_twice = OriginReply(1, variant=AMBIGUOUS)
+        self.assertEqual(self.find(said_twice), (None, Evidence.CONTRADICTION))
+
+    def test_without_a_record_no_version_is_chosen_among_several(self):
+        """Guards against a stream that goes on at a guess."""
+        for own, reply in ((SEVERAL, ONLY_OLD), (ONLY_OLD, SEVERAL)):
+            self.assertEqual(self.find(own, reply), (None, Evidence.SEVERAL_VERSIONS))
+        differs = OriginReply(1, sole_variant=BEGAN_NEW)
+        self.assertEqual(
+            self.find(ONLY_OLD, differs), (None, Evidence.SEVERAL_VERSIONS)
+        )
+
+    def test_the_only_version_is_taken_if_another_host_confirms_it(self):
+        expected = (BEGAN_OLD, Evidence.SOLE_VERSION)
+        self.assertEqual(self.find(ONLY_OLD, ONLY_OLD), expected)
+        self.assertEqual(self.find(NOTHING, ONLY_OLD), expected)
+
+    def test_a_host_that_no_other_answers_does_not_go_by_an_old_list(self):
+        """Guards against a host that is cut off and does not know the new version."""
+        self.assertEqual(self.find(ONLY_OLD), (None, Evidence.UNKNOWN_PAST))
+        self.assertEqual(self.find(ONLY_OLD, NOTHING), (None, Evidence.UNKNOWN_PAST))
+        alone = self.find(ONLY_OLD, trusts_itself=True)
+        self.assertEqual(alone, (BEGAN_OLD, Evidence.SOLE_VERSION))
+
+    def test_hosts_that_have_just_started_know_no_past(self):
+        """Guards against a restarted fleet that takes the version left for the only."""
+        found = self.find(NOTHING, NOTHING, NOTHING, trusts_itself=True)
+        self.assertEqual(found, (None, Evidence.UNKNOWN_PAST))
+
+
+class OriginRecordsTest(unittest.TestCase):
+    """The records of one host."""
+
+    def test_an_id_used_at_two_versions_is_ambiguous(self):
+        """Guards against a repeated id that names the wrong version."""
+        records = OriginRecords()
+        records.record(STREAM, BEGAN_OLD, 0.0)
+        records.record(STREAM, BEGAN_OLD, 1.0)
+        self.assertEqual(records.find(STREAM, 1.0), BEGAN_OLD)
+        records.record(STREAM, BEGAN_NEW, 2.0)
+        self.assertEqual(records.find(STREAM, 2.0), AMBIGUOUS)
+
+    def test_records_are_dropped_by_age_and_number(self):
+        """Guards against memory that grows with the streams."""
+        records = OriginRecords()
+        for number in range(MAX_RECORDS + 10):
+            records.record(number, BEGAN_OLD, 1.0)
+        self.assertEqual(len(records), MAX_RECORDS)
+        self.assertIsNone(records.find(0, 1.0))
+        records.record(STREAM, BEGAN_OLD, 2.0 + KEEP_SECONDS)
+        self.assertEqual(len(records), 1)
+
+
+class VersionHistoryTest(unittest.TestCase):
+    """The versions that a service has had."""
+
+    def test_a_version_that_is_gone_counts_for_a_while(self):
+        """Guards against streams of a version that has just left going on elsewhere."""
+        history = VersionHistory()
+        history.observe([replica(1, OLD)], 0.0)
+        changed = history.observe([replica(1, OLD), replica(2, NEW)], 50.0)
+        self.assertEqual(changed, {SERVICE})
+        self.assertEqual(history.observe([replica(2, NEW)], 60.0), set())
+        self.assertEqual(history.versions(SERVICE, 10.0, 69.0), {OLD, NEW})
+        self.assertEqual(history.versions(SERVICE, 10.0, 70.0), {NEW})
+
+    def test_the_past_is_known_from_the_first_list_on(self):
+        history = VersionHistory()
+        self.assertFalse(history.is_complete(10.0, 5.0))
+        history.observe([replica(1, OLD)], 5.0)
+        self.assertFalse(history.is_complete(10.0, 14.9))
+        self.assertTrue(history.is_complete(10.0, 15.0))
+        self.assertTrue(VersionHistory(knows_past=True).is_complete(10.0, 0.0))
+
+
+class OriginHoldersTest(unittest.TestCase):
+    """Which hosts are told."""
+
+    def test_holders_are_in_different_domains_and_all_hosts_agree(self):
+        """Guards against records that are lost with one failure domain."""
+        records = [
+            HostRecord(f"host-{n}", f"10.0.0.{n}:7380", f"domain-{n % 3}")
+            for n in range(12)
+        ]
+        here, there = (
+            OriginHolders(lambda: records),
+            OriginHolders(lambda: records[::-1]),
+        )
+        for stream in range(200):
+            first, second = here.of(stream, 2, REFRESH_SECONDS)
+            self.assertNotEqual(first.domain, second.domain)
+            self.assertEqual(there.of(stream, 2, REFRESH_SECONDS), [first, second])
+        told = {here.of(stream, 1, 2.0)[0].host for stream in range(200)}
+        self.assertEqual(len(told), 12)
+
+
+class OriginCodecTest(unittest.TestCase):
+    """Datagrams."""
+
+    def test_messages_are_decoded_as_they_were_sent(self):
+        codec, service = OriginCodec("key"), service_key(SERVICE)
+        for message in (
+            OriginMessage(told=(StreamOrigin(STREAM, BEGAN_OLD),)),
+            OriginMessage("h", query=OriginQuery(7, STREAM, service, 13.0)),
+            OriginMessage("h", reply=OriginReply(7)),
+            OriginMessage("h", reply=OriginReply(7, AMBIGUOUS, None, True)),
+            OriginMessage("h", reply=OriginReply(7, BEGAN_OLD, BEGAN_NEW)),
+        ):
+            self.assertEqual(codec.decode(codec.encode(message, 1400)), message)
+
+    def test_a_record_is_small_and_other_keys_are_rejected(self):
+        """Guards against records of foreign senders."""
+        told = OriginMessage(told=(StreamOrigin(STREAM, BEGAN_OLD),))
+        data = OriginCodec("key").encode(told, 1400)
+        self.assertLessEqual(len(data), 64)
+        with self.assertRaises(BadDatagramError):
+            OriginCodec("other").decode(data)
+
+
+class PoolTest(unittest.TestCase):
+    """The replicas that a stream may use."""
+
+    def test_a_resumable_stream_does_not_begin_at_a_lone_version(self):
+        """Guards against streams that have no place to go on if their engine fails."""
+        prefill = replica(9, NEW, EnginePhase.PREFILL)
+        engines = [replica(1, OLD), replica(2, OLD), replica(3, NEW), prefill]
+        pool = Pool(engines)
+        self.assertEqual(pool.for_resumable.replicas, [*engines[:2], prefill])
+        self.assertEqual(pool.at_version(NEW).replicas, engines[2:])
+        lone = Pool([replica(1, OLD), replica(3, NEW)])
+        self.assertIs(lone.for_resumable, lone)
+
+
+if __name__ == "__main__":
+    unittest.main()
