Let a stream not go on at the service that its route has moved to

A stream that its caller takes up could go on at another service of a split route, or where the route had moved to meanwhile; found by reading the code, no caller has been seen with it.

Change: the record of a stream names service and version, and a resumed stream is sent to that service if its route still has it, and refused at once otherwise. Origins are told for split routes and routes that moved within the time that a stream can last; when a route leaves a service, the streams open there are told. The only version is not taken for such routes. Hosts answer for all services that have had replicas, also those that left the routes.

Result: test_stream_of_a_split_route_stays_with_its_service and test_stream_of_a_route_that_moves_does_not_go_on_at_the_new_service pass; the latter fails without the guard.

--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -26,6 +26,7 @@
 from berylshift.process.directory.replica_set import ReplicaSet
 from berylshift.process.directory.replica_updates import ReplicaUpdates
 from berylshift.process.directory.route_holder import RouteHolder
+from berylshift.process.directory.route_moves import RouteMoves
 from berylshift.process.directory.store_watch import StoreWatch
 from berylshift.process.gossip.digest_builder import DigestSources
 from berylshift.process.gossip.load_loop import LoadLink, LoadLoop, LoadLoopDependencies
@@ -147,6 +148,7 @@
 class EntryApplication:
     """Entry host that serves the platform's routes, without its listeners."""
 
+    is_stopping = False
     _nursery: trio.Nursery | None = None
 
     def __init__(self, cfg: Settings, ports: EntryPorts):
@@ -155,6 +157,7 @@
         self.ports = ports
         self.telemetry = Telemetry()
         self.routes = RouteHolder(self._on_routes)
+        self.route_moves = RouteMoves()
         self.phases = ExpectedPhases()
         self.heartbeat_seconds = cfg.directory.heartbeat_ms / 1000
         self.replicas = ReplicaSet(
@@ -164,7 +167,6 @@
             knows_past=cfg.entry.first_start,
         )
         self.loads = TargetLoads(lambda: self.load_loop.notify_work())
-        self.is_stopping = False
         self.shutdown = Shutdown(ports.clock)
         self.recent_durations = RecentDurations(ports.clock)
         self._started = ports.clock.monotonic()
@@ -307,6 +309,9 @@
             queues=queues,
             suspects=self.replicas.suspects,
             origins=self.origins,
+            has_route_moved=lambda route, seconds: self.route_moves.moved_within(
+                route, seconds, ports.clock.monotonic()
+            ),
             is_path_lost=self.paths.states.is_lost,
         )
         key_gate = KeyGate(
@@ -367,7 +372,7 @@
             versions=replicas.versions.versions,
             is_complete=replicas.versions.is_complete,
             list_age=replicas.age,
-            services=lambda: [service.name for service in self._services()],
+            services=replicas.versions.services,
         )
         deps = OriginLoopDependencies(
             host=self.cfg.host.name,
@@ -378,7 +383,7 @@
             versions=versions,
         )
         loop = OriginLoop(deps)
-        replicas.on_further_version = loop.on_further_version
+        replicas.on_further_version = loop.tell_all
         return loop
 
     def _use_key(self, key: str) -> None:
@@ -551,6 +556,9 @@
         )
 
         self.leader_tasks.on_routes(table)
+        for service in self.route_moves.observe(table, self.ports.clock.monotonic()):
+            if self.origins is not None:
+                self.origins.tell_all(service)
         if self._nursery is not None and self.cfg.entry.reading_share > 0:
             for service in table.services.values():
                 if (
--- a/berylshift/process/directory/version_history.py
+++ b/berylshift/process/directory/version_history.py
@@ -47,6 +47,10 @@
                 del gone_at[version]
         gone_at.update(dict.fromkeys(versions, now))
 
+    def services(self) -> list[ServiceName]:
+        """Return the services that have had replicas."""
+        return list(self._listed)
+
     def versions(
         self, service: ServiceName, seconds: float, now: float
     ) -> frozenset[SoftwareVersion]:
--- a/berylshift/process/streams/origin_loop.py
+++ b/berylshift/process/streams/origin_loop.py
@@ -133,8 +133,11 @@
         """Record that a stream has reached its caller to its end."""
         self._untold.pop(stream_key(request), None)
 
-    def on_further_version(self, service: ServiceName) -> None:
-        """Tell the origins of a service that has got a further version."""
+    def tell_all(self, service: ServiceName) -> None:
+        """Tell the origins of a service that is no longer the only one possible.
+
+        It has got a further version, or a route of it has moved.
+        """
         now = self._deps.clock.monotonic()
         self._drop_old(now)
         found = [
--- a/berylshift/request/relay_dependencies.py
+++ b/berylshift/request/relay_dependencies.py
@@ -5,7 +5,7 @@
 
 from berylshift.clock import Clock
 from berylshift.connection.target_client import TargetClient
-from berylshift.ids import CustomerName, ServiceName
+from berylshift.ids import CustomerName, RouteName, ServiceName
 from berylshift.messages.routed import WireCodec
 from berylshift.process.directory.replica_set import ReplicaSet
 from berylshift.process.directory.suspected_gone import SuspectedGone
@@ -63,5 +63,7 @@
     suspects: SuspectedGone = field(default_factory=SuspectedGone)
     # ``None``: hosts do not tell each other at which versions streams began.
     origins: OriginLoop | None = None
+    # Returns whether a route changed its services within some seconds.
+    has_route_moved: Callable[[RouteName, float], bool] = lambda route, seconds: False
     # Returns whether this host's path to an address is lost.
     is_path_lost: Callable[[str], bool] = lambda address: False
--- a/berylshift/request/routed_handler.py
+++ b/berylshift/request/routed_handler.py
@@ -285,7 +285,9 @@
     ) -> StreamBinding | None:
         """Return where a request may be sent; ``None`` if it was refused."""
         deps = self._deps
-        binding = StreamBinding(req, route, deps.replicas.pool, deps.origins)
+        binding = StreamBinding(
+            req, route, deps.replicas.pool, deps.origins, deps.has_route_moved
+        )
         try:
             await binding.resolve()
         except CannotResumeError as exc:
--- a/berylshift/request/stream_binding.py
+++ b/berylshift/request/stream_binding.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from berylshift.ids import RequestId, ServiceName, SoftwareVersion
+from berylshift.ids import RequestId, RouteName, ServiceName, SoftwareVersion
 from berylshift.messages.replicas import Replica
 from berylshift.messages.routed import RoutedRequest
 from berylshift.messages.stream_origins import Variant, variant_of
@@ -67,12 +67,17 @@
         route: Route,
         pool: Callable[[ServiceName], Pool],
         origins: OriginLoop | None = None,
+        has_moved: Callable[[RouteName, float], bool] = lambda route, seconds: False,
     ):
-        """Bind ``req`` to replicas in ``pool``; ``None``: hosts tell no origins."""
+        """Bind ``req`` to replicas in ``pool``; ``None``: hosts tell no origins.
+
+        ``has_moved`` returns whether a route changed its services within some seconds.
+        """
         self._req = req
         self._route = route
         self._pool = pool
         self._origins = origins
+        self._has_moved = has_moved
         self.service: ServiceName | None = None
         self.version: SoftwareVersion | None = None
         self.finding: Finding | None = None
@@ -95,8 +100,9 @@
         if not self.is_taken_up or self._origins is None:
             return
         services = [share.service for share in self._route.shares]
-        horizon = MAX_TRIES * self._route.timeout_seconds + MAX_RETURN_SECONDS
-        self.finding = await self._origins.find(self._stream, services[0], horizon)
+        self.finding = await self._origins.find(
+            self._stream, services[0], self._horizon_seconds
+        )
         variant = self.finding.variant
         is_guess = self.finding.evidence is Evidence.SOLE_VERSION
         if variant is None or (is_guess and self._is_service_open()):
@@ -110,7 +116,14 @@
 
     def _is_service_open(self) -> bool:
         """Return whether the stream may have begun at another service."""
-        return len(self._route.shares) > 1
+        if len(self._route.shares) > 1:
+            return True
+        return self._has_moved(self._route.name, self._horizon_seconds)
+
+    @property
+    def _horizon_seconds(self) -> float:
+        """Return how long ago a stream that is resumed now may have begun."""
+        return MAX_TRIES * self._route.timeout_seconds + MAX_RETURN_SECONDS
 
     def _version_with(
         self, service: ServiceName, variant: Variant
--- a/berylshift/tests/test_entry_stream_versions.py
+++ b/berylshift/tests/test_entry_stream_versions.py
@@ -16,7 +16,7 @@
     Stream,
     run_versions,
 )
-from berylshift.version.routes import RouteKind, ServiceShare
+from berylshift.version.routes import Route, RouteKind, ServiceShare
 
 TWO_VERSIONS = {"v1": 3, "v1.1": 3}
 STREAMS = 24
@@ -33,6 +33,20 @@
     resumable=True,
     max_attempts=2,
 )
+
+
+def route_to(service: ServiceName) -> Route:
+    """Return a route of resumable streams that ends at a service."""
+    return route(
+        "moved",
+        RouteKind.STREAM,
+        shares=(ServiceShare(service, 1),),
+        has_prompt_info=True,
+        resumable=True,
+        max_attempts=2,
+    )
+
+
 # Longer than a stream of the test's routes can last.
 PAST_SECONDS = 15.0
 # A request that is known not to be served is refused within this time.
@@ -199,6 +213,36 @@
         self.assertEqual(sum(stream.is_whole for stream in streams), STREAMS)
         self.assertEqual(len({stream.versions[0] for stream in streams}), 2)
 
+    def test_stream_of_a_route_that_moves_does_not_go_on_at_the_new_service(self):
+        """Guards against a stream that goes on where its route has moved to.
+
+        The host that began it tells the holders of it, or is cut off from them.
+        """
+        for first_host in (FirstHost.LIVES, FirstHost.CUT_OFF):
+            with self.subTest(first_host.value):
+                self.check_moved(first_host)
+
+    def check_moved(self, first_host):
+        """Move the route of an open stream, and take the stream up elsewhere."""
+
+        async def task(world, rng):
+            for number in range(3):
+                name, phase = f"other-{number}", EnginePhase.DECODE
+                world.add_replica(name, OTHER, phase, version="other")
+            before, after = route_to(ENGINES), route_to(OTHER)
+            world.directory.put_routes(routes(2, before))
+            await trio.sleep(KEEP_SECONDS)
+            stream = Stream()
+            await world.stream(stream, "r1", 0, leave_after=0.22, path="/moved/x")
+            await world.end_host(0, first_host)
+            world.directory.put_routes(routes(3, after))
+            await trio.sleep(1.0)
+            world.kill_host(0)
+            await world.stream(stream, "r1-again", 1, resumes="r1", path="/moved/x")
+            return stream
+
+        self.check_refused(run_versions(task, {"v1": 3}))
+
 
 class StormTest(unittest.TestCase):
     """Random breaks, returns and hosts that end, while versions come and go."""
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -56,6 +56,7 @@
 TUNNELLED = "test_entry_tunnels.TunnelledRequestsTest"
 CONCLUSIONS = "test_entry_tunnels.ConclusionsTest"
 TUNNELS = "test_tunnels.TunnelTest"
+VERSIONS = "test_entry_stream_versions"
 DIALER = "process/paths/replica_dialer.py"
 TUNNEL_SERVER = "connection/tunnel_server.py"
 PROOFS = (
@@ -1590,6 +1591,84 @@
         "",
         "test_paths.TunnelHostsTest.test_hosts_that_failed_are_asked_again_later",
     ),
+    Proof(
+        "a started stream stays at its software version",
+        "request/stream_binding.py",
+        "            return pool.at_version(self.version)\n",
+        "            return pool\n",
+        f"{VERSIONS}.OneAnswerTest",
+    ),
+    Proof(
+        "a stream that its caller resumes is bound before its first attempt",
+        "request/routed_handler.py",
+        "            await binding.resolve()\n",
+        "            pass\n",
+        f"{VERSIONS}.LaterTryTest",
+    ),
+    Proof(
+        "holders are told what began a stream",
+        "process/streams/origin_loop.py",
+        "        return self._tell([StreamOrigin(stream, variant)], now)\n",
+        "        return ()\n",
+        f"{VERSIONS}.LaterTryTest",
+    ),
+    Proof(
+        "open streams are told when a further version appears",
+        "process/streams/origin_loop.py",
+        "        self._tell(found, now)\n",
+        "        del found\n",
+        f"{VERSIONS}.WithoutRecordTest",
+    ),
+    Proof(
+        "no version is guessed while several serve",
+        "process/streams/origin_search.py",
+        "        if any(reply.has_several for reply in everyone):\n",
+        "        if False:\n",
+        "test_stream_origins.OriginSearchTest",
+    ),
+    Proof(
+        "a host that no other answers does not go by an old list",
+        "process/streams/origin_search.py",
+        "        if not is_confirmed and not (self._trusts_itself and not replies):\n",
+        "        if False:\n",
+        "test_stream_origins.OriginSearchTest",
+    ),
+    Proof(
+        "a host that has just started knows no past",
+        "process/directory/version_history.py",
+        "        return self._known_since is not None and "
+        "now - self._known_since >= seconds\n",
+        "        return True\n",
+        f"{VERSIONS}.WithoutRecordTest",
+    ),
+    Proof(
+        "an id used at two versions names none",
+        "process/streams/origin_records.py",
+        "            variant = AMBIGUOUS\n",
+        "            pass\n",
+        "test_stream_origins.OriginRecordsTest",
+    ),
+    Proof(
+        "a stream does not change its service with its route",
+        "request/stream_binding.py",
+        "        if variant is None or (is_guess and self._is_service_open()):\n",
+        "        if variant is None:\n",
+        f"{VERSIONS}.WithoutRecordTest",
+    ),
+    Proof(
+        "the two holders are in different failure domains",
+        "process/streams/origin_holders.py",
+        "            ranked.insert(1, second)\n",
+        "            ranked.append(second)\n",
+        "test_stream_origins.OriginHoldersTest",
+    ),
+    Proof(
+        "a resumable stream does not begin at a lone version",
+        "process/directory/pools.py",
+        "            if rep.phase is EnginePhase.PREFILL or counts[rep.version] > 1\n",
+        "            if True\n",
+        "test_stream_origins.PoolTest",
+    ),
 )
 
 
