--- a/berylshift/request/stream_binding.py
+++ b/berylshift/request/stream_binding.py
@@ -105,8 +105,8 @@
         )
         variant = self.finding.variant
         is_guess = self.finding.evidence is Evidence.SOLE_VERSION
-        if variant is None or (is_guess and self._is_service_open()):
-            raise CannotResumeError(f"began at: {self.finding.evidence}")
+        if variant is None or (is_guess and self._may_have_begun_elsewhere()):
+            raise CannotResumeError(f"origin not known: {self.finding.evidence}")
         for service in services:
             version = self._version_with(service, variant)
             if version is not None:
@@ -114,8 +114,8 @@
                 return
         raise CannotResumeError("no replica of the version that began it", True)
 
-    def _is_service_open(self) -> bool:
-        """Return whether the stream may have begun at another service."""
+    def _may_have_begun_elsewhere(self) -> bool:
+        """Return whether the route can have led to another service."""
         if len(self._route.shares) > 1:
             return True
         return self._has_moved(self._route.name, self._horizon_seconds)
@@ -147,7 +147,10 @@
             return
         if self._route.resumable:
             self.told = self._origins.record(
-                self._stream, replica.service, replica.version, self._is_service_open()
+                self._stream,
+                replica.service,
+                replica.version,
+                self._may_have_begun_elsewhere(),
             )
 
     def on_complete(self) -> None:
