--- a/berylshift/entry_gauges.py
+++ b/berylshift/entry_gauges.py
@@ -63,6 +63,11 @@
         "Requests quarantined for crashing replicas.",
         len(app.quarantine),
     )
+    gauge(
+        "requests_in_crashes",
+        "Requests that ran at one replica as it crashed.",
+        app.quarantine.count_observed(),
+    )
     gauge(
         "replicas_throttled",
         "Rate limits and back-offs set by replicas.",
--- a/berylshift/process/quarantine/quarantine.py
+++ b/berylshift/process/quarantine/quarantine.py
@@ -74,6 +74,10 @@
         """Return how many requests have crashed two replicas or more."""
         return len(self._quarantined)
 
+    def count_observed(self) -> int:
+        """Return how many requests have crashed a single replica."""
+        return len(self._observed)
+
     # Events at this host
 
     def record_crash(
--- a/berylshift/request/crash_watch.py
+++ b/berylshift/request/crash_watch.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable, Callable
 
 from berylshift.clock import Clock
-from berylshift.ids import Fingerprint, InstanceId, RequestId
+from berylshift.ids import BlockId, Fingerprint, InstanceId, RequestId
 from berylshift.messages.fingerprint import fingerprint_hex
 from berylshift.process.quarantine.quarantine import Quarantine
 
@@ -37,6 +37,8 @@
         self._clock = clock
         self._request = request
         self.fingerprint: Fingerprint | None = None
+        # The blocks of its prompt that other requests may share.
+        self.blocks: tuple[BlockId, ...] = ()
 
     def check(self, response_started: bool = False) -> None:
         """Raise ``QuarantinedError`` if the request is quarantined.
@@ -76,6 +78,7 @@
             extra={
                 "request": self._request,
                 "same": fingerprint_hex(request),
+                "blocks": self.blocks,
                 "instance": instance,
                 "lives": is_alive,
                 "crashes": self._quarantine.crash_count(request),
@@ -94,7 +97,17 @@
 
     def on_completed(self) -> None:
         """Record that the request ran to completion."""
-        if self.fingerprint is not None:
-            self._quarantine.record_completion(
-                self.fingerprint, self._clock.monotonic()
+        if self.fingerprint is None:
+            return
+        crashes = self._quarantine.crash_count(self.fingerprint)
+        self._quarantine.record_completion(self.fingerprint, self._clock.monotonic())
+        if crashes:
+            logger.info(
+                "crash record cleared",
+                extra={
+                    "request": self._request,
+                    "same": fingerprint_hex(self.fingerprint),
+                    "blocks": self.blocks,
+                    "crashes": crashes,
+                },
             )
--- a/berylshift/request/routed_crash_watch.py
+++ b/berylshift/request/routed_crash_watch.py
@@ -32,6 +32,8 @@
         self._deps = deps
         self._req = req
         self._watch = CrashWatch(deps.quarantine, deps.clock, req.id)
+        if req.prompt is not None:
+            self._watch.blocks = tuple(block.id for block in req.prompt.prefix_blocks)
 
     @property
     def fingerprint(self) -> Fingerprint | None:
