--- a/berylshift/stand_ins/entry_replica.py
+++ b/berylshift/stand_ins/entry_replica.py
@@ -104,12 +104,14 @@
     """State that all replicas of a fake fleet share.
 
     ``handles`` maps KV cache handles to their owners; ``crash_paths`` are the paths of
-    requests that crash each replica on which they start to run.
+    requests that crash each replica on which they start to run, ``crash_blocks`` the
+    prompt blocks that do so anywhere but last in a prompt.
     """
 
     handles: dict[str, str] = field(default_factory=dict)
     released: list[str] = field(default_factory=list)
     crash_paths: set[str] = field(default_factory=set)
+    crash_blocks: set[str] = field(default_factory=set)
     crashes: list[Crash] = field(default_factory=list)
     # Events after which the stream of a request breaks, once.
     breaks: dict[str, int] = field(default_factory=dict)
@@ -378,7 +380,7 @@
             nursery.start_soon(self._cancel_on_disconnect, nursery.cancel_scope)
             try:
                 await self._apply_connection_fault(fault)
-                if self.path in self.replica.fleet_state.crash_paths:
+                if self._is_deadly(headers):
                     await trio.sleep(CRASH_DELAY_SECONDS)
                     await self.replica.crash(self.path)
                 if b"x-pieces" in headers:
@@ -390,6 +392,13 @@
                 run.ended = trio.current_time()
             nursery.cancel_scope.cancel()
 
+    def _is_deadly(self, headers) -> bool:
+        """Return whether a request crashes the replica that starts to run it."""
+        state = self.replica.fleet_state
+        entries = headers.get(names.PREFIX_BLOCKS, b"").decode().split(",")
+        blocks = {entry.partition(":")[0] for entry in entries[:-1]}
+        return self.path in state.crash_paths or bool(blocks & state.crash_blocks)
+
     async def _cancel_on_disconnect(self, scope: trio.CancelScope) -> None:
         """Cancel the request when its connection closes."""
         while data := await self._receive():
--- a/berylshift/tests/entry_world.py
+++ b/berylshift/tests/entry_world.py
@@ -118,11 +118,14 @@
         """Add this link to ``links``, the links of all hosts."""
         self._links = links
         self._on_digest = None
+        self.is_cut = False
         links.append(self)
 
     async def send_to_all(self, addresses: list[str], message: LoadDigest) -> None:
-        """Deliver a digest to all other hosts; addresses are ignored."""
+        """Deliver a digest to all hosts that are not cut off; addresses are ignored."""
         for link in self._links:
+            if self.is_cut or link.is_cut:
+                continue
             if link is not self and link._on_digest is not None:
                 link._on_digest(message)
 
