Hold prompt blocks that crash the replicas that decode them

Cause: crashes were counted by whole request. A request that has only one block of its prompt in common with the others is a new one each time, and each is let through until two replicas have crashed under it, which none ever reaches. The class: a failure is attributed to the whole of what failed, where its cause is a part that comes again in other company.

Change: crashes are counted by block as well (BlockQuarantine). A block is held once three replicas have crashed under it and nothing with it has completed since; one that completed within a minute before needs five, and so many broken prompts that chance is no explanation. Blocks whose crashes others with more crashes explain are let go. Crashes of one customer's prompts count for that customer, those of several for all. After 3, 60, 600 s and more one request is let through as a trial, by few hosts at first. Hosts gossip crashes and completions, and keep the crashes of held blocks in the store. Requests with suspect blocks are isolated like suspect requests.

Why it works: what tells the cause from the blocks beside it is that nothing with it ever completes; a sound block completes somewhere within seconds, which all hosts hear of.

--- a/berylshift/connection/load_codec.py
+++ b/berylshift/connection/load_codec.py
@@ -10,9 +10,10 @@
     DatagramTagger,
 )
 from berylshift.connection.replica_piece_codec import pack_pieces, unpack_pieces
-from berylshift.ids import Fingerprint, StoreEra
+from berylshift.ids import BlockKey, Fingerprint, StoreEra
 from berylshift.messages.load_digest import (
     BlockPrefill,
+    BlockReport,
     CrashReport,
     CustomerTokens,
     FeedStatus,
@@ -46,6 +47,8 @@
 }
 # Encodes that a replica no longer announces a rate limit.
 NO_LIMIT = -1.0
+# Encodes in the place of a crashed replica that a prompt block completed.
+COMPLETED = 0
 
 capnp.remove_import_hook()
 _schema = capnp.load(str(Path(__file__).with_name("load_digest.capnp")))
@@ -78,7 +81,11 @@
 
 def _pack(message: LoadDigest, entry_count: int) -> bytes:
     has_later_fields = (
-        message.speeds or message.handles or message.demand or message.replicas
+        message.speeds
+        or message.handles
+        or message.demand
+        or message.replicas
+        or message.blocks
     )
     struct = _schema.LoadDigest if has_later_fields else _schema.BaseLoadDigest
     packed = struct.new_message(
@@ -122,6 +129,8 @@
         _pack_demand(packed.init("demand"), message.demand)
     if message.replicas:
         pack_pieces(packed.init("replicas", len(message.replicas)), message.replicas)
+    if message.blocks:
+        _pack_block_reports(packed.init("blocks"), message.blocks)
 
 
 def _pack_entries(packed, entries: tuple[LoadEntry, ...]) -> None:
@@ -191,6 +200,22 @@
     )
 
 
+def _pack_block_reports(packed, reports: tuple[BlockReport, ...]) -> None:
+    packed.requests = [report.key for report in reports]
+    packed.targets = [report.target or COMPLETED for report in reports]
+    packed.ages = [
+        min(MAX_U16, int(report.age_seconds / AGE_UNIT_SECONDS)) for report in reports
+    ]
+
+
+def _unpack_block_reports(packed) -> tuple[BlockReport, ...]:
+    columns = zip(packed.requests, packed.targets, packed.ages, strict=True)
+    return tuple(
+        BlockReport(BlockKey(key), target or None, age * AGE_UNIT_SECONDS)
+        for key, target, age in columns
+    )
+
+
 def _pack_runs(packed, runs: tuple[RunCount, ...]) -> None:
     first = min(run.window for run in runs)
     in_range = [run for run in runs if run.window - first <= MAX_U8]
@@ -346,4 +371,5 @@
         _unpack_handles(packed.handles) if packed._has("handles") else (),
         _unpack_demand(packed.demand) if packed._has("demand") else (),
         unpack_pieces(packed.replicas) if packed._has("replicas") else (),
+        _unpack_block_reports(packed.blocks) if packed._has("blocks") else (),
     )
--- a/berylshift/connection/load_digest.capnp
+++ b/berylshift/connection/load_digest.capnp
@@ -28,6 +28,8 @@
   handles @17 :Handles;
   demand @18 :Demand;
   replicas @19 :List(ReplicaPiece);
+  # Keys of prompt blocks in place of requests; target 0: the block completed.
+  blocks @20 :Crashes;
 }
 
 # The fields of LoadDigest up to 15. A digest without further fields is encoded as this
--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -16,6 +16,7 @@
 from berylshift.entry_leader_tasks import EntryLeaderTasks, LeaderTaskDependencies
 from berylshift.host_paths import HostPaths, PathDependencies, PathTarget
 from berylshift.ids import DomainName, HostName, InstanceId, ServiceName
+from berylshift.messages.block_key import BlockHash
 from berylshift.messages.engine_control import EngineControl
 from berylshift.messages.replicas import ENTRY_TTL_HEARTBEATS
 from berylshift.messages.routed import WireCodec
@@ -29,6 +30,7 @@
 from berylshift.process.directory.route_moves import RouteMoves
 from berylshift.process.directory.store_watch import StoreWatch
 from berylshift.process.gossip.digest_builder import DigestSources
+from berylshift.process.gossip.election import order_key
 from berylshift.process.gossip.load_loop import LoadLink, LoadLoop, LoadLoopDependencies
 from berylshift.process.gossip.peer_loads import PeerLoads
 from berylshift.process.leader_tasks.leader_lease import LeaderLease
@@ -130,6 +132,7 @@
     boot_clock: Callable[[], float]
     hosts: HostRows
     crashes: CrashRows
+    block_crashes: CrashRows
     usage_rows: UsageRows
     usage_reporting: UsageReporting
     scale_ordering: ScaleOrdering
@@ -206,7 +209,7 @@
         self.paths = self._make_paths()
         self.leader_tasks = self._make_leader_tasks()
         self.load_loop = self._make_load_loop()
-        self.quarantine_loop = self._make_quarantine_loop()
+        self.quarantine_loops = self._make_quarantine_loops()
         self.handler = self._make_handler()
         self.server, self.status_server = self._make_servers()
         self.directory_loop = DirectoryLoop(
@@ -254,13 +257,26 @@
         listed = self.replicas.listed(service)
         return self.paths.states.is_cut_off(rep.address for rep in listed)
 
-    def _make_quarantine_loop(self) -> QuarantineLoop:
-        """Return the loop that keeps quarantined requests in the store."""
-        ports = self.ports
-        self.store_watch.eras.subscribe(self.quarantine.row_queue.rewrite_all)
-        return QuarantineLoop(
-            self.quarantine, ports.crashes, self.store_watch.clock, ports.clock
-        )
+    def _make_quarantine_loops(self) -> list[QuarantineLoop]:
+        """Return the loops that keep quarantined requests and blocks in the store."""
+        ports, blocks = self.ports, self.quarantine.blocks
+        blocks.trial_rank = self._trial_rank
+        loops = []
+        for records, rows in (
+            (self.quarantine, ports.crashes),
+            (blocks, ports.block_crashes),
+        ):
+            self.store_watch.eras.subscribe(records.row_queue.rewrite_all)
+            loops.append(
+                QuarantineLoop(records, rows, self.store_watch.clock, ports.clock)
+            )
+        return loops
+
+    def _trial_rank(self, block: BlockHash) -> int:
+        """Return how many hosts precede this one in making the trial of a block."""
+        hosts = self.load_loop.sharing_hosts() or []
+        own = order_key(f"{block}/{self.cfg.host.name}")
+        return sum(order_key(f"{block}/{rec.host}") < own for rec in hosts)
 
     def _make_handler(self) -> RoutedHandler:
         """Return the handler of callers' requests."""
@@ -680,7 +696,8 @@
                 nursery.start_soon(self.queue_loop.run)
             if self.origins is not None:
                 nursery.start_soon(self.origins.run)
-            nursery.start_soon(self.quarantine_loop.run)
+            for loop in self.quarantine_loops:
+                nursery.start_soon(loop.run)
             nursery.start_soon(report_gauges, self)
             nursery.start_soon(LoopMonitor(self.ports.clock).run)
             nursery.start_soon(self.leader_tasks.run)
--- a/berylshift/entry_gauges.py
+++ b/berylshift/entry_gauges.py
@@ -68,6 +68,17 @@
         "Requests that ran at one replica as it crashed.",
         app.quarantine.count_observed(),
     )
+    blocks = app.quarantine.blocks
+    gauge(
+        "prompt_blocks_held",
+        "Prompt blocks under which replicas crashed, and that are held or tried.",
+        len(blocks),
+    )
+    gauge(
+        "prompt_block_refusals",
+        "Times that a request was refused for a block of its prompt.",
+        blocks.refused,
+    )
     gauge(
         "replicas_throttled",
         "Rate limits and back-offs set by replicas.",
--- a/berylshift/messages/load_digest.py
+++ b/berylshift/messages/load_digest.py
@@ -6,7 +6,7 @@
 import msgspec
 import xxhash
 
-from berylshift.ids import Fingerprint, InstanceId, Revision, StoreEra
+from berylshift.ids import BlockKey, Fingerprint, InstanceId, Revision, StoreEra
 from berylshift.messages.replica_updates import ReplicaPiece
 from berylshift.messages.replicas import EnginePhase
 from berylshift.messages.usage import RunCount
@@ -144,6 +144,18 @@
     age_seconds: float
 
 
+class BlockReport(msgspec.Struct, frozen=True):
+    """A replica crashed ``age_seconds`` ago under a prompt with a block.
+
+    ``target`` is the short hash of the replica's name; ``None``: a prompt with the
+    block completed then, for any customer.
+    """
+
+    key: BlockKey
+    target: int | None
+    age_seconds: float
+
+
 class FeedStatus(msgspec.Struct, frozen=True):
     """State of one of the store's feeds, as a host last read it.
 
@@ -181,7 +193,7 @@
     milliseconds). Windows up to and including ``usage_done`` need no usage report any
     more. ``handles`` replaces what the sender's former digest held; so does ``demand``,
     unless it is empty. ``replicas`` are changes of the replica
-    feed.
+    feed, ``blocks`` crashes and completions of prompt blocks.
     """
 
     host: str
@@ -204,6 +216,7 @@
     handles: tuple[HandleCounts, ...] = ()
     demand: tuple[CustomerTokens, ...] = ()
     replicas: tuple[ReplicaPiece, ...] = ()
+    blocks: tuple[BlockReport, ...] = ()
 
 
 @functools.lru_cache(MAX_CACHED_HASHES)
--- a/berylshift/messages/routed.py
+++ b/berylshift/messages/routed.py
@@ -28,6 +28,7 @@
     blocks: tuple[PromptBlock, ...]
     tokens: int
     output_limit: int
+    model: str = ""
 
     @cached_property
     def prefix_blocks(self) -> tuple[PromptBlock, ...]:
--- a/berylshift/platform/codec.py
+++ b/berylshift/platform/codec.py
@@ -238,7 +238,8 @@
         return None
     try:
         tokens, _, output = counts.partition(b",")
-        return Prompt(_blocks(blocks), int(tokens), int(output or 0))
+        model = single.get(names.MODEL, b"").decode("latin-1")
+        return Prompt(_blocks(blocks), int(tokens), int(output or 0), model)
     except ValueError:
         return None
 
--- a/berylshift/platform/own_tables.py
+++ b/berylshift/platform/own_tables.py
@@ -101,15 +101,16 @@
 
 
 class PlatformCrashes:
-    """Replica crashes during requests, in the table of crashes."""
+    """Replica crashes during requests, or under prompt blocks, in a table."""
 
-    def __init__(self, client: StoreClient):
+    def __init__(self, client: StoreClient, table: str = names.CRASH_TABLE):
         """Call the store through ``client``, which applies timeouts."""
         self._client = client
+        self._table = table
 
     async def read(self) -> CrashRowsSnapshot:
         """Return all rows that can be decoded."""
-        pages = await read_pages(self._client, names.CRASH_TABLE)
+        pages = await read_pages(self._client, self._table)
         rows = tuple(
             row for page in pages for row in decode_records(page.rows, CrashRow)
         )
@@ -117,7 +118,7 @@
 
     async def change(self, put: Iterable[CrashRow], drop: Iterable[CrashRow]) -> None:
         """Write the rows ``put`` and remove the rows ``drop`` in one transaction."""
-        table = names.CRASH_TABLE
+        table = self._table
         body = RowsTransaction(
             [],
             [RowWrite(table, _crash_key(row), msgspec.json.encode(row)) for row in put],
@@ -126,6 +127,14 @@
         parse_rows(await self._client.post(names.ROWS_TX, msgspec.json.encode(body)))
 
 
+class PlatformBlockCrashes(PlatformCrashes):
+    """Replica crashes under prompt blocks, in the table of these."""
+
+    def __init__(self, client: StoreClient):
+        """Call the store through ``client``, which applies timeouts."""
+        super().__init__(client, names.BLOCK_CRASH_TABLE)
+
+
 class PlatformUsage:
     """Settled usage reports, in the table of usage."""
 
--- a/berylshift/process/gossip/collector.py
+++ b/berylshift/process/gossip/collector.py
@@ -97,6 +97,7 @@
         """Return how many prefills an aggregate has room for."""
         sources, own_domain_only = self._sources, scope is Scope.DOMAIN
         crashes = sources.quarantine.count_pending_reports(now, own_domain_only)
+        crashes += sources.quarantine.blocks.count_pending_reports(now, own_domain_only)
         speeds = sources.replica_speeds.count_new(scope, now)
         handles = len(sources.handle_losses.counts_to_send(scope, now))
         found = MAX_PREFILLS - PREFILLS_PER_CRASH * crashes
--- a/berylshift/process/gossip/digest_builder.py
+++ b/berylshift/process/gossip/digest_builder.py
@@ -80,6 +80,7 @@
             store_status=sources.watch.status() if has_status else None,
             crashes=sources.quarantine.take_reports(now, own_domain_only),
             finished=sources.quarantine.pending_completions(now, own_domain_only),
+            blocks=sources.quarantine.blocks.take_reports(now, own_domain_only),
             started_ms=sources.usage.start if runs else 0,
             runs=runs,
             limits=sources.throttle.updates_to_send(now, own_only=not is_aggregate),
--- a/berylshift/process/gossip/protocol.py
+++ b/berylshift/process/gossip/protocol.py
@@ -141,9 +141,9 @@
         sources.peers.receive(digest, now)
         sources.prefix_cache.merge(digest.prefills, now)
         sources.phases.apply_updates(digest.phases, now)
-        sources.quarantine.merge(
-            digest.crashes, digest.finished, now, self._is_own_domain(digest)
-        )
+        is_own_domain = self._is_own_domain(digest)
+        sources.quarantine.merge(digest.crashes, digest.finished, now, is_own_domain)
+        sources.quarantine.blocks.merge(digest.blocks, now, is_own_domain)
         sources.throttle.apply_updates(digest.limits, now)
         sources.replica_speeds.apply_updates(digest.speeds, now, self._origin(digest))
         sources.handle_losses.receive(digest, self.uses_collectors, now)
--- a/berylshift/process/quarantine/quarantine.py
+++ b/berylshift/process/quarantine/quarantine.py
@@ -19,6 +19,8 @@
 from berylshift.messages.fingerprint import head_hash_of
 from berylshift.messages.load_digest import CrashReport, target_hash
 from berylshift.messages.replicas import ENTRY_TTL_HEARTBEATS
+from berylshift.process.quarantine.block_quarantine import BlockQuarantine
+from berylshift.process.quarantine.block_record import BlockCrash
 from berylshift.process.quarantine.crash_gossip import (
     GOSSIP_SECONDS,
     CrashGossip,
@@ -54,6 +56,8 @@
 class Quarantine:
     """Crash records of one host; times in seconds on the monotonic clock."""
 
+    retention_seconds = PROVEN_QUARANTINE_SECONDS
+
     def __init__(
         self, heartbeat_seconds: float, gossip_seconds: float = GOSSIP_SECONDS
     ) -> None:
@@ -69,6 +73,7 @@
         self._requests_by_target: dict[int, set[Fingerprint]] = {}
         self._gossip = CrashGossip(self._quarantined_keys, gossip_seconds)
         self.row_queue = CrashRowQueue()
+        self.blocks = BlockQuarantine(gossip_seconds)
 
     def __len__(self) -> int:
         """Return how many requests have crashed two replicas or more."""
@@ -118,8 +123,13 @@
                 crash.is_retracted = True
                 self.row_queue.drop((request, target))
                 self._reclassify(request)
+        self.blocks.retract_crash(
+            target, lambda crash: self._survived(crash, sent_at, listed_at)
+        )
 
-    def _survived(self, crash: Crash, sent_at: float, listed_at: float | None) -> bool:
+    def _survived(
+        self, crash: Crash | BlockCrash, sent_at: float, listed_at: float | None
+    ) -> bool:
         """Return whether a response shows that the replica did not crash."""
         if sent_at <= crash.at:
             return False
@@ -143,8 +153,8 @@
 
     @property
     def has_suspects(self) -> bool:
-        """Return whether a crash is recorded for any request."""
-        return bool(self._requests_by_target)
+        """Return whether a crash is recorded for any request or prompt block."""
+        return bool(self._requests_by_target) or self.blocks.has_suspects
 
     def has_crashed(self, instance: InstanceId, now: float) -> bool:
         """Return whether a replica is known to have crashed, even if still listed."""
@@ -193,6 +203,10 @@
         for report in crashes:
             self._merge_report(report, now, is_own_domain)
 
+    def restore(self, reports: Iterable[CrashReport], now: float) -> None:
+        """Merge the crashes of earlier processes, which the store kept."""
+        self.merge(reports, (), now, is_own_domain=False)
+
     def _merge_report(
         self, report: CrashReport, now: float, is_own_domain: bool
     ) -> None:
@@ -235,7 +249,11 @@
 
     def has_updates(self, now: float) -> bool:
         """Return whether there is anything to send to the other hosts."""
-        return bool(self.count_pending_reports(now) or self.pending_completions(now))
+        return bool(
+            self.count_pending_reports(now)
+            or self.pending_completions(now)
+            or self.blocks.count_pending_reports(now)
+        )
 
     def pending_completions(
         self, now: float, own_domain_only: bool = False
--- a/berylshift/process/quarantine/quarantine_loop.py
+++ b/berylshift/process/quarantine/quarantine_loop.py
@@ -1,6 +1,8 @@
 """Persists crash records in the store, so that they survive a restart of all hosts."""
 
 import logging
+from collections.abc import Iterable
+from typing import Protocol
 
 import trio
 
@@ -8,9 +10,7 @@
 from berylshift.messages.load_digest import CrashReport
 from berylshift.process.directory.store_watch import StoreClock
 from berylshift.process.quarantine.crash_gossip import CrashKey
-from berylshift.process.quarantine.crash_record import PROVEN_QUARANTINE_SECONDS
-from berylshift.process.quarantine.crash_row_queue import RowBatch
-from berylshift.process.quarantine.quarantine import Quarantine
+from berylshift.process.quarantine.crash_row_queue import CrashRowQueue, RowBatch
 from berylshift.store.crash_rows import CrashRow, CrashRows
 from berylshift.store.interfaces import PlatformError
 
@@ -23,12 +23,28 @@
 RETRY_SECONDS = 1.0
 
 
+class CrashRecords(Protocol):
+    """Crash records that outlast the hosts, of requests or of prompt blocks.
+
+    Rows older than ``retention_seconds`` are removed.
+    """
+
+    row_queue: CrashRowQueue
+    retention_seconds: float
+
+    def restore(self, reports: Iterable[CrashReport], now: float) -> None:
+        """Merge the crashes of earlier processes."""
+
+    def crash_age_seconds(self, key: CrashKey, now: float) -> float:
+        """Return the seconds since a crash; 0: unknown."""
+
+
 class QuarantineLoop:
     """Reads all rows once, then writes those of this host."""
 
     def __init__(
         self,
-        quarantine: Quarantine,
+        quarantine: CrashRecords,
         rows: CrashRows,
         store_clock: StoreClock,
         clock: Clock,
@@ -57,9 +73,9 @@
             return False
         now = self._clock.monotonic()
         reports = [_report(row, result.store_ms) for row in result.rows]
-        self._quarantine.merge(reports, (), now, is_own_domain=False)
+        self._quarantine.restore(reports, now)
         for row, report in zip(result.rows, reports, strict=True):
-            if report.age_seconds >= PROVEN_QUARANTINE_SECONDS:
+            if report.age_seconds >= self._quarantine.retention_seconds:
                 self._quarantine.row_queue.drop_foreign((row.request, row.target))
         if result.rows:
             logger.info("quarantine read", extra={"rows": len(result.rows)})
--- a/berylshift/request/crash_watch.py
+++ b/berylshift/request/crash_watch.py
@@ -4,7 +4,8 @@
 from collections.abc import Awaitable, Callable
 
 from berylshift.clock import Clock
-from berylshift.ids import BlockId, Fingerprint, InstanceId, RequestId
+from berylshift.ids import BlockId, BlockKey, Fingerprint, InstanceId, RequestId
+from berylshift.messages.block_key import block_of
 from berylshift.messages.fingerprint import fingerprint_hex
 from berylshift.process.quarantine.quarantine import Quarantine
 
@@ -18,9 +19,9 @@
 class QuarantinedError(Exception):
     """The request crashed targets and is quarantined for ``seconds``."""
 
-    def __init__(self, crashes: int, seconds: float):
-        """Keep the seconds of the quarantine."""
-        super().__init__(f"{crashes} replicas ended under it")
+    def __init__(self, crashes: int, seconds: float, what: str = "it"):
+        """Keep the seconds of the quarantine of ``what``."""
+        super().__init__(f"{crashes} replicas ended under {what}")
         self.seconds = seconds
 
 
@@ -39,6 +40,7 @@
         self.fingerprint: Fingerprint | None = None
         # The blocks of its prompt that other requests may share.
         self.blocks: tuple[BlockId, ...] = ()
+        self.block_keys: tuple[BlockKey, ...] = ()
 
     def check(self, response_started: bool = False) -> None:
         """Raise ``QuarantinedError`` if the request is quarantined.
@@ -46,9 +48,10 @@
         ``response_started``: a request that is only suspect continues, since its caller
         would lose the part that it has received.
         """
+        now = self._clock.monotonic()
+        self._check_blocks(now)
         if self.fingerprint is None:
             return
-        now = self._clock.monotonic()
         wait = self._quarantine.remaining_seconds(
             self.fingerprint, now, response_started
         )
@@ -56,6 +59,24 @@
             crashes = self._quarantine.crash_count(self.fingerprint)
             raise QuarantinedError(crashes, wait)
 
+    def _check_blocks(self, now: float) -> None:
+        """Raise ``QuarantinedError`` if a block of the prompt is held.
+
+        That holds for a response that has started as well: its next replica would crash
+        with all that runs there.
+        """
+        held = self._quarantine.blocks.held_block(self.block_keys, self._request, now)
+        if held is not None:
+            what = f"prompt block {held.block:08x}"
+            raise QuarantinedError(held.crashes, held.seconds, what)
+
+    @property
+    def crash_count(self) -> int:
+        """Return how many replicas crashed during the request, or under a block."""
+        request, quarantine = self.fingerprint, self._quarantine
+        crashes = 0 if request is None else quarantine.crash_count(request)
+        return max(crashes, quarantine.blocks.crash_count(self.block_keys))
+
     async def on_connection_lost(
         self, instance: InstanceId, accepts_connections: Callable[[], Awaitable[bool]]
     ) -> None:
@@ -73,12 +94,16 @@
         now = self._clock.monotonic()
         if is_alive:
             self._quarantine.record_reconnect(instance, now)
+        else:
+            self._quarantine.blocks.record_crash(self.block_keys, instance, now)
         logger.info(
             "connection to replica lost",
             extra={
                 "request": self._request,
                 "same": fingerprint_hex(request),
                 "blocks": self.blocks,
+                "keys": [f"{block_of(key):08x}" for key in self.block_keys],
+                "block_crashes": self._quarantine.blocks.crash_count(self.block_keys),
                 "instance": instance,
                 "lives": is_alive,
                 "crashes": self._quarantine.crash_count(request),
@@ -97,10 +122,12 @@
 
     def on_completed(self) -> None:
         """Record that the request ran to completion."""
+        now = self._clock.monotonic()
+        self._quarantine.blocks.record_completion(self.block_keys, now)
         if self.fingerprint is None:
             return
         crashes = self._quarantine.crash_count(self.fingerprint)
-        self._quarantine.record_completion(self.fingerprint, self._clock.monotonic())
+        self._quarantine.record_completion(self.fingerprint, now)
         if crashes:
             logger.info(
                 "crash record cleared",
--- a/berylshift/request/fingerprint.py
+++ b/berylshift/request/fingerprint.py
@@ -7,7 +7,8 @@
 from collections.abc import Iterable
 from hashlib import blake2b
 
-from berylshift.ids import Fingerprint
+from berylshift.ids import BlockKey, Fingerprint, ServiceName
+from berylshift.messages.block_key import BlockHash, CustomerHash, join_key
 from berylshift.messages.fingerprint import HASH_BYTES, combine_hashes
 from berylshift.messages.routed import Prompt, RoutedRequest
 
@@ -51,6 +52,24 @@
         head = self._hash_fields(field.encode() for field in fields)
         return combine_hashes(head, self._hash_body(body[:MAX_HASHED_BODY_BYTES]))
 
+    def block_keys(
+        self, req: RoutedRequest, service: ServiceName
+    ) -> tuple[BlockKey, ...]:
+        """Return the keys of the blocks that other requests to a service may share."""
+        prompt = req.prompt
+        if prompt is None:
+            return ()
+        customer = CustomerHash(0)
+        if req.customer is not None:
+            customer = CustomerHash(self._hash_fields((req.customer.encode(),)))
+        head = f"{service}{SEPARATOR.decode()}{prompt.model}".encode()
+        # Ids are hexadecimal numbers, which callers may write in several ways.
+        ids = {block.id.lower().lstrip("0") for block in prompt.prefix_blocks}
+        return tuple(
+            join_key(BlockHash(self._hash_fields((head, name.encode()))), customer)
+            for name in sorted(ids)
+        )
+
     def _hash_fields(self, fields: Iterable[bytes]) -> int:
         hasher = self._new_hasher()
         for field in fields:
--- a/berylshift/request/relay.py
+++ b/berylshift/request/relay.py
@@ -105,7 +105,7 @@
         self._retry_budget = deps.retry_budget_for(service)
         self.attempts = AttemptLog(deps.clock, self._describe_state)
         self._exchange = ReplicaExchange(deps, req, route, self._out, self._history)
-        self.crash_watch = RoutedCrashWatch(deps, req)
+        self.crash_watch = RoutedCrashWatch(deps, req, service)
         self._choice = ReplicaSelector(deps, service, self.crash_watch, binding)
         self._kv_source: KvSource | None = None
         self._kv_source_uses = 0
--- a/berylshift/request/routed_crash_watch.py
+++ b/berylshift/request/routed_crash_watch.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from berylshift.ids import Fingerprint, InstanceId
+from berylshift.ids import Fingerprint, InstanceId, ServiceName
 from berylshift.messages.replicas import Replica
 from berylshift.messages.routed import RoutedRequest
 from berylshift.process.directory.pools import Pool
@@ -27,11 +27,14 @@
 class RoutedCrashWatch:
     """Reports what a relay observes to the request's crash watch."""
 
-    def __init__(self, deps: RelayDependencies, req: RoutedRequest):
-        """Watch ``req``."""
+    def __init__(
+        self, deps: RelayDependencies, req: RoutedRequest, service: ServiceName
+    ):
+        """Watch ``req``, which goes to ``service``."""
         self._deps = deps
         self._req = req
         self._watch = CrashWatch(deps.quarantine, deps.clock, req.id)
+        self._watch.block_keys = deps.fingerprints.block_keys(req, service)
         if req.prompt is not None:
             self._watch.blocks = tuple(block.id for block in req.prompt.prefix_blocks)
 
@@ -55,8 +58,8 @@
 
     def check(self) -> None:
         """Raise ``QuarantinedError`` if the request is quarantined."""
-        if self.fingerprint is not None:
-            self._watch.check()
+        _ = self.fingerprint
+        self._watch.check()
 
     def avoided(
         self, pool: Pool, tried: Iterable[InstanceId], response_started: bool
@@ -74,17 +77,26 @@
         listed = [rep.instance for rep in pool.replicas]
         crashed = [name for name in listed if quarantine.has_crashed(name, now)]
         found = [*tried, *crashed]
-        crashes = 0
-        if self.fingerprint is not None:
-            crashes = quarantine.crash_count(self.fingerprint)
+        crashes = self._watch.crash_count
         if not crashes:
             return found
         left = remaining_replicas(pool.decode_engines, found)
-        if is_last_remaining(left, pool.decode_engines) and not response_started:
+        is_suspect = crashes > 1 or self._own_crashes
+        if (
+            is_suspect
+            and not response_started
+            and is_last_remaining(left, pool.decode_engines)
+        ):
             raise QuarantinedError(crashes, LAST_REPLICA_RETRY_SECONDS)
         allowed = isolation_replicas(left)
         return found + [rep.instance for rep in left if rep not in allowed]
 
+    @property
+    def _own_crashes(self) -> int:
+        """Return how many replicas crashed during this very request."""
+        request = self.fingerprint
+        return 0 if request is None else self._deps.quarantine.crash_count(request)
+
     async def on_connection_lost(self, replica: Replica) -> None:
         """Record that the connection to a replica broke while it had the request.
 
@@ -109,5 +121,5 @@
 
     def on_completed(self) -> None:
         """Record that the request ran to completion."""
-        if self.fingerprint is not None:
-            self._watch.on_completed()
+        _ = self.fingerprint
+        self._watch.on_completed()
--- a/berylshift/serve_entry.py
+++ b/berylshift/serve_entry.py
@@ -20,6 +20,7 @@
 from berylshift.platform.engines import PlatformEngines
 from berylshift.platform.leader_calls import PlatformLeaderCalls
 from berylshift.platform.own_tables import (
+    PlatformBlockCrashes,
     PlatformCrashes,
     PlatformHosts,
     PlatformLeases,
@@ -66,6 +67,7 @@
         boot_clock=boot_seconds,
         hosts=PlatformHosts(store),
         crashes=PlatformCrashes(store),
+        block_crashes=PlatformBlockCrashes(store),
         usage_rows=PlatformUsage(store),
         usage_reporting=leader_calls,
         scale_ordering=leader_calls,
--- a/berylshift/tests/entry_world.py
+++ b/berylshift/tests/entry_world.py
@@ -196,6 +196,7 @@
     leases: FakeLeaseRows = field(default_factory=FakeLeaseRows)
     host_rows: FakeHostRows = field(default_factory=FakeHostRows)
     crash_rows: FakeCrashRows = field(default_factory=FakeCrashRows)
+    block_crash_rows: FakeCrashRows = field(default_factory=FakeCrashRows)
     usage_rows: FakeUsageRows = field(default_factory=FakeUsageRows)
     scale_rows: FakeScaleRows = field(default_factory=FakeScaleRows)
     duties: FakeLeaderCalls = field(default_factory=FakeLeaderCalls)
@@ -339,6 +340,7 @@
             boot_clock=trio.current_time,
             hosts=self.host_rows,
             crashes=self.crash_rows,
+            block_crashes=self.block_crash_rows,
             usage_rows=self.usage_rows,
             usage_reporting=self.duties,
             scale_ordering=self.duties,
