--- a/berylshift/process/quarantine/block_quarantine.py
+++ b/berylshift/process/quarantine/block_quarantine.py
@@ -50,7 +50,7 @@
 # Memory bounds; beyond them the oldest records are dropped. Blocks with enough crashes
 # are stored separately, so that many sound ones can't evict them.
 MAX_OBSERVED = 4096
-MAX_HELD = 1024
+MAX_CANDIDATES = 1024
 MAX_COMPLETED = 8192
 
 
@@ -72,7 +72,7 @@
         # Returns how many hosts precede this one in making the trial of a block.
         self.trial_rank: Callable[[BlockHash], int] = lambda block: 0
         self._observed: OrderedDict[BlockHash, BlockRecord] = OrderedDict()
-        self._held: OrderedDict[BlockHash, BlockRecord] = OrderedDict()
+        self._candidates: OrderedDict[BlockHash, BlockRecord] = OrderedDict()
         self._completed: OrderedDict[BlockHash, float] = OrderedDict()
         self._answered: dict[BlockHash, float] = {}
         self._blocks_by_target: dict[int, set[BlockHash]] = {}
@@ -82,8 +82,8 @@
         self.refused = 0
 
     def __len__(self) -> int:
-        """Return how many blocks have enough crashes to be held."""
-        return len(self._held)
+        """Return how many blocks are held, or waiting for the result of a trial."""
+        return sum(self._is_blamed(record) for record in self._candidates.values())
 
     # Events at this host
 
@@ -130,7 +130,7 @@
 
         A request that is let through as the trial of a block stays so.
         """
-        if not self._held:
+        if not self._candidates:
             return None
         found = [self._hold(key, request, now) for key in keys]
         held = [hold for hold in found if hold is not None]
@@ -167,7 +167,7 @@
 
     def _hold(self, key: BlockKey, request: str, now: float) -> HeldBlock | None:
         block = block_of(key)
-        record = self._held.get(block)
+        record = self._candidates.get(block)
         if record is None:
             return None
         targets = record.targets_for(customer_of(key))
@@ -192,15 +192,18 @@
             and record.coincidence(self._ended) <= MAX_COINCIDENCE
         )
 
+    def _is_blamed(self, record: BlockRecord) -> bool:
+        """Return whether a block has enough crashes, of whichever customers."""
+        return self._has_enough(record, record.targets())
+
     def _explained(self, block: BlockHash) -> set[int]:
         """Return the replicas under whose crashes another block has more crashes."""
-        own = len(self._held[block].targets())
+        own = len(self._candidates[block].targets())
         found: set[int] = set()
-        for other, record in self._held.items():
+        for other, record in self._candidates.items():
             targets = record.targets()
-            if other != block and len(targets) > own:
-                if self._has_enough(record, targets):
-                    found |= targets
+            if other != block and len(targets) > own and self._is_blamed(record):
+                found |= targets
         return found
 
     def _takes_trial(
@@ -299,7 +302,8 @@
         """Return the crashes to resend to hosts that missed them, the newest first."""
         return [
             (Fingerprint(join_key(block, customer)), target)
-            for block, record in reversed(self._held.items())
+            for block, record in reversed(self._candidates.items())
+            if self._is_blamed(record)
             for target in record.targets()
             for customer in record.crashes[target].customers
         ]
@@ -336,7 +340,7 @@
                 self._add_crash(join_key(block, customer), target, crash.at)
 
     def _record(self, block: BlockHash) -> BlockRecord | None:
-        return self._held.get(block) or self._observed.get(block)
+        return self._candidates.get(block) or self._observed.get(block)
 
     def _add_crash(self, key: BlockKey, target: int, at: float) -> BlockRecord:
         block = block_of(key)
@@ -352,22 +356,27 @@
         self._blocks_by_target.setdefault(target, set()).add(block)
         record.trial = None
         self._reclassify(block)
-        for records, max_records in (
-            (self._observed, MAX_OBSERVED),
-            (self._held, MAX_HELD),
-        ):
-            if len(records) > max_records:
-                self._remove(next(iter(records)))
+        if len(self._observed) > MAX_OBSERVED:
+            self._remove(next(iter(self._observed)))
+        if len(self._candidates) > MAX_CANDIDATES:
+            self._remove(self._least_important())
         return record
 
+    def _least_important(self) -> BlockHash:
+        """Return the oldest candidate that is not held, or the oldest of all."""
+        for block, record in self._candidates.items():
+            if not self._is_blamed(record):
+                return block
+        return next(iter(self._candidates))
+
     def _reclassify(self, block: BlockHash) -> None:
-        """Move a record to the observed or the held ones, as the newest."""
-        record = self._observed.pop(block, None) or self._held.pop(block)
-        has_enough = len(record.targets()) >= MIN_CRASHES
-        (self._held if has_enough else self._observed)[block] = record
+        """Move a record to the observed ones or the candidates, as the newest."""
+        record = self._observed.pop(block, None) or self._candidates.pop(block)
+        is_candidate = len(record.targets()) >= MIN_CRASHES
+        (self._candidates if is_candidate else self._observed)[block] = record
 
     def _remove(self, block: BlockHash) -> None:
-        record = self._observed.pop(block, None) or self._held.pop(block)
+        record = self._observed.pop(block, None) or self._candidates.pop(block)
         for target, crash in record.crashes.items():
             for customer in crash.customers:
                 key = Fingerprint(join_key(block, customer))
@@ -379,8 +388,8 @@
 
     def _queue_rows(self, block: BlockHash) -> None:
         """Queue the rows of a held block for the store; see ``Quarantine``."""
-        record = self._held.get(block)
-        if record is None:
+        record = self._candidates.get(block)
+        if record is None or not self._is_blamed(record):
             return
         for target in record.targets():
             for customer in record.crashes[target].customers:
@@ -390,7 +399,7 @@
         """Remove records that have expired, the oldest of each kind first."""
         for records, seconds in (
             (self._observed, OBSERVED_SECONDS),
-            (self._held, MAX_HOLD_SECONDS),
+            (self._candidates, MAX_HOLD_SECONDS),
         ):
             while records:
                 block, record = next(iter(records.items()))
