Hold common prefixes that crash engines on the native API, too

Prefixes of prompts (their running hashes, as in cache events) are now blocks of the same quarantine; datagrams of peers carry their reports.

--- a/berylshift/application.py
+++ b/berylshift/application.py
@@ -13,6 +13,7 @@
 from berylshift.connection.target_dial import TargetDial
 from berylshift.host_paths import HostPaths, PathDependencies, PathTarget
 from berylshift.ids import DomainName, HostName, InstanceId
+from berylshift.messages.block_key import BlockHash
 from berylshift.metrics import Metrics
 from berylshift.process.control.demand_meter import DemandMeter
 from berylshift.process.control.plans import Plans
@@ -30,6 +31,7 @@
     PollerDependencies,
     ReportPoller,
 )
+from berylshift.process.gossip.election import order_key
 from berylshift.process.limits.customer_limits import CustomerLimits
 from berylshift.process.limits.retry_budget import RetryBudget
 from berylshift.process.limits.store_budget import StoreBudget
@@ -180,6 +182,7 @@
         self.quarantine = Quarantine(
             cfg.targets.report_interval, CRASH_GOSSIP_ROUNDS * cfg.peers.interval
         )
+        self.quarantine.blocks.trial_rank = self._trial_rank
         self.crash_watches = CrashWatchFactory(
             self.quarantine, RequestFingerprinter(), self.load, clock
         )
@@ -196,6 +199,12 @@
         )
         self._make_loops(addresses)
 
+    def _trial_rank(self, block: BlockHash) -> int:
+        """Return how many hosts precede this one in making the trial of a prefix."""
+        own = order_key(f"{block}/{self.cfg.host.name}")
+        peers = self.members.peers
+        return sum(order_key(f"{block}/{peer}") < own for peer in peers)
+
     def _make_paths(self) -> HostPaths:
         """Return the paths to targets, installed in the clients' dial."""
         ports = self.ports
--- a/berylshift/connection/peer.capnp
+++ b/berylshift/connection/peer.capnp
@@ -17,6 +17,8 @@
   crashes @12 :List(Crash);
   # Fingerprints of calls that completed after an earlier target crash.
   finished @13 :List(UInt64);
+  # Keys of prompt prefixes in place of calls; target 0: the prefix completed.
+  blocks @14 :List(Crash);
 }
 
 # A target that crashed while running a call.
--- a/berylshift/connection/peer_codec.py
+++ b/berylshift/connection/peer_codec.py
@@ -10,8 +10,15 @@
     BadDatagramError,
     DatagramTagger,
 )
-from berylshift.ids import Fingerprint, HostName, Incarnation, PoolName, TargetName
-from berylshift.messages.load_digest import CrashReport
+from berylshift.ids import (
+    BlockKey,
+    Fingerprint,
+    HostName,
+    Incarnation,
+    PoolName,
+    TargetName,
+)
+from berylshift.messages.load_digest import BlockReport, CrashReport
 from berylshift.process.engine_state.load_view import Share
 from berylshift.process.limits.customer_limits import Demand
 from berylshift.process.membership.digest import Digest, Echo, Mix
@@ -91,6 +98,14 @@
             for c in digest.crashes
         ],
         finished=digest.finished,
+        blocks=[
+            {
+                "request": b.key,
+                "target": b.target or 0,
+                "ageMs": int(b.age_seconds * MS_PER_SECOND),
+            }
+            for b in digest.blocks
+        ],
     )
     return message.to_bytes_packed()
 
@@ -123,4 +138,8 @@
             for c in message.crashes
         ],
         finished=[Fingerprint(request) for request in message.finished],
+        blocks=[
+            BlockReport(BlockKey(b.request), b.target or None, b.ageMs / MS_PER_SECOND)
+            for b in message.blocks
+        ],
     )
--- a/berylshift/process/membership/digest.py
+++ b/berylshift/process/membership/digest.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from berylshift.ids import Fingerprint, HostName, Incarnation, PoolName
-from berylshift.messages.load_digest import CrashReport
+from berylshift.messages.load_digest import BlockReport, CrashReport
 from berylshift.process.engine_state.load_view import Share
 from berylshift.process.limits.customer_limits import Demand
 
@@ -47,3 +47,4 @@
     mixes: list[Mix] = []
     crashes: list[CrashReport] = []
     finished: list[Fingerprint] = []
+    blocks: list[BlockReport] = []
--- a/berylshift/process/membership/peer_loop.py
+++ b/berylshift/process/membership/peer_loop.py
@@ -77,6 +77,7 @@
         deps.meter.update_peer(digest.host, digest.mixes, now)
         # Each host sends to few others, so whatever is new here is passed on.
         deps.quarantine.merge(digest.crashes, digest.finished, now, is_own_domain=True)
+        deps.quarantine.blocks.merge(digest.blocks, now, is_own_domain=True)
         peer = deps.members.peers[digest.host]
         if peer.entry is None:
             return
@@ -142,6 +143,7 @@
             mixes=deps.meter.local_rates(now),
             crashes=list(deps.quarantine.take_reports(now)),
             finished=list(deps.quarantine.pending_completions(now)),
+            blocks=list(deps.quarantine.blocks.take_reports(now)),
         )
         deps.members.record_send(entry.host, sequence, now)
         await deps.link.send(entry.peer_address, digest)
--- a/berylshift/request/crash_watch_factory.py
+++ b/berylshift/request/crash_watch_factory.py
@@ -5,6 +5,7 @@
 from berylshift.clock import Clock
 from berylshift.ids import InstanceId, TargetName
 from berylshift.process.engine_state.load_view import LoadView
+from berylshift.process.engine_state.prefix_index import prefix_hashes
 from berylshift.process.quarantine.quarantine import Quarantine
 from berylshift.request.crash_watch import CrashWatch
 from berylshift.request.fingerprint import RequestFingerprinter
@@ -26,6 +27,10 @@
         fields = (caller.fleet, caller.customer, call.model, str(call.max_tokens))
         watch = CrashWatch(self.quarantine, self.clock, call.request)
         watch.fingerprint = self.fingerprints.hash_call(fields, call.prompt.encode())
+        prefixes = [found for _, found in prefix_hashes(call.prompt)]
+        watch.block_keys = self.fingerprints.prefix_keys(
+            (caller.fleet, call.model), prefixes, caller.customer
+        )
         return watch
 
     def for_service_call(self, call: PlainCall) -> CrashWatch:
--- a/berylshift/request/fingerprint.py
+++ b/berylshift/request/fingerprint.py
@@ -62,13 +62,26 @@
         customer = CustomerHash(0)
         if req.customer is not None:
             customer = CustomerHash(self._hash_fields((req.customer.encode(),)))
-        head = f"{service}{SEPARATOR.decode()}{prompt.model}".encode()
         # Ids are hexadecimal numbers, which callers may write in several ways.
         ids = {block.id.lower().lstrip("0") for block in prompt.prefix_blocks}
-        return tuple(
-            join_key(BlockHash(self._hash_fields((head, name.encode()))), customer)
-            for name in sorted(ids)
-        )
+        return self._join_keys((service, prompt.model), sorted(ids), customer)
+
+    def prefix_keys(
+        self, fields: tuple[str, ...], prefixes: Iterable[int], customer: str
+    ) -> tuple[BlockKey, ...]:
+        """Return the keys of the hashed prefixes of a customer's prompt.
+
+        ``fields`` tell what decodes it.
+        """
+        owner = CustomerHash(self._hash_fields((customer.encode(),)))
+        return self._join_keys(fields, map(str, prefixes), owner)
+
+    def _join_keys(
+        self, fields: tuple[str, ...], names: Iterable[str], customer: CustomerHash
+    ) -> tuple[BlockKey, ...]:
+        head = [field.encode() for field in fields]
+        hashes = [self._hash_fields((*head, name.encode())) for name in names]
+        return tuple(join_key(BlockHash(found), customer) for found in hashes)
 
     def _hash_fields(self, fields: Iterable[bytes]) -> int:
         hasher = self._new_hasher()
--- a/berylshift/stand_ins/fake_engine.py
+++ b/berylshift/stand_ins/fake_engine.py
@@ -240,6 +240,10 @@
         """Return whether a stream of ``prompt`` is being decoded."""
         return any(stream.call.prompt == prompt for stream in self._running)
 
+    def decoding_prompts(self) -> list[str]:
+        """Return the prompts of the streams that are being decoded."""
+        return [stream.call.prompt for stream in self._running]
+
     # Faults
 
     def crash(self, now: float) -> None:
--- a/berylshift/tests/test_crashing_calls.py
+++ b/berylshift/tests/test_crashing_calls.py
@@ -1,12 +1,15 @@
 """Tests of native API calls that crash each target that runs them."""
 
 import itertools
+import os.path
 import unittest
 from collections.abc import Awaitable, Callable
 
+import msgspec
 import trio
 
 from berylshift.request.messages import NativeResult, Outcome, Reason
+from berylshift.stand_ins.text import make_prompt
 from berylshift.tests.world import (
     call_service,
     complete,
@@ -91,6 +94,77 @@
         self.assertIs(last.outcome, Outcome.NOT_RUN)
 
 
+class _PrefixScenario:
+    """Calls whose prompts begin alike and crash engines, beside sound ones."""
+
+    def __init__(self, world):
+        self.world = world
+        self.crashes, self.endings, self.sound = [], [], []
+        prompts = [self._prompt(number) for number in range(2)]
+        self.prefix = os.path.commonprefix(prompts)
+
+    def _prompt(self, number: int) -> str:
+        return make_prompt("deadly", str(number), 2000, 100)
+
+    async def crash_engines(self, nursery):
+        while True:
+            await trio.sleep(CRASH_DELAY_SECONDS)
+            for engine in self.world.engines.values():
+                running = engine.decoding_prompts() if engine.alive else []
+                if any(prompt.startswith(self.prefix) for prompt in running):
+                    self.crashes.append(engine.name)
+                    engine.crash(trio.current_time())
+                    nursery.start_soon(self._restart, engine)
+
+    async def _restart(self, engine):
+        await trio.sleep(RESTART_SECONDS)
+        engine.restart(trio.current_time())
+
+    async def ask(self, number):
+        host = self.world.hosts[f"host-{number % 2 + 1}"]
+        call = model_call(number, seconds=10.0)
+        call = msgspec.structs.replace(call, prompt=self._prompt(number))
+        ending, _ = await complete(host, call)
+        self.endings.append(ending)
+
+    async def ask_soundly(self):
+        for number in itertools.count(1000):
+            host = self.world.hosts[f"host-{number % 2 + 1}"]
+            ending, _ = await complete(host, model_call(number, seconds=10.0))
+            self.sound.append((trio.current_time(), ending.outcome))
+            await trio.sleep(0.2)
+
+
+class CrashingPrefixTest(unittest.TestCase):
+    """Guards against a common prefix of new prompts that crashes engine after engine.
+
+    Each call has an end of its own, so no prompt comes twice.
+    """
+
+    def run_scenario(self):
+        async def task(world):
+            scenario = _PrefixScenario(world)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(scenario.crash_engines, nursery)
+                nursery.start_soon(scenario.ask_soundly)
+                for number in range(40):
+                    nursery.start_soon(scenario.ask, number)
+                    await trio.sleep(0.5)
+                nursery.cancel_scope.cancel()
+            return scenario.crashes, scenario.endings, scenario.sound
+
+        return run_world(task, small_rows(engines=4))
+
+    def test_prefix_crashes_no_more_than_six_engines(self):
+        """Two engines may be running it when the third one crashes."""
+        crashes, endings, sound = self.run_scenario()
+        self.assertGreaterEqual(len(crashes), MAX_CRASHES)
+        self.assertLessEqual(len(crashes), 6)
+        self.assertEqual(endings[-1].reason, Reason.QUARANTINED)
+        late = [outcome for at, outcome in sound if at >= SCENARIO_SECONDS / 2]
+        self.assertEqual(set(late), {Outcome.COMPLETE})
+
+
 class LiveTargetTest(unittest.TestCase):
     """Targets that lose responses, but have not crashed."""
 
