Take a stream that ends with its connection before any event for broken off

Answers may come with neither a length nor chunks and end with their connection. A replica that ends after the head and before the first event closes its connection as well; its caller got an empty stream that looked complete. Such a stream is a broken attempt now: it is resumed or retried where that is allowed, else the caller gets a failure.

The new tests let streams without length and chunks end whole, within an event, by a reset and before the first event; at one replica, with a second one to resume at, and through another host.

--- a/berylshift/connection/target_client.py
+++ b/berylshift/connection/target_client.py
@@ -156,6 +156,12 @@
         ]
         self._on_head(self.status, self.headers)
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Return whether only the end of the connection shows the end of the body."""
+        names = {name.lower() for name, _ in self.headers}
+        return not names & {b"content-length", b"transfer-encoding"}
+
     async def skip_to_next(self) -> None:
         """Discard this response and read the next one on the connection.
 
--- a/berylshift/request/replica_exchange.py
+++ b/berylshift/request/replica_exchange.py
@@ -211,6 +211,7 @@
         prefill: PendingPrefill,
     ) -> AttemptOutcome:
         self._out.set_head(head)
+        events_before = self._out.events
         async with aclosing(answer.chunks()) as chunks:
             while (data := await limit.wait_for(anext(chunks, None))) is not None:
                 if self.run_started_at is None:
@@ -221,5 +222,8 @@
                 # The time that the caller took to read does not count as silence.
                 may_retry = self._may_retry_elsewhere()
                 limit.restart(MAX_EVENT_GAP_SECONDS if may_retry else NEVER)
+        if answer.ends_with_connection and self._out.events == events_before:
+            # A replica that ends before its first event closes its connections, too.
+            raise StreamBrokenError("the stream ended without an event")
         await self._out.close()
         return AttemptOutcome.DONE
--- a/berylshift/stand_ins/entry_replica.py
+++ b/berylshift/stand_ins/entry_replica.py
@@ -42,6 +42,8 @@
     ENCODED = "encoded"
     UNFRAMED = "unframed"
     UNFRAMED_RESET = "unframed-reset"
+    UNFRAMED_CUT = "unframed-cut"
+    UNFRAMED_EMPTY = "unframed-empty"
     EARLY = "early"
     RESET_EARLY = "reset-early"
     ERROR = "error"
@@ -49,6 +51,13 @@
     TOO_MANY = "too-many"
 
 
+# Responses without length and chunks, which end with their connection.
+UNFRAMED_FAULTS = (
+    Fault.UNFRAMED,
+    Fault.UNFRAMED_RESET,
+    Fault.UNFRAMED_CUT,
+    Fault.UNFRAMED_EMPTY,
+)
 # Signed errors of a request that has run.
 ERROR_STATUSES = {Fault.ERROR: 500, Fault.UNAVAILABLE: 503, Fault.TOO_MANY: 429}
 
@@ -456,6 +465,8 @@
     async def _send_stream(self, headers, fault) -> None:
         first = int(headers.get(names.LAST_EVENT_ID, b"0")) + 1
         event_count = int(headers[b"x-pieces"])
+        if fault in UNFRAMED_FAULTS:
+            await self._send_unframed_stream(headers, fault, first, event_count)
         head = h11.Response(
             status_code=200, headers=self._response_headers(headers, True)
         )
@@ -477,6 +488,27 @@
             await self._send_event(h11.Data(data=event))
         await self._send_event(h11.EndOfMessage())
 
+    async def _send_unframed_stream(
+        self, headers, fault: Fault, first: int, event_count: int
+    ) -> None:
+        """Send a stream without length or chunks, and close the connection."""
+        fields = [(b"connection", b"close"), *self._response_headers(headers, True)]
+        lines = [b"HTTP/1.1 200 OK", *(name + b": " + value for name, value in fields)]
+        await self.stream.send_all(b"\r\n".join(lines) + b"\r\n\r\n")
+        if fault is Fault.UNFRAMED_EMPTY:
+            event_count = 0
+        for number in range(first, event_count + 1):
+            await trio.sleep(self.replica.event_seconds)
+            event = b"id: %d\ndata: %s\n\n" % (number, self._event_data(number))
+            if fault in (Fault.UNFRAMED_CUT, Fault.UNFRAMED_RESET) and number == 3:
+                await self.stream.send_all(event[:-6])
+                break
+            await self.stream.send_all(event)
+        await trio.sleep(0.01)
+        if fault is Fault.UNFRAMED_RESET:
+            await self.reset()
+        raise trio.BrokenResourceError("unframed stream sent")
+
     def _event_data(self, number: int) -> bytes:
         """Return the data of an event, with the software version if there is one."""
         version = self.replica.version.encode()
