Blame a block only for crashes that no other explains, and hold it by its trials

Change: a block whose crashes are all explained by others with more of them, or with some that no further block shares, is let go. A prompt that had been decoded for half a second as its replica crashed is evidence for its blocks. The time until the next trial follows from the trials that crashed replicas, not from the crashes at first: a coincidence costs 3 s, or 60 s after five crashes.

--- a/berylshift/model/days.py
+++ b/berylshift/model/days.py
@@ -1,8 +1,11 @@
 """Simulated days: scenarios of traffic and faults, by name."""
 
+import msgspec
+
+from berylshift.ids import BlockId
 from berylshift.model.fleet import EngineFault, SimulationSpec
 from berylshift.model.parameters import SiteParameters
-from berylshift.model.traffic import Burst, CrashingCaller
+from berylshift.model.traffic import Burst, CrashingBlock, CrashingCaller
 
 # Each kind of prompt bursts in turn for this long, as in the users' traffic.
 KIND_BURST_SECONDS = 2.8
@@ -68,5 +71,17 @@
     )
 
 
-DAY_FACTORIES = (calm, swings, crashes, slow, heavy, crashers)
+def crashing_blocks(site: SiteParameters) -> SimulationSpec:
+    """Return a day with mix shifts on which two blocks of new prompts crash engines.
+
+    The engines of one domain also crash for other reasons.
+    """
+    blocks = (
+        CrashingBlock(BlockId("deadly-1"), 4.0, 0.3, 60),
+        CrashingBlock(BlockId("deadly-2"), 9.0, 0.7, 20),
+    )
+    return msgspec.structs.replace(crashers(site), crashers=(), crashing_blocks=blocks)
+
+
+DAY_FACTORIES = (calm, swings, crashes, slow, heavy, crashers, crashing_blocks)
 DAYS = {factory.__name__: factory for factory in DAY_FACTORIES}
--- a/berylshift/model/fleet.py
+++ b/berylshift/model/fleet.py
@@ -17,7 +17,13 @@
     SimulationResult,
     summarize,
 )
-from berylshift.model.traffic import Arrival, Burst, CrashingCaller, Traffic
+from berylshift.model.traffic import (
+    Arrival,
+    Burst,
+    CrashingBlock,
+    CrashingCaller,
+    Traffic,
+)
 from berylshift.process.directory.pools import Pool
 from berylshift.process.leader_tasks.phase_planner import PhasePlanner
 
@@ -52,6 +58,7 @@
     bursts: tuple[Burst, ...] = ()
     faults: tuple[EngineFault, ...] = ()
     crashers: tuple[CrashingCaller, ...] = ()
+    crashing_blocks: tuple[CrashingBlock, ...] = ()
     holds_back: bool = True
 
 
@@ -138,6 +145,9 @@
         for crasher in spec.crashers:
             for arrival in traffic.crashing_arrivals(crasher):
                 self.queue.call_at(arrival.at, PromptRun(self, arrival).begin)
+        for block in spec.crashing_blocks:
+            for arrival in traffic.crashing_block_arrivals(block):
+                self.queue.call_at(arrival.at, PromptRun(self, arrival).begin)
         for fault in spec.faults:
             self._schedule_fault(fault)
         self.queue.run(spec.seconds + DRAIN_SECONDS)
--- a/berylshift/model/host.py
+++ b/berylshift/model/host.py
@@ -69,12 +69,14 @@
         )
         crashes = self.quarantine.take_reports(now)
         finished = self.quarantine.pending_completions(now)
+        blocks = self.quarantine.blocks.take_reports(now)
         repeat_due = now - self._last_sent_at >= REPEAT_SECONDS
         if (
             entries != self._last_entries
             or prefills
             or crashes
             or finished
+            or blocks
             or repeat_due
         ):
             self._last_entries, self._last_sent_at = entries, now
@@ -86,6 +88,7 @@
                 prefills,
                 crashes=crashes,
                 finished=finished,
+                blocks=blocks,
             )
             for other in self._other_hosts:
                 other.receive(digest)
@@ -97,3 +100,4 @@
         self.peers.receive(digest, now)
         self.prefix_cache.merge(digest.prefills, now)
         self.quarantine.merge(digest.crashes, digest.finished, now, is_own_domain=False)
+        self.quarantine.blocks.merge(digest.blocks, now, is_own_domain=False)
--- a/berylshift/model/prompt_run.py
+++ b/berylshift/model/prompt_run.py
@@ -68,7 +68,12 @@
         """Return whether the host quarantines the prompt; refuse it then."""
         if not self._fleet.holds_back:
             return False
-        wait = self._host.quarantine.remaining_seconds(self._arrival.fingerprint, now)
+        quarantine, arrival = self._host.quarantine, self._arrival
+        wait = quarantine.remaining_seconds(arrival.fingerprint, now)
+        name = f"{id(self)}"
+        held = quarantine.blocks.held_block(arrival.block_keys, name, now)
+        if held is not None:
+            wait = max(wait, held.seconds)
         if wait <= 0:
             return False
         self._fleet.note_quarantined(self._arrival)
@@ -225,8 +230,14 @@
         quarantine = self._host.quarantine
         if succeeded:
             quarantine.record_completion(request, now)
+            quarantine.blocks.record_completion(self._arrival.block_keys, now)
         elif not self._fleet.is_running(target):
             quarantine.record_crash(request, target.instance, now)
+            keys = self._arrival.block_keys
+            decoded = 0.0
+            if self._first_event_seconds is not None:
+                decoded = now - self._arrival.at - self._first_event_seconds
+            quarantine.blocks.record_crash(keys, target.instance, now, decoded)
 
     def _finish(self, succeeded: bool) -> None:
         """Finish an attempt; a caller whose response was cut off retries."""
--- a/berylshift/model/traffic.py
+++ b/berylshift/model/traffic.py
@@ -5,14 +5,18 @@
 from functools import lru_cache
 
 import msgspec
+import xxhash
 
-from berylshift.ids import BlockId, Fingerprint
+from berylshift.ids import BlockId, BlockKey, Fingerprint
+from berylshift.messages.block_key import BlockHash, join_key
 from berylshift.messages.routed import Prompt, PromptBlock
 from berylshift.model.parameters import KindParameters, SiteParameters, SizeDistribution
 
 OUTPUT_TOKENS = 80
 BISECTIONS = 40
 MIN_EVENTS = 4
+# Size of a prompt block that crashes engines.
+BLOCK_TOKENS = 300
 
 
 class Arrival(msgspec.Struct, frozen=True):
@@ -34,6 +38,14 @@
         suffix_id = self.prompt.blocks[-1].id
         return Fingerprint(int(suffix_id, 16))
 
+    @property
+    def block_keys(self) -> tuple[BlockKey, ...]:
+        """Return the keys of the blocks that other prompts may share."""
+        return tuple(
+            join_key(BlockHash(xxhash.xxh32_intdigest(block.id.encode())))
+            for block in self.prompt.prefix_blocks
+        )
+
 
 class CrashingCaller(msgspec.Struct, frozen=True):
     """A caller that sends a prompt that crashes engines ``attempts`` times."""
@@ -43,6 +55,15 @@
     attempts: int
 
 
+class CrashingBlock(msgspec.Struct, frozen=True):
+    """A prompt block in ``prompts`` new prompts, each of which crashes engines."""
+
+    id: BlockId
+    at: float
+    interval_seconds: float
+    prompts: int
+
+
 class Burst(msgspec.Struct, frozen=True):
     """A rate increase by ``factor`` for one kind, or for all, for some seconds."""
 
@@ -92,6 +113,27 @@
             for number in range(caller.attempts)
         ]
 
+    def crashing_block_arrivals(self, block: CrashingBlock) -> list[Arrival]:
+        """Return prompts of all kinds with a block at a random place but the last."""
+        found = []
+        for number in range(block.prompts):
+            kind = self._rng.choice(self._site.kinds)
+            prompt = self._prompt(kind)
+            blocks = list(prompt.blocks)
+            place = self._rng.randrange(len(blocks))
+            blocks.insert(place, PromptBlock(block.id, BLOCK_TOKENS))
+            found.append(
+                Arrival(
+                    block.at + number * block.interval_seconds,
+                    kind,
+                    Prompt(tuple(blocks), prompt.tokens + BLOCK_TOKENS, OUTPUT_TOKENS),
+                    max(MIN_EVENTS, int(self._draw(kind.event_counts))),
+                    self._rng.randrange(self._site.hosts),
+                    True,
+                )
+            )
+        return found
+
     def _kind_arrivals(
         self, kind: KindParameters, seconds: float, bursts: tuple[Burst, ...]
     ) -> list[Arrival]:
--- a/berylshift/process/quarantine/block_quarantine.py
+++ b/berylshift/process/quarantine/block_quarantine.py
@@ -6,11 +6,11 @@
 Many blocks are under way at each replica that crashes, and most are sound. They differ
 from the cause: a sound block soon completes somewhere. So a block is held once several
 replicas have crashed under it and nothing with it has completed since. Where several
-blocks qualify, those whose crashes blocks with more of them explain are let go.
+blocks qualify, those whose crashes others explain better are let go.
 After some time one request is let through as a trial.
 """
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import replace
 
@@ -28,7 +28,7 @@
     BlockRecord,
     BlockTrial,
     PromptCounts,
-    hold_seconds,
+    held_until,
 )
 from berylshift.process.quarantine.crash_gossip import CrashGossip, CrashKey
 from berylshift.process.quarantine.crash_record import PROVEN_QUARANTINE_SECONDS
@@ -39,6 +39,8 @@
 # Crashes of a block that completed this recently are not sent to other hosts: of the
 # requests that a replica takes along most are prompts with common blocks.
 COMMON_SECONDS = 10.0
+# A cause crashes its replica within a tenth of a second of its first token.
+SOUND_DECODING_SECONDS = 0.5
 # How often a host answers a report by the news that the block has completed.
 ANSWER_SECONDS = 1.0
 # Until a trial that nothing is heard of is over.
@@ -88,9 +90,20 @@
     # Events at this host
 
     def record_crash(
-        self, keys: Collection[BlockKey], instance: InstanceId, now: float
+        self,
+        keys: Collection[BlockKey],
+        instance: InstanceId,
+        now: float,
+        decoded_seconds: float = 0.0,
     ) -> None:
-        """Record that a replica crashed while it ran a prompt with these blocks."""
+        """Record that a replica crashed while it ran a prompt with these blocks.
+
+        A prompt that had been decoded for a while, ``decoded_seconds``, was not the
+        cause, which crashes a replica as it begins to decode.
+        """
+        if decoded_seconds >= SOUND_DECODING_SECONDS:
+            self.record_completion(keys, now)
+            return
         target, ended = target_hash(instance), self._ended
         for key in keys:
             self._add_crash(key, target, now).broken += 1
@@ -174,7 +187,8 @@
         crashes = len(targets)
         if not self._has_enough(record, targets) or targets <= self._explained(block):
             return None
-        left = record.last_crash_at + hold_seconds(crashes) - now
+        times = [record.crashes[target].at for target in targets]
+        left = held_until(times) - now
         if left > 0:
             return HeldBlock(block, crashes, left)
         if self._takes_trial(block, record, request, -left, now):
@@ -197,12 +211,21 @@
         return self._has_enough(record, record.targets())
 
     def _explained(self, block: BlockHash) -> set[int]:
-        """Return the replicas under whose crashes another block has more crashes."""
-        own = len(self._candidates[block].targets())
+        """Return the replicas whose crashes other blocks explain better.
+
+        These have more crashes, or some that no further block shares.
+        """
+        blamed = {
+            other: record.targets()
+            for other, record in self._candidates.items()
+            if self._is_blamed(record)
+        }
+        shared = Counter(target for targets in blamed.values() for target in targets)
+        own = blamed.pop(block, set())
         found: set[int] = set()
-        for other, record in self._candidates.items():
-            targets = record.targets()
-            if other != block and len(targets) > own and self._is_blamed(record):
+        for targets in blamed.values():
+            is_needed = any(shared[target] == 1 for target in targets)
+            if len(targets) > len(own) or is_needed:
                 found |= targets
         return found
 
--- a/berylshift/process/quarantine/block_record.py
+++ b/berylshift/process/quarantine/block_record.py
@@ -1,5 +1,6 @@
 """Replicas that crashed under prompts with one block, and for how long it is held."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from berylshift.messages.block_key import CustomerHash
@@ -15,11 +16,12 @@
 MAX_COINCIDENCE = 1e-4
 # Customers whose prompts must have crashed replicas until a block is held for all.
 MIN_CUSTOMERS = 2
-# How long a block is held after its latest crash, by the number of crashes. Few crashes
-# may be a coincidence, which a trial shows.
-HOLD_SECONDS = {3: 3.0, 4: 60.0, 5: 600.0}
-# Each further crash doubles the time, up to a day.
-MAX_HOLD_SECONDS = 86_400.0
+# How long a block is held after its latest crash: at first, and after each trial that
+# crashed a replica. Three crashes may be a coincidence, which a trial shows.
+HOLD_SECONDS = (3.0, 60.0, 600.0, 6_000.0, 86_400.0)
+MAX_HOLD_SECONDS = HOLD_SECONDS[-1]
+# Crashes by which a block is held as after a trial.
+PROVEN_CRASHES = 5
 
 
 @dataclass(frozen=True)
@@ -111,9 +113,19 @@
         return max(crash.at for crash in self.crashes.values())
 
 
-def hold_seconds(crashes: int) -> float:
-    """Return how long a block with this many crashes is held after the latest one."""
-    most = max(HOLD_SECONDS)
-    if crashes <= most:
-        return HOLD_SECONDS.get(crashes, 0.0)
-    return min(MAX_HOLD_SECONDS, HOLD_SECONDS[most] * 2 ** min(20, crashes - most))
+def held_until(crash_times: Iterable[float]) -> float:
+    """Return when a block is to be tried that is held for these crashes.
+
+    Crashes at a time when it was held are those of requests that were under way.
+    """
+    level, until, count = 0, float("-inf"), 0
+    for at in sorted(crash_times):
+        count += 1
+        if count < MIN_CRASHES:
+            continue
+        if count > MIN_CRASHES and at > until:
+            level += 1
+        elif count >= PROVEN_CRASHES:
+            level = max(1, level)
+        until = max(until, at + HOLD_SECONDS[min(level, len(HOLD_SECONDS) - 1)])
+    return until
--- a/berylshift/request/crash_watch.py
+++ b/berylshift/request/crash_watch.py
@@ -78,13 +78,16 @@
         return max(crashes, quarantine.blocks.crash_count(self.block_keys))
 
     async def on_connection_lost(
-        self, instance: InstanceId, accepts_connections: Callable[[], Awaitable[bool]]
+        self,
+        instance: InstanceId,
+        accepts_connections: Callable[[], Awaitable[bool]],
+        decoded_seconds: float = 0.0,
     ) -> None:
         """Record that the connection to a target broke while it had the request.
 
         A target that accepts a new connection is alive and has only reset the old one,
         which is not the request's fault. It counts as crashed while it is probed, in
-        case this task is cancelled.
+        case this task is cancelled. It had been sending for ``decoded_seconds``.
         """
         request = self.fingerprint
         if request is None:
@@ -95,7 +98,9 @@
         if is_alive:
             self._quarantine.record_reconnect(instance, now)
         else:
-            self._quarantine.blocks.record_crash(self.block_keys, instance, now)
+            self._quarantine.blocks.record_crash(
+                self.block_keys, instance, now, decoded_seconds
+            )
         logger.info(
             "connection to replica lost",
             extra={
--- a/berylshift/request/relay.py
+++ b/berylshift/request/relay.py
@@ -577,7 +577,9 @@
         # Recording the health may wait for a connection probe. If the deadline passes
         # meanwhile, the attempt must still count as one that may have run.
         self._history.has_open_attempt = outcome.may_have_run
-        await self._record_health(placement.target, outcome)
+        run_started_at = self._exchange.run_started_at
+        decoded = 0.0 if run_started_at is None else self._now() - run_started_at
+        await self._record_health(placement.target, outcome, decoded)
         self._history.has_open_attempt = False
         if outcome is AttemptOutcome.DONE:
             self.crash_watch.on_response(placement.target, sent_at)
@@ -680,11 +682,13 @@
             self._choice.allow_again(target)
         return refusal
 
-    async def _record_health(self, replica: Replica, outcome: AttemptOutcome) -> None:
+    async def _record_health(
+        self, replica: Replica, outcome: AttemptOutcome, decoded_seconds: float = 0.0
+    ) -> None:
         """Record the outcome in the replica's health statistics.
 
         A broken connection may be a crash caused by the request: it is also reported
-        to the crash watch.
+        to the crash watch. The replica had been sending events for ``decoded_seconds``.
         """
         loads, now, instance = self._deps.loads, self._now(), replica.instance
         if outcome is AttemptOutcome.DONE:
@@ -699,7 +703,7 @@
             loads.record_failure(instance, SEVERE_FAILURE, now)
             self._deps.client.forget(instance)
         if outcome is AttemptOutcome.BROKEN:
-            await self.crash_watch.on_connection_lost(replica)
+            await self.crash_watch.on_connection_lost(replica, decoded_seconds)
 
     def _target_request(
         self,
--- a/berylshift/request/routed_crash_watch.py
+++ b/berylshift/request/routed_crash_watch.py
@@ -97,9 +97,13 @@
         request = self.fingerprint
         return 0 if request is None else self._deps.quarantine.crash_count(request)
 
-    async def on_connection_lost(self, replica: Replica) -> None:
+    async def on_connection_lost(
+        self, replica: Replica, decoded_seconds: float
+    ) -> None:
         """Record that the connection to a replica broke while it had the request.
 
+        It had been sending events for ``decoded_seconds``.
+
         A draining replica stops on purpose, so it is not recorded as a crash.
         """
         if self.fingerprint is None or self._deps.replicas.is_leaving(replica):
@@ -110,6 +114,7 @@
             lambda: client.accepts_connections(
                 instance, replica.address, PROBE_TIMEOUT_SECONDS
             ),
+            decoded_seconds,
         )
 
     def on_response(self, replica: Replica, sent_at: float) -> None:
--- a/berylshift/tests/test_model_fleet.py
+++ b/berylshift/tests/test_model_fleet.py
@@ -155,6 +155,36 @@
         self.assertGreater(min(quarantined), 2 * max(unprotected))
 
 
+class CrashingBlockDayTest(unittest.TestCase):
+    """Guards against two blocks of new prompts that crash engine after engine.
+
+    No prompt comes twice. The engines of one domain also crash for other reasons.
+    """
+
+    # Crashes by one block that the platform allows, and sends afterwards.
+    MAX_CRASHES = 5
+    MAX_SENDS_AFTER = 3
+
+    def results(self, holds_back: bool):
+        day = DAYS["crashing_blocks"](NESTWATCH)
+        return [
+            simulate(msgspec.structs.replace(day, seed=seed, holds_back=holds_back))
+            for seed in range(1, 4)
+        ]
+
+    def test_blocks_crash_few_engines(self):
+        blocks = len(DAYS["crashing_blocks"](NESTWATCH).crashing_blocks)
+        for result in self.results(holds_back=True):
+            self.assertGreater(result.ended, 0)
+            most = blocks * (self.MAX_CRASHES + self.MAX_SENDS_AFTER)
+            self.assertLessEqual(result.ended, most)
+
+    def test_quarantine_raises_worth(self):
+        held = [result.worth for result in self.results(holds_back=True)]
+        unprotected = [result.worth for result in self.results(holds_back=False)]
+        self.assertGreater(min(held), max(unprotected))
+
+
 class ResultTest(unittest.TestCase):
     """The worth of a simulation's prompts."""
 
