Ask no other hosts about replicas that are full

Cause, as far as shown: a replica that requests wait at is slow to accept a connection. After 0.15 s two other hosts were asked, each of which opened a connection of its own there, gave it up after 0.1 s and checked its path by one more, for which two more hosts could be asked; each overdue response had the path checked likewise. All of these wait in the queues of replicas that are overloaded already.

Change: hosts are asked, and paths checked, for slow connections and overdue responses only where no recent report (1.5 s) shows that requests wait at the replica. A refused connection is looked into as before.

Why it works: a full replica is slow by itself; that it responds at all shows its path.

The 55 tests of lost paths and tunnels pass; the new one fails without the change.

--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -241,11 +241,16 @@
             is_stopping=lambda: self.is_stopping,
             on_silent=client.break_silent,
             on_path_at_fault=self.loads.clear_failures,
+            is_full=self._is_full,
         )
         paths = HostPaths(deps)
         client.set_dialer(paths.dialer)
         return paths
 
+    def _is_full(self, instance: InstanceId) -> bool:
+        """Return whether requests wait at a replica, as it reported lately."""
+        return self.loads.of(instance).is_full(self.ports.clock.monotonic())
+
     def _path_targets(self) -> list[PathTarget]:
         return [
             PathTarget(rep.instance, rep.address, rep.draining)
--- a/berylshift/host_paths.py
+++ b/berylshift/host_paths.py
@@ -44,6 +44,8 @@
     on_silent: Callable[[str], None]
     # Called with a target that another host reached and this one did not.
     on_path_at_fault: Callable[[InstanceId], None]
+    # Returns whether requests wait at a target, as it reported lately.
+    is_full: Callable[[InstanceId], bool] = lambda instance: False
 
 
 class HostPaths:
@@ -66,6 +68,7 @@
             deps.start_task,
             lambda: [(item.instance, item.address) for item in deps.targets()],
             deps.on_path_at_fault,
+            deps.is_full,
         )
 
     def use_key(self, key: str) -> None:
--- a/berylshift/process/paths/replica_dialer.py
+++ b/berylshift/process/paths/replica_dialer.py
@@ -94,12 +94,16 @@
         start_task: Callable[..., None],
         listed: Callable[[], Iterable[tuple[InstanceId, str]]],
         on_path_at_fault: Callable[[InstanceId], None],
+        is_full: Callable[[InstanceId], bool] = lambda instance: False,
     ):
         """Open direct connections by ``dial``; run checks by ``start_task``.
 
         ``listed`` returns all replicas and their addresses. ``on_path_at_fault`` is
         called with a replica that another host reached and this one did not.
+        ``is_full`` returns whether requests wait at a replica: it is slow by itself,
+        and connections that are opened to find that out would take its room.
         """
+        self._is_full = is_full
         self._dial = dial
         self._tunnels = tunnels
         self.paths = paths
@@ -166,7 +170,9 @@
         """Check the path to a replica that was not heard from when expected."""
         now = self._clock.monotonic()
         is_paused = now < self._explores_after
-        if is_paused or now - self._overdue_checked_at < OVERDUE_CHECK_SECONDS:
+        if is_paused or self._is_full(instance):
+            return
+        if now - self._overdue_checked_at < OVERDUE_CHECK_SECONDS:
             return
         if self._start_check(instance, address):
             self._overdue_checked_at = now
@@ -209,6 +215,8 @@
         """Return whether to ask other hosts, since a direct connection is slow."""
         if opening.must_explore:
             return True
+        if self._is_full(opening.request.instance):
+            return False
         now = self._clock.monotonic()
         if now < self._explores_after or self._exploring >= MAX_EXPLORING:
             return False
--- a/berylshift/process/targets/target_load.py
+++ b/berylshift/process/targets/target_load.py
@@ -59,6 +59,12 @@
             return 0.0
         return self.report.waiting * self.report_weight(now)
 
+    def is_full(self, now: float) -> bool:
+        """Return whether a recent report shows that requests wait there."""
+        if self.report is None or now - self.report_at >= REPORT_TTL_SECONDS:
+            return False
+        return self.report.waiting > 0 or self.report.running >= self.report.slots
+
     def running(self, now: float) -> float:
         """Return the requests that run there, at least those of this process."""
         if self.report is None:
--- a/berylshift/tests/test_entry_tunnels.py
+++ b/berylshift/tests/test_entry_tunnels.py
@@ -4,9 +4,11 @@
 """
 
 import unittest
+from functools import partial
 
 import trio
 
+from berylshift.connection.http_client import close_now
 from berylshift.connection.tunnel_client import TunnelClient, TunnelRefusedError
 from berylshift.messages.engine_control import OrderAnswer, PhaseOrder
 from berylshift.messages.replicas import EnginePhase
@@ -25,6 +27,8 @@
 ENGINE_ADDRESSES = [f"10.0.0.{number}:80" for number in range(5, 11)]
 # How long a run may go on after its caller has left.
 LEFT_SECONDS = 0.5
+# A connection that takes longer than the head start of a direct one.
+SLOW_DIAL_SECONDS = 0.25
 SHORT_SILENCE_SECONDS = 1.2
 
 
@@ -345,6 +349,34 @@
 
         self.assertEqual(run_lost_paths(task, 6), 2)
 
+    def test_full_replica_gets_no_further_connections(self):
+        """Guards against connections that fill the queue of an overloaded replica.
+
+        Where nothing waits at a replica that is slow to connect, other hosts are asked.
+        """
+
+        async def task(world, waiting):
+            for replica in world.replicas.values():
+                replica.reported_load = (8, waiting, 8)
+            await tally_all(world, 1.0)
+            address, app = PLAIN_ADDRESSES[0], world.hosts[0]
+            [name] = [
+                rep.instance for rep in app.replicas.entries() if rep.address == address
+            ]
+            if not waiting:
+                world.replicas[address].reported_load = (1, 0, 8)
+                await tally_all(world, 0.5)
+            world.dial_seconds = SLOW_DIAL_SECONDS
+            dials, asked = world.dials, len(world.host_links)
+            app.paths.dialer.suspect(name, address)
+            close_now(await app.paths.dialer.open(name, address))
+            await trio.sleep(2 * SLOW_DIAL_SECONDS)
+            return world.dials - dials, len(world.host_links) - asked
+
+        self.assertEqual(run_lost_paths(partial(task, waiting=4), 6), (1, 0))
+        _, asked = run_lost_paths(partial(task, waiting=0), 6)
+        self.assertGreater(asked, 0)
+
     def test_outage_of_all_replicas_is_no_lost_path(self):
         """Guards against hosts that flood each other when replicas are gone for all."""
 
