Prove the safeguards of held prompt blocks and of full replicas

16 proofs; the texts of two others had changed with the code, and the replacement of one would have left a syntax error.

--- a/berylshift/request/routed_crash_watch.py
+++ b/berylshift/request/routed_crash_watch.py
@@ -81,12 +81,9 @@
         if not crashes:
             return found
         left = remaining_replicas(pool.decode_engines, found)
-        is_suspect = crashes > 1 or self._own_crashes
-        if (
-            is_suspect
-            and not response_started
-            and is_last_remaining(left, pool.decode_engines)
-        ):
+        is_suspect = crashes > 1 or bool(self._own_crashes)
+        is_last = is_last_remaining(left, pool.decode_engines)
+        if is_suspect and is_last and not response_started:
             raise QuarantinedError(crashes, LAST_REPLICA_RETRY_SECONDS)
         allowed = isolation_replicas(left)
         return found + [rep.instance for rep in left if rep not in allowed]
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -59,6 +59,8 @@
 VERSIONS = "test_entry_stream_versions"
 DIALER = "process/paths/replica_dialer.py"
 TUNNEL_SERVER = "connection/tunnel_server.py"
+BLOCKS = "process/quarantine/block_quarantine.py"
+BLOCK_TESTS = "test_block_quarantine"
 PROOFS = (
     Proof(
         "replicas receive the customer name, never the key",
@@ -154,8 +156,7 @@
     Proof(
         "the last engine takes no suspect request",
         "request/routed_crash_watch.py",
-        "        if is_last_remaining(left, pool.decode_engines)"
-        " and not response_started:\n",
+        "        if is_suspect and is_last and not response_started:\n",
         "        if False:\n",
         f"{ISOLATION}.SuspectsTest",
     ),
@@ -805,10 +806,8 @@
     Proof(
         "hosts send each other their replica crashes",
         "process/gossip/protocol.py",
-        "        sources.quarantine.merge(\n"
-        "            digest.crashes, digest.finished, now, "
-        "self._is_own_domain(digest)\n"
-        "        )\n",
+        "        sources.quarantine.merge(digest.crashes, digest.finished, now, "
+        "is_own_domain)\n",
         "",
         "test_quarantine_spread.PropagationTest",
     ),
@@ -849,12 +848,131 @@
         "test_quarantine.FalseSuspicionTest."
         "test_recently_completed_request_is_not_suspected",
     ),
+    Proof(
+        "crashes are counted by prompt block",
+        "request/crash_watch.py",
+        "        self._check_blocks(now)\n",
+        "",
+        "test_entry_crash_blocks.CrashBlockTest.test_two_such_blocks_are_not_sent_forever",
+    ),
+    Proof(
+        "a completion clears a block",
+        BLOCKS,
+        "        self._remove(block)\n        for target, crash in later.items():",
+        "        for target, crash in later.items():",
+        f"{BLOCK_TESTS}.BlameTest.test_completion_clears_a_block",
+    ),
+    Proof(
+        "common blocks of replicas lost together are not held",
+        BLOCKS,
+        "if not record.had_completed(COMPLETED_SECONDS):\n            return True",
+        "if True:\n            return True",
+        f"{BLOCK_TESTS}.BlameTest"
+        ".test_common_block_of_replicas_lost_together_is_not_held",
+    ),
+    Proof(
+        "a block that breaks as often as others is not held",
+        BLOCKS,
+        "            and record.coincidence(self._ended) <= MAX_COINCIDENCE\n",
+        "",
+        f"{BLOCK_TESTS}.BlameTest"
+        ".test_common_block_is_not_held_while_all_replicas_are_gone",
+    ),
+    Proof(
+        "blocks whose crashes others explain are let go",
+        BLOCKS,
+        " or targets <= self._explained(block)",
+        "",
+        f"{BLOCK_TESTS}.BlameTest.test_companion_is_let_go_once_the_cause_shows",
+    ),
+    Proof(
+        "a block that no other needs explains no crash",
+        BLOCKS,
+        "if len(targets) > len(own) or is_needed:",
+        "if len(targets) > len(own):",
+        f"{BLOCK_TESTS}.BlameTest.test_companion_of_two_causes_is_let_go",
+    ),
+    Proof(
+        "a prompt that was decoded for long is not the cause",
+        BLOCKS,
+        "if decoded_seconds >= SOUND_DECODING_SECONDS:",
+        "if False:",
+        f"{BLOCK_TESTS}.BlameTest"
+        ".test_prompt_that_was_being_decoded_for_long_is_not_the_cause",
+    ),
+    Proof(
+        "one customer's crashes hold no block of another",
+        "process/quarantine/block_record.py",
+        "if len(customers) >= MIN_CUSTOMERS:",
+        "if customers:",
+        f"{BLOCK_TESTS}.CustomerTest"
+        ".test_customer_cannot_have_the_prompts_of_another_refused",
+    ),
+    Proof(
+        "a held block is tried by one request",
+        BLOCKS,
+        "        if trial is not None and now - trial.at < TRIAL_SECONDS:\n"
+        "            return False\n",
+        "",
+        f"{BLOCK_TESTS}.TrialTest.test_one_request_is_let_through",
+    ),
+    Proof(
+        "hosts join in a trial one after the other",
+        BLOCKS,
+        "        if self.trial_rank(block) >= 2**steps:\n            return False\n",
+        "",
+        f"{BLOCK_TESTS}.TrialTest.test_hosts_join_in_one_after_the_other",
+    ),
+    Proof(
+        "sound blocks evict no held one",
+        BLOCKS,
+        "self._remove(self._least_important())",
+        "self._remove(next(iter(self._candidates)))",
+        f"{BLOCK_TESTS}.BoundsTest.test_flood_of_blocks_evicts_no_held_one",
+    ),
+    Proof(
+        "a host that saw a block complete answers a report of it",
+        BLOCKS,
+        "and self._may_answer(block, now):",
+        "and False:",
+        f"{BLOCK_TESTS}.ExchangeTest.test_host_that_saw_it_complete_answers_a_report",
+    ),
+    Proof(
+        "held blocks outlast all hosts",
+        BLOCKS,
+        "                self.row_queue.put(",
+        "                max(",
+        f"{BLOCK_TESTS}.StoreTest.test_host_that_starts_reads_the_held_blocks",
+    ),
+    Proof(
+        "a stream that ends without an event is broken off",
+        "request/replica_exchange.py",
+        "if answer.ends_with_connection and self._out.events == events_before:",
+        "if False:",
+        "test_request_unframed_streams.UnframedStreamTest"
+        ".test_stream_that_broke_off_does_not_look_complete",
+    ),
+    Proof(
+        "no other host is asked about a full replica",
+        DIALER,
+        "        if self._is_full(opening.request.instance):\n"
+        "            return False\n",
+        "",
+        f"{CONCLUSIONS}.test_full_replica_gets_no_further_connections",
+    ),
+    Proof(
+        "the path to a full replica is not checked",
+        DIALER,
+        "if is_paused or self._is_full(instance):",
+        "if is_paused:",
+        f"{CONCLUSIONS}.test_full_replica_gets_no_further_connections",
+    ),
     Proof(
         "a replica that accepts a new connection has not crashed",
         "request/crash_watch.py",
         "        if is_alive:\n"
         "            self._quarantine.record_reconnect(instance, now)\n",
-        "",
+        "        if is_alive:\n            pass\n",
         "test_entry_crashing_requests.FalseSuspicionTest."
         "test_a_caller_whose_connections_are_reset_is_served",
     ),
