Resend the crashes of held requests and blocks in turn

A digest holds sixteen crashes, and only the sixteen newest were sent again every 2 s: a host that was cut off never heard of older held blocks. The test of full replicas waits until a replica counts as not heard from, without which one of its proofs was green.

--- a/berylshift/process/quarantine/crash_gossip.py
+++ b/berylshift/process/quarantine/crash_gossip.py
@@ -51,6 +51,8 @@
         self._crashes: OrderedDict[CrashKey, _Update] = OrderedDict()
         self._completions: OrderedDict[Fingerprint, _Update] = OrderedDict()
         self._resent_at = float("-inf")
+        # Where the next resending begins among the crashes.
+        self._resend_from = 0
 
     def add_crash(
         self, request: Fingerprint, target: int, now: float, is_own_domain: bool
@@ -68,13 +70,22 @@
         """Return how many crashes the next digest holds."""
         if now - self._resent_at >= RESEND_SECONDS:
             self._resent_at = now
-            for key in reversed(self._quarantined()[:MAX_CRASHES_PER_DIGEST]):
+            for key in reversed(self._next_to_resend()):
                 _add(self._crashes, key, _Update(now, True))
         return min(
             MAX_CRASHES_PER_DIGEST,
             len(self._pending(self._crashes, now, own_domain_only)),
         )
 
+    def _next_to_resend(self) -> list[CrashKey]:
+        """Return the next crashes to resend, in turn if a digest can't hold all."""
+        keys = self._quarantined()
+        if len(keys) <= MAX_CRASHES_PER_DIGEST:
+            return keys
+        begin = self._resend_from % len(keys)
+        self._resend_from = begin + MAX_CRASHES_PER_DIGEST
+        return [*keys[begin:], *keys[:begin]][:MAX_CRASHES_PER_DIGEST]
+
     def take_crashes(self, now: float, own_domain_only: bool) -> list[CrashKey]:
         """Return the crashes for this digest, those sent least often first.
 
--- a/berylshift/tests/test_block_quarantine.py
+++ b/berylshift/tests/test_block_quarantine.py
@@ -341,6 +341,19 @@
         keys = {report.key for report in self.digest(1.1)}
         self.assertEqual(keys, {DEADLY})
 
+    def test_host_that_was_cut_off_hears_of_each_of_many_held_blocks(self):
+        """Guards against resending the newest ones alone."""
+        other, keys = Quarantine(1.2).blocks, []
+        other.trial_rank = lambda block: 1 << 30
+        for number in range(20):
+            keys.append(join_key(BlockHash(0x500 + number)))
+            self.crash(keys[-1], engines=range(5 * number, 5 * number + 4))
+        for number in range(60):
+            now = 1.0 + number / 2
+            other.merge(self.digest(now), now, is_own_domain=False)
+        missing = [key for key in keys if other.held_block([key], "r", 31.0) is None]
+        self.assertEqual(missing, [])
+
     def test_nothing_is_sent_while_nothing_crashes(self):
         """Guards against a cost of each request."""
         for number in range(100):
--- a/berylshift/tests/test_entry_tunnels.py
+++ b/berylshift/tests/test_entry_tunnels.py
@@ -13,7 +13,7 @@
 from berylshift.messages.engine_control import OrderAnswer, PhaseOrder
 from berylshift.messages.replicas import EnginePhase
 from berylshift.messages.tunnel import TunnelRequest, TunnelStatus
-from berylshift.process.paths.replica_paths import PathState
+from berylshift.process.paths.replica_paths import LIFE_SECONDS, PathState
 from berylshift.store.host_rows import HostRecord
 from berylshift.tests.entry_world import (
     ENGINES,
@@ -366,6 +366,7 @@
             if not waiting:
                 world.replicas[address].reported_load = (1, 0, 8)
                 await tally_all(world, 0.5)
+            await trio.sleep(LIFE_SECONDS)
             world.dial_seconds = SLOW_DIAL_SECONDS
             dials, asked = world.dials, len(world.host_links)
             app.paths.dialer.suspect(name, address)
