--- a/berylshift/tests/crash_block_scenario.py
+++ b/berylshift/tests/crash_block_scenario.py
@@ -76,7 +76,7 @@
                 await trio.sleep(1 / SOUND_PER_SECOND)
 
     async def _sound_caller(self, number: int) -> None:
-        host = self.rng.randrange(len(self.world.hosts))
+        host = self.rng.randrange(len(self.world.host_nurseries))
         headers = headers_for(sound_blocks(self.rng.randrange(1000)), number)
         began = trio.current_time()
         reply = await self._ask(f"good-{number}", host, headers)
@@ -84,7 +84,7 @@
         self.first_tries.append((began, is_served))
         self.refused += reply.status == 503
         if not (is_served and reply.whole):
-            other = (host + 1) % len(self.world.hosts)
+            other = (host + 1) % len(self.world.host_nurseries)
             await self._ask(f"good-{number}-again", other, headers)
 
     async def deadly_callers(self, seconds: float) -> None:
@@ -100,12 +100,12 @@
         place = self.rng.randrange(3) if self.place is None else self.place
         blocks.insert(place, block)
         headers = headers_for(blocks, 50_000 + number)
-        host = self.rng.randrange(len(self.world.hosts))
+        host = self.rng.randrange(len(self.world.host_nurseries))
         for attempt in range(2):
             name = f"bad-{block}-{number}-{attempt}"
             reply = await self._ask(name, host, headers)
             self.bad_replies.append(reply)
-            host = (host + 1) % len(self.world.hosts)
+            host = (host + 1) % len(self.world.host_nurseries)
 
     async def _ask(self, name: str, host: int, headers) -> Reply:
         self.hosts_of[name] = host
--- a/berylshift/tests/test_entry_crash_blocks.py
+++ b/berylshift/tests/test_entry_crash_blocks.py
@@ -51,7 +51,7 @@
     """Start two hosts, one after the other, while the requests come."""
     for _ in range(2):
         await trio.sleep(5.0)
-        number = len(world.hosts)
+        number = len(world.host_nurseries)
         scenario.out_until[number] = trio.current_time() + STABLE_SECONDS
         await world.add_host()
 
