Count short answers only once their replica is known to live on

A short answer may end before it crashes its replica.

Change: a block that has not completed within a minute counts as completed once its replica has responded to a later request, or after 6 s without a crash under it. Hosts report the crash of a replica as such, beside the blocks under it, and count it against the prompts that had just completed there.

--- a/berylshift/process/quarantine/block_quarantine.py
+++ b/berylshift/process/quarantine/block_quarantine.py
@@ -6,11 +6,11 @@
 Many blocks are under way at each replica that crashes, and most are sound. They differ
 from the cause: a sound block soon completes somewhere. So a block is held once several
 replicas have crashed under it and nothing with it has completed since. Where several
-blocks qualify, those whose crashes others explain better are let go.
-After some time one request is let through as a trial.
+blocks qualify, those whose crashes others explain better are let go. After some time
+one request is let through as a trial.
 """
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import replace
 
@@ -42,6 +42,12 @@
 COMMON_SECONDS = 10.0
 # A cause crashes its replica within a tenth of a second of its first token.
 SOUND_DECODING_SECONDS = 0.5
+# A replica that responds to requests is not gone; it may crash again after this long.
+SAME_CRASH_SECONDS = 1.0
+# A replica that still responds after this long was not crashed by what it completed.
+CRASH_DELAY_SECONDS = 0.2
+# Until a completion counts at a replica that was not heard from since.
+SETTLE_SECONDS = 6.0
 # How often a host answers a report by the news that the block has completed.
 ANSWER_SECONDS = 1.0
 # Until a trial that nothing is heard of is over.
@@ -57,6 +63,10 @@
 MAX_OBSERVED = 4096
 MAX_CANDIDATES = 1024
 MAX_COMPLETED = 8192
+MAX_CRASHED = 256
+MAX_UNSETTLED = 512
+# Stands in reports for whichever block was under way at a replica that crashed.
+ANY_BLOCK = BlockHash(0)
 
 
 class HeldBlock(msgspec.Struct, frozen=True):
@@ -67,6 +77,14 @@
     seconds: float
 
 
+class Completion(msgspec.Struct, frozen=True):
+    """A prompt that completed at a replica, whose hash is ``target``."""
+
+    keys: tuple[BlockKey, ...]
+    target: int
+    at: float
+
+
 class BlockQuarantine:
     """Crash records of prompt blocks at one host; times on the monotonic clock."""
 
@@ -82,6 +100,10 @@
         self._answered: dict[BlockHash, float] = {}
         self._blocks_by_target: dict[int, set[BlockHash]] = {}
         self._ended = PromptCounts()
+        # Prompts that completed so lately that they may yet crash their replicas.
+        self._unsettled: deque[Completion] = deque(maxlen=MAX_UNSETTLED)
+        # When replicas crashed lately, under whichever prompts.
+        self._crashed: OrderedDict[int, float] = OrderedDict()
         self._blame: Blame | None = None
         self._gossip = CrashGossip(self._held_keys, gossip_seconds, self._weight)
         self.row_queue = CrashRowQueue()
@@ -109,6 +131,7 @@
             self.record_completion(keys, now)
             return
         target, ended = target_hash(instance), self._ended
+        self._note_crash(target, now, now, is_own_domain=True)
         for key in keys:
             self._add_crash(key, target, now).broken += 1
             if now - self._last_completion(block_of(key)) >= COMMON_SECONDS:
@@ -117,12 +140,77 @@
         if keys:
             self._ended = replace(ended, broken=ended.broken + 1)
 
+    def record_end(
+        self, keys: Collection[BlockKey], instance: InstanceId, now: float
+    ) -> None:
+        """Record that a prompt completed at a replica.
+
+        A short answer may end before it crashes its replica. So a block that has not
+        completed lately counts as completed only once the replica is known to live on.
+        """
+        self._settle(now)
+        target = target_hash(instance)
+        crashed_at = self._crashed.get(target, float("-inf"))
+        if now - crashed_at < SOUND_DECODING_SECONDS:
+            for key in keys:
+                self._add_crash(key, target, crashed_at)
+            return
+        common = [key for key in keys if self._is_common(block_of(key), now)]
+        self.record_completion(common, now)
+        rest = tuple(key for key in keys if key not in common)
+        if rest:
+            self._unsettled.append(Completion(rest, target, now))
+
+    def record_life(self, target: int, sent_at: float) -> None:
+        """Record that a replica responded to a request that was sent at ``sent_at``."""
+        for item in [item for item in self._unsettled if item.target == target]:
+            if sent_at >= item.at + CRASH_DELAY_SECONDS:
+                self._unsettled.remove(item)
+                self._record_completion_at(item.keys, item.at, sent_at)
+
+    def _is_common(self, block: BlockHash, now: float) -> bool:
+        return now - self._last_completion(block) < COMPLETED_SECONDS
+
+    def _settle(self, now: float) -> None:
+        """Count old completions of blocks under which no replica has crashed."""
+        while self._unsettled and now - self._unsettled[0].at >= SETTLE_SECONDS:
+            item = self._unsettled.popleft()
+            keys = [key for key in item.keys if self._record(block_of(key)) is None]
+            self._record_completion_at(keys, item.at, now)
+
+    def _note_crash(
+        self, target: int, at: float, now: float, is_own_domain: bool
+    ) -> None:
+        """Record that a replica crashed, under whichever prompts.
+
+        It counts against the prompts that had just completed there, at all hosts.
+        """
+        self._settle(now)
+        if at - self._crashed.get(target, float("-inf")) < SAME_CRASH_SECONDS:
+            return
+        self._crashed[target] = at
+        self._crashed.move_to_end(target)
+        if len(self._crashed) > MAX_CRASHED:
+            self._crashed.popitem(last=False)
+        key = Fingerprint(join_key(ANY_BLOCK))
+        self._gossip.add_crash(key, target, now, is_own_domain)
+        for item in [item for item in self._unsettled if item.target == target]:
+            self._unsettled.remove(item)
+            for key in item.keys:
+                self._add_crash(key, target, now)
+                self._gossip.add_crash(Fingerprint(key), target, now, True)
+
     def record_completion(self, keys: Collection[BlockKey], now: float) -> None:
         """Record that a prompt with these blocks completed: none is a cause."""
+        self._record_completion_at(keys, now, now)
+
+    def _record_completion_at(
+        self, keys: Collection[BlockKey], at: float, now: float
+    ) -> None:
         if keys:
             self._ended = replace(self._ended, completed=self._ended.completed + 1)
         for key in keys:
-            self._complete(block_of(key), now, now, is_own_domain=True)
+            self._complete(block_of(key), at, now, is_own_domain=True)
 
     def retract_crash(
         self, target: int, has_survived: Callable[[BlockCrash], bool]
@@ -147,6 +235,7 @@
 
         A request that is let through as the trial of a block stays so.
         """
+        self._settle(now)
         if not self._candidates:
             return None
         found = [self._hold(key, request, now) for key in keys]
@@ -272,6 +361,9 @@
         self, report: BlockReport, target: int, now: float, is_own_domain: bool
     ) -> None:
         block, at = block_of(report.key), now - report.age_seconds
+        self._note_crash(target, at, now, is_own_domain)
+        if block == ANY_BLOCK:
+            return
         completed_at = self._last_completion(block)
         if now - completed_at < COMPLETED_SECONDS and self._may_answer(block, now):
             self._gossip.add_completion(Fingerprint(join_key(block)), now, True)
@@ -293,17 +385,21 @@
         crash = None if record is None else record.crashes.get(target)
         if crash is None or customer_of(key) not in crash.customers:
             return False
-        return not crash.is_retracted or at <= crash.at + 1.0
+        return not crash.is_retracted or at <= crash.at + SAME_CRASH_SECONDS
 
     def take_reports(
         self, now: float, own_domain_only: bool = False
     ) -> tuple[BlockReport, ...]:
         """Return the reports for the next digest."""
+        self._settle(now)
         self._expire(now)
         found = []
         for key, target in self._gossip.take_crashes(now, own_domain_only):
             record = self._record(block_of(BlockKey(key)))
-            if record is not None and target in record.targets():
+            if block_of(BlockKey(key)) == ANY_BLOCK and target in self._crashed:
+                age = now - self._crashed[target]
+                found.append(BlockReport(BlockKey(key), target, age))
+            elif record is not None and target in record.targets():
                 age = now - record.crashes[target].at
                 found.append(BlockReport(BlockKey(key), target, age))
         for key in self._gossip.pending_completions(now, own_domain_only):
@@ -320,6 +416,8 @@
 
     def _weight(self, key: CrashKey) -> int:
         """Return the crashes of a block: reports of likely causes come first."""
+        if block_of(BlockKey(key[0])) == ANY_BLOCK:
+            return MIN_CRASHES
         record = self._record(block_of(BlockKey(key[0])))
         return 0 if record is None else len(record.targets())
 
--- a/berylshift/process/quarantine/quarantine.py
+++ b/berylshift/process/quarantine/quarantine.py
@@ -117,6 +117,7 @@
         of the replica. A response seconds after a crash may come from its next start.
         """
         target = target_hash(instance)
+        self.blocks.record_life(target, sent_at)
         for request in list(self._requests_by_target.get(target, ())):
             crash = self._record(request).crashes[target]
             if self._survived(crash, sent_at, listed_at):
--- a/berylshift/request/completion.py
+++ b/berylshift/request/completion.py
@@ -190,8 +190,9 @@
             self._history.has_open_attempt = False
             return AttemptRecord(exc.target, exc.outcome)
         self._history.has_open_attempt = False
-        self._crash_watch.on_completed()
-        return AttemptRecord(plan.target.name, AttemptOutcome.DONE)
+        name = plan.target.name
+        self._crash_watch.on_completed(self._deps.crash_watches.instance_id(name))
+        return AttemptRecord(name, AttemptOutcome.DONE)
 
     async def _on_connection_lost(self, target: TargetName) -> None:
         """Report a broken connection to the crash watch if the engine takes work."""
--- a/berylshift/request/crash_watch.py
+++ b/berylshift/request/crash_watch.py
@@ -125,10 +125,10 @@
         """
         self._quarantine.record_response(instance, sent_at, listed_at)
 
-    def on_completed(self) -> None:
-        """Record that the request ran to completion."""
+    def on_completed(self, instance: InstanceId) -> None:
+        """Record that the request ran to completion at a target."""
         now = self._clock.monotonic()
-        self._quarantine.blocks.record_completion(self.block_keys, now)
+        self._quarantine.blocks.record_end(self.block_keys, instance, now)
         if self.fingerprint is None:
             return
         crashes = self._quarantine.crash_count(self.fingerprint)
--- a/berylshift/request/relay.py
+++ b/berylshift/request/relay.py
@@ -583,7 +583,7 @@
         self._history.has_open_attempt = False
         if outcome is AttemptOutcome.DONE:
             self.crash_watch.on_response(placement.target, sent_at)
-            self.crash_watch.on_completed()
+            self.crash_watch.on_completed(placement.target)
             self.binding.on_complete()
         if outcome is AttemptOutcome.DONE and not response_had_started:
             self._update_speeds(placement, source, sent_at)
--- a/berylshift/request/routed_crash_watch.py
+++ b/berylshift/request/routed_crash_watch.py
@@ -121,7 +121,7 @@
         listed_at = replicas.confirmed_at if is_listed else None
         self._watch.on_response(replica.instance, sent_at, listed_at)
 
-    def on_completed(self) -> None:
-        """Record that the request ran to completion."""
+    def on_completed(self, replica: Replica) -> None:
+        """Record that the request ran to completion at ``replica``."""
         _ = self.fingerprint
-        self._watch.on_completed()
+        self._watch.on_completed(replica.instance)
--- a/berylshift/request/service_sender.py
+++ b/berylshift/request/service_sender.py
@@ -89,7 +89,7 @@
         """Make one attempt and report its outcome to ``watch``."""
         found = await self._send(plan, call, attempt)
         if found.outcome is AttemptOutcome.DONE:
-            watch.on_completed()
+            watch.on_completed(self.crash_watches.instance_id(plan.target.name))
         elif found.outcome is AttemptOutcome.BROKEN and self._takes_work(
             plan.target.name
         ):
--- a/berylshift/stand_ins/entry_replica.py
+++ b/berylshift/stand_ins/entry_replica.py
@@ -122,6 +122,8 @@
     crash_paths: set[str] = field(default_factory=set)
     crash_blocks: set[str] = field(default_factory=set)
     crashes: list[Crash] = field(default_factory=list)
+    # Where replicas crash while they respond; ``None``: they don't respond.
+    background: trio.Nursery | None = None
     # Events after which the stream of a request breaks, once.
     breaks: dict[str, int] = field(default_factory=dict)
     # Called when a replica crashes; a replica in its own process exits here.
@@ -390,8 +392,7 @@
             try:
                 await self._apply_connection_fault(fault)
                 if self._is_deadly(headers):
-                    await trio.sleep(CRASH_DELAY_SECONDS)
-                    await self.replica.crash(self.path)
+                    await self._crash_soon()
                 if b"x-pieces" in headers:
                     await self._send_stream(headers, fault)
                 else:
@@ -401,6 +402,18 @@
                 run.ended = trio.current_time()
             nursery.cancel_scope.cancel()
 
+    async def _crash_soon(self) -> None:
+        """Crash the replica after a moment, in which short responses may end."""
+        state = self.replica.fleet_state
+        if state.background is not None:
+            state.background.start_soon(self._crash_later)
+            return
+        await self._crash_later()
+
+    async def _crash_later(self) -> None:
+        await trio.sleep(CRASH_DELAY_SECONDS)
+        await self.replica.crash(self.path)
+
     def _is_deadly(self, headers) -> bool:
         """Return whether a request crashes the replica that starts to run it."""
         state = self.replica.fleet_state
--- a/berylshift/tests/test_entry_crash_blocks.py
+++ b/berylshift/tests/test_entry_crash_blocks.py
@@ -18,6 +18,8 @@
 BEGIN_SECONDS = 5.0
 DEADLY_SECONDS = 20.0
 HOSTS = 4
+# A stream of one event ends in half of the time until its engine crashes.
+SHORT_EVENT_SECONDS = 0.025
 ENGINES = "ppdddddd"
 
 
@@ -104,6 +106,19 @@
             with self.subTest(fault=fault.__name__):
                 self.check(run(fault, place=None))
 
+    def test_block_whose_short_answers_end_before_the_crash(self):
+        """Guards against completions that clear the block that is the cause."""
+
+        async def task(world):
+            world.fleet_state.background = world.nursery
+            for replica in world.replicas.values():
+                replica.event_seconds = SHORT_EVENT_SECONDS
+            scenario = CrashBlockScenario(world, place=None, deadly_pieces=1)
+            await play(world, scenario)
+            return scenario
+
+        self.check(run_entry(task, hosts=HOSTS, plain=0, engines=ENGINES))
+
 
 class SoundBlockTest(unittest.TestCase):
     """Engines crash for other reasons."""
