Keep completions that are not settled in a module of their own

Reading the change found a fault: as a replica crashed, all prompts that had completed there in the last six seconds were blamed, not those of the last half second.

--- a/berylshift/process/quarantine/block_quarantine.py
+++ b/berylshift/process/quarantine/block_quarantine.py
@@ -10,9 +10,10 @@
 one request is let through as a trial.
 """
 
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import replace
+from math import isfinite
 
 import msgspec
 
@@ -34,6 +35,10 @@
 from berylshift.process.quarantine.crash_gossip import CrashGossip, CrashKey
 from berylshift.process.quarantine.crash_record import PROVEN_QUARANTINE_SECONDS
 from berylshift.process.quarantine.crash_row_queue import CrashRowQueue
+from berylshift.process.quarantine.unsettled_completions import (
+    SAME_CRASH_SECONDS,
+    UnsettledCompletions,
+)
 
 # A block that completed this recently needs more crashes until it is held.
 COMPLETED_SECONDS = 60.0
@@ -42,12 +47,6 @@
 COMMON_SECONDS = 10.0
 # A cause crashes its replica within a tenth of a second of its first token.
 SOUND_DECODING_SECONDS = 0.5
-# A replica that responds to requests is not gone; it may crash again after this long.
-SAME_CRASH_SECONDS = 1.0
-# A replica that still responds after this long was not crashed by what it completed.
-CRASH_DELAY_SECONDS = 0.2
-# Until a completion counts at a replica that was not heard from since.
-SETTLE_SECONDS = 6.0
 # How often a host answers a report by the news that the block has completed.
 ANSWER_SECONDS = 1.0
 # Until a trial that nothing is heard of is over.
@@ -63,8 +62,6 @@
 MAX_OBSERVED = 4096
 MAX_CANDIDATES = 1024
 MAX_COMPLETED = 8192
-MAX_CRASHED = 256
-MAX_UNSETTLED = 512
 # Stands in reports for whichever block was under way at a replica that crashed.
 ANY_BLOCK = BlockHash(0)
 
@@ -77,14 +74,6 @@
     seconds: float
 
 
-class Completion(msgspec.Struct, frozen=True):
-    """A prompt that completed at a replica, whose hash is ``target``."""
-
-    keys: tuple[BlockKey, ...]
-    target: int
-    at: float
-
-
 class BlockQuarantine:
     """Crash records of prompt blocks at one host; times on the monotonic clock."""
 
@@ -100,10 +89,7 @@
         self._answered: dict[BlockHash, float] = {}
         self._blocks_by_target: dict[int, set[BlockHash]] = {}
         self._ended = PromptCounts()
-        # Prompts that completed so lately that they may yet crash their replicas.
-        self._unsettled: deque[Completion] = deque(maxlen=MAX_UNSETTLED)
-        # When replicas crashed lately, under whichever prompts.
-        self._crashed: OrderedDict[int, float] = OrderedDict()
+        self._unsettled = UnsettledCompletions()
         self._blame: Blame | None = None
         self._gossip = CrashGossip(self._held_keys, gossip_seconds, self._weight)
         self.row_queue = CrashRowQueue()
@@ -150,7 +136,7 @@
         """
         self._settle(now)
         target = target_hash(instance)
-        crashed_at = self._crashed.get(target, float("-inf"))
+        crashed_at = self._unsettled.crashed_at(target)
         if now - crashed_at < SOUND_DECODING_SECONDS:
             for key in keys:
                 self._add_crash(key, target, crashed_at)
@@ -159,22 +145,19 @@
         self.record_completion(common, now)
         rest = tuple(key for key in keys if key not in common)
         if rest:
-            self._unsettled.append(Completion(rest, target, now))
+            self._unsettled.add(rest, target, now)
 
     def record_life(self, target: int, sent_at: float) -> None:
         """Record that a replica responded to a request that was sent at ``sent_at``."""
-        for item in [item for item in self._unsettled if item.target == target]:
-            if sent_at >= item.at + CRASH_DELAY_SECONDS:
-                self._unsettled.remove(item)
-                self._record_completion_at(item.keys, item.at, sent_at)
+        for item in self._unsettled.take_survived(target, sent_at):
+            self._record_completion_at(item.keys, item.at, sent_at)
 
     def _is_common(self, block: BlockHash, now: float) -> bool:
         return now - self._last_completion(block) < COMPLETED_SECONDS
 
     def _settle(self, now: float) -> None:
         """Count old completions of blocks under which no replica has crashed."""
-        while self._unsettled and now - self._unsettled[0].at >= SETTLE_SECONDS:
-            item = self._unsettled.popleft()
+        for item in self._unsettled.take_old(now):
             keys = [key for key in item.keys if self._record(block_of(key)) is None]
             self._record_completion_at(keys, item.at, now)
 
@@ -186,18 +169,16 @@
         It counts against the prompts that had just completed there, at all hosts.
         """
         self._settle(now)
-        if at - self._crashed.get(target, float("-inf")) < SAME_CRASH_SECONDS:
+        if not self._unsettled.record_crash(target, at):
             return
-        self._crashed[target] = at
-        self._crashed.move_to_end(target)
-        if len(self._crashed) > MAX_CRASHED:
-            self._crashed.popitem(last=False)
         key = Fingerprint(join_key(ANY_BLOCK))
         self._gossip.add_crash(key, target, now, is_own_domain)
-        for item in [item for item in self._unsettled if item.target == target]:
-            self._unsettled.remove(item)
+        for item in self._unsettled.take_all(target):
+            if at - item.at >= SOUND_DECODING_SECONDS:
+                self._record_completion_at(item.keys, item.at, now)
+                continue
             for key in item.keys:
-                self._add_crash(key, target, now)
+                self._add_crash(key, target, at)
                 self._gossip.add_crash(Fingerprint(key), target, now, True)
 
     def record_completion(self, keys: Collection[BlockKey], now: float) -> None:
@@ -396,9 +377,9 @@
         found = []
         for key, target in self._gossip.take_crashes(now, own_domain_only):
             record = self._record(block_of(BlockKey(key)))
-            if block_of(BlockKey(key)) == ANY_BLOCK and target in self._crashed:
-                age = now - self._crashed[target]
-                found.append(BlockReport(BlockKey(key), target, age))
+            crashed_at = self._unsettled.crashed_at(target)
+            if block_of(BlockKey(key)) == ANY_BLOCK and isfinite(crashed_at):
+                found.append(BlockReport(BlockKey(key), target, now - crashed_at))
             elif record is not None and target in record.targets():
                 age = now - record.crashes[target].at
                 found.append(BlockReport(BlockKey(key), target, age))
--- a/berylshift/tests/test_block_quarantine.py
+++ b/berylshift/tests/test_block_quarantine.py
@@ -15,17 +15,19 @@
 from berylshift.process.quarantine.block_quarantine import (
     ANY_BLOCK,
     COMPLETED_SECONDS,
-    CRASH_DELAY_SECONDS,
     MAX_CANDIDATES,
     MAX_OBSERVED,
     OBSERVED_SECONDS,
-    SETTLE_SECONDS,
     TRIAL_SECONDS,
     TRIAL_STEP_SECONDS,
 )
 from berylshift.process.quarantine.block_record import HOLD_SECONDS, MIN_CRASHES
 from berylshift.process.quarantine.quarantine import Quarantine
 from berylshift.process.quarantine.quarantine_loop import WRITE_SECONDS, QuarantineLoop
+from berylshift.process.quarantine.unsettled_completions import (
+    CRASH_DELAY_SECONDS,
+    SETTLE_SECONDS,
+)
 from berylshift.request.fingerprint import RequestFingerprinter
 from berylshift.stand_ins.fake_directory import (
     STORE_CLOCK_OFFSET_SECONDS,
@@ -211,6 +213,13 @@
             self.blocks.merge(other.take_reports(number + 0.2), number + 0.2, False)
         self.assertTrue(self.is_held(MIN_CRASHES))
 
+    def test_completion_long_before_a_crash_counts(self):
+        """Guards against blame of all that a replica completed in its last seconds."""
+        for number in range(MIN_CRASHES):
+            self.end(DEADLY, at=2.0 * number, number=number)
+            self.crash(COMMON, engines=(number,), at=2.0 * number + 1.0)
+        self.assertFalse(self.is_held(2.0 * MIN_CRASHES))
+
     def test_completion_counts_once_the_replica_responds_later(self):
         """Guards against sound blocks that are never cleared."""
         self.crash(DEADLY)
