--- a/berylshift/request/crash_watch.py
+++ b/berylshift/request/crash_watch.py
@@ -87,7 +87,8 @@
 
         A target that accepts a new connection is alive and has only reset the old one,
         which is not the request's fault. It counts as crashed while it is probed, in
-        case this task is cancelled. It had been sending for ``decoded_seconds``.
+        case this task is cancelled. The target had been sending events for
+        ``decoded_seconds``.
         """
         request = self.fingerprint
         if request is None:
--- a/berylshift/request/routed_crash_watch.py
+++ b/berylshift/request/routed_crash_watch.py
@@ -44,9 +44,13 @@
 
         ``None``: too little of the body has arrived.
         """
+        self._update_fingerprint()
+        return self._watch.fingerprint
+
+    def _update_fingerprint(self) -> None:
+        """Compute the fingerprint once enough of the body has arrived."""
         if self._watch.fingerprint is None:
             self._watch.fingerprint = self._deps.fingerprints.hash_request(self._req)
-        return self._watch.fingerprint
 
     async def wait_for_fingerprint(self) -> None:
         """Wait for enough of the body if its start matches a quarantined request."""
@@ -58,7 +62,7 @@
 
     def check(self) -> None:
         """Raise ``QuarantinedError`` if the request is quarantined."""
-        _ = self.fingerprint
+        self._update_fingerprint()
         self._watch.check()
 
     def avoided(
@@ -99,9 +103,8 @@
     ) -> None:
         """Record that the connection to a replica broke while it had the request.
 
-        It had been sending events for ``decoded_seconds``.
-
-        A draining replica stops on purpose, so it is not recorded as a crash.
+        The replica had been sending events for ``decoded_seconds``. A draining one
+        stops on purpose, so it is not recorded as a crash.
         """
         if self.fingerprint is None or self._deps.replicas.is_leaving(replica):
             return
@@ -123,5 +126,5 @@
 
     def on_completed(self, replica: Replica) -> None:
         """Record that the request ran to completion at ``replica``."""
-        _ = self.fingerprint
+        self._update_fingerprint()
         self._watch.on_completed(replica.instance)
