Count the crashes of a repeated request against the request alone

A request that crashes engine after engine carries the same blocks each time, and a rare sound one of them was blamed with it.

Change: only the first crash of a request counts against the blocks of its prompt; the quarantine of requests explains the others.

--- a/berylshift/model/prompt_run.py
+++ b/berylshift/model/prompt_run.py
@@ -233,6 +233,8 @@
             quarantine.blocks.record_completion(self._arrival.block_keys, now)
         elif not self._fleet.is_running(target):
             quarantine.record_crash(request, target.instance, now)
+            if quarantine.crash_count(request) > 1:
+                return
             keys = self._arrival.block_keys
             decoded = 0.0
             if self._first_event_seconds is not None:
--- a/berylshift/request/crash_watch.py
+++ b/berylshift/request/crash_watch.py
@@ -98,7 +98,8 @@
         now = self._clock.monotonic()
         if is_alive:
             self._quarantine.record_reconnect(instance, now)
-        else:
+        elif self._quarantine.crash_count(request) <= 1:
+            # A request that repeats a crash explains it by itself.
             self._quarantine.blocks.record_crash(
                 self.block_keys, instance, now, decoded_seconds
             )
