--- a/review/common/host.py
+++ b/review/common/host.py
@@ -108,7 +108,8 @@
         self._path.write_text(render((ROOT / role["template"]).read_text(), [fields]))
         command = role["run"].split()
         command[-1] = str(self._path)
-        env = {name: os.environ[name] for name in ("PATH", "HOME", "LANG")}
+        passed_on = ("PATH", "HOME", "LANG")
+        env = {name: os.environ[name] for name in passed_on if name in os.environ}
         env["PYTHONPATH"] = str(ROOT / "target" / "deps")
         with self._log.open("ab") as log:
             self.proc = subprocess.Popen(
