--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,7 +14,7 @@
 from world import BROKEN, HELD, Consumer, World, has_trouble, run  # noqa: E402
 
 SERVICE = "judge-models"
-SECONDS = 80.0
+SECONDS = 88.0
 PER_SECOND = 200.0
 # Zone, phase, and how long work takes in percent of the usual time.
 ENGINES = (
@@ -26,7 +26,7 @@
     ("zone-b", "decode", 170),
 )
 # `garble`, how "extra late": share 0.6, x 0.03, for_s 5.0.
-GARBLE_SHARE, GARBLE_X, GARBLE_SECONDS, GARBLE_PAUSE = 0.6, 0.03, 5.0, 0.2
+GARBLE_SHARE, GARBLE_X, GARBLE_SECONDS, GARBLE_PAUSE = 0.6, 0.03, 5.0, 5.0
 # `handle_short`: share 0.35, for_s at most 4.0.
 SHORT_SHARE, SHORT_SECONDS, SHORT_PAUSE = 0.35, 0.8, 0.7
 # Promises that a request has not run.
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -45,9 +45,11 @@
         used = host.memory_mb()
         if used > peak:
             peak = used
-            world.note("peak memory", "", host.name, f"{used} MB")
+            world.note("peak memory", "", host.name, f"{used:.0f} MiB")
         if used > MEMORY_MB:
-            world.note("killed: memory over the limit", "", host.name, f"{used} MB")
+            world.note(
+                "killed: memory over the limit", "", host.name, f"{used:.0f} MiB"
+            )
             host.signal(signal.SIGKILL)
             host.proc.wait()
             await asyncio.sleep(RESTART_SECONDS)
--- a/review/common/host.py
+++ b/review/common/host.py
@@ -127,13 +127,13 @@
             self.proc.send_signal(number)
 
     def memory_mb(self):
-        """Return the memory that the process has in use, in MB; 0 if it is gone."""
+        """Return the memory that the process has in use, in MiB; 0 if it is gone."""
         try:
             text = Path(f"/proc/{self.proc.pid}/status").read_text()
         except OSError:
             return 0
         found = re.search(r"VmRSS:\s+(\d+) kB", text)
-        return int(found[1]) // 1000 if found else 0
+        return int(found[1]) / 1024 if found else 0
 
     def end(self):
         """Kill the process."""
