--- a/review/common/world.py
+++ b/review/common/world.py
@@ -186,9 +186,6 @@
 def run(case, world_for, path):
     """Run ``case`` in the world that ``world_for`` makes; exit with its verdict."""
 
-    # Ends the processes that were started also if the script is told to stop.
-    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(NOT_RUN))
-
     async def play():
         asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
         world = world_for()
@@ -198,6 +195,8 @@
             world.stop()
             world.write_record(path)
 
+    # Ends the processes that were started also if the script is told to stop.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(NOT_RUN))
     try:
         verdict = asyncio.run(play())
     except Exception as exc:
