Show which connection an attempt used, and what bodies are in memory

The attempts of a request (`sends`) now name their connection and how many requests it has carried; discarded late responses are logged and counted; gauges tell the bytes of open requests' bodies and of all bodies in memory, and the process exports its resident memory and the collections of the garbage collector.

No logic changes.

--- a/berylshift/connection/http_client.py
+++ b/berylshift/connection/http_client.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 client on trio streams, based on h11, with a pool of idle connections."""
 
+import itertools
 import select
 from collections import defaultdict
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -17,6 +18,7 @@
 from berylshift.connection.tunnel_stream import TunnelStream
 
 READ_BYTES = 65536
+_numbers = itertools.count(1)
 MAX_IDLE_PER_ADDRESS = 64
 Dial = Callable[[str], Awaitable[trio.abc.Stream]]
 
@@ -52,6 +54,8 @@
         self.idle_since = 0.0
         self.reusable_until = 0.0
         self.received_bytes = False
+        self.number = next(_numbers)
+        self.exchanges = 0
 
     async def send_request(self, out: Outgoing) -> None:
         """Send a complete request; raise ``ConnectionBrokenError``."""
--- a/berylshift/connection/http_server.py
+++ b/berylshift/connection/http_server.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from berylshift.connection.body_memory import BodyMemory
 from berylshift.connection.responder import NEVER
 from berylshift.connection.server_connection import (
     STATUS_UNAVAILABLE,
@@ -55,6 +56,7 @@
         self.max_buffered_bytes = (
             MAX_BUFFERED_BODY_BYTES if streams_bodies else float("inf")
         )
+        self.bodies = BodyMemory()
         self._limits = limits or ServerLimits()
         self.draining = False
         self.accepts_requests = True
--- a/berylshift/connection/server_connection.py
+++ b/berylshift/connection/server_connection.py
@@ -9,6 +9,7 @@
 import h11
 import trio
 
+from berylshift.connection.body_memory import BodyMemory
 from berylshift.connection.errors import RequestRejectedError
 from berylshift.connection.http_request import (
     STATUS_BAD_REQUEST,
@@ -46,6 +47,7 @@
     """The server that a connection belongs to.
 
     ``outcome_unhandled`` returns the outcome of a request that no handler has seen;
+    ``bodies`` counts the bodies received;
     ``max_buffered_bytes``: how much of a body is read before its request is handled;
     ``draining``: each connection is closed after its next response;
     ``accepts_requests``: new requests are read.
@@ -53,6 +55,7 @@
 
     handler: Handler
     outcome_unhandled: UnhandledOutcome
+    bodies: BodyMemory
     max_buffered_bytes: float
     draining: bool
     accepts_requests: bool
@@ -141,7 +144,10 @@
             self.head = None
             try:
                 req = await self._read_request()
-                return req is not None and await self._handle_request(req)
+                if req is None:
+                    return False
+                with self.server.bodies.tracking(req.body_stream):
+                    return await self._handle_request(req)
             except RequestRejectedError as exc:
                 await self._reject(exc)
                 return False
--- a/berylshift/connection/target_client.py
+++ b/berylshift/connection/target_client.py
@@ -27,7 +27,7 @@
     has_no_input,
 )
 from berylshift.connection.request_body import BodyBrokenError, RequestBody
-from berylshift.connection.target_request import TargetRequest
+from berylshift.connection.target_request import ConnectionUse, TargetRequest
 from berylshift.connection.tunnel_stream import TunnelStream
 from berylshift.ids import InstanceId
 from berylshift.messages.routed import Header
@@ -211,6 +211,8 @@
         self._send_nursery: trio.Nursery | None = None
         self._gate: TargetGate = UnlimitedGate()
         self.opened = 0
+        # Responses to earlier requests that were discarded.
+        self.late_responses = 0
         # Replicas that the last attempt to open a connection did not reach.
         self.unreached: set[InstanceId] = set()
 
@@ -244,15 +246,14 @@
     async def exchange(
         self,
         out: TargetRequest,
-        on_connected: Callable[[str | None], None] = lambda via: None,
+        on_connected: Callable[[ConnectionUse], None] = lambda use: None,
     ) -> AsyncIterator[TargetResponse]:
         """Send a request and yield its response.
 
-        ``on_connected`` is called once there is a connection, with the host that it
-        leads through, if any. Raises ``ThrottledError`` or ``ConnectFailedError`` if no
-        byte was sent, and other connection errors if the replica may have read the
-        request. A direct connection is pooled if its response was read to the end and
-        no bytes follow it.
+        ``on_connected`` is called once there is a connection. Raises
+        ``ThrottledError`` or ``ConnectFailedError`` if no byte was sent, and other
+        connection errors if the replica may have read the request. A direct connection
+        is pooled if its response was read to the end and no bytes follow it.
         """
         admitted_at = self._gate.admit(out.instance, out.limit_exempt)
 
@@ -263,7 +264,8 @@
         if connection is None:
             connection = await self._open(out.instance, out.address, out.direct_only)
         via = _tunnel_host(connection.stream)
-        on_connected(via)
+        connection.exchanges += 1
+        on_connected(ConnectionUse(connection.number, connection.exchanges, via))
         is_direct = via is None
         sending = trio.CancelScope()
         response: TargetResponse | None = None
--- a/berylshift/connection/target_request.py
+++ b/berylshift/connection/target_request.py
@@ -9,6 +9,18 @@
 NO_BODY = RequestBody.of(b"")
 
 
+class ConnectionUse(msgspec.Struct, frozen=True):
+    """The connection that a request is sent on.
+
+    ``number`` identifies it within the process; ``exchanges`` counts the requests on it
+    so far, this one included. ``via``: the host that it leads through, if any.
+    """
+
+    number: int
+    exchanges: int
+    via: str | None = None
+
+
 class TargetRequest(msgspec.Struct, frozen=True):
     """One request for one instance; ``target`` is path and query.
 
--- a/berylshift/entry_gauges.py
+++ b/berylshift/entry_gauges.py
@@ -58,27 +58,7 @@
     )
     era = app.store_watch.eras.current or FIRST_ERA
     gauge("store_era", "Era of the store.", era)
-    gauge(
-        "quarantined",
-        "Requests quarantined for crashing replicas.",
-        len(app.quarantine),
-    )
-    gauge(
-        "requests_in_crashes",
-        "Requests that ran at one replica as it crashed.",
-        app.quarantine.count_observed(),
-    )
-    blocks = app.quarantine.blocks
-    gauge(
-        "prompt_blocks_held",
-        "Prompt blocks under which replicas crashed, and that are held or tried.",
-        len(blocks),
-    )
-    gauge(
-        "prompt_block_refusals",
-        "Times that a request was refused for a block of its prompt.",
-        blocks.refused,
-    )
+    _set_quarantine_gauges(app)
     gauge(
         "replicas_throttled",
         "Rate limits and back-offs set by replicas.",
@@ -135,6 +115,7 @@
     gauge(
         "connections_opened", "Connections opened to replicas.", app.ports.client.opened
     )
+    _set_memory_gauges(app)
     _set_path_gauges(app)
     _set_datagram_gauges(app)
     if table is not None:
@@ -143,6 +124,47 @@
                 _set_capacity_gauges(app, service.name)
 
 
+def _set_quarantine_gauges(app: "EntryApplication") -> None:
+    """Set the gauges of requests and prompt blocks that crash replicas."""
+    gauge = app.telemetry.gauge
+    gauge(
+        "quarantined",
+        "Requests quarantined for crashing replicas.",
+        len(app.quarantine),
+    )
+    gauge(
+        "requests_in_crashes",
+        "Requests that ran at one replica as it crashed.",
+        app.quarantine.count_observed(),
+    )
+    blocks = app.quarantine.blocks
+    gauge(
+        "prompt_blocks_held",
+        "Prompt blocks under which replicas crashed, and that are held or tried.",
+        len(blocks),
+    )
+    gauge(
+        "prompt_block_refusals",
+        "Times that a request was refused for a block of its prompt.",
+        blocks.refused,
+    )
+
+
+def _set_memory_gauges(app: "EntryApplication") -> None:
+    """Set the gauges of what is held for callers."""
+    gauge, bodies = app.telemetry.gauge, app.server.bodies
+    gauge(
+        "request_body_bytes_open",
+        "Bytes received of the bodies of requests in flight.",
+        bodies.open_bytes,
+    )
+    gauge(
+        "request_body_bytes_in_memory",
+        "Bytes of all request bodies in memory, ended requests included.",
+        bodies.bytes_in_memory,
+    )
+
+
 def _set_datagram_gauges(app: "EntryApplication") -> None:
     """Set the gauges of what hosts ask and tell each other one by one."""
     gauge, origins = app.telemetry.gauge, app.origins
@@ -190,6 +212,11 @@
         "Replicas that other hosts reach and this one does not.",
         len(paths.states),
     )
+    gauge(
+        "late_responses",
+        "Responses to earlier requests that replicas sent and that were discarded.",
+        app.ports.client.late_responses,
+    )
     gauge(
         "tunnels_used",
         "Connections to replicas opened through other hosts.",
--- a/berylshift/request/attempt_log.py
+++ b/berylshift/request/attempt_log.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from berylshift.clock import Clock
+from berylshift.connection.target_request import ConnectionUse
 from berylshift.scheduling.placement import Placement
 
 PREFILL_PREFIX = "read "
@@ -22,8 +23,7 @@
         self._open: Placement | None = None
         self._prefix = ""
         self._opened_at = 0.0
-        self._is_connected = False
-        self._via: str | None = None
+        self._connection: ConnectionUse | None = None
         self.texts: list[str] = []
         self.outcomes: list[str] = []
 
@@ -31,13 +31,13 @@
         """Begin an attempt; return the time."""
         self._open = placement
         self._prefix = PREFILL_PREFIX if is_prefill else ""
-        self._is_connected, self._via = False, None
+        self._connection = None
         self._opened_at = self._clock.monotonic()
         return self._opened_at
 
-    def on_connected(self, via: str | None) -> None:
-        """Record that the open attempt has a connection, through the host ``via``."""
-        self._is_connected, self._via = True, via
+    def on_connected(self, use: ConnectionUse) -> None:
+        """Record that the open attempt has a connection."""
+        self._connection = use
 
     def end(self, outcome: str, suffix: str = "") -> None:
         """End the open attempt."""
@@ -49,7 +49,7 @@
 
     def cancel(self) -> None:
         """End the open attempt, if there is one, since its request has ended."""
-        self.end(OPEN if self._is_connected else CONNECTING)
+        self.end(CONNECTING if self._connection is None else OPEN)
 
     def note(self, text: str) -> None:
         """Add a text of another form."""
@@ -72,7 +72,9 @@
             fetch = placement.fetch
             details += f" fetch={fetch.tokens}@{fetch.source.instance}"
         details += self._describe_state()
-        if self._via is not None:
-            details += f" via={self._via}"
+        if self._connection is not None:
+            use = self._connection
+            details += f" conn={use.number}/{use.exchanges}"
+            details += "" if use.via is None else f" via={use.via}"
         details += f" sent={sent_ms:.0f}ms"
         return f"{placement.target.instance} {description} {details} {ms:.0f}ms"
--- a/berylshift/request/prefill_client.py
+++ b/berylshift/request/prefill_client.py
@@ -17,6 +17,7 @@
     TargetRequest,
     TargetResponse,
 )
+from berylshift.connection.target_request import ConnectionUse
 from berylshift.ids import RequestId
 from berylshift.messages.load_digest import Urgency
 from berylshift.messages.replicas import Replica
@@ -90,7 +91,7 @@
         urgency: Urgency,
         out: TargetRequest,
         seconds: float,
-        on_connected: Callable[[str | None], None] = lambda via: None,
+        on_connected: Callable[[ConnectionUse], None] = lambda use: None,
     ) -> PrefillResult:
         """Have the engine of ``placement`` prefill the prompt of ``out``.
 
--- a/berylshift/request/replica_exchange.py
+++ b/berylshift/request/replica_exchange.py
@@ -1,5 +1,6 @@
 """One exchange with a replica: sends the request and relays the response."""
 
+import logging
 from collections.abc import Callable
 from contextlib import AsyncExitStack, aclosing
 
@@ -12,6 +13,7 @@
 )
 from berylshift.connection.read_timeout import NEVER, ReadTimeout, ReadTimeoutError
 from berylshift.connection.target_client import TargetRequest, TargetResponse
+from berylshift.connection.target_request import ConnectionUse
 from berylshift.ids import InstanceId
 from berylshift.messages.load_digest import Urgency
 from berylshift.messages.routed import ResponseHead, RoutedRequest
@@ -22,6 +24,8 @@
 from berylshift.request.retry_policy import AttemptHistory, AttemptOutcome
 from berylshift.version.routes import Route, RouteKind
 
+logger = logging.getLogger(__name__)
+
 MIN_ERROR_STATUS = 400
 MIN_SERVER_ERROR_STATUS = 500
 # The largest response that is buffered before it is forwarded.
@@ -100,7 +104,7 @@
         out: TargetRequest,
         prefill: PendingPrefill,
         on_streaming: Callable[[], None] = lambda: None,
-        on_connected: Callable[[str | None], None] = lambda via: None,
+        on_connected: Callable[[ConnectionUse], None] = lambda use: None,
     ) -> AttemptOutcome:
         """Send ``out`` once and return the outcome.
 
@@ -119,7 +123,7 @@
         self,
         out: TargetRequest,
         prefill: PendingPrefill,
-        on_connected: Callable[[str | None], None],
+        on_connected: Callable[[ConnectionUse], None],
     ) -> AttemptOutcome:
         limit = ReadTimeout(NEVER)
         limit.restart(self._first_byte_timeout())
@@ -164,6 +168,15 @@
     ) -> AttemptOutcome:
         head = self._deps.codec.parse_response_head(answer.status, answer.headers)
         if head.request is not None and head.request != self._req.id:
+            self._deps.client.late_responses += 1
+            logger.info(
+                "late response discarded",
+                extra={
+                    "request": self._req.id,
+                    "instance": instance,
+                    "response_to": head.request,
+                },
+            )
             await limit.wait_for(answer.skip_to_next())
             head = self._deps.codec.parse_response_head(answer.status, answer.headers)
         if head.request is not None and head.request != self._req.id:
--- a/berylshift/telemetry.py
+++ b/berylshift/telemetry.py
@@ -4,7 +4,9 @@
     CollectorRegistry,
     Counter,
     Gauge,
+    GCCollector,
     Histogram,
+    ProcessCollector,
     generate_latest,
 )
 
@@ -23,6 +25,8 @@
     def __init__(self) -> None:
         """Create the registry and its metrics."""
         self.registry = CollectorRegistry()
+        ProcessCollector(registry=self.registry)
+        GCCollector(registry=self.registry)
         self._requests = Counter(
             "berylshift_requests",
             "Requests ended, by route and outcome.",
