Send no id twice on one connection, and know whose a response is

A decode engine refuses a lost handle and repeats this refusal, late; the host sends the same id again on the same connection and takes the copy for the second response, since it has the right id (the log: connection 208, its 219th and 220th request, "not run" within 1 ms of the second sending).

An id names the caller's request, not its sending. So no connection carries an id twice now, and one rule, owner_of, tells whose a response is, for attempts, prefills, reports, orders and releases. Where it can't be told (the id was carried before, or is missing on a used connection), the request counts as one that may have run.

test_entry_late_copies fails before: r0 ran at both engines; a stream that ran was answered "not run"; two of four prompts were prefilled in vain behind another prompt's late response. It passes now, as do the tests of the target client and of the relay.

--- a/berylshift/connection/http_client.py
+++ b/berylshift/connection/http_client.py
@@ -16,6 +16,7 @@
     ConnectionBrokenError,
 )
 from berylshift.connection.tunnel_stream import TunnelStream
+from berylshift.ids import RequestId
 
 READ_BYTES = 65536
 _numbers = itertools.count(1)
@@ -56,6 +57,8 @@
         self.received_bytes = False
         self.number = next(_numbers)
         self.exchanges = 0
+        # Ids of the requests that it has carried; ``None``: calls without an id.
+        self.carried: set[RequestId | None] = set()
 
     async def send_request(self, out: Outgoing) -> None:
         """Send a complete request; raise ``ConnectionBrokenError``."""
--- a/berylshift/connection/target_client.py
+++ b/berylshift/connection/target_client.py
@@ -15,7 +15,6 @@
 
 from berylshift.connection.awaited_responses import AwaitedResponses
 from berylshift.connection.errors import (
-    BadResponseError,
     ConnectFailedError,
     ConnectionBrokenError,
 )
@@ -28,6 +27,11 @@
 )
 from berylshift.connection.request_body import BodyBrokenError, RequestBody
 from berylshift.connection.target_request import ConnectionUse, TargetRequest
+from berylshift.connection.target_response import (
+    DEFAULT_KEEP_ALIVE_SECONDS,
+    ReadResponseId,
+    TargetResponse,
+)
 from berylshift.connection.tunnel_stream import TunnelStream
 from berylshift.ids import InstanceId
 from berylshift.messages.routed import Header
@@ -38,13 +42,10 @@
 MAX_INLINE_BYTES = 4096
 # Idle connections per replica; more would only occupy its connection slots.
 MAX_IDLE_PER_TARGET = 8
-# Used for replicas that announce no keep-alive timeout and may close an idle connection
-# at any time; a request this soon after the last response rarely meets such a close.
-DEFAULT_KEEP_ALIVE_SECONDS = 1.0
+# A connection remembers the ids of the requests that it has carried.
+MAX_EXCHANGES_PER_CONNECTION = 512
 # Reuse a connection for at most this fraction of its replica's keep-alive timeout.
 KEEP_ALIVE_FRACTION = 0.5
-# Maximum body size of a late response to an earlier request that is skipped.
-MAX_SKIPPED_BYTES = 1 << 20
 
 
 class TargetGate(Protocol):
@@ -128,81 +129,25 @@
         """Ignore an overdue response."""
 
 
-class TargetResponse:
-    """A response whose body is streamed."""
+class TargetClient:
+    """Sends requests to replicas over pooled connections.
+
+    A replica may repeat a response, late, where the next one is expected. No connection
+    carries the same id twice, so that a response's id tells which request it answers.
+    """
 
     def __init__(
         self,
-        connection: ClientConnection,
-        out: TargetRequest,
-        head: h11.Response,
-        on_head: Callable[[int, list[Header]], None],
+        connect_seconds: float,
+        dial: Dial = dial_tcp,
+        read_id: ReadResponseId | None = None,
     ):
-        """Wrap the connection, the request that was sent, and the response head.
+        """Open streams by ``dial`` within ``connect_seconds``.
 
-        ``on_head`` is called with status and headers of each head that is read.
+        ``read_id`` returns the id that a response echoes; ``None``: replicas echo none,
+        and each response is taken for that of the request that waits.
         """
-        self._connection = connection
-        self._out = out
-        self._on_head = on_head
-        self.keep_alive_seconds = DEFAULT_KEEP_ALIVE_SECONDS
-        self.may_reuse = True
-        self._set_head(head)
-
-    def _set_head(self, head: h11.Response) -> None:
-        self.status = head.status_code
-        self.headers: list[Header] = [
-            (bytes(name), bytes(value)) for name, value in head.headers
-        ]
-        self._on_head(self.status, self.headers)
-
-    @property
-    def ends_with_connection(self) -> bool:
-        """Return whether only the end of the connection shows the end of the body."""
-        names = {name.lower() for name, _ in self.headers}
-        return not names & {b"content-length", b"transfer-encoding"}
-
-    async def skip_to_next(self) -> None:
-        """Discard this response and read the next one on the connection.
-
-        A late response to an earlier request precedes ours. Closing the connection
-        instead would lose the response of a request that may not be repeated. The
-        connection is not reused.
-        """
-        self.may_reuse = False
-        await self.read(MAX_SKIPPED_BYTES)
-        remaining, _ = self._connection.conn.trailing_data
-        self._connection.conn = _state_after_send(self._out)
-        if remaining:
-            self._connection.conn.receive_data(remaining)
-        self._set_head(await self._connection.read_head())
-
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body as it arrives; return only at the end of the message."""
-        while True:
-            event = await self._connection.next_event()
-            if isinstance(event, h11.EndOfMessage):
-                return
-            if isinstance(event, h11.Data):
-                yield bytes(event.data)
-
-    async def read(self, max_bytes: int) -> bytes:
-        """Return the body; raise ``BadResponseError`` if over ``max_bytes``."""
-        chunks: list[bytes] = []
-        size = 0
-        async for data in self.chunks():
-            size += len(data)
-            if size > max_bytes:
-                raise BadResponseError("response body is too large")
-            chunks.append(data)
-        return b"".join(chunks)
-
-
-class TargetClient:
-    """Sends requests to replicas over pooled connections."""
-
-    def __init__(self, connect_seconds: float, dial: Dial = dial_tcp):
-        """Open streams by ``dial`` within ``connect_seconds``."""
+        self._read_id = read_id
         self._connect_seconds = connect_seconds
         self.dial = dial
         self._dialer: ReplicaDialer = DirectDialer(dial)
@@ -260,7 +205,7 @@
         def on_head(status: int, headers: list[Header]) -> None:
             self._gate.record_response(out.instance, status, headers, admitted_at)
 
-        connection = self._pop_idle(out.instance, out.address)
+        connection = self._pop_idle(out)
         if connection is None:
             connection = await self._open(out.instance, out.address, out.direct_only)
         via = _tunnel_host(connection.stream)
@@ -273,10 +218,9 @@
         try:
             sent = await self._send(connection, out, sending)
             with self._awaited.awaiting(connection, out, is_direct):
-                head = await connection.read_head()
+                response = await self._receive(connection, out, on_head)
             if is_direct:
                 self._dialer.record_life(out.address)
-            response = TargetResponse(connection, out, head, on_head)
             yield response
             is_reusable = (
                 sent.is_set()
@@ -291,6 +235,21 @@
             else:
                 close_now(connection.stream)
 
+    async def _receive(
+        self,
+        connection: ClientConnection,
+        out: TargetRequest,
+        on_head: Callable[[int, list[Header]], None],
+    ) -> TargetResponse:
+        """Return the response to ``out``, after late ones to earlier requests."""
+        head = await connection.read_head()
+        response = TargetResponse(connection, out, head, on_head)
+        if self._read_id is not None:
+            carried = frozenset(connection.carried)
+            self.late_responses += await response.identify(self._read_id, carried)
+            connection.carried.add(out.id)
+        return response
+
     async def _send(
         self, connection: ClientConnection, out: TargetRequest, scope: trio.CancelScope
     ) -> trio.Event:
@@ -359,16 +318,19 @@
             return True
         return False
 
-    def _pop_idle(self, instance: InstanceId, address: str) -> ClientConnection | None:
-        if not self._dialer.may_reuse(address):
-            self.forget(instance)
-        connections = self._idle.get(instance)
+    def _pop_idle(self, out: TargetRequest) -> ClientConnection | None:
+        """Return an idle connection that has not carried the id of ``out``."""
+        if not self._dialer.may_reuse(out.address):
+            self.forget(out.instance)
+        connections = self._idle.get(out.instance, [])
         now = trio.current_time()
-        while connections:
-            connection = connections.pop()
-            if now < connection.reusable_until and has_no_input(connection.stream):
+        for connection in reversed(list(connections)):
+            if now >= connection.reusable_until or not has_no_input(connection.stream):
+                connections.remove(connection)
+                close_now(connection.stream)
+            elif out.id not in connection.carried:
+                connections.remove(connection)
                 return connection
-            close_now(connection.stream)
         return None
 
     def _release(
@@ -380,9 +342,10 @@
     def _add_idle(
         self, instance: InstanceId, connection: ClientConnection, seconds: float
     ) -> None:
-        """Pool an idle connection, or close it if the pool is full."""
+        """Pool an idle connection, or close it if it is worn or the pool is full."""
         connections = self._idle[instance]
-        if len(connections) >= MAX_IDLE_PER_TARGET:
+        is_worn = connection.exchanges >= MAX_EXCHANGES_PER_CONNECTION
+        if is_worn or len(connections) >= MAX_IDLE_PER_TARGET:
             close_now(connection.stream)
             return
         connection.reusable_until = trio.current_time() + KEEP_ALIVE_FRACTION * seconds
@@ -429,14 +392,6 @@
     return data + (conn.send(h11.EndOfMessage()) or b"")
 
 
-def _state_after_send(out: TargetRequest) -> h11.Connection:
-    """Return the HTTP state of a connection on which ``out`` was sent."""
-    conn = h11.Connection(h11.CLIENT)
-    conn.send(h11.Request(method=out.method, target=out.target, headers=out.headers))
-    conn.send(h11.EndOfMessage())
-    return conn
-
-
 async def _send_concurrently(
     connection: ClientConnection,
     head: bytes,
--- a/berylshift/connection/target_request.py
+++ b/berylshift/connection/target_request.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from berylshift.connection.request_body import RequestBody
-from berylshift.ids import InstanceId
+from berylshift.ids import InstanceId, RequestId
 from berylshift.messages.routed import Header
 
 NO_BODY = RequestBody.of(b"")
@@ -24,6 +24,7 @@
 class TargetRequest(msgspec.Struct, frozen=True):
     """One request for one instance; ``target`` is path and query.
 
+    ``id``: the id that its response echoes; ``None``: it has none.
     ``limit_exempt``: it is not throttled by the instance's rate limit.
     ``direct_only``: it must come from this host. ``repeatable``: it may be given up
     without a response. ``response_seconds``: when a response is overdue.
@@ -35,6 +36,7 @@
     target: bytes
     headers: list[Header]
     body: RequestBody = NO_BODY
+    id: RequestId | None = None
     limit_exempt: bool = False
     direct_only: bool = False
     repeatable: bool = False
--- /dev/null
+++ b/berylshift/connection/target_response.py
@@ -0,0 +1,166 @@
+"""A replica's response, and the request that it belongs to."""
+
+import logging
+from collections.abc import AsyncIterator, Callable, Set
+from enum import Enum, auto
+
+import h11
+
+from berylshift.connection.errors import BadResponseError
+from berylshift.connection.http_client import ClientConnection
+from berylshift.connection.target_request import TargetRequest
+from berylshift.ids import RequestId
+from berylshift.messages.routed import Header
+
+logger = logging.getLogger(__name__)
+
+# Used for replicas that announce no keep-alive timeout and may close an idle connection
+# at any time; a request this soon after the last response rarely meets such a close.
+DEFAULT_KEEP_ALIVE_SECONDS = 1.0
+# Maximum body size of a late response to an earlier request that is skipped.
+MAX_SKIPPED_BYTES = 1 << 20
+# Late responses that are skipped while waiting for one response.
+MAX_LATE_RESPONSES = 3
+
+ReadResponseId = Callable[[list[Header]], RequestId | None]
+
+
+class ResponseOwner(Enum):
+    """Whose response a replica has sent."""
+
+    THIS_REQUEST = auto()
+    EARLIER_REQUEST = auto()
+    UNKNOWN = auto()
+
+
+def owner_of(
+    response_id: RequestId | None,
+    request_id: RequestId | None,
+    carried: Set[RequestId | None],
+) -> ResponseOwner:
+    """Return whose response arrived on a connection.
+
+    ``carried`` are the ids of the requests sent on it before this one. An id tells the
+    two apart only if the connection has not carried it before. A response without an id
+    can be that of any earlier call without one, or belong to no request at all.
+    """
+    if not carried:
+        is_own = response_id in (None, request_id)
+        return ResponseOwner.THIS_REQUEST if is_own else ResponseOwner.EARLIER_REQUEST
+    if request_id in carried:
+        return ResponseOwner.UNKNOWN
+    if response_id == request_id:
+        return ResponseOwner.THIS_REQUEST
+    if response_id is None and None not in carried:
+        return ResponseOwner.UNKNOWN
+    return ResponseOwner.EARLIER_REQUEST
+
+
+class TargetResponse:
+    """A response whose body is streamed.
+
+    ``is_identified``: it is certain which request it belongs to. Otherwise the request
+    may have run, whatever the response says.
+    """
+
+    def __init__(
+        self,
+        connection: ClientConnection,
+        out: TargetRequest,
+        head: h11.Response,
+        on_head: Callable[[int, list[Header]], None],
+    ):
+        """Wrap the connection, the request that was sent, and the response head.
+
+        ``on_head`` is called with status and headers of each head that is read.
+        """
+        self._connection = connection
+        self._out = out
+        self._on_head = on_head
+        self.keep_alive_seconds = DEFAULT_KEEP_ALIVE_SECONDS
+        self.may_reuse = True
+        self.is_identified = True
+        self._set_head(head)
+
+    def _set_head(self, head: h11.Response) -> None:
+        self.status = head.status_code
+        self.headers: list[Header] = [
+            (bytes(name), bytes(value)) for name, value in head.headers
+        ]
+        self._on_head(self.status, self.headers)
+
+    @property
+    def ends_with_connection(self) -> bool:
+        """Return whether only the end of the connection shows the end of the body."""
+        names = {name.lower() for name, _ in self.headers}
+        return not names & {b"content-length", b"transfer-encoding"}
+
+    async def identify(
+        self, read_id: ReadResponseId, carried: Set[RequestId | None]
+    ) -> int:
+        """Skip late responses to earlier requests; return how many there were.
+
+        ``carried`` are the ids of the requests sent on the connection before this one.
+        """
+        skipped = 0
+        while True:
+            response_id = read_id(self.headers)
+            owner = owner_of(response_id, self._out.id, carried)
+            if owner is ResponseOwner.THIS_REQUEST:
+                return skipped
+            logger.info(
+                "response to another request",
+                extra={
+                    "request": self._out.id,
+                    "instance": self._out.instance,
+                    "response_to": response_id,
+                    "owner": owner.name.lower(),
+                },
+            )
+            self.may_reuse = False
+            if owner is ResponseOwner.UNKNOWN or skipped == MAX_LATE_RESPONSES:
+                self.is_identified = False
+                return skipped
+            await self._skip_to_next()
+            skipped += 1
+
+    async def _skip_to_next(self) -> None:
+        """Discard this response and read the next one on the connection.
+
+        A late response to an earlier request precedes ours. Closing the connection
+        instead would lose the response of a request that may not be repeated.
+        """
+        await self.read(MAX_SKIPPED_BYTES)
+        remaining, _ = self._connection.conn.trailing_data
+        self._connection.conn = _state_after_send(self._out)
+        if remaining:
+            self._connection.conn.receive_data(remaining)
+        self._set_head(await self._connection.read_head())
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body as it arrives; return only at the end of the message."""
+        while True:
+            event = await self._connection.next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+
+    async def read(self, max_bytes: int) -> bytes:
+        """Return the body; raise ``BadResponseError`` if over ``max_bytes``."""
+        chunks: list[bytes] = []
+        size = 0
+        async for data in self.chunks():
+            size += len(data)
+            if size > max_bytes:
+                raise BadResponseError("response body is too large")
+            chunks.append(data)
+        return b"".join(chunks)
+
+
+def _state_after_send(out: TargetRequest) -> h11.Connection:
+    """Return the HTTP state of a connection on which ``out`` was sent."""
+    conn = h11.Connection(h11.CLIENT)
+    conn.send(h11.Request(method=out.method, target=out.target, headers=out.headers))
+    conn.send(h11.EndOfMessage())
+    return conn
--- a/berylshift/platform/codec.py
+++ b/berylshift/platform/codec.py
@@ -133,8 +133,7 @@
     def parse_response_head(self, status: int, headers: list[Header]) -> ResponseHead:
         """Parse the head of a replica's response."""
         found = dict(headers)
-        echoed = found.get(names.ATTEMPT_ID)
-        request = None if echoed is None else RequestId(echoed.decode("latin-1"))
+        request = self.response_id(headers)
         self._unknown.note(headers, request)
         return ResponseHead(
             status=status,
@@ -147,6 +146,13 @@
             length=_content_length(found.get(b"content-length")),
         )
 
+    def response_id(self, headers: list[Header]) -> RequestId | None:
+        """Return the id that a response echoes; ``None`` if it has none."""
+        for name, value in headers:
+            if name == names.ATTEMPT_ID and value:
+                return RequestId(value.decode("latin-1"))
+        return None
+
     def parse_flow_control(
         self, status: int, headers: list[Header]
     ) -> FlowControl | None:
--- a/berylshift/platform/engines.py
+++ b/berylshift/platform/engines.py
@@ -96,6 +96,8 @@
         with trio.move_on_after(self._timeout_seconds):
             try:
                 async with self._client.exchange(out) as response:
+                    if not response.is_identified:
+                        return 0, b""
                     return response.status, await response.read(MAX_RESPONSE_BYTES)
             except ConnectionLayerError:
                 return 0, b""
--- a/berylshift/request/attempt_log.py
+++ b/berylshift/request/attempt_log.py
@@ -72,9 +72,10 @@
             fetch = placement.fetch
             details += f" fetch={fetch.tokens}@{fetch.source.instance}"
         details += self._describe_state()
-        if self._connection is not None:
-            use = self._connection
-            details += f" conn={use.number}/{use.exchanges}"
-            details += "" if use.via is None else f" via={use.via}"
+        use = self._connection
+        if use is not None and use.via is not None:
+            details += f" via={use.via}"
         details += f" sent={sent_ms:.0f}ms"
+        if use is not None:
+            details += f" conn={use.number}/{use.exchanges}"
         return f"{placement.target.instance} {description} {details} {ms:.0f}ms"
--- a/berylshift/request/prefill_client.py
+++ b/berylshift/request/prefill_client.py
@@ -12,13 +12,9 @@
     ConnectionLayerError,
     ThrottledError,
 )
-from berylshift.connection.target_client import (
-    TargetClient,
-    TargetRequest,
-    TargetResponse,
-)
-from berylshift.connection.target_request import ConnectionUse
-from berylshift.ids import RequestId
+from berylshift.connection.target_client import TargetClient
+from berylshift.connection.target_request import ConnectionUse, TargetRequest
+from berylshift.connection.target_response import TargetResponse
 from berylshift.messages.load_digest import Urgency
 from berylshift.messages.replicas import Replica
 from berylshift.messages.routed import WireCodec
@@ -86,7 +82,6 @@
 
     async def prefill(
         self,
-        request: RequestId,
         placement: Placement,
         urgency: Urgency,
         out: TargetRequest,
@@ -104,9 +99,7 @@
         try:
             with trio.move_on_after(seconds):
                 async with self._client.exchange(out, on_connected) as response:
-                    return await self._parse_response(
-                        request, placement.target, response
-                    )
+                    return await self._parse_response(placement.target, response)
             return PrefillResult(AttemptOutcome.SILENT)
         except ThrottledError:
             return PrefillResult(AttemptOutcome.THROTTLED)
@@ -122,13 +115,11 @@
             self._loads.record_ended(instance)
 
     async def _parse_response(
-        self, request: RequestId, engine: Replica, response: TargetResponse
+        self, engine: Replica, response: TargetResponse
     ) -> PrefillResult:
+        if not response.is_identified:
+            return PrefillResult(AttemptOutcome.INVALID)
         head = self._codec.parse_response_head(response.status, response.headers)
-        if head.request is not None and head.request != request:
-            # A late response to an earlier request on a reused connection.
-            response.may_reuse = False
-            return PrefillResult(AttemptOutcome.BROKEN)
         self._suspects.record_response(engine.instance, head, self._clock.monotonic())
         if head.keep_alive_seconds is not None:
             response.keep_alive_seconds = head.keep_alive_seconds
--- a/berylshift/request/relay.py
+++ b/berylshift/request/relay.py
@@ -397,7 +397,6 @@
         """Prefill at one engine; keep its KV cache for the decode engine."""
         sent_at = self.attempts.begin(placement, is_prefill=True)
         found = await self._deps.prefill_client.prefill(
-            self._req.id,
             placement,
             self._urgency,
             self._target_request(
@@ -735,6 +734,7 @@
             req.target,
             headers,
             req.body,
+            id=req.id,
             limit_exempt=limit_exempt,
             repeatable=prefill_only or self._route.repeatable,
             response_seconds=response_seconds or overdue_seconds(self._route),
--- a/berylshift/request/replica_exchange.py
+++ b/berylshift/request/replica_exchange.py
@@ -1,6 +1,5 @@
 """One exchange with a replica: sends the request and relays the response."""
 
-import logging
 from collections.abc import Callable
 from contextlib import AsyncExitStack, aclosing
 
@@ -12,8 +11,8 @@
     ThrottledError,
 )
 from berylshift.connection.read_timeout import NEVER, ReadTimeout, ReadTimeoutError
-from berylshift.connection.target_client import TargetRequest, TargetResponse
-from berylshift.connection.target_request import ConnectionUse
+from berylshift.connection.target_request import ConnectionUse, TargetRequest
+from berylshift.connection.target_response import TargetResponse
 from berylshift.ids import InstanceId
 from berylshift.messages.load_digest import Urgency
 from berylshift.messages.routed import ResponseHead, RoutedRequest
@@ -24,8 +23,6 @@
 from berylshift.request.retry_policy import AttemptHistory, AttemptOutcome
 from berylshift.version.routes import Route, RouteKind
 
-logger = logging.getLogger(__name__)
-
 MIN_ERROR_STATUS = 400
 MIN_SERVER_ERROR_STATUS = 500
 # The largest response that is buffered before it is forwarded.
@@ -166,22 +163,9 @@
         limit: ReadTimeout,
         prefill: PendingPrefill,
     ) -> AttemptOutcome:
+        if not answer.is_identified:
+            return AttemptOutcome.INVALID
         head = self._deps.codec.parse_response_head(answer.status, answer.headers)
-        if head.request is not None and head.request != self._req.id:
-            self._deps.client.late_responses += 1
-            logger.info(
-                "late response discarded",
-                extra={
-                    "request": self._req.id,
-                    "instance": instance,
-                    "response_to": head.request,
-                },
-            )
-            await limit.wait_for(answer.skip_to_next())
-            head = self._deps.codec.parse_response_head(answer.status, answer.headers)
-        if head.request is not None and head.request != self._req.id:
-            answer.may_reuse = False
-            return AttemptOutcome.BROKEN
         self._deps.suspects.record_response(
             instance, head, self._deps.clock.monotonic()
         )
--- a/berylshift/serve_entry.py
+++ b/berylshift/serve_entry.py
@@ -50,7 +50,8 @@
         cfg.directory.address,
         cfg.directory.timeout,
     )
-    client = TargetClient(connect)
+    codec = PlatformCodec()
+    client = TargetClient(connect, read_id=codec.response_id)
     leader_calls = PlatformLeaderCalls(
         HttpClient(connect_seconds=cfg.duties.timeout),
         cfg.duties.address,
@@ -60,7 +61,7 @@
         clock=LoopClock(),
         rng=random.Random(),
         directory=PlatformDirectory(store),
-        codec=PlatformCodec(),
+        codec=codec,
         client=client,
         leases=PlatformLeases(store),
         engines=PlatformEngines(client, cfg.targets.report_timeout),
--- a/berylshift/stand_ins/entry_replica.py
+++ b/berylshift/stand_ins/entry_replica.py
@@ -196,6 +196,9 @@
         self.calls: list[Arrival] = []
         # When the limit was first sent to each host.
         self.rate_limit_sent_at: dict[str, float] = {}
+        # Whether it sends a copy of each short response again, right before its next
+        # response on the connection.
+        self.sends_late_copies = False
         # If set, it rejects requests and asks hosts to send nothing for that long.
         self.retry_after: float | None = None
         self.backoffs: list[Backoff] = []
@@ -253,6 +256,7 @@
         self.host = host
         self.conn = h11.Connection(h11.SERVER)
         self.path = ""
+        self._late_copy = b""
 
     async def serve_one(self) -> bool:
         """Serve one request; return whether the connection stays open."""
@@ -270,6 +274,8 @@
             await self.reset()
             return False
         body = await self._read_body()
+        late_copy, self._late_copy = self._late_copy, b""
+        await self.stream.send_all(late_copy)
         if fault is not Fault.EARLY:
             await self._route(head, headers, body, fault)
         if self.conn.our_state is not h11.DONE:
@@ -528,7 +534,9 @@
         return b"piece-%d" % number + (b"@" + version if version else b"")
 
     def _response_headers(self, headers, signed: bool) -> list:
-        response_headers = [(names.ATTEMPT_ID, headers.get(names.ATTEMPT_ID, b""))]
+        response_headers = []
+        if names.ATTEMPT_ID in headers:
+            response_headers.append((names.ATTEMPT_ID, headers[names.ATTEMPT_ID]))
         load = b"%d,%d,%d" % self.replica.reported_load + self.replica.load_suffix
         response_headers.append((names.LOAD, load))
         if signed:
@@ -557,10 +565,11 @@
                 *framing,
             ],
         )
-        await self._send_event(head)
-        if body:
-            await self._send_event(h11.Data(data=body))
-        await self._send_event(h11.EndOfMessage())
+        events = [head, h11.Data(data=body), h11.EndOfMessage()]
+        data = b"".join(self.conn.send(event) or b"" for event in events)
+        if self.replica.sends_late_copies:
+            self._late_copy = data
+        await self.stream.send_all(data)
 
     async def _send_event(self, event: h11.Event) -> None:
         data = self.conn.send(event)
--- a/berylshift/tests/entry_world.py
+++ b/berylshift/tests/entry_world.py
@@ -327,7 +327,8 @@
         text += "".join(f"{key} = {value}\n" for key, value in values.items())
         text += "[scheduling]\n"
         text += "".join(f"{key} = {value}\n" for key, value in scheduling.items())
-        client = TargetClient(0.3, partial(self.dial, host=name))
+        codec = PlatformCodec()
+        client = TargetClient(0.3, partial(self.dial, host=name), codec.response_id)
         seed = len(self.hosts) + 1
         ports = EntryPorts(
             clock=LoopClock(),
--- a/berylshift/tests/test_request_silence.py
+++ b/berylshift/tests/test_request_silence.py
@@ -47,6 +47,7 @@
     """An engine's response whose ``late`` part arrives as the timeout expires."""
 
     may_reuse = True
+    is_identified = True
     ends_with_connection = False
     keep_alive_seconds = 1.0
     status = 200
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -190,12 +190,34 @@
     ),
     Proof(
         "the response's request id is compared",
-        "request/replica_exchange.py",
-        "if head.request is not None and head.request != self._req.id:\n"
-        "            await limit.wait_for(answer.skip_to_next())",
-        "if False:\n            await limit.wait_for(answer.skip_to_next())",
+        "connection/target_response.py",
+        "        return ResponseOwner.THIS_REQUEST\n    if response_id is None and",
+        "        return ResponseOwner.THIS_REQUEST\n"
+        "    return ResponseOwner.THIS_REQUEST\n"
+        "    if response_id is None and",
         f"{RELAY}.ConnectionReuseTest.test_unexpected_second_response_is_discarded",
     ),
+    Proof(
+        "no connection carries the same id twice",
+        "connection/target_client.py",
+        "elif out.id not in connection.carried:",
+        "else:",
+        "test_entry_late_copies.LateRefusalTest",
+    ),
+    Proof(
+        "a response on a connection that carried its id before is not believed",
+        "connection/target_response.py",
+        "    if request_id in carried:\n        return ResponseOwner.UNKNOWN\n",
+        "",
+        "test_connection_target_response.OwnerTest",
+    ),
+    Proof(
+        "a response without an id is not believed on a connection used before",
+        "connection/target_response.py",
+        "if response_id is None and None not in carried:",
+        "if False:",
+        "test_connection_target_response.OwnerTest",
+    ),
     Proof(
         "a connection with an unfinished request body is not reused",
         "connection/target_client.py",
