Divide replicas' limits by the requests that hosts get

Each of four hosts had a quarter of a limit, whatever came to it, and what the others did not use was lost.

While replicas state limits, hosts now announce their rates in digests, and 0.8 of a limit is divided by these. A host counts itself at the lowest rate it announced within 1.2 s and others at the highest it heard, so that a share moves without being used twice.

MovingLoadTest: the bound on what a replica gets holds while the load moves.

--- a/berylshift/connection/load_codec.py
+++ b/berylshift/connection/load_codec.py
@@ -1,5 +1,6 @@
 """Encoding of load digests: capnp messages with an authentication tag."""
 
+import math
 from pathlib import Path
 
 import capnp
@@ -86,6 +87,7 @@
         or message.demand
         or message.replicas
         or message.blocks
+        or message.request_rate
     )
     struct = _schema.LoadDigest if has_later_fields else _schema.BaseLoadDigest
     packed = struct.new_message(
@@ -121,6 +123,7 @@
 
 
 def _pack_later_fields(packed, message: LoadDigest) -> None:
+    packed.requestRate = message.request_rate
     if message.speeds:
         _pack_speeds(packed.init("speeds"), message.speeds)
     if message.handles:
@@ -372,4 +375,5 @@
         _unpack_demand(packed.demand) if packed._has("demand") else (),
         unpack_pieces(packed.replicas) if packed._has("replicas") else (),
         _unpack_block_reports(packed.blocks) if packed._has("blocks") else (),
+        packed.requestRate if math.isfinite(packed.requestRate) else 0.0,
     )
--- a/berylshift/connection/load_digest.capnp
+++ b/berylshift/connection/load_digest.capnp
@@ -30,6 +30,8 @@
   replicas @19 :List(ReplicaPiece);
   # Keys of prompt blocks in place of requests; target 0: the block completed.
   blocks @20 :Crashes;
+  # Requests a second that the sender gets from its callers; 0: it does not tell.
+  requestRate @21 :Float32;
 }
 
 # The fields of LoadDigest up to 15. A digest without further fields is encoded as this
--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -62,6 +62,7 @@
 from berylshift.process.targets.engine_speeds import EngineSpeeds
 from berylshift.process.targets.fetch_results import FetchResults
 from berylshift.process.targets.handle_losses import HandleLosses
+from berylshift.process.targets.host_demand import HostDemand
 from berylshift.process.targets.limit_shares import LimitShare, LimitShares
 from berylshift.process.targets.prefix_cache_index import PrefixCacheIndex
 from berylshift.process.targets.rate_limits import RateLimits
@@ -232,6 +233,11 @@
         """Return what this process may hold for callers' requests."""
         return RequestMemory(request_bytes(self.cfg.host.memory_mb), self.ports.rng)
 
+    @cached_property
+    def host_demand(self) -> HostDemand:
+        """Return the rates of requests by which hosts divide replicas' limits."""
+        return HostDemand(self.cfg.host.name, lambda: self.throttle.has_limits)
+
     def _make_paths(self) -> HostPaths:
         """Return the paths to replicas, installed in the client."""
         client = self.ports.client
@@ -342,6 +348,7 @@
             ),
             is_path_lost=self.paths.states.is_lost,
             memory=self.request_memory,
+            host_demand=self.host_demand,
         )
         key_gate = KeyGate(
             self.routes,
@@ -446,6 +453,7 @@
             HostName(self.cfg.host.name),
             lambda: self.load_loop.sharing_hosts(),
             DEFAULT_HOST_COUNT,
+            lambda hosts: self.host_demand.fraction(hosts, ports.clock.monotonic()),
         )
 
         def share_for(instance: InstanceId, requests_per_second: float) -> LimitShare:
@@ -503,6 +511,7 @@
             handle_losses=self.handle_losses,
             customer_demand=self.customer_demand,
             replica_updates=self.replica_updates,
+            host_demand=self.host_demand,
         )
         deps = LoadLoopDependencies(
             sources=sources,
--- a/berylshift/messages/load_digest.py
+++ b/berylshift/messages/load_digest.py
@@ -193,7 +193,8 @@
     milliseconds). Windows up to and including ``usage_done`` need no usage report any
     more. ``handles`` replaces what the sender's former digest held; so does ``demand``,
     unless it is empty. ``replicas`` are changes of the replica
-    feed, ``blocks`` crashes and completions of prompt blocks.
+    feed, ``blocks`` crashes and completions of prompt blocks. ``request_rate`` is how
+    many requests a second the sender gets; 0: it does not tell.
     """
 
     host: str
@@ -217,6 +218,7 @@
     demand: tuple[CustomerTokens, ...] = ()
     replicas: tuple[ReplicaPiece, ...] = ()
     blocks: tuple[BlockReport, ...] = ()
+    request_rate: float = 0.0
 
 
 @functools.lru_cache(MAX_CACHED_HASHES)
--- a/berylshift/process/gossip/digest_builder.py
+++ b/berylshift/process/gossip/digest_builder.py
@@ -11,6 +11,7 @@
 from berylshift.process.quarantine.quarantine import Quarantine
 from berylshift.process.targets.customer_demand import CustomerDemand
 from berylshift.process.targets.handle_losses import HandleLosses
+from berylshift.process.targets.host_demand import HostDemand
 from berylshift.process.targets.prefix_cache_index import PrefixCacheIndex
 from berylshift.process.targets.replica_speeds import ReplicaSpeeds
 from berylshift.process.targets.target_load import TargetLoads
@@ -36,6 +37,7 @@
     handle_losses: HandleLosses = field(default_factory=HandleLosses)
     customer_demand: CustomerDemand = field(default_factory=CustomerDemand)
     replica_updates: ReplicaUpdates = field(default_factory=ReplicaUpdates)
+    host_demand: HostDemand = field(default_factory=HostDemand)
 
 
 class DigestBuilder:
@@ -88,6 +90,7 @@
             handles=sources.handle_losses.counts_to_send(scope, now),
             demand=sources.customer_demand.take_counts(scope, now),
             replicas=sources.replica_updates.take_pieces(scope, now),
+            request_rate=0.0 if is_aggregate else sources.host_demand.rate_to_send(now),
             usage_done=sources.usage.last_done
             if is_aggregate
             else sources.usage.done_to_announce(now),
--- a/berylshift/process/gossip/protocol.py
+++ b/berylshift/process/gossip/protocol.py
@@ -148,6 +148,7 @@
         sources.replica_speeds.apply_updates(digest.speeds, now, self._origin(digest))
         sources.handle_losses.receive(digest, self.uses_collectors, now)
         sources.customer_demand.receive(digest, self.uses_collectors, now)
+        sources.host_demand.receive(digest, now)
         self._receive_usage(digest)
         if digest.reads_feeds:
             self._feed_readers.record_holder(digest.host, now)
--- a/berylshift/process/targets/limit_shares.py
+++ b/berylshift/process/targets/limit_shares.py
@@ -45,11 +45,18 @@
         host: HostName,
         hosts: Callable[[], Sequence[HostRecord] | None],
         assumed_hosts: int,
+        fraction_of: Callable[[Sequence[HostRecord]], float] = lambda hosts: (
+            1 / max(1, len(hosts))
+        ),
     ):
-        """Compute shares of ``host``, of ``assumed_hosts`` while none are known."""
+        """Compute shares of ``host``, of ``assumed_hosts`` while none are known.
+
+        ``fraction_of`` returns this host's share of a limit that few hosts divide.
+        """
         self._host = host
         self._hosts = hosts
         self._assumed_hosts = assumed_hosts
+        self._fraction_of = fraction_of
 
     def share(
         self,
@@ -63,7 +70,7 @@
             return _share_of_others(self._assumed_hosts)
         count = MIN_MAIN_SENDERS + int(requests_per_second)
         if len(hosts) <= count:
-            return LimitShare(1 / max(1, len(hosts)), True)
+            return LimitShare(self._fraction_of(hosts), True)
         near = [rec for rec in hosts if rec.domain == domain]
         main_senders = heapq.nsmallest(
             count,
--- a/berylshift/process/targets/rate_limits.py
+++ b/berylshift/process/targets/rate_limits.py
@@ -22,7 +22,7 @@
 # the same time.
 MEAN_OPEN_SLOTS = 0.5
 # How long a share is used before it is computed anew from the list of hosts.
-SHARE_TTL_SECONDS = 1.0
+SHARE_TTL_SECONDS = 0.25
 
 
 @dataclass
--- a/berylshift/process/targets/throttle.py
+++ b/berylshift/process/targets/throttle.py
@@ -135,6 +135,11 @@
         self._backoffs.forget(instance)
         self._gossip.forget(target_hash(instance))
 
+    @property
+    def has_limits(self) -> bool:
+        """Return whether some replica states a rate limit."""
+        return len(self._limits) > 0
+
     def __len__(self) -> int:
         """Return how many limits and back-offs are in force."""
         return len(self._limits) + len(self._backoffs)
--- a/berylshift/request/relay_dependencies.py
+++ b/berylshift/request/relay_dependencies.py
@@ -16,6 +16,7 @@
 from berylshift.process.streams.origin_loop import OriginLoop
 from berylshift.process.targets.engine_speeds import EngineSpeeds
 from berylshift.process.targets.handle_losses import HandleLosses
+from berylshift.process.targets.host_demand import HostDemand
 from berylshift.process.targets.prefix_cache_index import PrefixCacheIndex
 from berylshift.process.targets.recent_durations import RecentDurations
 from berylshift.process.targets.replica_speeds import ReplicaSpeeds
@@ -54,6 +55,7 @@
     replica_speeds: ReplicaSpeeds = field(default_factory=ReplicaSpeeds)
     queues: EngineQueues = field(default_factory=EngineQueues)
     memory: RequestMemory = field(default_factory=RequestMemory)
+    host_demand: HostDemand = field(default_factory=HostDemand)
     # Called with the customer of a request that started to run and the seconds since.
     on_run_started: Callable[[CustomerName | None, float], None] = (
         lambda customer, ago: None
--- a/berylshift/request/routed_handler.py
+++ b/berylshift/request/routed_handler.py
@@ -233,6 +233,7 @@
         self, req: RoutedRequest, route: Route, responder: Responder
     ) -> None:
         clock = self._deps.clock
+        self._deps.host_demand.record_request(clock.monotonic())
         binding = await self._bind(req, route, responder)
         if binding is None:
             return
--- a/berylshift/tests/test_entry_limits.py
+++ b/berylshift/tests/test_entry_limits.py
@@ -47,6 +47,26 @@
         self.assertEqual(load.served, len(load.replies))
 
 
+class MovingLoadTest(unittest.TestCase):
+    """Most requests come to one host, then to another one."""
+
+    def test_all_hosts_together_keep_the_limits(self):
+        """Guards against a share that two hosts use while it moves between them."""
+
+        async def play(world):
+            replicas = list(world.replicas.values())
+            for replica in replicas:
+                replica.rate_limit = 10.0
+            await LimitLoad(world, (1, 1, 1, 1)).run("/look/", 40, 4)
+            for host in (0, 2, 1, 0):
+                shares = [19 if number == host else 1 for number in range(4)]
+                await LimitLoad(world, shares).run(f"/look/{host}", 60, 4)
+            return replicas
+
+        for replica in run_entry(play, hosts=4, plain=2):
+            self.assertLessEqual(max_from_informed(replica), max_allowed(10.0))
+
+
 class AllLimitedTest(unittest.TestCase):
     """All replicas state a limit."""
 
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -256,6 +256,28 @@
         "test_entry_request_memory.BoundTest."
         "test_small_requests_are_served_beside_long_ones",
     ),
+    Proof(
+        "shares of limits follow the requests",
+        "process/targets/host_demand.py",
+        "return fraction if is_complete else min(even, fraction)",
+        "return even",
+        "test_targets_host_demand.HostDemandTest.test_shares_follow_the_requests",
+    ),
+    Proof(
+        "a share grows only once the others have heard of it",
+        "process/targets/host_demand.py",
+        "own = min(self._own.in_force(now))",
+        "own = self._rate(now)",
+        "test_targets_host_demand.HostDemandTest.test_shares_never_exceed_the_limit",
+    ),
+    Proof(
+        "no host takes the share of one that it has not heard of",
+        "process/targets/host_demand.py",
+        "return fraction if is_complete else min(even, fraction)",
+        "return fraction",
+        "test_targets_host_demand.HostDemandTest."
+        "test_a_host_that_is_not_heard_of_keeps_its_even_share",
+    ),
     Proof(
         "a connection with an unfinished request body is not reused",
         "connection/target_client.py",
