Refuse CONNECT, and end a response at a protocol switch

One CONNECT with the path of a route stopped a host for good: a whole core, and no answer to anybody, the readiness check included. After a 2xx to CONNECT the parser reports PAUSED for each next event; the loops over a response's events passed over it and never reached a checkpoint.

The server answers CONNECT with 501 before it reads or forwards anything, and the client ends such a response as an error, whatever led to it. ConnectTest fails before: no answer to the caller, and a read of the response that does not return within 15 s.

--- a/berylshift/connection/http_client.py
+++ b/berylshift/connection/http_client.py
@@ -81,6 +81,9 @@
                 event = self.conn.next_event()
             except h11.RemoteProtocolError as exc:
                 raise self._protocol_error(exc) from exc
+            if event is h11.PAUSED:
+                # The parser stops for good at a protocol switch that nobody asked for.
+                raise BadResponseError("the peer has switched protocols")
             if event is not h11.NEED_DATA:
                 return event
             try:
--- a/berylshift/connection/http_request.py
+++ b/berylshift/connection/http_request.py
@@ -9,6 +9,7 @@
 from berylshift.connection.request_body import RequestBody
 
 STATUS_BAD_REQUEST = 400
+STATUS_NOT_IMPLEMENTED = 501
 Headers = dict[str, str]
 
 
@@ -49,6 +50,12 @@
     return None if chunked else 0
 
 
+def check_method(head: h11.Request) -> None:
+    """Reject CONNECT: a response to it would turn the connection into a tunnel."""
+    if head.method == b"CONNECT":
+        raise RequestRejectedError(STATUS_NOT_IMPLEMENTED, "no tunnels are opened")
+
+
 def check_framing(head: h11.Request) -> None:
     """Reject a request that declares its body length in two ways.
 
--- a/berylshift/connection/server_connection.py
+++ b/berylshift/connection/server_connection.py
@@ -14,6 +14,7 @@
     STATUS_BAD_REQUEST,
     HttpRequest,
     check_framing,
+    check_method,
     declared_length,
     make_request,
 )
@@ -335,6 +336,7 @@
             return None
         self.head = head
         self.is_head_request = head.method == b"HEAD"
+        check_method(head)
         check_framing(head)
         self.body = body = RequestBody(declared_length(head))
         self._check_size(body.length or 0)
--- /dev/null
+++ b/berylshift/tests/test_entry_unusual_requests.py
@@ -0,0 +1,74 @@
+"""End-to-end tests of requests that no well-behaved caller sends."""
+
+import unittest
+
+import trio
+
+from berylshift.connection.errors import BadResponseError
+from berylshift.connection.target_client import TargetClient
+from berylshift.connection.target_request import TargetRequest
+from berylshift.ids import InstanceId
+from berylshift.stand_ins.pipes import pipe_pair
+from berylshift.tests.entry_world import HOST, run_entry
+from berylshift.tests.support import run_virtual
+
+PROMPT_SECONDS = 0.1
+
+
+def head(start: str, *lines: str) -> bytes:
+    """Return the head of a request with an id."""
+    fixed = (f"host: {HOST}", "berylshift-attempt-id: u1")
+    return "\r\n".join((start, *fixed, *lines, "", "")).encode("latin-1")
+
+
+def ask_raw(data: bytes, path: str = "/book/x"):
+    """Send bytes; return the status, whether it came at once, and the next status.
+
+    The last is that of a usual request of another caller. Also return how many requests
+    ran before it.
+    """
+
+    async def task(world):
+        link = world.connect()
+        start = trio.current_time()
+        await link.stream.send_all(data)
+        received = await link.stream.receive_some(65536)
+        seconds = trio.current_time() - start
+        runs = sum(len(rep.runs) for rep in world.replicas.values())
+        usual = await world.ask(path, "r1")
+        return int(received.split(b" ")[1]), seconds, runs, usual.status
+
+    return run_entry(task, plain=1)
+
+
+class ConnectTest(unittest.TestCase):
+    """Guards against one request that keeps a host busy for ever."""
+
+    def test_connect_is_refused_at_once(self):
+        for path in ("/book/x", "/look/x", "/note/x"):
+            status, seconds, runs, usual = ask_raw(head(f"CONNECT {path} HTTP/1.1"))
+            self.assertEqual((status, runs, usual), (501, 0, 200))
+            self.assertLess(seconds, PROMPT_SECONDS)
+
+    def test_protocol_switch_by_a_replica_is_an_error(self):
+        """Guards against a parser that is asked for its next event for ever."""
+
+        async def main():
+            near, far = pipe_pair()
+
+            async def dial(address):
+                return near
+
+            out = TargetRequest(
+                InstanceId("i"), "10.0.0.1:80", b"CONNECT", b"/x", [(b"host", b"x")]
+            )
+            await far.send_all(b"HTTP/1.1 200 OK\r\n\r\nabc")
+            with self.assertRaises(BadResponseError):
+                async with TargetClient(1.0, dial).exchange(out) as answer:
+                    await answer.read(100)
+
+        run_virtual(main)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -256,6 +256,14 @@
         "test_entry_request_memory.BoundTest."
         "test_small_requests_are_served_beside_long_ones",
     ),
+    Proof(
+        "a protocol switch ends a response",
+        "connection/http_client.py",
+        "            if event is h11.PAUSED:\n",
+        "            if False:\n",
+        "test_entry_unusual_requests.ConnectTest."
+        "test_protocol_switch_by_a_replica_is_an_error",
+    ),
     Proof(
         "shares of limits follow the requests",
         "process/targets/host_demand.py",
