Parse numbers from the wire within ranges

A deadline of 400 digits, or a token count of as many, made the handler of its request fail with a traceback (500): an integer too large for a float, or too long to convert. Each header was parsed in its own way, without a range.

whole_number is the one parser now, with a maximum in the unit of the field. A deadline out of range gets 400; an announced prompt out of range, or with a sign or an underscore, is ignored, since it only guides placement, and so are a replica's load and keep-alive. NumberTest fails before (500 in two of its three tests).

--- a/berylshift/connection/http_request.py
+++ b/berylshift/connection/http_request.py
@@ -7,8 +7,10 @@
 
 from berylshift.connection.errors import RequestRejectedError
 from berylshift.connection.request_body import RequestBody
+from berylshift.messages.wire_numbers import MAX_BYTES, whole_number
 
 STATUS_BAD_REQUEST = 400
+STATUS_TOO_LARGE = 413
 STATUS_NOT_IMPLEMENTED = 501
 Headers = dict[str, str]
 
@@ -18,7 +20,8 @@
     """One request; header names are in lower case.
 
     ``target`` (path and query) and ``raw_headers`` are as they were sent.
-    ``body_stream`` is completely received unless the server streams long bodies.
+    ``body_stream`` is completely received unless the server streams long bodies. It is
+    freed as the request ends.
     ``query_pairs`` holds repeated query parameters, too.
     """
 
@@ -45,7 +48,10 @@
     """Return the declared body length in bytes; ``None`` if it is chunked."""
     value = dict(head.headers).get(b"content-length")
     if value is not None:
-        return int(value)
+        length = whole_number(value, MAX_BYTES)
+        if length is None:
+            raise RequestRejectedError(STATUS_TOO_LARGE, "body is too large")
+        return length
     chunked = any(name == b"transfer-encoding" for name, _ in head.headers)
     return None if chunked else 0
 
--- a/berylshift/connection/server_connection.py
+++ b/berylshift/connection/server_connection.py
@@ -12,6 +12,7 @@
 from berylshift.connection.errors import RequestRejectedError
 from berylshift.connection.http_request import (
     STATUS_BAD_REQUEST,
+    STATUS_TOO_LARGE,
     HttpRequest,
     check_framing,
     check_method,
@@ -38,7 +39,6 @@
 # would be held until its caller has read it.
 MAX_JOINED_BYTES = 65536
 STATUS_TIMEOUT = 408
-STATUS_TOO_LARGE = 413
 STATUS_ERROR = 500
 STATUS_UNAVAILABLE = 503
 STATUS_GATEWAY_TIMEOUT = 504
--- /dev/null
+++ b/berylshift/messages/wire_numbers.py
@@ -0,0 +1,19 @@
+"""Parses numbers from the wire, each within a range."""
+
+# Longer texts are not converted: the time that takes grows with the square of the
+# length, and no field has a number as long.
+MAX_DIGITS = 18
+MAX_TIME_LEFT_MS = 10**12
+MAX_TOKENS = 10**9
+MAX_BYTES = 10**15
+# Requests at one replica.
+MAX_REQUESTS = 10**6
+
+
+def whole_number(text: bytes, maximum: int) -> int | None:
+    """Return a decimal number from 0 to ``maximum``; ``None`` if it is not one."""
+    digits = text.strip()
+    if not digits.isdigit() or len(digits) > MAX_DIGITS:
+        return None
+    found = int(digits)
+    return found if found <= maximum else None
--- a/berylshift/platform/codec.py
+++ b/berylshift/platform/codec.py
@@ -17,6 +17,13 @@
     ResponseHead,
     RoutedRequest,
 )
+from berylshift.messages.wire_numbers import (
+    MAX_BYTES,
+    MAX_REQUESTS,
+    MAX_TIME_LEFT_MS,
+    MAX_TOKENS,
+    whole_number,
+)
 from berylshift.platform import names
 from berylshift.platform.unknown_headers import UnknownHeaders
 from berylshift.request.errors import BadRequestError
@@ -69,6 +76,7 @@
 LOAD_FIGURES = 3
 # Larger statements of how long work takes are malformed.
 MAX_WORK_PERCENT = 60_000
+MAX_KEEP_ALIVE_SECONDS = 86_400
 
 
 class _Handle(msgspec.Struct):
@@ -228,13 +236,15 @@
 def _time_left_seconds(value: bytes | None) -> float | None:
     if value is None:
         return None
-    if not value.isdigit():
-        raise BadRequestError("the time left must be whole milliseconds")
-    return int(value) / 1000
+    found = whole_number(value, MAX_TIME_LEFT_MS)
+    if found is None:
+        reason = f"the time left must be 0 to {MAX_TIME_LEFT_MS} whole milliseconds"
+        raise BadRequestError(reason)
+    return found / 1000
 
 
 def _prompt(single: dict[bytes, bytes]) -> Prompt | None:
-    """Return the announced prompt; malformed ones are ignored.
+    """Return the announced prompt; one that is malformed or too long is ignored.
 
     The announcement only guides placement.
     """
@@ -245,19 +255,27 @@
     try:
         tokens, _, output = counts.partition(b",")
         model = single.get(names.MODEL, b"").decode("latin-1")
-        return Prompt(_blocks(blocks), int(tokens), int(output or 0), model)
+        return Prompt(_blocks(blocks), _tokens(tokens), _tokens(output or b"0"), model)
     except ValueError:
         return None
 
 
 def _blocks(value: bytes) -> tuple[PromptBlock, ...]:
     found = []
-    for entry in value.decode("ascii").split(","):
-        block, _, tokens = entry.strip().partition(":")
-        found.append(PromptBlock(BlockId(block), int(tokens)))
+    for entry in value.split(b","):
+        block, _, tokens = entry.strip().partition(b":")
+        found.append(PromptBlock(BlockId(block.decode("ascii")), _tokens(tokens)))
     return tuple(found)
 
 
+def _tokens(text: bytes) -> int:
+    """Return a number of tokens; raise ``ValueError``."""
+    found = whole_number(text, MAX_TOKENS)
+    if found is None:
+        raise ValueError("not a number of tokens")
+    return found
+
+
 def _load(value: bytes | None) -> ReportedLoad | None:
     """Return the reported load; figures beyond the fourth are ignored."""
     if value is None:
@@ -265,9 +283,10 @@
     figures = value.split(b",", LOAD_FIGURES + 1)
     if len(figures) < LOAD_FIGURES:
         return None
-    try:
-        running, waiting, slots = (int(text) for text in figures[:LOAD_FIGURES])
-    except ValueError:
+    running, waiting, slots = (
+        whole_number(text, MAX_REQUESTS) for text in figures[:LOAD_FIGURES]
+    )
+    if running is None or waiting is None or slots is None:
         return None
     percent = _work_percent(figures[LOAD_FIGURES]) if figures[LOAD_FIGURES:] else None
     return ReportedLoad(running, waiting, slots, percent)
@@ -275,11 +294,7 @@
 
 def _work_percent(value: bytes) -> int | None:
     """Return how long work takes, in percent; a malformed value means not stated."""
-    try:
-        found = int(value)
-    except ValueError:
-        return None
-    return found if 0 < found <= MAX_WORK_PERCENT else None
+    return whole_number(value, MAX_WORK_PERCENT) or None
 
 
 def _retry_after(status: int, headers: dict[bytes, bytes]) -> float:
@@ -303,10 +318,11 @@
         return None
     for item in value.split(b","):
         name, _, text = item.strip().partition(b"=")
-        if name.lower() == b"timeout" and text.strip().isdigit():
-            return float(text)
+        seconds = whole_number(text, MAX_KEEP_ALIVE_SECONDS)
+        if name.lower() == b"timeout" and seconds is not None:
+            return float(seconds)
     return None
 
 
 def _content_length(value: bytes | None) -> int | None:
-    return int(value) if value is not None and value.isdigit() else None
+    return None if value is None else whole_number(value, MAX_BYTES)
--- a/berylshift/tests/test_entry_unusual_requests.py
+++ b/berylshift/tests/test_entry_unusual_requests.py
@@ -70,5 +70,37 @@
         run_virtual(main)
 
 
+class NumberTest(unittest.TestCase):
+    """Guards against numbers that make the handler of a request fail."""
+
+    def test_time_left_that_is_no_time(self):
+        for digits in (400, 5000):
+            lines = (f"berylshift-deadline-ms: {'9' * digits}", "content-length: 0")
+            status, seconds, runs, usual = ask_raw(
+                head("POST /book/x HTTP/1.1", *lines)
+            )
+            self.assertEqual((status, runs, usual), (400, 0, 200))
+            self.assertLess(seconds, PROMPT_SECONDS)
+
+    def test_prompt_that_no_engine_can_read(self):
+        """The announcement only guides placement: without it the request runs."""
+        for count in ("9" * 400, "9" * 5000, "-5", "1_000", "1e3"):
+            lines = (
+                f"berylshift-token-count: {count},80",
+                "berylshift-prefix-hash: 5c1e07a2:800",
+                "content-length: 0",
+            )
+            status, _, runs, usual = ask_raw(head("POST /book/x HTTP/1.1", *lines))
+            self.assertEqual((status, runs, usual), (200, 1, 200), count[:8])
+
+    def test_declared_length_that_is_no_length(self):
+        for digits in (21, 400, 5000):
+            line = f"content-length: {'9' * digits}"
+            status, seconds, runs, usual = ask_raw(head("POST /book/x HTTP/1.1", line))
+            self.assertIn(status, (400, 413))
+            self.assertEqual((runs, usual), (0, 200))
+            self.assertLess(seconds, PROMPT_SECONDS)
+
+
 if __name__ == "__main__":
     unittest.main()
