Apply the limit on request heads to complete heads

20 KB of headers were accepted where max_header_bytes is 16,384: the parser applies its limit only to heads that are incomplete, and one that arrives in one piece never is. The size of the parsed head is checked as well; one byte over the limit gets 431 at once. HeadSizeTest fails before (200).

--- a/berylshift/connection/server_connection.py
+++ b/berylshift/connection/server_connection.py
@@ -15,6 +15,7 @@
     STATUS_TOO_LARGE,
     HttpRequest,
     check_framing,
+    check_head_size,
     check_method,
     declared_length,
     make_request,
@@ -336,6 +337,7 @@
             return None
         self.head = head
         self.is_head_request = head.method == b"HEAD"
+        check_head_size(head, self.server.limits.header_bytes)
         check_method(head)
         check_framing(head)
         self.body = body = RequestBody(declared_length(head))
--- a/berylshift/tests/test_entry_unusual_requests.py
+++ b/berylshift/tests/test_entry_unusual_requests.py
@@ -11,6 +11,7 @@
 from berylshift.stand_ins.pipes import pipe_pair
 from berylshift.tests.entry_world import HOST, run_entry
 from berylshift.tests.support import run_virtual
+from berylshift.version.routes import CallerLimits
 
 PROMPT_SECONDS = 0.1
 
@@ -102,5 +103,23 @@
             self.assertLess(seconds, PROMPT_SECONDS)
 
 
+class HeadSizeTest(unittest.TestCase):
+    """Guards against heads over the limit that arrive in one piece."""
+
+    def head_of(self, size: int) -> bytes:
+        """Return a head of exactly ``size`` bytes."""
+        start = "POST /book/x HTTP/1.1"
+        empty = len(head(start, "content-length: 0", "x-more: "))
+        filling = "y" * (size - empty)
+        return head(start, "content-length: 0", f"x-more: {filling}")
+
+    def test_head_at_the_limit_is_accepted_and_one_over_it_is_not(self):
+        limit = CallerLimits().header_bytes
+        self.assertEqual(ask_raw(self.head_of(limit))[0], 200)
+        status, seconds, runs, usual = ask_raw(self.head_of(limit + 1))
+        self.assertEqual((status, runs, usual), (431, 0, 200))
+        self.assertLess(seconds, PROMPT_SECONDS)
+
+
 if __name__ == "__main__":
     unittest.main()
