Add a soak of real host processes under faults drawn from a seed

berylshift soak starts host processes before in-process stand-ins of the store and of replicas. Callers keep their connections in use until the process is gone and come back as told. Faults come in four overlapping series: hosts are stopped, killed, suspended and reloaded; the configuration changes; the store is down or slow; replicas repeat responses late, lose KV handles, refuse, fail, limit their rate, slow down and drain; callers upload in bursts. Checked are whole answers of the caller's own, at most one run of what may not be repeated, "not run" only when true and with a delay, no lost answer unless the host was killed or suspended, exits within the grace period, memory, and failures in the logs.

--- /dev/null
+++ b/berylshift/soak/run.py
@@ -0,0 +1,107 @@
+"""Runs one seed of the soak."""
+
+import random
+import tempfile
+from collections import Counter
+from pathlib import Path
+
+import msgspec
+import trio
+
+from berylshift.soak.checks import find_violations
+from berylshift.soak.schedule import Event, draw_schedule
+from berylshift.soak.world import MEMORY_MB, SoakWorld
+from berylshift.tools.processes import Programs
+
+MEBIBYTE = 1 << 20
+# Runs with different seeds may share a computer.
+FIRST_NETWORK, NETWORKS = 64, 128
+# Lines of a host's log that show a failure of its own.
+FAILURE_TEXTS = ("request handler failed", "connection failed", "Traceback")
+# Requests that are open as the run ends may still get their answer.
+END_SECONDS = 6.0
+
+
+class SoakSpec(msgspec.Struct, frozen=True):
+    """One run: its seed, size and length."""
+
+    seed: int
+    seconds: float = 20.0
+    hosts: int = 3
+    callers: int = 20
+    log_dir: str = ""
+
+
+class SoakResult(msgspec.Struct, frozen=True):
+    """What a run showed; ``violations`` is empty if all promises were kept."""
+
+    seed: int
+    requests: int
+    statuses: dict[int, int]
+    events: int
+    peak_mb: float
+    violations: list[str]
+
+
+async def run_soak(spec: SoakSpec) -> SoakResult:
+    """Play a run, with its files in a directory of its own."""
+    with tempfile.TemporaryDirectory(prefix="berylshift-soak-") as name:
+        directory = Path(spec.log_dir or name)
+        directory.mkdir(parents=True, exist_ok=True)
+        return await _play(spec, directory, draw_schedule(spec.seed, spec.seconds))
+
+
+async def _play(spec: SoakSpec, directory: Path, events: list[Event]) -> SoakResult:
+    async with trio.open_nursery() as nursery:
+        programs = Programs(directory, nursery)
+        rng = random.Random(spec.seed)
+        network = f"127.{FIRST_NETWORK + spec.seed % NETWORKS}"
+        world = SoakWorld(directory, programs, nursery, rng, spec.hosts, network)
+        try:
+            await world.start()
+            await _load(spec, world, events)
+        finally:
+            world.client.close()
+            await programs.stop_all()
+        nursery.cancel_scope.cancel()
+    violations = world.violations + find_violations(
+        world.requests, world.runs(), world.disturbances
+    )
+    violations += _failures_in_logs(directory)
+    peak_mb = max(host.peak_bytes for host in world.hosts) / MEBIBYTE
+    if peak_mb > MEMORY_MB:
+        violations.append(f"a host took {peak_mb:.0f} MiB")
+    statuses = Counter(req.status for req in world.requests)
+    return SoakResult(
+        spec.seed,
+        len(world.requests),
+        dict(statuses),
+        len(events),
+        round(peak_mb),
+        violations,
+    )
+
+
+async def _load(spec: SoakSpec, world: SoakWorld, events: list[Event]) -> None:
+    """Run callers and faults; return once both have ended."""
+    began = trio.current_time()
+    async with trio.open_nursery() as watch:
+        watch.start_soon(world.watch_hosts)
+        async with trio.open_nursery() as faults:
+            with trio.move_on_after(spec.seconds):
+                async with trio.open_nursery() as callers:
+                    for number in range(spec.callers):
+                        world.start_caller(f"caller-{number}", callers)
+                    for event in events:
+                        await trio.sleep(began + event.at - trio.current_time())
+                        faults.start_soon(world.apply, event)
+        watch.cancel_scope.cancel()
+
+
+def _failures_in_logs(directory: Path) -> list[str]:
+    return [
+        f"{path.stem}: {line[:300]}"
+        for path in sorted(directory.glob("*.log"))
+        for line in path.read_text(encoding="utf-8", errors="replace").splitlines()
+        if any(text in line for text in FAILURE_TEXTS)
+    ]
--- /dev/null
+++ b/berylshift/tests/test_soak.py
@@ -0,0 +1,67 @@
+"""Tests of the soak's checks, and two short runs with fixed seeds."""
+
+import unittest
+
+import trio
+
+from berylshift.soak.callers import Kind, Request, expected_body
+from berylshift.soak.checks import Disturbance, find_violations
+from berylshift.soak.run import SoakSpec, run_soak
+from berylshift.soak.schedule import draw_schedule
+
+RUN_SECONDS = 15.0
+
+
+def request(kind: Kind = Kind.BOOKING, status: int = 200, **more) -> Request:
+    """Return a request that ended after a second."""
+    values = {"ended_at": 2.0, "is_whole": status == 200, **more}
+    return Request("r1", kind, 0, 1.0, status=status, **values)
+
+
+class CheckTest(unittest.TestCase):
+    """What counts as a broken promise."""
+
+    def check(self, req: Request, runs: int, *disturbances: Disturbance) -> int:
+        return len(find_violations([req], ["r1"] * runs, disturbances))
+
+    def test_complete_answers_are_right(self):
+        self.assertEqual(self.check(request(), 1), 0)
+        self.assertEqual(self.check(request(Kind.LOOKUP), 2), 0)
+        self.assertEqual(expected_body(request()), b"body of r1")
+
+    def test_broken_promises_are_found(self):
+        """Guards against a soak that sees nothing."""
+        self.assertEqual(self.check(request(), 2), 1)
+        self.assertEqual(self.check(request(Kind.NOTE), 2), 1)
+        self.assertEqual(self.check(request(is_whole=False), 1), 1)
+        self.assertEqual(self.check(request(status=503, retry_after=1.0), 1), 1)
+        self.assertEqual(self.check(request(status=503, retry_after=1.0), 0), 0)
+        self.assertEqual(self.check(request(status=503), 0), 1)
+        self.assertEqual(self.check(request(status=0), 1), 1)
+
+    def test_lost_answers_are_excused_where_the_host_was_killed(self):
+        """Guards against faults of other hosts that excuse a lost answer."""
+        lost = request(status=0)
+        self.assertEqual(self.check(lost, 1, Disturbance(0, 1.5, 1.6)), 0)
+        self.assertEqual(self.check(lost, 1, Disturbance(0, 2.5, 3.0)), 1)
+        self.assertEqual(self.check(lost, 1, Disturbance(1, 1.5, 1.6)), 1)
+
+    def test_a_seed_gives_one_schedule(self):
+        """Guards against a failing seed that can't be played again."""
+        self.assertEqual(draw_schedule(5, 20.0), draw_schedule(5, 20.0))
+        self.assertNotEqual(draw_schedule(5, 20.0), draw_schedule(6, 20.0))
+
+
+class SoakTest(unittest.TestCase):
+    """Guards against promises that are broken while faults come in series."""
+
+    def test_fixed_seeds(self):
+        for seed in (2, 3):
+            with self.subTest(seed=seed):
+                result = trio.run(run_soak, SoakSpec(seed, RUN_SECONDS))
+                self.assertEqual(result.violations, [])
+                self.assertGreater(result.statuses[200], 100)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/berylshift/tools/cli.py
+++ b/berylshift/tools/cli.py
@@ -8,6 +8,7 @@
 from berylshift.tools.experiment_command import ExperimentCommand
 from berylshift.tools.mark_commands import make_mark_commands
 from berylshift.tools.replay_command import ReplayCommand
+from berylshift.tools.soak_command import SoakCommand
 from berylshift.tools.status_commands import ExplainCommand, StatusCommand
 from berylshift.tools.table_commands import (
     TableExport,
@@ -32,6 +33,7 @@
         ExplainCommand(),
         ReplayCommand(),
         ExperimentCommand(),
+        SoakCommand(),
         UsageCommand(),
         *make_mark_commands(),
     ]
