Point two proofs at the texts that have moved

The response of a replica has a module of its own, and idle connections are chosen by request. Both proofs are red, as is that of a protocol switch.

--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -1253,7 +1253,7 @@
     ),
     Proof(
         "the head of every response is processed",
-        "connection/target_client.py",
+        "connection/target_response.py",
         "        self._on_head(self.status, self.headers)\n",
         "",
         f"{LIMITS}.SomeLimitedTest.test_all_hosts_together_keep_a_replicas_limit",
@@ -1682,7 +1682,7 @@
     Proof(
         "connections that fell silent are not used again",
         "connection/target_client.py",
-        "        if not self._dialer.may_reuse(address):\n",
+        "        if not self._dialer.may_reuse(out.address):\n",
         "        if False:\n",
         f"{TUNNELLED}.test_silent_connections_are_not_used_again",
     ),
