Leave the digests' new field out of a former build's schema in a test

The test compiles the schema of a former build by removing later fields by name, so the new one left a hole and the process was aborted. It removes them by number now, as the test beside it does, and still counts them.

--- a/berylshift/tests/test_targets_knowledge.py
+++ b/berylshift/tests/test_targets_knowledge.py
@@ -300,9 +300,9 @@
         data = LoadCodec("key").encode(self.DIGEST, 1400)
         schema = Path(load_codec.__file__).with_name("load_digest.capnp").read_text()
         # That build knows neither the speeds nor the fields that came after them.
-        fields = r"  (speeds @16|handles @17|demand @18|replicas @19|blocks @20) :.*\n"
+        fields = r"  \w+ @(1[6-9]|2\d) :.*\n"
         former, count = re.subn(fields, "", schema)
-        self.assertEqual(count, 5)
+        self.assertEqual(count, 6)
         # A schema can't be loaded twice under one identifier.
         former = former.replace("@0xe4b86f20c7a91d35", "@0xe4b86f20c7a91d36")
         with tempfile.TemporaryDirectory() as directory:
