--- a/berylshift/soak/run.py
+++ b/berylshift/soak/run.py
@@ -93,7 +93,7 @@
                     for number in range(spec.callers):
                         world.start_caller(f"caller-{number}", callers)
                     for event in events:
-                        await trio.sleep(began + event.at - trio.current_time())
+                        await trio.sleep_until(began + event.at)
                         faults.start_soon(world.apply, event)
         watch.cancel_scope.cancel()
 
