Soak: draw the hosts' addresses apart from the seed

Two runs of one seed at a time used the same addresses, and their hosts and callers met: requests seemed to run twice. The addresses are drawn for each run; the schedule still depends on the seed alone.

--- a/berylshift/soak/run.py
+++ b/berylshift/soak/run.py
@@ -4,6 +4,7 @@
 import tempfile
 from collections import Counter
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
 import trio
@@ -14,8 +15,6 @@
 from berylshift.tools.processes import Programs
 
 MEBIBYTE = 1 << 20
-# Runs with different seeds may share a computer.
-FIRST_NETWORK, NETWORKS = 64, 128
 # Lines of a host's log that show a failure of its own.
 FAILURE_TEXTS = ("request handler failed", "connection failed", "Traceback")
 # Requests that are open as the run ends may still get their answer.
@@ -27,7 +26,7 @@
 
     seed: int
     seconds: float = 20.0
-    hosts: int = 3
+    hosts: Annotated[int, msgspec.Meta(ge=1, le=250)] = 3
     callers: int = 20
     log_dir: str = ""
 
@@ -55,7 +54,7 @@
     async with trio.open_nursery() as nursery:
         programs = Programs(directory, nursery)
         rng = random.Random(spec.seed)
-        network = f"127.{FIRST_NETWORK + spec.seed % NETWORKS}"
+        network = _draw_network(random.SystemRandom())
         world = SoakWorld(directory, programs, nursery, rng, spec.hosts, network)
         try:
             await world.start()
@@ -82,6 +81,11 @@
     )
 
 
+def _draw_network(rng: random.Random) -> str:
+    """Return three numbers of loopback addresses that no other run is likely to use."""
+    return f"127.{rng.randrange(64, 192)}.{rng.randrange(256)}"
+
+
 async def _load(spec: SoakSpec, world: SoakWorld, events: list[Event]) -> None:
     """Run callers and faults; return once both have ended."""
     began = trio.current_time()
--- a/berylshift/soak/world.py
+++ b/berylshift/soak/world.py
@@ -37,7 +37,6 @@
 # A host that was suspended answers late for a moment.
 THAW_SECONDS = 0.5
 MEMORY_MB = 256
-HOSTS_PER_NET = 200
 UPLOADERS = 20
 FAULTY_REQUESTS = 5
 SLOW_STORE_SECONDS = 0.8
@@ -108,7 +107,7 @@
     nursery: trio.Nursery
     rng: random.Random
     host_count: int
-    # The first two numbers of the hosts' addresses, which no other run uses.
+    # The first three numbers of the hosts' addresses, which no other run uses.
     network: str
     store: FaultyStore = field(default_factory=FaultyStore)
     store_address: str = ""
@@ -205,7 +204,7 @@
 
     async def _add_host(self, number: int) -> None:
         # Each host has a loopback address of its own, so that ports stay free.
-        ip = f"{self.network}.{number // HOSTS_PER_NET}.{number % HOSTS_PER_NET + 1}"
+        ip = f"{self.network}.{number + 1}"
         host = SoakHost(
             f"host-{number + 1}",
             f"{ip}:8080",
