Bound the memory of hosts with the native API as well

They buffer whole bodies before a request is handled, up to 4 MB for each of 2,048 connections. The same pools apply; a body without room is refused before it is read, and its outcome says so. The test fails before: such a server has no bound.

--- a/berylshift/application.py
+++ b/berylshift/application.py
@@ -10,6 +10,7 @@
 from berylshift.clock import Clock
 from berylshift.connection.http_client import Dial, dial_tcp
 from berylshift.connection.http_server import HttpServer, ServerLimits
+from berylshift.connection.request_memory import RequestMemory, request_bytes
 from berylshift.connection.target_dial import TargetDial
 from berylshift.host_paths import HostPaths, PathDependencies, PathTarget
 from berylshift.ids import DomainName, HostName, InstanceId
@@ -196,6 +197,7 @@
             self.handler.handle,
             _server_limits(cfg.callers),
             outcome_unhandled=outcome_unhandled,
+            memory=RequestMemory(request_bytes(cfg.host.memory_mb), ports.rng),
         )
         self._make_loops(addresses)
 
--- a/berylshift/tests/test_native_handler.py
+++ b/berylshift/tests/test_native_handler.py
@@ -79,6 +79,19 @@
         self.assertEqual(headers["content-type"], "application/problem+json")
         self.assertEqual(msgspec.json.decode(body)["type"], f"urn:berylshift:{kind}")
 
+    def test_body_without_room_is_refused_before_it_is_read(self):
+        """Guards against a host that is killed for the bodies that it holds."""
+
+        async def use(callers, world):
+            server = callers.app.server
+            pool = server.memory.large_bodies
+            pool.record_hold(60.0)
+            pool.take_now(int(pool.limit_bytes))
+            head = b"POST /v1/completions HTTP/1.1\r\nhost: h\r\ncontent-length: 100000"
+            return await _outcome_of(server, head + b"\r\n\r\n")
+
+        self.assertEqual(self.with_callers(use), "not-run")
+
     def test_full_response_with_outcome_and_request_id(self):
         prompt = make_prompt("f", "1", 200, 30)
 
