--- a/berylshift/soak/world.py
+++ b/berylshift/soak/world.py
@@ -41,6 +41,8 @@
 FAULTY_REQUESTS = 5
 SLOW_STORE_SECONDS = 0.8
 RATE_LIMIT = 8.0
+# How long work takes at replicas, as they state it, in percent of the usual time.
+FAST, SLOW = b",70", b",600"
 SETTINGS = """[host]
 name = {name}
 domain = domain-{domain}
@@ -129,7 +131,8 @@
         phases = {"prefill": 2, "decode": 3, "": 3}
         for phase, count in phases.items():
             for number in range(1, count + 1):
-                await self._start_replica(f"{phase or 'plain'}-{number}", phase)
+                suffix = FAST if number == 1 else SLOW
+                await self._start_replica(f"{phase or 'plain'}-{number}", phase, suffix)
         await self._put_routes()
         for number in range(self.host_count):
             await self._add_host(number)
@@ -138,7 +141,7 @@
                 while not await self._is_ready(host):
                     await trio.sleep(POLL_SECONDS)
 
-    async def _start_replica(self, name: str, phase: str) -> None:
+    async def _start_replica(self, name: str, phase: str, load_suffix: bytes) -> None:
         listener = open_listener("127.0.0.1:0")
         replica = EntryReplica(
             name, bound_address(listener), self.state, EnginePhase(phase)
@@ -151,6 +154,7 @@
                 handler_nursery=self.nursery,
             )
         )
+        replica.load_suffix = load_suffix
         self.replicas.append(replica)
         await self._list_replica(replica)
 
