--- a/berylshift/connection/target_client.py
+++ b/berylshift/connection/target_client.py
@@ -245,8 +245,9 @@
         head = await connection.read_head()
         response = TargetResponse(connection, out, head, on_head)
         if self._read_id is not None:
-            carried = frozenset(connection.carried)
-            self.late_responses += await response.identify(self._read_id, carried)
+            self.late_responses += await response.identify(
+                self._read_id, connection.carried
+            )
             connection.carried.add(out.id)
         return response
 
