--- a/berylshift/soak/checks.py
+++ b/berylshift/stand_ins/soak/checks.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from berylshift.soak.callers import Request
+from berylshift.stand_ins.soak.callers import Request
 
 STATUS_OK = 200
 # Statuses that tell a caller that its request has not run.
--- a/berylshift/soak/run.py
+++ b/berylshift/stand_ins/soak/run.py
@@ -9,9 +9,9 @@
 import msgspec
 import trio
 
-from berylshift.soak.checks import find_violations
-from berylshift.soak.schedule import Event, draw_schedule
-from berylshift.soak.world import MEMORY_MB, SoakWorld
+from berylshift.stand_ins.soak.checks import find_violations
+from berylshift.stand_ins.soak.schedule import Event, draw_schedule
+from berylshift.stand_ins.soak.world import MEMORY_MB, SoakWorld
 from berylshift.tools.processes import Programs
 
 MEBIBYTE = 1 << 20
--- a/berylshift/soak/world.py
+++ b/berylshift/stand_ins/soak/world.py
@@ -19,11 +19,11 @@
 from berylshift.connection.responder import Responder
 from berylshift.messages.replicas import EnginePhase
 from berylshift.platform import names
-from berylshift.soak.callers import SITE, UPLOAD_BYTES, Caller, Kind, Request
-from berylshift.soak.checks import EXIT_SLACK_SECONDS, Disturbance
-from berylshift.soak.schedule import Event, Fault
 from berylshift.stand_ins.entry_replica import EntryReplica, FleetState
 from berylshift.stand_ins.entry_replica import Fault as ReplicaFault
+from berylshift.stand_ins.soak.callers import SITE, UPLOAD_BYTES, Caller, Kind, Request
+from berylshift.stand_ins.soak.checks import EXIT_SLACK_SECONDS, Disturbance
+from berylshift.stand_ins.soak.schedule import Event, Fault
 from berylshift.stand_ins.store_server import StoreServer
 from berylshift.tools.processes import Programs
 
--- a/berylshift/tests/test_soak.py
+++ b/berylshift/tests/test_soak.py
@@ -4,10 +4,10 @@
 
 import trio
 
-from berylshift.soak.callers import Kind, Request, expected_body
-from berylshift.soak.checks import Disturbance, find_violations
-from berylshift.soak.run import SoakSpec, run_soak
-from berylshift.soak.schedule import draw_schedule
+from berylshift.stand_ins.soak.callers import Kind, Request, expected_body
+from berylshift.stand_ins.soak.checks import Disturbance, find_violations
+from berylshift.stand_ins.soak.run import SoakSpec, run_soak
+from berylshift.stand_ins.soak.schedule import draw_schedule
 
 RUN_SECONDS = 15.0
 
--- a/berylshift/tools/soak_command.py
+++ b/berylshift/tools/soak_command.py
@@ -5,7 +5,7 @@
 from cleo.commands.command import Command
 from cleo.helpers import option
 
-from berylshift.soak.run import SoakResult, SoakSpec, run_soak
+from berylshift.stand_ins.soak.run import SoakResult, SoakSpec, run_soak
 from berylshift.tools.session import Exit
 
 SHOWN_VIOLATIONS = 20
