Show why a request made no further attempt, and who broke a connection

Cause: the hypotheses of streams cut after a pause can't be told apart by logs: a stream that ends as silent or broken doesn't show whether the retry budget, the placement or the limit of attempts stopped it, nor whether this host or the replica ended the connection.

Change: stopped_by in "request ended", path-lost after broken, and the counter berylshift_requests_not_retried_total{service,reason}.

Conclusion: with these, silent and "no budget" or "no place" speak for the first hypothesis, path-lost for the second, neither for the third.

--- a/berylshift/connection/errors.py
+++ b/berylshift/connection/errors.py
@@ -17,6 +17,10 @@
     """The connection ended early: the peer may have received the whole request."""
 
 
+class PathLostError(ConnectionBrokenError):
+    """This host broke the connection, since its path to the peer is lost."""
+
+
 class BadResponseError(ConnectionLayerError):
     """The peer's response violates the protocol."""
 
--- a/berylshift/connection/http_client.py
+++ b/berylshift/connection/http_client.py
@@ -55,6 +55,8 @@
         self.idle_since = 0.0
         self.reusable_until = 0.0
         self.received_bytes = False
+        # Whether this host broke it, since its path to the peer is lost.
+        self.is_path_lost = False
         self.number = next(_numbers)
         self.exchanges = 0
         # Ids of the requests that it has carried; ``None``: calls without an id.
--- a/berylshift/connection/target_client.py
+++ b/berylshift/connection/target_client.py
@@ -17,6 +17,7 @@
 from berylshift.connection.errors import (
     ConnectFailedError,
     ConnectionBrokenError,
+    PathLostError,
 )
 from berylshift.connection.http_client import (
     ClientConnection,
@@ -185,6 +186,7 @@
         """
         for connection, out in self._awaited.open_at(address):
             if out.repeatable:
+                connection.is_path_lost = True
                 close_now(connection.stream)
 
     @asynccontextmanager
@@ -228,6 +230,10 @@
                 and response.may_reuse
                 and connection.is_reusable()
             )
+        except ConnectionBrokenError as exc:
+            if connection.is_path_lost:
+                raise PathLostError(f"path to {out.address} lost") from exc
+            raise
         finally:
             sending.cancel()
             if is_reusable and response is not None:
--- a/berylshift/request/relay.py
+++ b/berylshift/request/relay.py
@@ -133,6 +133,8 @@
         self._kv_source_uses = 0
         self._handles = HandleOffers(deps, service)
         self._prefills = 0
+        # Why no further attempt was made, for the log.
+        self.stop_reason: StopReason | None = None
         # The placement that a request was refused by, for the log.
         self.refused_placement: str | None = None
         self._started_at = deps.clock.monotonic()
@@ -272,6 +274,7 @@
         )
         if stop_reason is StopReason.DONE:
             return RelayOutcome.ANSWERED
+        self.stop_reason = stop_reason
         if stop_reason is StopReason.RETRY_BUDGET_SPENT:
             self.attempts.note(str(stop_reason))
         return self._final_outcome()
@@ -588,7 +591,8 @@
                 sent_at, self._history.has_open_attempt or outcome.may_have_run
             )
         refusal = self._settle_kv_source(outcome, instance, sent_at)
-        self.attempts.end(outcome, "" if refusal is None else f" {refusal}")
+        reason = self._exchange.break_reason if refusal is None else f" {refusal}"
+        self.attempts.end(outcome, reason)
         # Recording the health may wait for a connection probe. If the deadline passes
         # meanwhile, the attempt must still count as one that may have run.
         self._history.has_open_attempt = outcome.may_have_run
--- a/berylshift/request/replica_exchange.py
+++ b/berylshift/request/replica_exchange.py
@@ -8,6 +8,7 @@
 from berylshift.connection.errors import (
     ConnectFailedError,
     ConnectionLayerError,
+    PathLostError,
     ThrottledError,
 )
 from berylshift.connection.memory_pool import Hold
@@ -97,6 +98,8 @@
         self._out = out
         self._history = history
         self.failure: FailedResponse | None = None
+        # Why the last attempt broke, for the log; empty: the replica ended it.
+        self.break_reason = ""
         # When the last attempt was seen to start running, on the monotonic clock.
         self.run_started_at: float | None = None
         self._on_streaming: Callable[[], None] = _ignore
@@ -119,6 +122,7 @@
         self._history.has_open_attempt = True
         self._on_streaming = on_streaming
         self.run_started_at = None
+        self.break_reason = ""
         try:
             outcome = await self._exchange(out, prefill, on_connected)
         finally:
@@ -154,6 +158,9 @@
             now = self._deps.clock.monotonic()
             self._deps.suspects.record_not_reached(out.instance, now)
             return AttemptOutcome.NOT_REACHED
+        except PathLostError:
+            self.break_reason = " path-lost"
+            return AttemptOutcome.BROKEN
         except (ConnectionLayerError, StreamBrokenError):
             return AttemptOutcome.BROKEN
 
--- a/berylshift/request/routed_handler.py
+++ b/berylshift/request/routed_handler.py
@@ -31,6 +31,7 @@
 from berylshift.request.relay_result import RelayOutcome, RelayResult
 from berylshift.request.replica_exchange import FailedResponse
 from berylshift.request.request_timeout import TimeoutSource, request_timeout
+from berylshift.request.retry_loop import StopReason
 from berylshift.request.stream_binding import (
     CannotResumeError,
     Resumption,
@@ -62,6 +63,7 @@
     """A finished request, for metrics; ``timeout_source``: which limit ended it.
 
     ``attempt_outcomes``: how its attempts at replicas of ``service`` ended.
+    ``stop_reason``: why no further attempt was made, if it was not answered.
     """
 
     route: RouteName
@@ -72,6 +74,7 @@
     timeout_source: TimeoutSource | None = None
     customer: CustomerName | None = None
     resumptions: tuple[Resumption, ...] = ()
+    stop_reason: StopReason | None = None
 
 
 class RoutedHandler:
@@ -279,6 +282,7 @@
                     result.timeout_source,
                     req.customer,
                     tuple(relay.binding.resumptions),
+                    relay.stop_reason,
                 )
             )
 
@@ -391,6 +395,7 @@
                 "outcome": result.outcome,
                 "detail": result.detail,
                 "sends": relay.attempts.texts,
+                "stopped_by": relay.stop_reason,
                 "bound": result.timeout_source,
                 "stopping_for": _rounded(self._deps.shutdown.seconds_since_begin),
                 "ms": round(seconds * 1000, 1),
--- a/berylshift/telemetry.py
+++ b/berylshift/telemetry.py
@@ -64,6 +64,12 @@
             ["service", "by", "version"],
             registry=self.registry,
         )
+        self._not_retried = Counter(
+            "berylshift_requests_not_retried",
+            "Requests that ended unanswered, by why no further attempt was made.",
+            ["service", "reason"],
+            registry=self.registry,
+        )
         self._customers: set[str] = set()
         self._gauges: dict[str, Gauge] = {}
 
@@ -75,6 +81,8 @@
             self._attempts.labels(ended.service, outcome).inc()
         for resumed in ended.resumptions:
             self._resumptions.labels(ended.service, resumed.by, resumed.match).inc()
+        if ended.stop_reason is not None:
+            self._not_retried.labels(ended.service, ended.stop_reason).inc()
         if ended.timeout_source is not None:
             self._out_of_time.labels(ended.route, ended.timeout_source).inc()
         if ended.customer is not None:
--- a/berylshift/tests/test_request_attempt_log.py
+++ b/berylshift/tests/test_request_attempt_log.py
@@ -48,6 +48,15 @@
         self.assertIn(" open ", sends[0])
         self.assertEqual(self.value(telemetry, "open"), 1)
 
+    def test_reason_for_no_further_attempt_is_told(self):
+        """A request that may have run ends with the reset of its connection."""
+        _, telemetry = self.run_request(
+            lambda world: world.replicas["10.0.0.1:80"].faults.append(Fault.RESET)
+        )
+        name = "berylshift_requests_not_retried_total"
+        labels = {"service": "booking", "reason": "no more sends allowed"}
+        self.assertEqual(telemetry.registry.get_sample_value(name, labels), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
