Keep an overdue attempt open until another one answers

Callers saw: streams that may be resumed were closed amid their events, or ended with 502, 1.2 s after their engine's last event (before the first one: three times the objective), while the engine was sound and went on a moment later.

Cause: a silent attempt was closed first; only then were the retry budget, the placement, the throttles and the software version asked, and any of them could say no. Where all engines pause together all streams ask at once, and the budget is for a fifth of the requests. The class: an attempt is given up before its successor is certain.

Change: silence is no outcome any more, it makes an attempt overdue. Beside an overdue attempt a further one is made (HedgedAttempts), if the bounds, the retry budget and the placement allow, if it is predicted to answer while the caller waits, and at no replica that is silent itself (ReplicaSilence). The first attempt with a complete event, or a complete response, answers; it cancels the others before it writes (OpenAttempts), and a cancelled attempt writes no more, so no event comes twice or from two runs. Time that the caller takes to read is not overdue. A refusal's body is read for 0.25 s at most: its head tells all that is needed. Pauses beyond the limit are no sample of an engine's speed, as before.

--- a/berylshift/request/completion.py
+++ b/berylshift/request/completion.py
@@ -176,7 +176,7 @@
 
     async def _run_attempt(self, plan: Plan) -> AttemptRecord:
         """Make one attempt and return its record."""
-        self._history.has_open_attempt = True
+        self._history.begin_attempt()
         try:
             await self._prefill_and_generate(plan)
         except AttemptFailedError as exc:
@@ -187,9 +187,9 @@
                 # The attempt stays open during the probe: if the deadline passes
                 # meanwhile, it must count as one that may have run.
                 await self._on_connection_lost(exc.target)
-            self._history.has_open_attempt = False
+            self._history.end_attempt()
             return AttemptRecord(exc.target, exc.outcome)
-        self._history.has_open_attempt = False
+        self._history.end_attempt()
         name = plan.target.name
         self._crash_watch.on_completed(self._deps.crash_watches.instance_id(name))
         return AttemptRecord(name, AttemptOutcome.DONE)
--- /dev/null
+++ b/berylshift/request/hedged_attempts.py
@@ -0,0 +1,154 @@
+"""Retry loop that keeps overdue attempts open beside further ones."""
+
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import trio
+
+from berylshift.clock import Clock
+from berylshift.request.retry_loop import (
+    RetryBudgetInterface,
+    Sender,
+    StopReason,
+    stop_reason_after,
+)
+from berylshift.request.retry_policy import (
+    AttemptHistory,
+    AttemptOutcome,
+    AttemptRecord,
+    RetryBounds,
+    may_hedge,
+)
+
+# Pause until it is checked again whether an overdue attempt may be hedged.
+HEDGE_CHECK_SECONDS = 0.25
+
+SendAttempt = Callable[[], Awaitable[AttemptRecord | None]]
+
+
+class HedgingSender(Sender, Protocol):
+    """Makes attempts that may be open at the same time.
+
+    The first of them to answer ends the others itself. ``HedgedAttempts.on_due`` is to
+    be called when ``overdue_at`` becomes earlier.
+    """
+
+    def overdue_at(self) -> float:
+        """Return when all open attempts are overdue, in monotonic seconds."""
+
+    def choose_hedge(self) -> SendAttempt | None:
+        """Return an attempt to make beside the open ones; ``None``: none would help."""
+
+
+class HedgedAttempts:
+    """Makes attempts until one succeeds or no retry is allowed.
+
+    An overdue attempt may still answer, so it is not given up: a further attempt is
+    made beside it, if the bounds and the retry budget allow.
+    """
+
+    def __init__(
+        self,
+        sender: HedgingSender,
+        bounds: RetryBounds,
+        history: AttemptHistory,
+        budget: RetryBudgetInterface,
+        clock: Clock,
+    ):
+        """Make attempts by ``sender`` and add each to ``history``."""
+        self._sender = sender
+        self._bounds = bounds
+        self._history = history
+        self._budget = budget
+        self._clock = clock
+        self._open = 0
+        self._next_hedge_at = 0.0
+        self._events, self._received = trio.open_memory_channel[
+            AttemptRecord | Exception | None
+        ](float("inf"))
+        self._nursery: trio.Nursery | None = None
+        self._waits_until = float("inf")
+        self._waiting = trio.CancelScope()
+
+    async def run(self) -> StopReason:
+        """Return why no further attempt is made."""
+        self._budget.record_first_attempt(self._clock.monotonic())
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            self._start(self._sender.send)
+            found = await self._run_until_stopped()
+            if isinstance(found, Exception):
+                nursery.cancel_scope.cancel()
+        if isinstance(found, Exception):
+            raise found
+        return found
+
+    def _start(self, send: SendAttempt) -> None:
+        self._open += 1
+        self._nursery.start_soon(self._make_attempt, send)
+
+    async def _make_attempt(self, send: SendAttempt) -> None:
+        try:
+            found = await send()
+        except Exception as exc:
+            # Raised by the loop: a nursery would wrap it in a group.
+            found = exc
+        self._events.send_nowait(found)
+
+    async def _run_until_stopped(self) -> StopReason | Exception:
+        while True:
+            try:
+                found = await self._next_end()
+            except trio.TooSlowError:
+                self._hedge()
+                continue
+            self._open -= 1
+            if isinstance(found, Exception):
+                return found
+            if found is not None:
+                self._history.add(found)
+                if found.outcome is AttemptOutcome.DONE:
+                    return StopReason.DONE
+            if self._open:
+                continue
+            reason = self._stop_reason(found)
+            if reason is not None:
+                return reason
+            self._start(self._sender.send)
+
+    def _stop_reason(self, ended: AttemptRecord | None) -> StopReason | None:
+        if ended is None:
+            return StopReason.NO_PLACEMENT
+        return stop_reason_after(
+            ended, self._sender, self._bounds, self._history, self._budget, self._clock
+        )
+
+    async def _next_end(self) -> AttemptRecord | Exception | None:
+        """Return how an attempt ends; raise ``TooSlowError`` once all are overdue."""
+        while True:
+            self._waits_until = self._hedge_at()
+            seconds = max(0.0, self._waits_until - self._clock.monotonic())
+            with trio.move_on_after(seconds) as self._waiting:
+                return await self._received.receive()
+            if self._hedge_at() <= self._clock.monotonic():
+                raise trio.TooSlowError
+
+    def on_due(self, at: float) -> None:
+        """Notice that an open attempt will be overdue ``at`` a time."""
+        if at < self._waits_until:
+            self._waits_until = at
+            seconds = max(0.0, at - self._clock.monotonic())
+            self._waiting.deadline = trio.current_time() + seconds
+
+    def _hedge_at(self) -> float:
+        """Return when a further attempt is to be made beside the open ones."""
+        if not may_hedge(self._bounds, self._history, self._open):
+            return float("inf")
+        return max(self._next_hedge_at, self._sender.overdue_at())
+
+    def _hedge(self) -> None:
+        now = self._clock.monotonic()
+        self._next_hedge_at = now + HEDGE_CHECK_SECONDS
+        hedge = self._sender.choose_hedge()
+        if hedge is not None and self._budget.try_acquire(now):
+            self._start(hedge)
--- a/berylshift/request/relay.py
+++ b/berylshift/request/relay.py
@@ -17,7 +17,9 @@
 from berylshift.request.attempt_log import AttemptLog
 from berylshift.request.crash_watch import QuarantinedError
 from berylshift.request.handle_offers import HandleOffers
+from berylshift.request.hedged_attempts import HedgedAttempts, SendAttempt
 from berylshift.request.messages import Outcome
+from berylshift.request.open_attempts import OpenAttempts
 from berylshift.request.prefill_client import KvSource
 from berylshift.request.queue_turn import QueueTurn
 from berylshift.request.relay_dependencies import RelayDependencies
@@ -38,7 +40,7 @@
 from berylshift.request.replica_selector import ReplicaSelector
 from berylshift.request.request_timeout import TimeoutSource, request_timeout
 from berylshift.request.response_stream import ResponseStream
-from berylshift.request.retry_loop import StopReason, run_attempts
+from berylshift.request.retry_loop import StopReason
 from berylshift.request.retry_policy import (
     NEVER_SENT,
     AttemptHistory,
@@ -126,7 +128,8 @@
         self._turn = QueueTurn(deps, req, route, service)
         self._state = SchedulingState(self._turn)
         self.attempts = AttemptLog(deps.clock, self._state.describe)
-        self._exchange = ReplicaExchange(deps, req, route, self._out, self._history)
+        self._open = OpenAttempts(deps.clock)
+        self._exchanges: list[ReplicaExchange] = []
         self.crash_watch = RoutedCrashWatch(deps, req, service)
         self._choice = ReplicaSelector(deps, service, self.crash_watch, binding)
         self._kv_source: KvSource | None = None
@@ -228,7 +231,8 @@
 
     def release(self) -> None:
         """Release what was held for the response; the caller has it, or left."""
-        self._exchange.release()
+        for exchange in self._exchanges:
+            exchange.release()
 
     @property
     def first_ms(self) -> float | None:
@@ -255,7 +259,8 @@
     @property
     def failure(self) -> FailedResponse | None:
         """Return the last error response of a replica, if there was one."""
-        return self._exchange.failure
+        failures = (each.failure for each in reversed(self._exchanges))
+        return next((each for each in failures if each is not None), None)
 
     def _now(self) -> float:
         return self._deps.clock.monotonic()
@@ -265,13 +270,15 @@
         return str(last.outcome) if last is not None else "no replica"
 
     async def _run_attempts(self) -> RelayOutcome:
-        stop_reason = await run_attempts(
+        attempts = HedgedAttempts(
             self,
             retry_bounds(self._route),
             self._history,
             self._retry_budget,
             self._deps.clock,
         )
+        self._open.on_due = attempts.on_due
+        stop_reason = await attempts.run()
         if stop_reason is StopReason.DONE:
             return RelayOutcome.ANSWERED
         self.stop_reason = stop_reason
@@ -287,6 +294,49 @@
         """Return ``False``: the retry budget also holds for resumed streams."""
         return False
 
+    def overdue_at(self) -> float:
+        """Return when all open attempts are overdue, in monotonic seconds."""
+        return self._open.overdue_at()
+
+    def choose_hedge(self) -> SendAttempt | None:
+        """Return an attempt beside the overdue ones; ``None``: none would help.
+
+        Replicas that are silent themselves are left out: if all of them are, any of the
+        open attempts may be the first to answer.
+        """
+        try:
+            self._check_allowed()
+            placement = self._choose_hedge_placement()
+        except (QuarantinedError, KeyRevokedError):
+            return None
+        if placement is None or not self._answers_in_time(placement):
+            return None
+        return partial(self._send_attempt, placement, None)
+
+    def _choose_hedge_placement(self) -> Placement | None:
+        silent = self._deps.silence.silent(self._now())
+        if self._req.prompt is None:
+            return self._choice.choose_plain(self._out.started, silent)
+        return self._choice.choose_decode(
+            self._req.prompt,
+            None,
+            self._out.started,
+            self._route.event_gap_seconds,
+            silent,
+        )
+
+    def _answers_in_time(self, placement: Placement) -> bool:
+        """Return whether an attempt is predicted to answer while the caller waits.
+
+        A caller that is still there after its usual patience may wait longer.
+        """
+        patient_until = self._first_chunk_deadline
+        if self._out.started:
+            patience = self._route.caller_patience_seconds
+            patient_until = self._out.last_event_at + patience
+        now = self._now()
+        return now > patient_until or now + placement.seconds <= patient_until
+
     def _final_outcome(self) -> RelayOutcome:
         if self._out.started:
             return RelayOutcome.CUT
@@ -412,7 +462,7 @@
 
     async def _prefill_at(self, placement: Placement) -> AttemptOutcome:
         """Prefill at one engine; keep its KV cache for the decode engine."""
-        sent_at = self.attempts.begin(placement, is_prefill=True)
+        logged = self.attempts.begin(placement, is_prefill=True)
         found = await self._deps.prefill_client.prefill(
             placement,
             self._urgency,
@@ -423,16 +473,16 @@
                 response_seconds=MIN_OVERDUE_PREFILL_SECONDS
                 + OVERDUE_PREFILL_FACTOR * placement.seconds,
             ),
-            self._first_chunk_deadline - sent_at,
-            self.attempts.on_connected,
+            self._first_chunk_deadline - logged.sent_at,
+            logged.on_connected,
         )
         self._prefills += found.end not in NEVER_SENT
-        self.attempts.end(found.end)
+        self.attempts.end(logged, found.end)
         if found.source is None:
             await self._record_health(placement.target, found.end)
         else:
-            self.crash_watch.on_response(placement.target, sent_at)
-            self._record_prefill(placement, sent_at)
+            self.crash_watch.on_response(placement.target, logged.sent_at)
+            self._record_prefill(placement, logged.sent_at)
         self._kv_source, self._kv_source_uses = found.source, 0
         self._handles.on_prefilled()
         return found.end
@@ -563,10 +613,10 @@
         limit_exempt = self._choice.record_send(instance)
         loads.record_sent(instance, placement.tokens, self._urgency)
         prefill = PendingPrefill(loads, instance, placement.tokens, self._urgency)
-        sent_at = self.attempts.begin(placement)
-        self._out.on_first_event = partial(
-            self.binding.on_first_event, placement.target
-        )
+        logged = self.attempts.begin(placement)
+        sent_at = logged.sent_at
+        exchange = self._new_exchange(placement, source)
+        exchange.on_connected = logged.on_connected
         if placement.fetch is not None:
             self._deps.fetches.record_sent(placement.fetch, placement.target, sent_at)
         response_had_started = self._out.started
@@ -578,38 +628,46 @@
                 limit_exempt=limit_exempt,
                 fetch_from=placement.fetch_from,
             )
-            outcome = await self._exchange.run(
-                out,
-                prefill,
-                lambda: self._on_streaming(placement, source),
-                self.attempts.on_connected,
-            )
+            outcome = await self._open.run(exchange, out, prefill)
         finally:
             prefill.done()
             loads.record_ended(instance)
-            self._report_run(
-                sent_at, self._history.has_open_attempt or outcome.may_have_run
-            )
-        refusal = self._settle_kv_source(outcome, instance, sent_at)
-        reason = self._exchange.break_reason if refusal is None else f" {refusal}"
-        self.attempts.end(outcome, reason)
+            self._report_run(exchange, sent_at, outcome)
+        refusal = None
+        if source is not None:
+            refusal = self._settle_kv_source(outcome, instance, sent_at)
+        reason = exchange.break_reason if refusal is None else f" {refusal}"
+        self.attempts.end(logged, outcome, reason)
         # Recording the health may wait for a connection probe. If the deadline passes
         # meanwhile, the attempt must still count as one that may have run.
-        self._history.has_open_attempt = outcome.may_have_run
-        run_started_at = self._exchange.run_started_at
-        decoded = 0.0 if run_started_at is None else self._now() - run_started_at
-        await self._record_health(placement.target, outcome, decoded)
-        self._history.has_open_attempt = False
+        if outcome.may_have_run:
+            self._history.begin_attempt()
+        await self._record_health(placement.target, outcome, exchange.decoded_seconds)
+        if outcome.may_have_run:
+            self._history.end_attempt()
         if outcome is AttemptOutcome.DONE:
             self.crash_watch.on_response(placement.target, sent_at)
             self.crash_watch.on_completed(placement.target)
             self.binding.on_complete()
-        if outcome is AttemptOutcome.DONE and not response_had_started:
-            self._update_speeds(placement, source, sent_at)
+            if not (response_had_started or exchange.was_overdue):
+                self._update_speeds(placement, source, sent_at)
         return AttemptRecord(instance, outcome)
 
+    def _new_exchange(
+        self, placement: Placement, source: KvSource | None
+    ) -> ReplicaExchange:
+        exchange = ReplicaExchange(
+            self._deps, self._req, self._route, self._out, self._history
+        )
+        exchange.on_streaming = partial(self._on_streaming, placement, source)
+        self._exchanges.append(exchange)
+        return exchange
+
     def _on_streaming(self, placement: Placement, source: KvSource | None) -> None:
-        """Record what the first data of a stream tells of the engines."""
+        """Record what the first event of a replica tells of the engines."""
+        self._out.on_first_event = partial(
+            self.binding.on_first_event, placement.target
+        )
         if self._out.started:
             self.binding.on_resumed(placement.target, ResumedBy.HOST)
         elif self.binding.is_taken_up:
@@ -617,13 +675,16 @@
         if self._req.prompt is not None:
             self._handles.on_streaming(placement.target, self._req.prompt, source)
 
-    def _report_run(self, sent_at: float, may_have_run: bool) -> None:
+    def _report_run(
+        self, exchange: ReplicaExchange, sent_at: float, outcome: AttemptOutcome
+    ) -> None:
         """Report the customer of an attempt that started to run, for usage accounting.
 
         A run starts with an engine's first token. At a plain replica it starts when the
         request is sent, whatever the response.
         """
-        run_started_at = self._exchange.run_started_at
+        run_started_at = exchange.run_started_at
+        may_have_run = exchange.is_open or outcome.may_have_run
         if run_started_at is None and may_have_run and self._req.prompt is None:
             run_started_at = sent_at
         if run_started_at is not None:
@@ -714,6 +775,8 @@
                 loads.record_refusal(instance, now)
         elif outcome is AttemptOutcome.THROTTLED:
             logger.info("attempt throttled by replica", extra={"instance": instance})
+        elif outcome is AttemptOutcome.SUPERSEDED:
+            return
         elif not self._deps.is_path_lost(replica.address):
             loads.record_failure(instance, SEVERE_FAILURE, now)
             self._deps.client.forget(instance)
--- a/berylshift/request/relay_dependencies.py
+++ b/berylshift/request/relay_dependencies.py
@@ -19,6 +19,7 @@
 from berylshift.process.targets.host_demand import HostDemand
 from berylshift.process.targets.prefix_cache_index import PrefixCacheIndex
 from berylshift.process.targets.recent_durations import RecentDurations
+from berylshift.process.targets.replica_silence import ReplicaSilence
 from berylshift.process.targets.replica_speeds import ReplicaSpeeds
 from berylshift.process.targets.target_load import TargetLoads
 from berylshift.process.targets.throttle import Throttle
@@ -65,6 +66,7 @@
     fair_queueing: FairQueueing | None = None
     prefix_cache: PrefixCacheIndex = field(default_factory=PrefixCacheIndex)
     suspects: SuspectedGone = field(default_factory=SuspectedGone)
+    silence: ReplicaSilence = field(default_factory=ReplicaSilence)
     # ``None``: hosts do not tell each other at which versions streams began.
     origins: OriginLoop | None = None
     # Returns whether a route changed its services within some seconds.
--- a/berylshift/request/replica_exchange.py
+++ b/berylshift/request/replica_exchange.py
@@ -1,9 +1,10 @@
 """One exchange with a replica: sends the request and relays the response."""
 
-from collections.abc import Callable
-from contextlib import AsyncExitStack, aclosing
+from collections.abc import Awaitable, Callable
+from contextlib import aclosing
 
 import msgspec
+import trio
 
 from berylshift.connection.errors import (
     ConnectFailedError,
@@ -12,16 +13,20 @@
     ThrottledError,
 )
 from berylshift.connection.memory_pool import Hold
-from berylshift.connection.read_timeout import NEVER, ReadTimeout, ReadTimeoutError
 from berylshift.connection.target_request import ConnectionUse, TargetRequest
 from berylshift.connection.target_response import TargetResponse
 from berylshift.ids import InstanceId
 from berylshift.messages.load_digest import Urgency
 from berylshift.messages.routed import ResponseHead, RoutedRequest
 from berylshift.process.targets.target_load import TargetLoads
+from berylshift.request.event_splitter import (
+    EventSplitter,
+    EventTooLongError,
+    StreamEvent,
+)
 from berylshift.request.refusals import NOT_RUN_STATUSES
 from berylshift.request.relay_dependencies import RelayDependencies
-from berylshift.request.response_stream import ResponseStream, StreamBrokenError
+from berylshift.request.response_stream import ResponseStream
 from berylshift.request.retry_policy import AttemptHistory, AttemptOutcome
 from berylshift.version.routes import Route, RouteKind
 
@@ -30,21 +35,27 @@
 # The largest response that is buffered before it is forwarded.
 MAX_BUFFERED_BODY_BYTES = 8 << 20
 MAX_REFUSAL_BODY_BYTES = 65536
-# A repeatable request is retried at another replica if there is no response within this
-# multiple of its route's latency objective: three times its usual duration, and well
-# before its deadline.
+# How long the body of a refusal may take; its head tells all that is needed.
+REFUSAL_BODY_SECONDS = 0.25
+# A response is overdue after this multiple of its route's latency objective: three
+# times its usual duration, and well before its deadline.
 SILENCE_FACTOR = 1.5
 # Before its first event, a stream also waits for an engine slot and its prefill.
 STREAM_SILENCE_FACTOR = 3.0
 MIN_SILENCE_SECONDS = 0.05
-# A resumable stream is resumed at another replica after this long without an event. A
-# run that is merely preempted pauses for less: this is several times the longest pause
-# that still meets the objective.
+# A stream's next event is overdue after this long. A run that is merely preempted
+# pauses for less: this is several times the longest pause that still meets the
+# objective.
 MAX_EVENT_GAP_SECONDS = 1.2
+NEVER = float("inf")
+
 
+class StreamBrokenError(Exception):
+    """The replica's stream can't be forwarded any further."""
 
-def _ignore() -> None:
-    """Do nothing when a stream starts."""
+
+async def _begin_answer() -> None:
+    """Let the only attempt of a request answer."""
 
 
 def overdue_seconds(route: Route) -> float:
@@ -81,7 +92,7 @@
 
 
 class ReplicaExchange:
-    """Sends a request to one replica at a time and relays the response."""
+    """Sends a request to one replica and relays the response."""
 
     def __init__(
         self,
@@ -91,67 +102,100 @@
         out: ResponseStream,
         history: AttemptHistory,
     ):
-        """Relay to ``out``; ``history`` holds the earlier attempts."""
+        """Relay to ``out``; ``history`` holds the other attempts.
+
+        ``begin_answer`` is awaited before anything is written to ``out``;
+        ``on_streaming`` is called before the first event of a stream is,
+        ``on_connected`` once there is a connection, and ``on_due`` with each new
+        ``overdue_at``.
+        """
         self._deps = deps
         self._req = req
         self._route = route
         self._out = out
         self._history = history
+        self.begin_answer: Callable[[], Awaitable[None]] = _begin_answer
+        self.on_streaming: Callable[[], None] = lambda: None
+        self.on_connected: Callable[[ConnectionUse], None] = lambda use: None
+        self.on_due: Callable[[float], None] = lambda at: None
         self.failure: FailedResponse | None = None
-        # Why the last attempt broke, for the log; empty: the replica ended it.
+        # Why it broke, for the log; empty: the replica ended it.
         self.break_reason = ""
-        # When the last attempt was seen to start running, on the monotonic clock.
+        # When it was seen to start running, on the monotonic clock.
         self.run_started_at: float | None = None
-        self._on_streaming: Callable[[], None] = _ignore
-        # Memory of the responses that are buffered for the caller.
+        # When it is overdue, on the monotonic clock: the replica may still answer, but
+        # another one may be faster.
+        self.overdue_at = NEVER
+        # Whether an event came later than it was due.
+        self.was_overdue = False
+        # Whether it may run although its outcome is not known.
+        self.is_open = False
+        self._is_connected = False
+        # Memory of the response that is buffered for the caller.
         self._holds: list[Hold] = []
 
-    async def run(
-        self,
-        out: TargetRequest,
-        prefill: PendingPrefill,
-        on_streaming: Callable[[], None] = lambda: None,
-        on_connected: Callable[[ConnectionUse], None] = lambda use: None,
-    ) -> AttemptOutcome:
-        """Send ``out`` once and return the outcome.
+    async def run(self, out: TargetRequest, prefill: PendingPrefill) -> AttemptOutcome:
+        """Send ``out`` and return the outcome.
 
         A cancelled attempt stays open in the history, since the replica may run it.
-        ``on_streaming`` is called when the first data of a stream arrives.
-        ``on_connected`` is called once there is a connection.
         """
-        self._history.has_open_attempt = True
-        self._on_streaming = on_streaming
-        self.run_started_at = None
-        self.break_reason = ""
+        self._history.begin_attempt()
+        self.is_open = True
+        # While the request body is still arriving, the replica may be waiting for the
+        # caller.
+        if self._req.body.ended:
+            self._set_due(overdue_seconds(self._route))
+        silence = self._deps.silence
+        silence.begin(out.instance, self._now())
         try:
-            outcome = await self._exchange(out, prefill, on_connected)
+            outcome = await self._exchange(out, prefill)
         finally:
-            self._on_streaming = _ignore
-        self._history.has_open_attempt = False
+            silence.end(out.instance)
+        self._end()
         return outcome
 
+    def supersede(self, now: float) -> AttemptOutcome:
+        """End the attempt, which another one has cancelled, and return its outcome."""
+        self._end()
+        if not self._is_connected:
+            return AttemptOutcome.NOT_REACHED
+        if now >= self.overdue_at:
+            return AttemptOutcome.SILENT
+        return AttemptOutcome.SUPERSEDED
+
+    def _end(self) -> None:
+        self.is_open = False
+        self._history.end_attempt()
+
+    def _set_due(self, seconds: float) -> None:
+        self.overdue_at = self._now() + seconds
+        self.on_due(self.overdue_at)
+
+    def _now(self) -> float:
+        return self._deps.clock.monotonic()
+
+    def _on_connected(self, use: ConnectionUse) -> None:
+        self._is_connected = True
+        self.on_connected(use)
+
+    @property
+    def decoded_seconds(self) -> float:
+        """Return for how long it has been running; 0: not seen to start."""
+        started_at = self.run_started_at
+        return 0.0 if started_at is None else self._now() - started_at
+
     def release(self) -> None:
         """Release the memory of buffered responses: the caller has its response."""
         while self._holds:
             self._holds.pop().release()
 
     async def _exchange(
-        self,
-        out: TargetRequest,
-        prefill: PendingPrefill,
-        on_connected: Callable[[ConnectionUse], None],
+        self, out: TargetRequest, prefill: PendingPrefill
     ) -> AttemptOutcome:
-        limit = ReadTimeout(NEVER)
-        limit.restart(self._first_byte_timeout())
         try:
-            async with AsyncExitStack() as stack:
-                exchange = self._deps.client.exchange(out, on_connected)
-                answer = await limit.wait_for(stack.enter_async_context(exchange))
-                return await self._receive_response(
-                    out.instance, answer, limit, prefill
-                )
-        except ReadTimeoutError:
-            return AttemptOutcome.SILENT
+            async with self._deps.client.exchange(out, self._on_connected) as answer:
+                self._record_heard(out.instance)
+                return await self._receive_response(out.instance, answer, prefill)
         except ThrottledError:
             return AttemptOutcome.THROTTLED
         except ConnectFailedError:
@@ -164,25 +208,13 @@
         except (ConnectionLayerError, StreamBrokenError):
             return AttemptOutcome.BROKEN
 
-    def _first_byte_timeout(self) -> float:
-        """Return how long to wait for the response before retrying elsewhere.
-
-        While the request body is still arriving, the replica may be waiting for the
-        caller.
-        """
-        if not self._may_retry_elsewhere() or not self._req.body.ended:
-            return NEVER
-        return overdue_seconds(self._route)
-
-    def _may_retry_elsewhere(self) -> bool:
-        more = self._history.possible_runs + 1 < self._route.max_attempts
-        return self._route.repeatable and more
+    def _record_heard(self, instance: InstanceId) -> None:
+        self._deps.silence.record_heard(instance, self._now())
 
     async def _receive_response(
         self,
         instance: InstanceId,
         answer: TargetResponse,
-        limit: ReadTimeout,
         prefill: PendingPrefill,
     ) -> AttemptOutcome:
         if not answer.is_identified:
@@ -198,7 +230,7 @@
             self._deps.loads.record_report(instance, head.load, now)
             self._deps.replica_speeds.record_report(instance, head.load, now)
         if head.not_run:
-            await limit.wait_for(answer.read(MAX_REFUSAL_BODY_BYTES))
+            await self._skip_refusal_body(answer)
             return AttemptOutcome.NOT_RUN
         if not head.genuine:
             answer.may_reuse = False
@@ -208,15 +240,25 @@
             self._req.body.free_if_sent()
         is_stream = self._route.kind is RouteKind.STREAM
         if is_stream and head.status < MIN_ERROR_STATUS:
-            return await self._receive_stream(answer, head, limit, prefill)
-        return await self._receive_body(answer, head, limit)
+            return await self._receive_stream(instance, answer, head, prefill)
+        return await self._receive_body(answer, head)
+
+    async def _skip_refusal_body(self, answer: TargetResponse) -> None:
+        """Read the body of a refusal, whose connection is reusable if it is short."""
+        with trio.move_on_after(REFUSAL_BODY_SECONDS):
+            try:
+                await answer.read(MAX_REFUSAL_BODY_BYTES)
+                return
+            except ConnectionLayerError:
+                pass
+        answer.may_reuse = False
 
     async def _receive_body(
-        self, answer: TargetResponse, head: ResponseHead, limit: ReadTimeout
+        self, answer: TargetResponse, head: ResponseHead
     ) -> AttemptOutcome:
         hold = await self._deps.memory.hold_response(head.length)
         self._holds.append(hold)
-        body = await limit.wait_for(answer.read(MAX_BUFFERED_BODY_BYTES))
+        body = await answer.read(MAX_BUFFERED_BODY_BYTES)
         hold.resize(len(body))
         if head.status in NOT_RUN_STATUSES and not self._route.repeatable:
             # The replica does not state that the request was not run, but these
@@ -225,30 +267,56 @@
         if head.status >= MIN_SERVER_ERROR_STATUS or self._out.started:
             self.failure = FailedResponse(head, body)
             return AttemptOutcome.FAILED
+        await self.begin_answer()
         await self._out.send_full(head, body)
         return AttemptOutcome.DONE
 
     async def _receive_stream(
         self,
+        instance: InstanceId,
         answer: TargetResponse,
         head: ResponseHead,
-        limit: ReadTimeout,
         prefill: PendingPrefill,
     ) -> AttemptOutcome:
-        self._out.set_head(head)
-        events_before = self._out.events
+        splitter = EventSplitter()
+        has_events = False
         async with aclosing(answer.chunks()) as chunks:
-            while (data := await limit.wait_for(anext(chunks, None))) is not None:
+            async for data in chunks:
+                self._record_heard(instance)
                 if self.run_started_at is None:
-                    self.run_started_at = self._deps.clock.monotonic()
-                    self._on_streaming()
+                    self.run_started_at = self._now()
                 prefill.done()
-                await self._out.feed(data)
-                # The time that the caller took to read does not count as silence.
-                may_retry = self._may_retry_elsewhere()
-                limit.restart(MAX_EVENT_GAP_SECONDS if may_retry else NEVER)
-        if answer.ends_with_connection and self._out.events == events_before:
+                events = _split(splitter, data)
+                if events:
+                    await self._forward(head, events, is_first=not has_events)
+                    has_events = True
+        if splitter.buffered:
+            raise StreamBrokenError("the stream ended within an event")
+        if answer.ends_with_connection and not has_events:
             # A replica that ends before its first event closes its connections, too.
             raise StreamBrokenError("the stream ended without an event")
+        await self.begin_answer()
+        self._out.set_head(head)
         await self._out.close()
         return AttemptOutcome.DONE
+
+    async def _forward(
+        self, head: ResponseHead, events: list[StreamEvent], is_first: bool
+    ) -> None:
+        """Forward events; the time that the caller takes to read is not overdue."""
+        self.was_overdue = self.was_overdue or self._now() >= self.overdue_at
+        self.overdue_at = NEVER
+        await self.begin_answer()
+        if is_first:
+            self.on_streaming()
+            self._out.set_head(head)
+        await self._out.send_events(events)
+        self._set_due(MAX_EVENT_GAP_SECONDS)
+
+
+def _split(splitter: EventSplitter, data: bytes) -> list[StreamEvent]:
+    """Return the events that ``data`` completes."""
+    try:
+        return splitter.feed(data)
+    except EventTooLongError as exc:
+        raise StreamBrokenError("stream event exceeds the size limit") from exc
--- a/berylshift/request/replica_selector.py
+++ b/berylshift/request/replica_selector.py
@@ -1,5 +1,7 @@
 """The replicas that one request may still be sent to."""
 
+from collections.abc import Iterable
+
 from berylshift.ids import InstanceId, ServiceName
 from berylshift.messages.replicas import Replica
 from berylshift.messages.routed import Prompt
@@ -40,13 +42,15 @@
         """Return the replicas that take new work and may be sent the request."""
         return self._binding.narrow(self._deps.replicas.pool(self._service))
 
-    def choose_plain(self, response_started: bool) -> Placement | None:
-        """Return the placement of a request without a prompt.
+    def choose_plain(
+        self, response_started: bool, avoid: Iterable[InstanceId] = ()
+    ) -> Placement | None:
+        """Return the placement of a request without a prompt; not on ``avoid``.
 
         ``response_started`` says whether its caller has received part of the response.
         """
         return self._deps.placer.choose_plain(
-            self.pool(), self.excluded(response_started), self._now()
+            self.pool(), [*self.excluded(response_started), *avoid], self._now()
         )
 
     def choose_decode(
@@ -55,16 +59,18 @@
         prefill_engine: Replica | None,
         response_started: bool,
         event_gap_seconds: float = 0.0,
+        avoid: Iterable[InstanceId] = (),
     ) -> Placement | None:
         """Return the engine that should decode after ``prefill_engine``.
 
+        It is none of ``avoid``.
         ``event_gap_seconds`` is the longest acceptable gap between two events.
         """
         return self._deps.placer.choose_decode(
             self.pool(),
             prompt,
             prefill_engine,
-            self.excluded(response_started),
+            [*self.excluded(response_started), *avoid],
             self._now(),
             event_gap_seconds,
         )
--- a/berylshift/request/response_stream.py
+++ b/berylshift/request/response_stream.py
@@ -5,11 +5,7 @@
 from berylshift.clock import Clock
 from berylshift.connection.responder import Responder
 from berylshift.messages.routed import ResponseHead
-from berylshift.request.event_splitter import EventSplitter, EventTooLongError
-
-
-class StreamBrokenError(Exception):
-    """The replica's stream can't be forwarded any further."""
+from berylshift.request.event_splitter import StreamEvent
 
 
 class ResponseStream:
@@ -24,7 +20,6 @@
         self._responder = responder
         self._clock = clock
         self._head: ResponseHead | None = None
-        self._splitter = EventSplitter()
         # Called before the first event is forwarded.
         self.on_first_event: Callable[[], None] = lambda: None
         self.started = False
@@ -32,7 +27,7 @@
         self.first_event_at: float | None = None
         self.longest_pause_seconds = 0.0
         self.events = 0
-        self._last_event_at = 0.0
+        self.last_event_at = 0.0
 
     def limit_writes(self, until: float) -> None:
         """Let no write last beyond ``until`` on the event loop's clock."""
@@ -45,18 +40,11 @@
 
     def set_head(self, head: ResponseHead) -> None:
         """Set the head of a stream; a resumed stream keeps its first head."""
-        self._splitter = EventSplitter()
         if self._head is None or not self.started:
             self._head = head
 
-    async def feed(self, data: bytes) -> None:
-        """Forward the events that ``data`` completes."""
-        try:
-            events = self._splitter.feed(data)
-        except EventTooLongError as exc:
-            raise StreamBrokenError("stream event exceeds the size limit") from exc
-        if not events:
-            return
+    async def send_events(self, events: list[StreamEvent]) -> None:
+        """Forward one or more complete events."""
         self._record_event_time()
         if not self.started:
             self.on_first_event()
@@ -74,14 +62,12 @@
             self.first_event_at = now
         else:
             self.longest_pause_seconds = max(
-                self.longest_pause_seconds, now - self._last_event_at
+                self.longest_pause_seconds, now - self.last_event_at
             )
-        self._last_event_at = now
+        self.last_event_at = now
 
     async def close(self) -> None:
-        """End the stream; raise ``StreamBrokenError`` if it ends within an event."""
-        if self._splitter.buffered:
-            raise StreamBrokenError("the stream ended within an event")
+        """End the stream."""
         await self._start()
         await self._responder.end()
 
--- a/berylshift/request/retry_loop.py
+++ b/berylshift/request/retry_loop.py
@@ -67,14 +67,26 @@
         history.add(attempt)
         if attempt.outcome is AttemptOutcome.DONE:
             return StopReason.DONE
-        if not may_retry(bounds, history):
-            return StopReason.NOT_RETRYABLE
-        if sender.is_past_deadline():
-            return StopReason.DEADLINE_PASSED
-        if attempt.outcome in NEVER_SENT:
-            continue
-        if (
-            not budget.try_acquire(clock.monotonic())
-            and not sender.ignores_retry_budget()
-        ):
-            return StopReason.RETRY_BUDGET_SPENT
+        reason = stop_reason_after(attempt, sender, bounds, history, budget, clock)
+        if reason is not None:
+            return reason
+
+
+def stop_reason_after(
+    attempt: AttemptRecord,
+    sender: Sender,
+    bounds: RetryBounds,
+    history: AttemptHistory,
+    budget: RetryBudgetInterface,
+    clock: Clock,
+) -> StopReason | None:
+    """Return why no retry may follow ``attempt``; ``None``: its budget is acquired."""
+    if not may_retry(bounds, history):
+        return StopReason.NOT_RETRYABLE
+    if sender.is_past_deadline():
+        return StopReason.DEADLINE_PASSED
+    if attempt.outcome in NEVER_SENT:
+        return None
+    if not budget.try_acquire(clock.monotonic()) and not sender.ignores_retry_budget():
+        return StopReason.RETRY_BUDGET_SPENT
+    return None
--- a/berylshift/request/retry_policy.py
+++ b/berylshift/request/retry_policy.py
@@ -28,6 +28,8 @@
     SILENT = "silent"
     INVALID = "spoiled"
     FAILED = "failed"
+    # Another attempt answered first.
+    SUPERSEDED = "superseded"
 
     @property
     def may_have_run(self) -> bool:
@@ -72,9 +74,22 @@
     def __init__(self) -> None:
         """Start without attempts."""
         self.attempts: list[AttemptRecord] = []
-        self.has_open_attempt = False
+        self._open = 0
         self._may_have_run_before = False
 
+    def begin_attempt(self) -> None:
+        """Count an attempt that may run as open."""
+        self._open += 1
+
+    def end_attempt(self) -> None:
+        """Count an open attempt as ended."""
+        self._open -= 1
+
+    @property
+    def has_open_attempt(self) -> bool:
+        """Return whether an attempt is open, or was cancelled."""
+        return self._open > 0
+
     def add(self, attempt: AttemptRecord) -> None:
         """Add a finished attempt."""
         self.attempts.append(attempt)
@@ -130,3 +145,12 @@
     if not history.may_have_run:
         return True
     return bounds.repeatable and history.possible_runs < bounds.max_runs
+
+
+def may_hedge(bounds: RetryBounds, history: AttemptHistory, open_count: int) -> bool:
+    """Return whether a further attempt may be made beside ``open_count`` open ones."""
+    if not bounds.repeatable or not open_count:
+        return False
+    if len(history.attempts) + open_count >= bounds.max_attempts:
+        return False
+    return history.possible_runs + open_count < bounds.max_runs
--- a/berylshift/request/retryable_call.py
+++ b/berylshift/request/retryable_call.py
@@ -64,10 +64,10 @@
             return None
         number = len(self._history.attempts) + 1
         attempt = AttemptId(f"{self._call.request}.{number}")
-        self._history.has_open_attempt = True
+        self._history.begin_attempt()
         watch = self._crash_watch
         result = await self._sender.run(placed, self._call, attempt, watch)
-        self._history.has_open_attempt = False
+        self._history.end_attempt()
         self._response = result.answer
         return AttemptRecord(placed.target.name, result.outcome)
 
--- a/berylshift/stand_ins/entry_replica.py
+++ b/berylshift/stand_ins/entry_replica.py
@@ -202,6 +202,8 @@
         # If set, it rejects requests and asks hosts to send nothing for that long.
         self.retry_after: float | None = None
         self.backoffs: list[Backoff] = []
+        # It sends nothing until then, and goes on as if nothing had happened.
+        self.silent_until = float("-inf")
         # Whether its responses announce draining, and when each host first got that.
         self.announces_draining = False
         self.draining_sent_at: dict[str, float] = {}
@@ -569,12 +571,17 @@
         data = b"".join(self.conn.send(event) or b"" for event in events)
         if self.replica.sends_late_copies:
             self._late_copy = data
-        await self.stream.send_all(data)
+        await self._send_unless_silent(data)
 
     async def _send_event(self, event: h11.Event) -> None:
         data = self.conn.send(event)
         if data:
-            await self.stream.send_all(data)
+            await self._send_unless_silent(data)
+
+    async def _send_unless_silent(self, data: bytes) -> None:
+        while trio.current_time() < self.replica.silent_until:
+            await trio.sleep_until(self.replica.silent_until)
+        await self.stream.send_all(data)
 
     async def _next_event(self):
         while True:
