Hedge at once where a path is lost; no hedge by a host that was late itself

Callers saw: where a host loses its path to a replica, it broke all its connections there with repeatable requests, whether or not a retry was allowed; what was refused was cut although the path may come back. The same cause as that of overdue attempts: given up before a successor is certain.

Change: such a request is told and counts as overdue at once, so that a further attempt is made beside it where the bounds allow. Prefills are still broken: another host has reached the replica, and they may be repeated. A host whose timer fires 50 ms late (it was stopped, or its loop was busy) reads what has arrived before it makes further attempts. An error in a write to the caller that comes after the attempts were cancelled is raised as before: the log of a stop told given-up in place of cut.

Conclusion: an attempt ends by an answer, by its connection's end, or with its request; a lost path is evidence for a further attempt only.

--- a/berylshift/connection/target_client.py
+++ b/berylshift/connection/target_client.py
@@ -180,12 +180,15 @@
         self._dialer.suspect(out.instance, out.address)
 
     def break_silent(self, address: str) -> None:
-        """Break connections to a replica out of reach whose requests are repeatable.
+        """Tell requests that wait for a replica out of reach, or break them.
 
-        A response to any other request may still come once the path is back.
+        Only repeatable ones are broken: a response to any other request may still come
+        once the path is back.
         """
         for connection, out in self._awaited.open_at(address):
-            if out.repeatable:
+            if out.on_path_lost is not None:
+                out.on_path_lost()
+            elif out.repeatable:
                 connection.is_path_lost = True
                 close_now(connection.stream)
 
--- a/berylshift/connection/target_request.py
+++ b/berylshift/connection/target_request.py
@@ -1,5 +1,7 @@
 """A request to a replica."""
 
+from collections.abc import Callable
+
 import msgspec
 
 from berylshift.connection.request_body import RequestBody
@@ -26,6 +28,8 @@
 
     ``id``: the id that its response echoes; ``None``: it has none.
     ``limit_exempt``: it is not throttled by the instance's rate limit.
+    ``on_path_lost`` is called if this host can't reach the instance any more; without
+    it, the connection of a repeatable request is closed then.
     ``direct_only``: it must come from this host. ``repeatable``: it may be given up
     without a response. ``response_seconds``: when a response is overdue.
     """
@@ -38,6 +42,7 @@
     body: RequestBody = NO_BODY
     id: RequestId | None = None
     limit_exempt: bool = False
+    on_path_lost: Callable[[], None] | None = None
     direct_only: bool = False
     repeatable: bool = False
     response_seconds: float = float("inf")
--- a/berylshift/request/hedged_attempts.py
+++ b/berylshift/request/hedged_attempts.py
@@ -22,6 +22,9 @@
 
 # Pause until it is checked again whether an overdue attempt may be hedged.
 HEDGE_CHECK_SECONDS = 0.25
+# A timer that fires later than this shows that this process was stopped, or short of
+# processor time: responses may have arrived meanwhile that were not read yet.
+MAX_LAG_SECONDS = 0.05
 
 SendAttempt = Callable[[], Awaitable[AttemptRecord | None]]
 
@@ -63,9 +66,11 @@
         self._clock = clock
         self._open = 0
         self._next_hedge_at = 0.0
-        self._events, self._received = trio.open_memory_channel[
-            AttemptRecord | Exception | None
-        ](float("inf"))
+        self._ends, self._received = trio.open_memory_channel[AttemptRecord | None](
+            float("inf")
+        )
+        # The error of an attempt, which ends the request.
+        self._error: Exception | None = None
         self._nursery: trio.Nursery | None = None
         self._waits_until = float("inf")
         self._waiting = trio.CancelScope()
@@ -73,15 +78,16 @@
     async def run(self) -> StopReason:
         """Return why no further attempt is made."""
         self._budget.record_first_attempt(self._clock.monotonic())
-        async with trio.open_nursery() as nursery:
-            self._nursery = nursery
-            self._start(self._sender.send)
-            found = await self._run_until_stopped()
-            if isinstance(found, Exception):
-                nursery.cancel_scope.cancel()
-        if isinstance(found, Exception):
-            raise found
-        return found
+        try:
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                self._start(self._sender.send)
+                return await self._run_until_stopped()
+        finally:
+            # Raised here, since a nursery would wrap it in a group. A write to the
+            # caller may also fail after the loop was cancelled.
+            if self._error is not None:
+                raise self._error
 
     def _start(self, send: SendAttempt) -> None:
         self._open += 1
@@ -89,13 +95,12 @@
 
     async def _make_attempt(self, send: SendAttempt) -> None:
         try:
-            found = await send()
+            self._ends.send_nowait(await send())
         except Exception as exc:
-            # Raised by the loop: a nursery would wrap it in a group.
-            found = exc
-        self._events.send_nowait(found)
+            self._error = exc
+            self._nursery.cancel_scope.cancel()
 
-    async def _run_until_stopped(self) -> StopReason | Exception:
+    async def _run_until_stopped(self) -> StopReason:
         while True:
             try:
                 found = await self._next_end()
@@ -103,8 +108,6 @@
                 self._hedge()
                 continue
             self._open -= 1
-            if isinstance(found, Exception):
-                return found
             if found is not None:
                 self._history.add(found)
                 if found.outcome is AttemptOutcome.DONE:
@@ -123,14 +126,17 @@
             ended, self._sender, self._bounds, self._history, self._budget, self._clock
         )
 
-    async def _next_end(self) -> AttemptRecord | Exception | None:
+    async def _next_end(self) -> AttemptRecord | None:
         """Return how an attempt ends; raise ``TooSlowError`` once all are overdue."""
         while True:
             self._waits_until = self._hedge_at()
             seconds = max(0.0, self._waits_until - self._clock.monotonic())
             with trio.move_on_after(seconds) as self._waiting:
                 return await self._received.receive()
-            if self._hedge_at() <= self._clock.monotonic():
+            now = self._clock.monotonic()
+            if now > self._waits_until + MAX_LAG_SECONDS:
+                self._next_hedge_at = now + HEDGE_CHECK_SECONDS
+            if self._hedge_at() <= now:
                 raise trio.TooSlowError
 
     def on_due(self, at: float) -> None:
--- a/berylshift/request/prefill_client.py
+++ b/berylshift/request/prefill_client.py
@@ -10,6 +10,7 @@
 from berylshift.connection.errors import (
     ConnectFailedError,
     ConnectionLayerError,
+    PathLostError,
     ThrottledError,
 )
 from berylshift.connection.target_client import TargetClient
@@ -47,10 +48,14 @@
 
 
 class PrefillResult(msgspec.Struct, frozen=True):
-    """How a prefill ended; ``source`` is set if it succeeded."""
+    """How a prefill ended; ``source`` is set if it succeeded.
+
+    ``reason`` tells in the log why it broke.
+    """
 
     end: AttemptOutcome
     source: KvSource | None = None
+    reason: str = ""
 
 
 class PrefillClient:
@@ -106,6 +111,8 @@
         except ConnectFailedError:
             self._suspects.record_not_reached(instance, self._clock.monotonic())
             return PrefillResult(AttemptOutcome.NOT_REACHED)
+        except PathLostError:
+            return PrefillResult(AttemptOutcome.BROKEN, reason=" path-lost")
         except ConnectionLayerError:
             return PrefillResult(AttemptOutcome.BROKEN)
         finally:
--- a/berylshift/request/relay.py
+++ b/berylshift/request/relay.py
@@ -477,7 +477,7 @@
             logged.on_connected,
         )
         self._prefills += found.end not in NEVER_SENT
-        self.attempts.end(logged, found.end)
+        self.attempts.end(logged, found.end, found.reason)
         if found.source is None:
             await self._record_health(placement.target, found.end)
         else:
@@ -627,6 +627,7 @@
                 source,
                 limit_exempt=limit_exempt,
                 fetch_from=placement.fetch_from,
+                on_path_lost=exchange.on_path_lost,
             )
             outcome = await self._open.run(exchange, out, prefill)
         finally:
@@ -636,8 +637,7 @@
         refusal = None
         if source is not None:
             refusal = self._settle_kv_source(outcome, instance, sent_at)
-        reason = exchange.break_reason if refusal is None else f" {refusal}"
-        self.attempts.end(logged, outcome, reason)
+        self.attempts.end(logged, outcome, "" if refusal is None else f" {refusal}")
         # Recording the health may wait for a connection probe. If the deadline passes
         # meanwhile, the attempt must still count as one that may have run.
         if outcome.may_have_run:
@@ -791,6 +791,7 @@
         limit_exempt: bool = False,
         fetch_from: Replica | None = None,
         response_seconds: float | None = None,
+        on_path_lost: Callable[[], None] | None = None,
     ) -> TargetRequest:
         req = self._req
         after = req.resume_after
@@ -815,6 +816,7 @@
             req.body,
             id=req.id,
             limit_exempt=limit_exempt,
+            on_path_lost=on_path_lost,
             repeatable=prefill_only or self._route.repeatable,
             response_seconds=response_seconds or overdue_seconds(self._route),
         )
--- a/berylshift/request/replica_exchange.py
+++ b/berylshift/request/replica_exchange.py
@@ -9,7 +9,6 @@
 from berylshift.connection.errors import (
     ConnectFailedError,
     ConnectionLayerError,
-    PathLostError,
     ThrottledError,
 )
 from berylshift.connection.memory_pool import Hold
@@ -119,8 +118,6 @@
         self.on_connected: Callable[[ConnectionUse], None] = lambda use: None
         self.on_due: Callable[[float], None] = lambda at: None
         self.failure: FailedResponse | None = None
-        # Why it broke, for the log; empty: the replica ended it.
-        self.break_reason = ""
         # When it was seen to start running, on the monotonic clock.
         self.run_started_at: float | None = None
         # When it is overdue, on the monotonic clock: the replica may still answer, but
@@ -163,6 +160,10 @@
             return AttemptOutcome.SILENT
         return AttemptOutcome.SUPERSEDED
 
+    def on_path_lost(self) -> None:
+        """Count it as overdue, since this host can't reach the replica any more."""
+        self._set_due(0.0)
+
     def _end(self) -> None:
         self.is_open = False
         self._history.end_attempt()
@@ -202,9 +203,6 @@
             now = self._deps.clock.monotonic()
             self._deps.suspects.record_not_reached(out.instance, now)
             return AttemptOutcome.NOT_REACHED
-        except PathLostError:
-            self.break_reason = " path-lost"
-            return AttemptOutcome.BROKEN
         except (ConnectionLayerError, StreamBrokenError):
             return AttemptOutcome.BROKEN
 
--- a/berylshift/tests/test_entry_silent_replicas.py
+++ b/berylshift/tests/test_entry_silent_replicas.py
@@ -197,6 +197,26 @@
                 self.assertEqual(run_entry(task), (200, True, b""))
 
 
+class LateHostTest(unittest.TestCase):
+    """Guards against further attempts by a host that was stopped itself."""
+
+    def test_responses_that_have_arrived_are_read_first(self):
+        async def task(world):
+            link = world.connect()
+            headers = prompt_headers(EVENTS, 1000, 0)
+            await link.send("/brief/x", headers=headers, left_ms=4000)
+            await trio.sleep(SILENT_AT)
+            trio.lowlevel.current_clock().jump(1.4)
+            reply = await link.read()
+            return reply.body, reply.whole
+
+        with self.assertLogs("berylshift.request.routed_handler", "INFO") as logs:
+            found = run_entry(task, plain=0, engines="ddd")
+        self.assertEqual(found, (stream_body(1, EVENTS), True))
+        [ended] = [rec for rec in logs.records if rec.message == "request ended"]
+        self.assertEqual(len(ended.sends), 1)
+
+
 class SlowCallerTest(unittest.TestCase):
     """Guards against a further attempt for a caller that reads slowly."""
 
