Prove the safeguards of attempts beside overdue ones

Cause: the new design has safeguards that no proof takes out.

Change: six proofs, a test of an engine that would answer too late, and a count of the runs where the retry budget is spent.

Conclusion: each safeguard is guarded by a test.

--- a/berylshift/tests/test_entry_silent_replicas.py
+++ b/berylshift/tests/test_entry_silent_replicas.py
@@ -113,10 +113,13 @@
     def test_stream_waits_for_its_engine(self):
         async def task(world):
             world.hosts[0].retry_budget(ENGINES).set_limits(0.0, 10.0, 0.0)
-            return await run_streams(world, 6, {0: SILENCE_SECONDS})
+            replies = await run_streams(world, 6, {0: SILENCE_SECONDS})
+            return replies, len(runs_of(world))
 
-        for reply in run_entry(task, plain=0, engines="ddd"):
+        replies, runs = run_entry(task, plain=0, engines="ddd")
+        for reply in replies:
             self.assertEqual((reply.body, reply.whole), (stream_body(1, EVENTS), True))
+        self.assertEqual(runs, 6)
 
 
 class OneSilentTest(unittest.TestCase):
@@ -140,6 +143,23 @@
 
         self.assertEqual(run_entry(task, plain=0, engines="ddd"), 0)
 
+    def test_engine_that_would_answer_too_late_gets_no_attempt(self):
+        async def task(world):
+            link = world.connect()
+            headers = prompt_headers(EVENTS, 1000, 0)
+            await link.send("/brief/x", headers=headers, left_ms=4000)
+            await trio.sleep(SILENT_AT)
+            for engine in all_engines(world):
+                if engine.runs:
+                    engine.silent_until = trio.current_time() + 10.0
+                else:
+                    loads = world.hosts[0].loads
+                    loads.record_sent(engine.instance, 400_000, 0)
+            await trio.sleep(1.5)
+            return len(runs_of(world))
+
+        self.assertEqual(run_entry(task, plain=0, engines="dd"), 1)
+
     def test_caller_that_leaves_ends_both_attempts(self):
         async def task(world):
             link = world.connect()
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -57,6 +57,7 @@
 CONCLUSIONS = "test_entry_tunnels.ConclusionsTest"
 TUNNELS = "test_tunnels.TunnelTest"
 VERSIONS = "test_entry_stream_versions"
+SILENCE = "test_entry_silent_replicas"
 DIALER = "process/paths/replica_dialer.py"
 TUNNEL_SERVER = "connection/tunnel_server.py"
 BLOCKS = "process/quarantine/block_quarantine.py"
@@ -416,6 +417,49 @@
         "False",
         f"{RELAY}.RetryTest.test_retries_stay_within_the_budget_of_all_hosts",
     ),
+    Proof(
+        "an attempt beside an overdue one draws on the retry budget",
+        "request/hedged_attempts.py",
+        "hedge is not None and self._budget.try_acquire(now)",
+        "hedge is not None",
+        f"{SILENCE}.SpentBudgetTest",
+    ),
+    Proof(
+        "a host that was late itself reads what has arrived first",
+        "request/hedged_attempts.py",
+        "if now > self._waits_until + MAX_LAG_SECONDS:",
+        "if False:",
+        f"{SILENCE}.LateHostTest",
+    ),
+    Proof(
+        "silent replicas get no attempt beside an overdue one",
+        "request/relay.py",
+        "silent = self._deps.silence.silent(self._now())",
+        "silent = []",
+        f"{SILENCE}.AllSilentTest.test_started_streams",
+    ),
+    Proof(
+        "an attempt that would answer too late is not made",
+        "request/relay.py",
+        "if placement is None or not self._answers_in_time(placement):",
+        "if placement is None:",
+        f"{SILENCE}.OneSilentTest"
+        ".test_engine_that_would_answer_too_late_gets_no_attempt",
+    ),
+    Proof(
+        "the first attempt to answer ends the others",
+        "request/open_attempts.py",
+        "            if other is not exchange:\n                scope.cancel()\n",
+        "            pass\n",
+        f"{SILENCE}.TwoAnswersTest",
+    ),
+    Proof(
+        "time of a write to the caller is not overdue",
+        "request/replica_exchange.py",
+        "        self.overdue_at = NEVER\n        await self.begin_answer()",
+        "        await self.begin_answer()",
+        f"{SILENCE}.SlowCallerTest",
+    ),
     Proof(
         "a started response ignores the retry budget",
         "request/completion.py",
