--- a/berylshift/tests/test_entry_silent_replicas.py
+++ b/berylshift/tests/test_entry_silent_replicas.py
@@ -261,7 +261,7 @@
 
 
 class LostPathTest(unittest.TestCase):
-    """Guards against requests broken at a lost path though no other engine can serve."""
+    """Guards against prompts broken off at a lost path that none can take over."""
 
     def reply_after_loss(self, engines: str, **more) -> tuple[int, bool]:
         """Lose the paths of a prompt's host for a moment while it is prefilled."""
