Keep overdue attempts of native calls open until another one answers

Callers saw: a completion whose engine was silent for longer than first_token_timeout ended as "retries spent" or had to be read in again elsewhere, also where all engines paused and this one went on. A lookup that all replicas answered after service_timeout failed after five attempts. A confirmation was answered "unknown" after service_timeout although its caller waited and its service answered.

An attempt was given up, and its work cancelled at the engine, before the retry budget and the placement had allowed a successor; a confirmation has none at all.

Change: completions and lookups use HedgedAttempts and OpenAttempts. The timeouts make an attempt overdue; a further one is made beside it if the budget and the placement allow. Each batch of chunks is checked and then cancels the other attempts before it counts for the answer; a lookup's complete response does the same. A target is awaited until the caller's deadline (a response that has started: callers.longest_request), at least for its timeout. So is a confirmation's response; a shutdown bounds that wait to the time that is left after the result is recorded (last_responses). An attempt that is cancelled when it is overdue counts as a failure of its target, as its timeout did. CompletionAttempt holds what was one attempt's part of Completion.

Conclusion: on the native API too, an attempt ends by an answer, by its connection's end, or with its request.

--- a/berylshift/application.py
+++ b/berylshift/application.py
@@ -189,6 +189,7 @@
         )
         self.shutdown = Shutdown(clock)
         self.last_sends = Shutdown(clock)
+        self.last_responses = Shutdown(clock)
         self.gate = self._make_gate()
         self._nursery: trio.Nursery | None = None
         self.paths = self._make_paths()
@@ -304,6 +305,7 @@
             rng=ports.rng,
             shutdown=self.shutdown,
             last_sends=self.last_sends,
+            last_responses=self.last_responses,
         )
         self.services = ServiceCalls(services)
         deps = NativeHandlerDependencies(
@@ -479,6 +481,7 @@
         self.shutdown.begin(seconds)
         send_margin_seconds = self.cfg.targets.service_timeout + RECORD_TIMEOUT_SECONDS
         self.last_sends.begin(seconds - send_margin_seconds)
+        self.last_responses.begin(seconds - RECORD_TIMEOUT_SECONDS)
 
     async def _release_leases(self) -> None:
         """Release the leases before the wait for requests, which may be long."""
--- a/berylshift/request/assembly.py
+++ b/berylshift/request/assembly.py
@@ -1,5 +1,6 @@
 """Assembles one completion from the chunks of one or more attempts."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -40,19 +41,36 @@
         """Accept only chunks of ``attempt`` from here on."""
         self.attempt = attempt
 
+    def check(self, attempt: AttemptId, chunks: Iterable[EngineChunk]) -> ChunkStatus:
+        """Return the status after ``chunks``, if ``attempt`` goes on; add nothing."""
+        tokens = self.tokens
+        for chunk in chunks:
+            if chunk.attempt != attempt:
+                return ChunkStatus.OTHER_ATTEMPT
+            if chunk.texts:
+                if chunk.offset > tokens:
+                    return ChunkStatus.GAP
+                tokens = max(tokens, chunk.offset + len(chunk.texts))
+            if chunk.end is not None:
+                is_whole = chunk.end == tokens
+                return ChunkStatus.COMPLETE if is_whole else ChunkStatus.TRUNCATED
+        return ChunkStatus.INCOMPLETE
+
     def add(self, chunk: EngineChunk) -> ChunkStatus:
         """Add a chunk's new tokens and return the resulting status."""
-        if chunk.attempt != self.attempt:
-            return ChunkStatus.OTHER_ATTEMPT
-        if chunk.texts:
-            if chunk.offset > self.tokens:
-                return ChunkStatus.GAP
+        status = self.check(self.attempt, [chunk])
+        if status not in (ChunkStatus.OTHER_ATTEMPT, ChunkStatus.GAP):
             self.texts += chunk.texts[self.tokens - chunk.offset :]
-        if chunk.end is None:
-            return ChunkStatus.INCOMPLETE
-        return (
-            ChunkStatus.COMPLETE if chunk.end == self.tokens else ChunkStatus.TRUNCATED
-        )
+        return status
+
+    def add_all(self, chunks: Iterable[EngineChunk]) -> ChunkStatus:
+        """Add chunks that were checked, and return the resulting status."""
+        status = ChunkStatus.INCOMPLETE
+        for chunk in chunks:
+            status = self.add(chunk)
+            if status is ChunkStatus.COMPLETE:
+                break
+        return status
 
     def take_new_text(self) -> str:
         """Return the text that was not yet forwarded, and mark it as forwarded."""
--- a/berylshift/request/completion.py
+++ b/berylshift/request/completion.py
@@ -1,18 +1,15 @@
 """Runs a model call over one or more attempts."""
 
+from functools import partial
+
 import trio
 from returns.result import Failure, Result, Success
 
-from berylshift.ids import AttemptId, PoolName, TargetName
-from berylshift.process.engine_state.prefix_index import Prefixes, prefix_hashes
-from berylshift.request.assembly import ChunkStatus, ResponseAssembler
+from berylshift.ids import TargetName
+from berylshift.request.completion_attempt import CompletionAttempt, CompletionProgress
 from berylshift.request.crash_watch import QuarantinedError
-from berylshift.request.engine_attempt import (
-    AttemptFailedError,
-    Chunks,
-    CompletionDependencies,
-    EngineAttempt,
-)
+from berylshift.request.engine_attempt import CompletionDependencies
+from berylshift.request.hedged_attempts import HedgedAttempts, SendAttempt
 from berylshift.request.messages import (
     ModelCall,
     NativeResult,
@@ -20,7 +17,8 @@
     Reason,
     ResponseSink,
 )
-from berylshift.request.retry_loop import StopReason, run_attempts
+from berylshift.request.open_attempts import OpenAttempts
+from berylshift.request.retry_loop import StopReason
 from berylshift.request.retry_policy import (
     AttemptHistory,
     AttemptOutcome,
@@ -33,9 +31,7 @@
 )
 from berylshift.request.router import PlacementRefusal, Plan, WorkItem
 from berylshift.request.target_check import accepts_connections
-from berylshift.targets import EngineCall, KvSource
 from berylshift.utils import estimate_token_count
-from berylshift.version.rows import Row
 
 PLACEMENT_RETRY_SECONDS = 0.2
 
@@ -49,15 +45,16 @@
         """Run ``call`` and write its text to ``sink``."""
         self._deps = deps
         self._call = call
-        self._sink = sink
         self._history = AttemptHistory()
         self._refusal: PlacementRefusal | None = None
-        self._answer = ResponseAssembler()
-        self._prefixes: Prefixes = prefix_hashes(call.prompt)
+        self._progress = CompletionProgress(
+            call, sink, deps.clock.monotonic() + deps.max_duration_seconds
+        )
+        self._answer = self._progress.answer
         self._prompt_tokens = estimate_token_count(call.prompt)
         self._crash_watch = deps.crash_watches.for_completion(call)
-        self._attempt_count = 0
-        self._response_deadline = deps.clock.monotonic() + deps.max_duration_seconds
+        self._open = OpenAttempts(deps.clock)
+        self._open_attempts: list[CompletionAttempt] = []
 
     async def run(self) -> NativeResult:
         """Run the call; return how it ended, after all text was written to the sink."""
@@ -70,9 +67,11 @@
 
     async def _run(self) -> NativeResult:
         deps = self._deps
-        stop_reason = await run_attempts(
+        attempts = HedgedAttempts(
             self, RETRY_BOUNDS, self._history, deps.retry_budget, deps.clock
         )
+        self._open.on_due = attempts.on_due
+        stop_reason = await attempts.run()
         if stop_reason is StopReason.DONE:
             tokens = self._answer.tokens
             deps.lengths.learn(self._call.caller.customer, self._call.model, tokens)
@@ -86,35 +85,46 @@
                 return None
             match self._choose():
                 case Success(plan):
-                    self._deps.decisions.log_placement(
-                        self._call.request, "engine", plan
-                    )
                     return await self._run_attempt(plan)
                 case Failure(refusal):
                     if not await self._wait_for_placement(refusal):
                         return None
 
+    def overdue_at(self) -> float:
+        """Return when all open attempts are overdue, in monotonic seconds."""
+        return self._open.overdue_at()
+
+    def choose_hedge(self) -> SendAttempt | None:
+        """Return an attempt beside the overdue ones; ``None``: none is possible."""
+        if self.is_past_deadline() or self._quarantine() is not None:
+            return None
+        match self._choose():
+            case Success(plan):
+                return partial(self._run_attempt, plan)
+        return None
+
     def _is_allowed(self) -> bool:
         """Return whether the call is not quarantined; record the refusal if it is."""
+        refusal = self._quarantine()
+        if refusal is None:
+            return True
+        self._refusal = refusal
+        self._deps.decisions.log_refusal(self._call.request, "engine", refusal)
+        return False
+
+    def _quarantine(self) -> PlacementRefusal | None:
         try:
             self._crash_watch.check(response_started=self._answer.tokens > 0)
         except QuarantinedError as exc:
-            self._refusal = PlacementRefusal(Reason.QUARANTINED, exc.seconds)
-            self._deps.decisions.log_refusal(
-                self._call.request, "engine", self._refusal
-            )
-            return False
-        return True
+            return PlacementRefusal(Reason.QUARANTINED, exc.seconds)
+        return None
 
     def is_past_deadline(self) -> bool:
         """Return whether the call is past its deadline, or its maximum duration.
 
         The maximum duration applies once the response has started.
         """
-        response_started = self._answer.tokens > 0
-        return self._now() >= (
-            self._response_deadline if response_started else self._call.deadline
-        )
+        return self._now() >= self._progress.deadline
 
     def ignores_retry_budget(self) -> bool:
         """Return whether the response has started: a refusal would truncate it."""
@@ -143,20 +153,23 @@
             work=call.model,
             prompt_tokens=self._prompt_tokens + self._answer.tokens,
             output_tokens=max(1, expected - self._answer.tokens),
-            prefixes=self._prefixes,
+            prefixes=self._progress.prefixes,
             remaining_seconds=call.deadline - self._now(),
-            exclude=excluded_targets(self._history),
+            exclude=excluded_targets(self._history) | self._open_targets(),
             prefer=preferred_target(self._history),
             must_place=self._history.may_have_run,
         )
 
+    def _open_targets(self) -> set[TargetName]:
+        return {attempt.target for attempt in self._open_attempts}
+
     async def _wait_for_placement(self, refusal: PlacementRefusal) -> bool:
         """Wait for an engine if the response has started; else record the refusal.
 
         Return whether to try again.
         """
         self._refusal = refusal
-        if self._answer.tokens and self._now() < self._response_deadline:
+        if self._answer.tokens and self._now() < self._progress.response_deadline:
             self._history.clear_attempts()
             await trio.sleep(PLACEMENT_RETRY_SECONDS)
             return True
@@ -176,23 +189,29 @@
 
     async def _run_attempt(self, plan: Plan) -> AttemptRecord:
         """Make one attempt and return its record."""
+        self._deps.decisions.log_placement(self._call.request, "engine", plan)
+        attempt = CompletionAttempt(self._deps, self._progress, plan)
         self._history.begin_attempt()
-        try:
-            await self._prefill_and_generate(plan)
-        except AttemptFailedError as exc:
-            self._deps.decisions.log_failure(
-                self._call.request, exc.target, exc.outcome
-            )
-            if exc.outcome is AttemptOutcome.BROKEN:
-                # The attempt stays open during the probe: if the deadline passes
-                # meanwhile, it must count as one that may have run.
-                await self._on_connection_lost(exc.target)
-            self._history.end_attempt()
-            return AttemptRecord(exc.target, exc.outcome)
+        self._open_attempts.append(attempt)
+        outcome = await self._open.run(attempt)
+        self._open_attempts.remove(attempt)
+        await self._on_ended(attempt.target, outcome)
         self._history.end_attempt()
-        name = plan.target.name
-        self._crash_watch.on_completed(self._deps.crash_watches.instance_id(name))
-        return AttemptRecord(name, AttemptOutcome.DONE)
+        return AttemptRecord(attempt.target, outcome)
+
+    async def _on_ended(self, target: TargetName, outcome: AttemptOutcome) -> None:
+        """Log an attempt's end, and report it to the crash watch.
+
+        The attempt stays open meanwhile: if the deadline passes during a probe, it must
+        count as one that may have run.
+        """
+        if outcome is AttemptOutcome.DONE:
+            instance = self._deps.crash_watches.instance_id(target)
+            self._crash_watch.on_completed(instance)
+            return
+        self._deps.decisions.log_failure(self._call.request, target, outcome)
+        if outcome is AttemptOutcome.BROKEN:
+            await self._on_connection_lost(target)
 
     async def _on_connection_lost(self, target: TargetName) -> None:
         """Report a broken connection to the crash watch if the engine takes work."""
@@ -204,101 +223,3 @@
             self._deps.crash_watches.instance_id(target),
             lambda: accepts_connections(client, row.address),
         )
-
-    async def _prefill_and_generate(self, plan: Plan) -> None:
-        kv = None
-        if plan.prefill_on is not None:
-            kv = await self._prefill(plan.prefill_on, plan)
-            self._check_accepts_work(plan.target)
-        await self._generate(plan.target, plan, kv)
-
-    def _check_accepts_work(self, row: Row) -> None:
-        """Fail the attempt if the target started draining during the prefill."""
-        current = self._deps.table().targets.get(row.name)
-        is_leaving = current is None or not current.accepts_work
-        is_leaving = is_leaving or self._deps.context.plans.is_moving(row.name)
-        if is_leaving or not self._deps.may_route():
-            raise AttemptFailedError(row.name, AttemptOutcome.NOT_RUN)
-
-    async def _prefill(self, row: Row, plan: Plan) -> KvSource:
-        """Prefill the prompt at ``row``; return where its KV cache can be fetched."""
-        call = self._engine_call(prefill_only=True)
-        stream = EngineAttempt(self._deps, row, call, plan.prefill_tokens, self._call)
-        found: list[KvSource] = []
-
-        async def on_chunks(chunks: Chunks) -> bool:
-            for chunk in chunks:
-                if chunk.attempt != call.attempt:
-                    raise AttemptFailedError(row.name, AttemptOutcome.INVALID)
-                if chunk.kv is not None:
-                    found.append(chunk.kv)
-            return bool(found)
-
-        await stream.run(on_chunks)
-        self._deps.context.prefixes.record_sent(row.name, self._prefixes)
-        return found[0]
-
-    async def _generate(self, row: Row, plan: Plan, kv: KvSource | None) -> None:
-        call = self._engine_call(kv=kv)
-        prefill = 0 if kv else plan.prefill_tokens
-        stream = EngineAttempt(self._deps, row, call, prefill, self._call)
-        self._answer.begin_attempt(call.attempt)
-        start = self._now()
-        first_at: list[float] = []
-
-        async def on_chunks(chunks: Chunks) -> bool:
-            if not first_at:
-                first_at.append(self._now())
-                self._deps.context.prefixes.record_sent(row.name, self._prefixes)
-            status = self._add_chunks(row.name, chunks)
-            count = sum(len(chunk.texts) for chunk in chunks)
-            pool = PoolName(self._call.model)
-            self._deps.meter.decode(pool, count, self._now())
-            text = self._answer.take_new_text()
-            if text:
-                await self._sink.write_text(text)
-            return status is ChunkStatus.COMPLETE
-
-        before = self._answer.tokens
-        await stream.run(on_chunks)
-        self._update_cost_model(plan, start, first_at[0], self._answer.tokens - before)
-
-    def _add_chunks(self, target: TargetName, chunks: Chunks) -> ChunkStatus:
-        status = ChunkStatus.INCOMPLETE
-        for chunk in chunks:
-            status = self._answer.add(chunk)
-            if status in (ChunkStatus.OTHER_ATTEMPT, ChunkStatus.GAP):
-                raise AttemptFailedError(target, AttemptOutcome.INVALID)
-            if status is ChunkStatus.TRUNCATED:
-                raise AttemptFailedError(target, AttemptOutcome.BROKEN)
-        return status
-
-    def _engine_call(
-        self, prefill_only: bool = False, kv: KvSource | None = None
-    ) -> EngineCall:
-        self._attempt_count += 1
-        call = self._call
-        return EngineCall(
-            attempt=AttemptId(f"{call.request}.{self._attempt_count}"),
-            model=call.model,
-            prompt=call.prompt,
-            max_tokens=call.max_tokens,
-            resume_from=self._answer.tokens,
-            emitted=self._answer.full_text(),
-            priority=call.priority,
-            prefill_only=prefill_only,
-            kv=kv,
-        )
-
-    def _update_cost_model(
-        self, plan: Plan, start: float, first: float, tokens: int
-    ) -> None:
-        role = self._deps.context.load.role(plan.target.name)
-        cost = self._deps.context.cost
-        predicted = plan.prediction
-        if predicted.end <= 0:
-            return
-        cost.learn_first_token(role, predicted.first_token, first - start)
-        if tokens > 1 and plan.output_tokens > 1:
-            per_token = (predicted.end - predicted.first_token) / plan.output_tokens
-            cost.learn_decode(role, per_token, (self._now() - first) / tokens)
--- a/berylshift/request/engine_attempt.py
+++ b/berylshift/request/engine_attempt.py
@@ -82,6 +82,12 @@
         self._prefill_tokens = prefill_tokens
         self._model_call = model_call
         self._has_first_chunk = False
+        # When the engine has been silent for too long, on the monotonic clock: it may
+        # still go on, but another one may be faster.
+        self.overdue_at = NEVER
+        self.on_due: Callable[[float], None] = lambda at: None
+        # Until when to wait for a silent engine, even if it is overdue.
+        self.patient_until: Callable[[], float] = lambda: 0.0
 
     async def run(self, on_chunks: OnChunks) -> None:
         """Pass chunks to ``on_chunks`` until it returns ``True``: they are complete."""
@@ -100,7 +106,7 @@
             await self._record_failure(exc)
             raise
         except BaseException:
-            context.health.record_cancelled(name)
+            self._record_cancelled()
             await self._cancel()
             raise
         finally:
@@ -109,7 +115,16 @@
     def _now(self) -> float:
         return self._deps.clock.monotonic()
 
+    def _record_cancelled(self) -> None:
+        """Count a cancelled call as failed if the engine was silent for too long."""
+        health, name, now = self._deps.context.health, self._row.name, self._now()
+        if now >= self.overdue_at:
+            health.record_failure(name, now)
+        else:
+            health.record_cancelled(name)
+
     async def _record_failure(self, exc: AttemptFailedError) -> None:
+        self.overdue_at = NEVER
         self._deps.context.health.record_failure(self._row.name, self._now())
         if exc.outcome in (AttemptOutcome.SILENT, AttemptOutcome.INVALID):
             await self._cancel()
@@ -118,7 +133,7 @@
         cfg = self._deps.cfg
         name = self._row.name
         limit = ReadTimeout(NEVER)
-        limit.restart(cfg.first_token_timeout)
+        self._await_data(limit, cfg.first_token_timeout)
         call = self._deps.client.generate(self._row.address, self._call)
         try:
             async with AsyncExitStack() as stack:
@@ -137,13 +152,21 @@
     ) -> None:
         """Pass chunks to ``on_chunks``; ``limit`` bounds the wait for each batch."""
         while chunks := await limit.wait_for(anext(batches, None)):
+            # The time that the caller takes to read does not count as silence.
+            self.overdue_at = NEVER
             self._record_first_chunk()
             if await on_chunks(chunks):
                 return
-            # The time that the caller took to read does not count as silence.
-            limit.restart(self._deps.cfg.token_timeout)
+            self._await_data(limit, self._deps.cfg.token_timeout)
         raise TargetBrokenError("engine ended the stream before the last chunk")
 
+    def _await_data(self, limit: ReadTimeout, seconds: float) -> None:
+        """Count as overdue after ``seconds``, and give up if no one waits any more."""
+        now = self._now()
+        limit.restart(max(seconds, self.patient_until() - now))
+        self.overdue_at = now + seconds
+        self.on_due(self.overdue_at)
+
     def _record_first_chunk(self) -> None:
         if not self._has_first_chunk:
             self._has_first_chunk = True
--- a/berylshift/request/open_attempts.py
+++ b/berylshift/request/open_attempts.py
@@ -1,16 +1,33 @@
 """The attempts of one request that may still answer it."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from functools import partial
+from typing import Protocol
 
 import trio
 
 from berylshift.clock import Clock
-from berylshift.connection.target_request import TargetRequest
-from berylshift.request.replica_exchange import PendingPrefill, ReplicaExchange
 from berylshift.request.retry_policy import AttemptOutcome
 
 
+class OpenAttempt(Protocol):
+    """One attempt; ``overdue_at`` in monotonic seconds.
+
+    It awaits ``begin_answer`` before any of its response is used, and calls ``on_due``
+    whenever ``overdue_at`` is set.
+    """
+
+    overdue_at: float
+    begin_answer: Callable[[], Awaitable[None]]
+    on_due: Callable[[float], None]
+
+    async def run(self, *args: object) -> AttemptOutcome:
+        """Make the attempt and return its outcome."""
+
+    def supersede(self, now: float) -> AttemptOutcome:
+        """Return the outcome of the attempt, which another one has cancelled."""
+
+
 class OpenAttempts:
     """Open attempts; the first to answer cancels the others.
 
@@ -23,30 +40,28 @@
         self._clock = clock
         # Called with the time at which an attempt will be overdue, as it is set.
         self.on_due: Callable[[float], None] = lambda at: None
-        self._scopes: dict[ReplicaExchange, trio.CancelScope] = {}
+        self._scopes: dict[OpenAttempt, trio.CancelScope] = {}
 
-    async def run(
-        self, exchange: ReplicaExchange, out: TargetRequest, prefill: PendingPrefill
-    ) -> AttemptOutcome:
+    async def run(self, attempt: OpenAttempt, *args: object) -> AttemptOutcome:
         """Make an attempt and return its outcome, also if another one answers first."""
-        scope = self._scopes[exchange] = trio.CancelScope()
-        exchange.begin_answer = partial(self._begin_answer, exchange)
-        exchange.on_due = self.on_due
+        scope = self._scopes[attempt] = trio.CancelScope()
+        attempt.begin_answer = partial(self._begin_answer, attempt)
+        attempt.on_due = self.on_due
         try:
             with scope:
-                return await exchange.run(out, prefill)
-            return exchange.supersede(self._clock.monotonic())
+                return await attempt.run(*args)
+            return attempt.supersede(self._clock.monotonic())
         finally:
-            del self._scopes[exchange]
+            del self._scopes[attempt]
 
     def overdue_at(self) -> float:
         """Return when all of them are overdue, in monotonic seconds."""
         return max((each.overdue_at for each in self._scopes), default=float("inf"))
 
-    async def _begin_answer(self, exchange: ReplicaExchange) -> None:
+    async def _begin_answer(self, attempt: OpenAttempt) -> None:
         """Cancel the other attempts, unless one of them has cancelled this one."""
-        if self._scopes[exchange].cancel_called:
+        if self._scopes[attempt].cancel_called:
             await trio.sleep_forever()
         for other, scope in self._scopes.items():
-            if other is not exchange:
+            if other is not attempt:
                 scope.cancel()
--- a/berylshift/request/retryable_call.py
+++ b/berylshift/request/retryable_call.py
@@ -1,7 +1,11 @@
 """A call to a plain service that is retried on other replicas."""
 
+from functools import partial
+
 from berylshift.clock import Clock
-from berylshift.ids import AttemptId
+from berylshift.ids import AttemptId, TargetName
+from berylshift.request.hedged_attempts import HedgedAttempts, SendAttempt
+from berylshift.request.lookup_attempt import LookupAttempt
 from berylshift.request.messages import (
     NativeResult,
     Outcome,
@@ -9,9 +13,15 @@
     Reason,
     ServiceCallResult,
 )
-from berylshift.request.retry_loop import RetryBudgetInterface, StopReason, run_attempts
-from berylshift.request.retry_policy import AttemptHistory, AttemptRecord
+from berylshift.request.open_attempts import OpenAttempts
+from berylshift.request.retry_loop import RetryBudgetInterface, StopReason
+from berylshift.request.retry_policy import (
+    AttemptHistory,
+    AttemptOutcome,
+    AttemptRecord,
+)
 from berylshift.request.retry_targets import RETRY_BOUNDS, excluded_targets
+from berylshift.request.router import Plan
 from berylshift.request.service_sender import ServiceSender
 from berylshift.targets import ServiceResponse
 
@@ -33,12 +43,17 @@
         self._history = AttemptHistory()
         self._refusal: NativeResult | None = None
         self._response: ServiceResponse | None = None
+        self._open = OpenAttempts(self._clock)
+        self._open_targets: list[TargetName] = []
+        self._attempt_count = 0
 
     async def run(self) -> ServiceCallResult:
         """Run the call and return how it ended."""
-        end = await run_attempts(
+        attempts = HedgedAttempts(
             self, RETRY_BOUNDS, self._history, self._budget, self._clock
         )
+        self._open.on_due = attempts.on_due
+        end = await attempts.run()
         if self._response is not None:
             response = self._response
             result = NativeResult(Outcome.COMPLETE)
@@ -56,20 +71,48 @@
 
     async def send(self) -> AttemptRecord | None:
         """Make one attempt, on a replica that has not failed this call yet."""
-        placed = self._sender.quarantine_refusal(
-            self._crash_watch
-        ) or self._sender.place(self._call, excluded_targets(self._history))
+        placed = self._quarantine() or self._sender.place(self._call, self._excluded())
         if isinstance(placed, NativeResult):
             self._refusal = placed
             return None
-        number = len(self._history.attempts) + 1
-        attempt = AttemptId(f"{self._call.request}.{number}")
+        return await self._run_attempt(placed)
+
+    def overdue_at(self) -> float:
+        """Return when all open attempts are overdue, in monotonic seconds."""
+        return self._open.overdue_at()
+
+    def choose_hedge(self) -> SendAttempt | None:
+        """Return an attempt beside the overdue ones; ``None``: none is possible."""
+        if self.is_past_deadline() or self._quarantine() is not None:
+            return None
+        plan = self._sender.choose_hedge(self._call, self._excluded())
+        return None if plan is None else partial(self._run_hedge, plan)
+
+    def _quarantine(self) -> NativeResult | None:
+        return self._sender.quarantine_refusal(self._crash_watch)
+
+    def _excluded(self) -> frozenset[TargetName]:
+        return excluded_targets(self._history).union(self._open_targets)
+
+    async def _run_hedge(self, plan: Plan) -> AttemptRecord:
+        self._sender.decisions.log_placement(self._call.request, "replica", plan)
+        return await self._run_attempt(plan)
+
+    async def _run_attempt(self, plan: Plan) -> AttemptRecord:
+        """Make one attempt and return its record."""
+        name = plan.target.name
+        self._attempt_count += 1
+        attempt_id = AttemptId(f"{self._call.request}.{self._attempt_count}")
+        attempt = LookupAttempt(self._sender, self._call, plan, attempt_id)
         self._history.begin_attempt()
-        watch = self._crash_watch
-        result = await self._sender.run(placed, self._call, attempt, watch)
+        self._open_targets.append(name)
+        outcome = await self._open.run(attempt)
+        self._open_targets.remove(name)
+        await self._sender.report(plan, outcome, self._crash_watch)
         self._history.end_attempt()
-        self._response = result.answer
-        return AttemptRecord(placed.target.name, result.outcome)
+        if outcome is AttemptOutcome.DONE:
+            self._response = attempt.response
+        return AttemptRecord(name, outcome)
 
     def is_past_deadline(self) -> bool:
         """Return whether the caller's deadline has passed."""
--- a/berylshift/request/service_call.py
+++ b/berylshift/request/service_call.py
@@ -43,7 +43,8 @@
 class ServiceDependencies:
     """Dependencies of service calls.
 
-    ``last_sends`` bounds when confirmations may still be sent before a shutdown.
+    ``last_sends`` bounds when confirmations may still be sent before a shutdown, and
+    ``last_responses`` when their responses must have arrived.
     """
 
     clock: Clock
@@ -54,6 +55,7 @@
     rng: random.Random
     shutdown: Shutdown
     last_sends: Shutdown
+    last_responses: Shutdown
 
 
 class ServiceCalls:
@@ -234,7 +236,10 @@
             state.on_no_target(plan.reason)
             return
         tried.add(plan.target.name)
-        found = await sender.run(plan, call, state.attempt, watch)
+        limit = sender.response_limit(call)
+        with self._deps.last_responses.bounding(limit):
+            found = await sender.send(plan, call, state.attempt, limit)
+        await sender.report(plan, found.outcome, watch)
         sent = AttemptRecord(plan.target.name, found.outcome)
         state.on_attempt(sent, found.answer, self._deps.clock.monotonic())
 
--- a/berylshift/tests/test_shutdown.py
+++ b/berylshift/tests/test_shutdown.py
@@ -196,6 +196,29 @@
         self.assertIs(outcome, Outcome.COMPLETE)
         self.assertEqual((ran, rows), (1, [RowState.DONE]))
 
+    def test_confirmation_without_a_response_is_answered_before_the_end(self):
+        """Guards against a booking that is awaited until its host is gone.
+
+        Its caller waits for far longer than the shutdown may take.
+        """
+
+        async def task(world):
+            for service in world.services.values():
+                service.script.seconds = 1000.0
+            stop, found = HostShutdown(world), [None]
+
+            async def caller(ask):
+                with contextlib.suppress(HostDownError):
+                    call = plain_call("k", seconds=300.0)
+                    found.append((await call_service(stop.host, call)).result.outcome)
+
+            await stop.run(caller)
+            return found[-1], world.ran["k"], stop.rows()
+
+        outcome, ran, rows = run_world(task)
+        self.assertIs(outcome, Outcome.UNKNOWN)
+        self.assertEqual((ran, rows), (1, [RowState.UNKNOWN]))
+
     def booking(self, back: float):
         """Return a task with a booking; the store returns ``back`` s after SIGTERM.
 
