Remove the retry loop that gave up an attempt before the next one

Cause: routed requests, completions and lookups all use HedgedAttempts now; the former loop was left without a caller, and its tests guarded nothing that runs.

Change: run_attempts is gone; its tests run HedgedAttempts with an attempt that is never overdue, with the same outcomes and budgets.

Measured: test_request_retry_loop, test_request_hedged_attempts and test_layout pass (17 tests).

Conclusion: one loop for all APIs.

--- a/berylshift/request/retry_loop.py
+++ b/berylshift/request/retry_loop.py
@@ -1,4 +1,4 @@
-"""Retry loop shared by routed requests, completions and service calls."""
+"""Whether a retry may follow an attempt; for routed and native requests alike."""
 
 from enum import StrEnum
 from typing import Protocol
@@ -7,7 +7,6 @@
 from berylshift.request.retry_policy import (
     NEVER_SENT,
     AttemptHistory,
-    AttemptOutcome,
     AttemptRecord,
     RetryBounds,
     may_retry,
@@ -47,31 +46,6 @@
         """Spend budget for one retry; return ``False`` if none is left."""
 
 
-async def run_attempts(
-    sender: Sender,
-    bounds: RetryBounds,
-    history: AttemptHistory,
-    budget: RetryBudgetInterface,
-    clock: Clock,
-) -> StopReason:
-    """Make attempts until one succeeds or no retry is allowed; add each to ``history``.
-
-    An attempt that never reached a target costs no retry budget, since it caused no
-    load.
-    """
-    budget.record_first_attempt(clock.monotonic())
-    while True:
-        attempt = await sender.send()
-        if attempt is None:
-            return StopReason.NO_PLACEMENT
-        history.add(attempt)
-        if attempt.outcome is AttemptOutcome.DONE:
-            return StopReason.DONE
-        reason = stop_reason_after(attempt, sender, bounds, history, budget, clock)
-        if reason is not None:
-            return reason
-
-
 def stop_reason_after(
     attempt: AttemptRecord,
     sender: Sender,
--- a/berylshift/tests/test_request_retry_loop.py
+++ b/berylshift/tests/test_request_retry_loop.py
@@ -5,8 +5,9 @@
 import trio
 
 from berylshift.clock import ManualClock
+from berylshift.request.hedged_attempts import HedgedAttempts
 from berylshift.request.messages import Outcome
-from berylshift.request.retry_loop import StopReason, run_attempts
+from berylshift.request.retry_loop import StopReason
 from berylshift.request.retry_policy import (
     AttemptHistory,
     AttemptOutcome,
@@ -36,6 +37,9 @@
     def ignores_retry_budget(self) -> bool:
         return self.has_begun
 
+    def overdue_at(self) -> float:
+        return float("inf")
+
 
 class CountedBudget:
     """Allows a number of retries."""
@@ -61,7 +65,8 @@
 
     def run_loop(self, sender: ScriptedSender, bounds: RetryBounds) -> StopReason:
         clock = ManualClock()
-        return trio.run(run_attempts, sender, bounds, self.history, self.budget, clock)
+        loop = HedgedAttempts(sender, bounds, self.history, self.budget, clock)
+        return trio.run(loop.run)
 
     def test_a_request_is_counted_once(self):
         sender = ScriptedSender(AttemptOutcome.NOT_RUN, AttemptOutcome.DONE)
