Comments and blank lines are no events of a stream

Callers saw: a stream whose engine sent comments or blank lines without end was held until its deadline, though another engine could have gone on with it. Blank lines were forwarded as the stream's first events, and fixed its head.

Cause: the splitter took any text before a blank line for an event. Each one moved the time at which the next event is overdue, so no further attempt was made. It also searched and copied its whole buffer for each piece and for each event, so one event byte by byte, or one piece of blank lines, cost quadratic work on the event loop.

Change: comments and blank lines are held until an event follows, are sent with it, and count towards its limit of 1 MiB. Those after the last event are sent with the end of the stream, so that a whole stream is unchanged. An event may arrive in 16384 pieces at most. Only new bytes are searched. The proof of whole events looks for the new line.

Passing: test_request_event_splitter, test_request_streams, test_request_unframed_streams.

Conclusion: only an event with a field counts as progress of a stream.

--- a/berylshift/request/event_splitter.py
+++ b/berylshift/request/event_splitter.py
@@ -1,21 +1,32 @@
 """Splits a byte stream into complete server-sent events."""
 
+import re
+
 import msgspec
 
 # The largest incomplete event that is buffered.
 MAX_EVENT_BYTES = 1 << 20
+# Pieces in which one event may arrive: each costs time, however small it is.
+MAX_EVENT_PIECES = 16384
 ID_FIELD = b"id:"
+# The end of a line and a blank line; the first line may end with CR LF, too.
+EVENT_END = re.compile(rb"\n\r?\n")
+# A line that is neither blank nor a comment.
+FIELD_LINE = re.compile(rb"(?<![^\r\n])[^:\r\n]")
 
 
 class StreamEvent(msgspec.Struct, frozen=True):
-    """One complete event as sent, with its blank line, and its ``id`` if it has one."""
+    """One complete event as sent, with its blank line, and its ``id`` if it has one.
+
+    Comments and blank lines before an event are a part of its data.
+    """
 
     data: bytes
     id: bytes | None
 
 
 class EventTooLongError(Exception):
-    """An event exceeds ``MAX_EVENT_BYTES``."""
+    """An event exceeds ``MAX_EVENT_BYTES`` or ``MAX_EVENT_PIECES``."""
 
 
 class EventSplitter:
@@ -23,37 +34,61 @@
 
     A replica may fail in the middle of an event. A partial event that was forwarded
     could not be retracted, and the resumed stream would repeat or miss data.
+
+    Comments and blank lines are no events: they are held until an event follows, and
+    count towards its size.
     """
 
     def __init__(self) -> None:
         """Start with an empty buffer."""
-        self._buffered = b""
+        self._buffer = bytearray()
+        # Up to here the buffer has only complete comments and blank lines.
+        self._idle_end = 0
+        # Up to here the buffer was searched for the end of an event.
+        self._searched = 0
+        self._pieces = 0
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Return the events that ``data`` completes."""
-        self._buffered += data
+        self._buffer += data
+        self._pieces += 1
         found = []
-        while (end := _event_end(self._buffered)) > 0:
-            found.append(_parse_event(self._buffered[:end]))
-            self._buffered = self._buffered[end:]
-        if len(self._buffered) > MAX_EVENT_BYTES:
+        start = 0
+        while (end := self._next_end()) > 0:
+            if FIELD_LINE.search(self._buffer, self._idle_end, end):
+                found.append(_parse_event(bytes(self._buffer[start:end])))
+                start = end
+                self._pieces = 0
+            self._idle_end = self._searched = end
+        del self._buffer[:start]
+        self._idle_end -= start
+        self._searched -= start
+        if len(self._buffer) > MAX_EVENT_BYTES or self._pieces > MAX_EVENT_PIECES:
             raise EventTooLongError
         return found
 
+    def _next_end(self) -> int:
+        """Return the end offset of the next block, 0 if it is incomplete."""
+        # An end mark may have begun with the last two bytes that were searched.
+        begin = max(self._idle_end, self._searched - 2)
+        mark = EVENT_END.search(self._buffer, begin)
+        if mark is None:
+            self._searched = len(self._buffer)
+            return 0
+        return mark.end()
+
     @property
     def buffered(self) -> bytes:
         """Return the bytes of the incomplete event."""
-        return self._buffered
-
-
-def _event_end(data: bytes) -> int:
-    """Return the end offset of the first event, 0 if it is incomplete."""
-    ends = []
-    for mark in (b"\n\n", b"\r\n\r\n", b"\n\r\n"):
-        at = data.find(mark)
-        if at >= 0:
-            ends.append(at + len(mark))
-    return min(ends, default=0)
+        return bytes(self._buffer[self._idle_end :])
+
+    def take_idle(self) -> bytes:
+        """Return the comments and blank lines after the last event."""
+        idle = bytes(self._buffer[: self._idle_end])
+        del self._buffer[: self._idle_end]
+        self._searched -= self._idle_end
+        self._idle_end = 0
+        return idle
 
 
 def _parse_event(data: bytes) -> StreamEvent:
--- a/berylshift/request/replica_exchange.py
+++ b/berylshift/request/replica_exchange.py
@@ -295,7 +295,7 @@
             raise StreamBrokenError("the stream ended without an event")
         await self.begin_answer()
         self._out.set_head(head)
-        await self._out.close()
+        await self._out.close(splitter.take_idle())
         return AttemptOutcome.DONE
 
     async def _forward(
--- a/berylshift/request/response_stream.py
+++ b/berylshift/request/response_stream.py
@@ -66,9 +66,11 @@
             )
         self.last_event_at = now
 
-    async def close(self) -> None:
-        """End the stream."""
+    async def close(self, rest: bytes = b"") -> None:
+        """End the stream; ``rest`` are comments and blank lines after its events."""
         await self._start()
+        if rest:
+            await self._responder.send(rest)
         await self._responder.end()
 
     async def _start(self) -> None:
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -348,9 +348,9 @@
     Proof(
         "a stream is forwarded in whole events",
         "request/event_splitter.py",
-        "        while (end := _event_end(self._buffered)) > 0:\n",
-        "        while (end := _event_end(self._buffered) or len(self._buffered))"
-        " > 0:\n",
+        "        while (end := self._next_end()) > 0:\n",
+        "        while (end := self._next_end() or len(self._buffer))"
+        " > self._idle_end:\n",
         f"{STREAMS}.StreamTest",
     ),
     Proof(
