Bound responses of services, native engines and the store

Callers saw: nothing yet; a service, engine or store in trouble could fill a host's memory until the caller's deadline or the call's timeout.

Cause: HttpResponse.read and the store's client collected any number of bytes. The engine client copied its whole incomplete line for each piece.

A line of an engine's stream may arrive in 16384 pieces, and only new bytes are searched.

Conclusion: each response that is read as a whole now has a bound in bytes.

--- a/berylshift/connection/engine_client.py
+++ b/berylshift/connection/engine_client.py
@@ -1,7 +1,7 @@
 """HTTP client of model engines, which stream responses as JSON lines, one per chunk."""
 
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import aclosing, asynccontextmanager
 
 import msgspec
 import trio
@@ -34,6 +34,34 @@
 CALL_TIMEOUT_SECONDS = 2.0
 NEWLINE = b"\n"
 MAX_LINE_BYTES = 1 << 20
+# Pieces in which one line may arrive: each costs time, however small it is.
+MAX_LINE_PIECES = 16384
+# Maximum body size of a response to a call other than a generation.
+MAX_CALL_BYTES = 8 << 20
+
+
+class _LineSplitter:
+    """Buffers bytes and returns complete lines."""
+
+    def __init__(self) -> None:
+        self._partial = bytearray()
+        self._pieces = 0
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Return the lines that ``data`` completes; raise ``TargetBrokenError``."""
+        self._pieces += 1
+        first, *others = data.split(NEWLINE)
+        self._partial += first
+        lines = []
+        if others:
+            lines = [bytes(self._partial), *others[:-1]]
+            self._partial = bytearray(others[-1])
+            # Empty lines are no progress.
+            if any(lines):
+                self._pieces = 0
+        if len(self._partial) > MAX_LINE_BYTES or self._pieces > MAX_LINE_PIECES:
+            raise TargetBrokenError("response line is too long")
+        return lines
 
 
 class HttpEngineClient:
@@ -63,16 +91,14 @@
             raise TargetBrokenError(str(exc)) from exc
 
     async def _batches(self, resp: HttpResponse) -> AsyncIterator[list[EngineChunk]]:
-        partial = b""
+        splitter = _LineSplitter()
         try:
-            async for data in resp.chunks():
-                lines = (partial + data).split(NEWLINE)
-                partial = lines.pop()
-                if len(partial) > MAX_LINE_BYTES:
-                    raise TargetBrokenError("response line is too long")
-                chunks = [self._chunk_decoder.decode(line) for line in lines if line]
-                if chunks:
-                    yield chunks
+            async with aclosing(resp.chunks()) as pieces:
+                async for data in pieces:
+                    lines = splitter.feed(data)
+                    decode = self._chunk_decoder.decode
+                    if chunks := [decode(line) for line in lines if line]:
+                        yield chunks
         except msgspec.DecodeError as exc:
             raise TargetBrokenError(f"invalid response chunk: {exc}") from exc
         except ConnectionLayerError as exc:
@@ -128,7 +154,7 @@
             try:
                 async with self._client.request(req) as resp:
                     _check_status(resp)
-                    return await resp.read()
+                    return await resp.read(MAX_CALL_BYTES)
             except ConnectFailedError as exc:
                 raise TargetNotReachedError(str(exc)) from exc
             except ConnectionLayerError as exc:
--- a/berylshift/connection/service_client.py
+++ b/berylshift/connection/service_client.py
@@ -14,6 +14,8 @@
 ATTEMPT_HEADER = "berylshift-attempt"
 KEY_HEADER = "idempotency-key"
 REFUSED_HEADER = "berylshift-refused"
+# The largest response that is buffered before it is forwarded.
+MAX_RESPONSE_BYTES = 8 << 20
 DROPPED_HEADERS = frozenset(
     {"connection", "content-length", "date", "keep-alive", "transfer-encoding"}
 )
@@ -50,7 +52,7 @@
         )
         try:
             async with self._client.request(out) as resp:
-                data = await resp.read()
+                data = await resp.read(MAX_RESPONSE_BYTES)
         except ConnectFailedError as exc:
             raise TargetNotReachedError(str(exc)) from exc
         except ConnectionLayerError as exc:
--- a/berylshift/platform/leader_calls.py
+++ b/berylshift/platform/leader_calls.py
@@ -10,6 +10,7 @@
 from berylshift.messages.usage import UsageReport
 from berylshift.platform import names
 
+MAX_RESPONSE_BYTES = 65536
 RESULTS = {
     200: CallResult.DONE,
     202: CallResult.DONE,
@@ -69,7 +70,7 @@
         with trio.move_on_after(self._timeout_seconds):
             try:
                 async with self._client.request(out) as resp:
-                    await resp.read()
+                    await resp.read(MAX_RESPONSE_BYTES)
                     return RESULTS.get(resp.status, CallResult.UNKNOWN)
             except ConnectFailedError:
                 return CallResult.BUSY
--- a/berylshift/store/client.py
+++ b/berylshift/store/client.py
@@ -6,7 +6,12 @@
 import trio
 
 from berylshift.connection.errors import ConnectFailedError, ConnectionLayerError
-from berylshift.connection.http_client import HttpClient, Outgoing
+from berylshift.connection.http_client import (
+    MAX_BODY_BYTES,
+    BodyBuffer,
+    HttpClient,
+    Outgoing,
+)
 from berylshift.connection.read_timeout import NEVER, ReadTimeout, ReadTimeoutError
 from berylshift.store.interfaces import ResponseLostError, StoreUnavailableError
 
@@ -82,8 +87,8 @@
             request = self._client.request(out)
             resp = await limit.wait_for(stack.enter_async_context(request))
             chunks = await stack.enter_async_context(aclosing(resp.chunks()))
-            received = []
+            body = BodyBuffer(MAX_BODY_BYTES)
             while (chunk := await limit.wait_for(anext(chunks, None))) is not None:
-                received.append(chunk)
+                body.add(chunk)
                 limit.restart(self._timeout_seconds)
-            return StoreResponse(resp.status, b"".join(received), resp.headers)
+            return StoreResponse(resp.status, body.whole(), resp.headers)
