Let decode engines pause in the soak, under streams that may be resumed

Cause: no run with real processes showed streams that are cut after a pause of their engines; the soak had neither pauses nor a route that may be resumed.

Callers leave after 2 s without an event. A stream that its host ends with 502, or without its last event, while its caller's time is not over is a violation, as are missing or repeated events.

--- a/berylshift/stand_ins/soak/run.py
+++ b/berylshift/stand_ins/soak/run.py
@@ -9,8 +9,9 @@
 import msgspec
 import trio
 
-from berylshift.stand_ins.soak.checks import find_violations
-from berylshift.stand_ins.soak.schedule import Event, draw_schedule
+from berylshift.stand_ins.soak.callers import Kind
+from berylshift.stand_ins.soak.checks import find_violations, stream_outcome
+from berylshift.stand_ins.soak.schedule import Event, draw_schedule, draw_silences
 from berylshift.stand_ins.soak.world import MEMORY_MB, SoakWorld
 from berylshift.tools.processes import Programs
 
@@ -29,6 +30,8 @@
     hosts: Annotated[int, msgspec.Meta(ge=1, le=250)] = 3
     callers: int = 20
     log_dir: str = ""
+    # Whether decode engines pause, under streams that may be resumed.
+    silences: bool = False
 
 
 class SoakResult(msgspec.Struct, frozen=True):
@@ -40,6 +43,8 @@
     events: int
     peak_mb: float
     violations: list[str]
+    # Streams that may be resumed, by their end.
+    streams: dict[str, int]
 
 
 async def run_soak(spec: SoakSpec) -> SoakResult:
@@ -47,7 +52,14 @@
     with tempfile.TemporaryDirectory(prefix="berylshift-soak-") as name:
         directory = Path(spec.log_dir or name)
         directory.mkdir(parents=True, exist_ok=True)
-        return await _play(spec, directory, draw_schedule(spec.seed, spec.seconds))
+        return await _play(spec, directory, _draw_events(spec))
+
+
+def _draw_events(spec: SoakSpec) -> list[Event]:
+    events = draw_schedule(spec.seed, spec.seconds)
+    if spec.silences:
+        events += draw_silences(spec.seed, spec.seconds)
+    return sorted(events, key=lambda event: event.at)
 
 
 async def _play(spec: SoakSpec, directory: Path, events: list[Event]) -> SoakResult:
@@ -55,7 +67,15 @@
         programs = Programs(directory, nursery)
         rng = random.Random(spec.seed)
         network = _draw_network(random.SystemRandom())
-        world = SoakWorld(directory, programs, nursery, rng, spec.hosts, network)
+        world = SoakWorld(
+            directory,
+            programs,
+            nursery,
+            rng,
+            spec.hosts,
+            network,
+            spec.silences,
+        )
         try:
             await world.start()
             await _load(spec, world, events)
@@ -63,14 +83,20 @@
             world.client.close()
             await programs.stop_all()
         nursery.cancel_scope.cancel()
+    runs = Counter(world.runs())
     violations = world.violations + find_violations(
-        world.requests, world.runs(), world.disturbances
+        world.requests, runs, world.disturbances, world.silences
     )
     violations += _failures_in_logs(directory)
     peak_mb = max(host.peak_bytes for host in world.hosts) / MEBIBYTE
     if peak_mb > MEMORY_MB:
         violations.append(f"a host took {peak_mb:.0f} MiB")
     statuses = Counter(req.status for req in world.requests)
+    streams = Counter(
+        stream_outcome(req, runs[req.id], world.disturbances, world.silences)
+        for req in world.requests
+        if req.kind is Kind.BRIEF
+    )
     return SoakResult(
         spec.seed,
         len(world.requests),
@@ -78,6 +104,7 @@
         len(events),
         round(peak_mb),
         violations,
+        dict(streams),
     )
 
 
@@ -91,6 +118,7 @@
     began = trio.current_time()
     async with trio.open_nursery() as watch:
         watch.start_soon(world.watch_hosts)
+        watch.start_soon(world.watch_own_stalls)
         async with trio.open_nursery() as faults:
             with trio.move_on_after(spec.seconds):
                 async with trio.open_nursery() as callers:
--- a/berylshift/stand_ins/soak/schedule.py
+++ b/berylshift/stand_ins/soak/schedule.py
@@ -24,8 +24,12 @@
     SLOW_REPLICA = "slow-replica"
     DRAIN = "drain"
     UPLOADS = "uploads"
+    ALL_SILENT = "all-silent"
+    ONE_SILENT = "one-silent"
 
 
+# Drawn apart from the other faults.
+SILENCES = (Fault.ALL_SILENT, Fault.ONE_SILENT)
 HOST_FAULTS = (Fault.STOP, Fault.KILL, Fault.FREEZE, Fault.RELOAD)
 # Faults come in series with pauses from this range, and several series overlap.
 MIN_PAUSE_SECONDS = 0.2
@@ -34,6 +38,7 @@
 # No fault begins in the last part of a run, so that what was begun can end.
 QUIET_END_SECONDS = 4.0
 MAX_FAULT_SECONDS = 3.0
+ROUTES_BESIDE_SHARE = 0.5
 
 
 class Event(msgspec.Struct, frozen=True):
@@ -51,12 +56,28 @@
 def draw_schedule(seed: int, seconds: float) -> list[Event]:
     """Return the events of a run, in order."""
     rng = random.Random(seed)
+    kinds = [fault for fault in Fault if fault not in SILENCES]
     events = []
     for _ in range(SERIES):
-        faults = rng.sample(list(Fault), rng.randint(2, 5))
+        faults = rng.sample(kinds, rng.randint(2, 5))
         at = rng.uniform(0.5, 2 * MAX_PAUSE_SECONDS)
         while at < seconds - QUIET_END_SECONDS:
             number, lasts = rng.randrange(1 << 16), rng.uniform(0.1, MAX_FAULT_SECONDS)
             events.append(Event(at, rng.choice(faults), number, lasts))
             at += rng.uniform(MIN_PAUSE_SECONDS, MAX_PAUSE_SECONDS)
     return sorted(events, key=lambda event: event.at)
+
+
+def draw_silences(seed: int, seconds: float) -> list[Event]:
+    """Return silences of decode engines, many of them beside a change of routes."""
+    rng = random.Random(f"silences {seed}")
+    events = []
+    at = rng.uniform(1.0, MAX_PAUSE_SECONDS)
+    while at < seconds - QUIET_END_SECONDS:
+        fault, number = rng.choice(SILENCES), rng.randrange(1 << 16)
+        lasts = rng.uniform(1.0, 1.4 if fault is Fault.ALL_SILENT else 5.0)
+        events.append(Event(at, fault, number, lasts))
+        if rng.random() < ROUTES_BESIDE_SHARE:
+            events.append(Event(at + rng.uniform(-0.6, 0.6), Fault.ROUTES, 0, 0.0))
+        at += rng.uniform(1.0, 5.0)
+    return events
--- a/berylshift/stand_ins/soak/world.py
+++ b/berylshift/stand_ins/soak/world.py
@@ -21,8 +21,15 @@
 from berylshift.platform import names
 from berylshift.stand_ins.entry_replica import EntryReplica, FleetState
 from berylshift.stand_ins.entry_replica import Fault as ReplicaFault
-from berylshift.stand_ins.soak.callers import SITE, UPLOAD_BYTES, Caller, Kind, Request
-from berylshift.stand_ins.soak.checks import EXIT_SLACK_SECONDS, Disturbance
+from berylshift.stand_ins.soak.callers import (
+    SITE,
+    UPLOAD_BYTES,
+    USUAL_KINDS,
+    Caller,
+    Kind,
+    Request,
+)
+from berylshift.stand_ins.soak.checks import EXIT_SLACK_SECONDS, Disturbance, Silence
 from berylshift.stand_ins.soak.schedule import Event, Fault
 from berylshift.stand_ins.store_server import StoreServer
 from berylshift.tools.processes import Programs
@@ -31,6 +38,7 @@
 GRACE_SECONDS = 8.0
 READY_SECONDS = 20.0
 POLL_SECONDS = 0.1
+STALL_SECONDS = 0.25
 RESTART_SECONDS = 0.3
 # The balancer stops using a host some time after it is no longer ready.
 BALANCER_SECONDS = 2.0
@@ -58,7 +66,7 @@
 ready_path = /ready
 metrics_address = {metrics}
 grace = {grace}
-retry_burst = 60
+retry_burst = {retry_burst}
 reading_share = 0
 [scheduling]
 handle_tracking = on
@@ -111,6 +119,7 @@
     host_count: int
     # The first three numbers of the hosts' addresses, which no other run uses.
     network: str
+    has_silences: bool = False
     store: FaultyStore = field(default_factory=FaultyStore)
     store_address: str = ""
     state: FleetState = field(default_factory=FleetState)
@@ -118,6 +127,7 @@
     hosts: list[SoakHost] = field(default_factory=list)
     requests: list[Request] = field(default_factory=list)
     disturbances: list[Disturbance] = field(default_factory=list)
+    silences: list[Silence] = field(default_factory=list)
     violations: list[str] = field(default_factory=list)
     version: int = 1
     client: HttpClient = field(default_factory=HttpClient)
@@ -180,6 +190,7 @@
             Kind.NOTE: ("streaming", "writer", 1),
             Kind.LOOKUP: ("idempotent", "desk", 2),
             Kind.BOOKING: ("non_idempotent", "desk", 1),
+            Kind.BRIEF: ("streaming", "writer", 2),
         }
         routes = [
             {
@@ -191,7 +202,8 @@
                 "target_latency_ms": 500,
                 "service": service,
                 "max_attempts": max_attempts,
-                "session_affinity": kind is Kind.NOTE,
+                "session_affinity": service == "writer",
+                "resumable": kind is Kind.BRIEF,
             }
             for kind, (route_kind, service, max_attempts) in kinds.items()
         ]
@@ -226,6 +238,8 @@
             metrics=host.metrics,
             grace=int(GRACE_SECONDS),
             memory_mb=MEMORY_MB,
+            # Streams that pause together ask for more retries than that.
+            retry_burst=10 if self.has_silences else 60,
         )
         host.path.write_text(text, encoding="utf-8")
         self.hosts.append(host)
@@ -259,7 +273,8 @@
 
     def start_caller(self, name: str, nursery: trio.Nursery, **more: int) -> None:
         """Start a caller that runs until cancelled."""
-        caller = Caller(name, self.rng, self._choose_host, self.requests)
+        kinds = tuple(Kind) if self.has_silences else USUAL_KINDS
+        caller = Caller(name, self.rng, self._choose_host, self.requests, kinds)
         nursery.start_soon(partial(caller.run, **more))
 
     async def watch_hosts(self) -> None:
@@ -274,6 +289,15 @@
                     host.in_service = await self._is_ready(host)
             await trio.sleep(1.0)
 
+    async def watch_own_stalls(self) -> None:
+        """Record when this process, with all callers and replicas, did nothing."""
+        while True:
+            begin = trio.current_time()
+            await trio.sleep(POLL_SECONDS)
+            end = trio.current_time()
+            if end - begin > POLL_SECONDS + STALL_SECONDS:
+                self.silences.append(Silence(begin, end, is_stall=True))
+
     # Faults
 
     async def apply(self, event: Event) -> None:
@@ -283,7 +307,10 @@
             if not host.is_restarting and not host.is_frozen:
                 await self._host_faults()[event.fault](host, event.seconds)
             return
-        replica = self.replicas[event.number % len(self.replicas)]
+        replicas = self.replicas
+        if event.fault is Fault.ONE_SILENT:
+            replicas = self._decode_replicas()
+        replica = replicas[event.number % len(replicas)]
         await self._other_faults()[event.fault](replica, event.seconds)
 
     def _host_faults(self) -> dict[Fault, Callable]:
@@ -307,6 +334,8 @@
             Fault.ERRORS: partial(self._add_faults, ReplicaFault.ERROR),
             Fault.DRAIN: self._drain,
             Fault.UPLOADS: self._upload,
+            Fault.ALL_SILENT: self._silence_all,
+            Fault.ONE_SILENT: self._silence,
         }
 
     async def _stop(self, host: SoakHost, seconds: float) -> None:
@@ -394,6 +423,18 @@
             await trio.sleep(POLL_SECONDS)
         await self._list_replica(replica)
 
+    def _decode_replicas(self) -> list[EntryReplica]:
+        return [rep for rep in self.replicas if rep.phase is EnginePhase.DECODE]
+
+    async def _silence_all(self, replica: EntryReplica, seconds: float) -> None:
+        for found in self._decode_replicas():
+            await self._silence(found, seconds)
+
+    async def _silence(self, replica: EntryReplica, seconds: float) -> None:
+        now = trio.current_time()
+        self.silences.append(Silence(now, now + seconds))
+        replica.silent_until = max(replica.silent_until, now + seconds)
+
     async def _upload(self, replica: EntryReplica, seconds: float) -> None:
         """Let further callers upload documents."""
         burst = len(self.requests)
--- a/berylshift/tests/test_soak.py
+++ b/berylshift/tests/test_soak.py
@@ -1,13 +1,14 @@
-"""Tests of the soak's checks, and two short runs with fixed seeds."""
+"""Tests of the soak's checks, and three short runs with fixed seeds."""
 
 import unittest
+from collections import Counter
 
 import trio
 
 from berylshift.stand_ins.soak.callers import Kind, Request, expected_body
-from berylshift.stand_ins.soak.checks import Disturbance, find_violations
+from berylshift.stand_ins.soak.checks import Disturbance, Silence, find_violations
 from berylshift.stand_ins.soak.run import SoakSpec, run_soak
-from berylshift.stand_ins.soak.schedule import draw_schedule
+from berylshift.stand_ins.soak.schedule import draw_schedule, draw_silences
 
 RUN_SECONDS = 15.0
 
@@ -22,7 +23,7 @@
     """What counts as a broken promise."""
 
     def check(self, req: Request, runs: int, *disturbances: Disturbance) -> int:
-        return len(find_violations([req], ["r1"] * runs, disturbances))
+        return len(find_violations([req], Counter({"r1": runs}), disturbances))
 
     def test_complete_answers_are_right(self):
         self.assertEqual(self.check(request(), 1), 0)
@@ -46,10 +47,39 @@
         self.assertEqual(self.check(lost, 1, Disturbance(0, 2.5, 3.0)), 1)
         self.assertEqual(self.check(lost, 1, Disturbance(1, 1.5, 1.6)), 1)
 
+    def test_streams_that_are_cut_are_found(self):
+        """Guards against streams that a host ends before their time is over."""
+        self.assertEqual(self.check(request(Kind.BRIEF), 2), 0)
+        self.assertEqual(self.check(request(Kind.BRIEF, 0), 1), 1)
+        self.assertEqual(self.check(request(Kind.BRIEF, 502), 0), 1)
+        self.assertEqual(self.check(request(Kind.BRIEF, 0, has_left=True), 1), 0)
+        self.assertEqual(self.check(request(Kind.BRIEF, 0, is_wrong=True), 0), 1)
+        lost = request(Kind.BRIEF, 0)
+        self.assertEqual(self.check(lost, 1, Disturbance(0, 1.5, 1.6)), 0)
+
+    def test_streams_are_late_only_beside_silences(self):
+        """Guards against a stream without pauses that takes its caller's whole time."""
+        for kind in (Kind.NOTE, Kind.BRIEF):
+            late = request(kind, 0, ended_at=6.0)
+            self.assertEqual(self.check(late, 1), 1)
+            for silence, count in ((Silence(5.0, 6.0), 0), (Silence(6.5, 7.0), 1)):
+                found = find_violations([late], Counter(r1=1), [], [silence])
+                self.assertEqual(len(found), count)
+            held = request(kind, 0, ended_at=7.5)
+            for is_stall, count in ((False, 1), (True, 0)):
+                silence = Silence(5.0, 6.0, is_stall)
+                found = find_violations([held], Counter(r1=1), [], [silence])
+                self.assertEqual(len(found), count)
+            cut = request(kind, 0, ended_at=5.5)
+            found = find_violations([cut], Counter(r1=1), [], [Silence(5.0, 6.0)])
+            self.assertEqual(len(found), 1)
+
     def test_a_seed_gives_one_schedule(self):
         """Guards against a failing seed that can't be played again."""
         self.assertEqual(draw_schedule(5, 20.0), draw_schedule(5, 20.0))
         self.assertNotEqual(draw_schedule(5, 20.0), draw_schedule(6, 20.0))
+        self.assertEqual(draw_silences(5, 20.0), draw_silences(5, 20.0))
+        self.assertNotEqual(draw_silences(5, 20.0), draw_silences(6, 20.0))
 
 
 class SoakTest(unittest.TestCase):
@@ -62,6 +92,12 @@
                 self.assertEqual(result.violations, [])
                 self.assertGreater(result.statuses[200], 100)
 
+    def test_silences(self):
+        """Guards against streams that are cut because their engines pause."""
+        result = trio.run(run_soak, SoakSpec(301, RUN_SECONDS, silences=True))
+        self.assertEqual(result.violations, [])
+        self.assertGreater(result.statuses[200], 100)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/berylshift/tools/soak_command.py
+++ b/berylshift/tools/soak_command.py
@@ -22,6 +22,7 @@
         option("seconds", None, "Length of a run.", flag=False, default="20"),
         option("hosts", None, "Host processes.", flag=False, default="3"),
         option("callers", None, "Callers.", flag=False, default="20"),
+        option("silences", None, "Let decode engines pause."),
         option("logs", None, "Keep the hosts' logs here.", flag=False, default=""),
     ]
 
@@ -29,7 +30,7 @@
         """Play the runs; exit with an error if one broke a promise."""
         try:
             count = int(self.option("seeds"))
-            names = ("seed", "seconds", "hosts", "callers")
+            names = ("seed", "seconds", "hosts", "callers", "silences")
             values = {name: self.option(name) for name in names}
             spec = msgspec.convert(values, SoakSpec, strict=False)
         except (ValueError, msgspec.ValidationError) as exc:
@@ -55,11 +56,15 @@
             f" {result.events} faults, {result.peak_mb:.0f} MiB at most,"
             f" {len(result.violations)} violations"
         )
+        if result.streams:
+            ends = sorted(result.streams.items())
+            self.line("  streams: " + " ".join(f"{end}:{n}" for end, n in ends))
         if not result.violations:
             return
         for line in result.violations[:SHOWN_VIOLATIONS]:
             self.line(f"  {line}")
+        silences = " --silences" if spec.silences else ""
         self.line(
             f"  again: berylshift soak --seed {spec.seed} --seconds {spec.seconds:g}"
-            f" --hosts {spec.hosts} --callers {spec.callers}"
+            f" --hosts {spec.hosts} --callers {spec.callers}{silences}"
         )
