--- a/berylshift/stand_ins/soak/schedule.py
+++ b/berylshift/stand_ins/soak/schedule.py
@@ -38,6 +38,12 @@
 # No fault begins in the last part of a run, so that what was begun can end.
 QUIET_END_SECONDS = 4.0
 MAX_FAULT_SECONDS = 3.0
+# All engines pause for about as long as an event may take before it is overdue.
+ALL_SILENT_SECONDS = (1.0, 1.4)
+ONE_SILENT_SECONDS = (1.0, 5.0)
+SILENCE_PAUSE_SECONDS = (1.0, 5.0)
+# A change of routes comes up to this long before or after a silence.
+ROUTES_APART_SECONDS = 0.6
 ROUTES_BESIDE_SHARE = 0.5
 
 
@@ -75,9 +81,11 @@
     at = rng.uniform(1.0, MAX_PAUSE_SECONDS)
     while at < seconds - QUIET_END_SECONDS:
         fault, number = rng.choice(SILENCES), rng.randrange(1 << 16)
-        lasts = rng.uniform(1.0, 1.4 if fault is Fault.ALL_SILENT else 5.0)
+        is_all = fault is Fault.ALL_SILENT
+        lasts = rng.uniform(*(ALL_SILENT_SECONDS if is_all else ONE_SILENT_SECONDS))
         events.append(Event(at, fault, number, lasts))
         if rng.random() < ROUTES_BESIDE_SHARE:
-            events.append(Event(at + rng.uniform(-0.6, 0.6), Fault.ROUTES, 0, 0.0))
-        at += rng.uniform(1.0, 5.0)
+            apart = rng.uniform(-ROUTES_APART_SECONDS, ROUTES_APART_SECONDS)
+            events.append(Event(at + apart, Fault.ROUTES, 0, 0.0))
+        at += rng.uniform(*SILENCE_PAUSE_SECONDS)
     return events
