Try an attempt that may be in time; log why none was made

Cause: predictions of a first event are often too long (0.34 to 0.93 s in a soak run whose engines answer in 0.1 s), and an attempt beside an overdue one was not made if its prediction was longer than the caller would wait. Nothing in the log told why.

Change: half the predicted time has to fit. no_hedge in "request ended" tells no budget, no place or too late. An attempt that was superseded before it had a connection is logged as connecting, not as not-reached.

Tests pass (test_entry_silent_replicas, test_request_attempt_log, test_native_silent_targets, 31 tests).

--- a/berylshift/request/relay.py
+++ b/berylshift/request/relay.py
@@ -14,7 +14,7 @@
 from berylshift.messages.replicas import Replica
 from berylshift.messages.routed import Dispatch, Prompt, RoutedRequest
 from berylshift.process.targets.target_load import MILD_FAILURE, SEVERE_FAILURE
-from berylshift.request.attempt_log import AttemptLog
+from berylshift.request.attempt_log import CONNECTING, AttemptLog
 from berylshift.request.crash_watch import QuarantinedError
 from berylshift.request.handle_offers import HandleOffers
 from berylshift.request.hedged_attempts import HedgedAttempts, SendAttempt
@@ -70,6 +70,9 @@
 # A prefill is overdue after this multiple of its predicted time, and this long beyond.
 OVERDUE_PREFILL_FACTOR = 3.0
 MIN_OVERDUE_PREFILL_SECONDS = 0.3
+# Predictions may be too long by half; only an attempt that would be late even so is not
+# made beside an overdue one.
+PREDICTED_FRACTION = 0.5
 # Decode engines that are offered one KV cache. An engine that refuses may be full or
 # unable to fetch the cache; a second refusal means that the cache is gone.
 MAX_KV_SOURCE_USES = 2
@@ -136,6 +139,8 @@
         self._kv_source_uses = 0
         self._handles = HandleOffers(deps, service)
         self._prefills = 0
+        # Why no attempt was made beside an overdue one, for the log.
+        self.no_hedge: str | None = None
         # Why no further attempt was made, for the log.
         self.stop_reason: StopReason | None = None
         # The placement that a request was refused by, for the log.
@@ -304,15 +309,21 @@
         Replicas that are silent themselves are left out: if all of them are, any of the
         open attempts may be the first to answer.
         """
+        self.no_hedge = "no budget"
         if not self._has_retry_budget():
             return None
+        self.no_hedge = "no place"
         try:
             self._check_allowed()
             placement = self._choose_hedge_placement()
         except (QuarantinedError, KeyRevokedError):
             return None
-        if placement is None or not self._answers_in_time(placement):
+        if placement is None:
+            return None
+        self.no_hedge = "too late"
+        if not self._answers_in_time(placement):
             return None
+        self.no_hedge = None
         return partial(self._send_attempt, placement, None)
 
     def _choose_hedge_placement(self) -> Placement | None:
@@ -337,7 +348,8 @@
             patience = self._route.caller_patience_seconds
             patient_until = self._out.last_event_at + patience
         now = self._now()
-        return now > patient_until or now + placement.seconds <= patient_until
+        seconds = PREDICTED_FRACTION * placement.seconds
+        return now > patient_until or now + seconds <= patient_until
 
     def _final_outcome(self) -> RelayOutcome:
         if self._out.started:
@@ -651,7 +663,7 @@
             loads.record_ended(instance)
             self._report_run(exchange, sent_at, outcome)
         if exchange.was_never_sent:
-            self.attempts.end(logged, outcome)
+            self.attempts.end(logged, CONNECTING)
             self._choice.allow_again(instance)
             return None
         refusal = None
--- a/berylshift/request/routed_handler.py
+++ b/berylshift/request/routed_handler.py
@@ -396,6 +396,7 @@
                 "detail": result.detail,
                 "sends": relay.attempts.texts,
                 "stopped_by": relay.stop_reason,
+                "no_hedge": relay.no_hedge,
                 "bound": result.timeout_source,
                 "stopping_for": _rounded(self._deps.shutdown.seconds_since_begin),
                 "ms": round(seconds * 1000, 1),
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -441,8 +441,8 @@
     Proof(
         "an attempt that would answer too late is not made",
         "request/relay.py",
-        "if placement is None or not self._answers_in_time(placement):",
-        "if placement is None:",
+        "if not self._answers_in_time(placement):",
+        "if False:",
         f"{SILENCE}.OneSilentTest"
         ".test_engine_that_would_answer_too_late_gets_no_attempt",
     ),
