Point a proof at the text that has moved

Cause: the parameter of OpenAttempts was renamed as completions came to use it.

Change: the proof names the text as it is.

--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -449,7 +449,7 @@
     Proof(
         "the first attempt to answer ends the others",
         "request/open_attempts.py",
-        "            if other is not exchange:\n                scope.cancel()\n",
+        "            if other is not attempt:\n                scope.cancel()\n",
         "            pass\n",
         f"{SILENCE}.TwoAnswersTest",
     ),
