Leave no reference cycles of ended requests

Cause: attempts and their loop refer to each other: the relay holds its exchanges, these hold callbacks of the relay and of the loop. 69 objects of each plain request were left to the garbage collector, none before.

Change: the callbacks are dropped as an attempt and its request end.

Conclusion: an ended request is freed at once again.

--- a/berylshift/request/completion.py
+++ b/berylshift/request/completion.py
@@ -71,7 +71,10 @@
             self, RETRY_BOUNDS, self._history, deps.retry_budget, deps.clock
         )
         self._open.on_due = attempts.on_due
-        stop_reason = await attempts.run()
+        try:
+            stop_reason = await attempts.run()
+        finally:
+            self._open.release()
         if stop_reason is StopReason.DONE:
             tokens = self._answer.tokens
             deps.lengths.learn(self._call.caller.customer, self._call.model, tokens)
--- a/berylshift/request/open_attempts.py
+++ b/berylshift/request/open_attempts.py
@@ -10,6 +10,10 @@
 from berylshift.request.retry_policy import AttemptOutcome
 
 
+def _ignore(at: float) -> None:
+    """Tell nobody."""
+
+
 class OpenAttempt(Protocol):
     """One attempt; ``overdue_at`` in monotonic seconds.
 
@@ -39,7 +43,7 @@
         """Start without attempts."""
         self._clock = clock
         # Called with the time at which an attempt will be overdue, as it is set.
-        self.on_due: Callable[[float], None] = lambda at: None
+        self.on_due: Callable[[float], None] = _ignore
         self._scopes: dict[OpenAttempt, trio.CancelScope] = {}
 
     async def run(self, attempt: OpenAttempt, *args: object) -> AttemptOutcome:
@@ -53,6 +57,12 @@
             return attempt.supersede(self._clock.monotonic())
         finally:
             del self._scopes[attempt]
+            # The attempt is in no reference cycle any more.
+            del attempt.begin_answer, attempt.on_due
+
+    def release(self) -> None:
+        """Drop the reference to who is told of overdue attempts."""
+        self.on_due = _ignore
 
     def overdue_at(self) -> float:
         """Return when all of them are overdue, in monotonic seconds."""
--- a/berylshift/request/relay.py
+++ b/berylshift/request/relay.py
@@ -238,6 +238,9 @@
         """Release what was held for the response; the caller has it, or left."""
         for exchange in self._exchanges:
             exchange.release()
+        # Without these references the request is in no cycle, and is freed at once.
+        self._exchanges.clear()
+        self._open.release()
 
     @property
     def first_ms(self) -> float | None:
--- a/berylshift/request/retryable_call.py
+++ b/berylshift/request/retryable_call.py
@@ -53,7 +53,10 @@
             self, RETRY_BOUNDS, self._history, self._budget, self._clock
         )
         self._open.on_due = attempts.on_due
-        end = await attempts.run()
+        try:
+            end = await attempts.run()
+        finally:
+            self._open.release()
         if self._response is not None:
             response = self._response
             result = NativeResult(Outcome.COMPLETE)
--- a/berylshift/tests/test_entry_request_memory.py
+++ b/berylshift/tests/test_entry_request_memory.py
@@ -29,6 +29,32 @@
     return run_entry(main, **more)
 
 
+class ReferenceCycleTest(unittest.TestCase):
+    """Guards against ended requests that are freed by a garbage collection only."""
+
+    def check(self, path: str, **more) -> None:
+        async def task(world):
+            link = world.connect()
+            for number in range(30):
+                await link.ask(path, f"w{number}", **more)
+            gc.collect()
+            gc.disable()
+            try:
+                for number in range(20):
+                    await link.ask(path, f"r{number}", **more)
+                return gc.collect()
+            finally:
+                gc.enable()
+
+        self.assertLess(run_entry(task, engines="pd"), 20)
+
+    def test_plain_requests(self):
+        self.check("/look/x")
+
+    def test_streams(self):
+        self.check("/brief/x", headers=prompt_headers())
+
+
 class EndedRequestTest(unittest.TestCase):
     """Guards against bodies that outlive their requests until a full collection."""
 
