Guard "not run" after a crash whose retry would be too late

Cause: with silence no longer ending an attempt, the former test can't reach the refusal of a late retry any more: its proof was green without the safeguard.

Change: a test in which the engine crashes while the queue grows; the proof names it. The former test stays.

Conclusion: the safeguard is guarded again.

--- a/berylshift/tests/test_request_streams.py
+++ b/berylshift/tests/test_request_streams.py
@@ -137,6 +137,25 @@
 
         self.assertEqual(run_entry(task, plain=0, engines="pdd"), (504, 2))
 
+    def test_late_retry_after_a_crash_is_not_reported_as_not_run(self):
+        """Guards against "not run" where a retry after a crash would be too late."""
+
+        async def task(world):
+            engines = [rep for rep in world.replicas.values() if rep.phase == "decode"]
+            for engine in engines:
+                engine.faults = [Fault.MUTE]
+            link = world.connect()
+            await link.send("/brief/x", headers=prompt_headers())
+            await trio.sleep(0.5)
+            world.hosts[0].loads.record_sent("engine-1", 400_000, 0)
+            for engine in engines:
+                if engine.runs:
+                    await engine.crash("/brief/x")
+            reply = await link.read()
+            return reply.status, sum(len(engine.runs) for engine in engines)
+
+        self.assertEqual(run_entry(task, plain=0, engines="pdd"), (502, 1))
+
     def test_no_prefill_when_decode_engines_are_full(self):
         async def task(world):
             for _ in range(200):
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -496,7 +496,8 @@
         "        found = self._final_outcome()\n"
         "        if found is RelayOutcome.NOT_RUN:\n",
         "        if True:\n",
-        f"{STREAMS}.StreamTest.test_late_retry_is_not_reported_as_not_run",
+        f"{STREAMS}.StreamTest"
+        ".test_late_retry_after_a_crash_is_not_reported_as_not_run",
     ),
     Proof(
         "a draining replica takes no new work at once",
