Log the error that ends a process, with its place

Cause: the command line prints the message of an error that ends the daemon, for a nursery "Exceptions from Trio nursery (1 sub-exception)". Change: run_logged writes a critical line with the whole trace before the error goes on; exit code and message stay. Result: the new test of test_daemon passes; before, there was no such line.

--- a/berylshift/daemon.py
+++ b/berylshift/daemon.py
@@ -2,6 +2,7 @@
 
 import logging
 import sys
+from collections.abc import Awaitable, Callable
 
 import trio
 from cleo.application import Application as CommandLine
@@ -78,14 +79,24 @@
     """Serve the native API until the process is stopped."""
     from berylshift.serve_native import serve
 
-    trio.run(serve, cfg, creds)
+    run_logged(serve, cfg, creds)
 
 
 def _run_entry(cfg: Settings, path: str) -> None:
     """Serve the platform's routes until the process is stopped."""
     from berylshift.serve_entry import serve_entry
 
-    trio.run(serve_entry, cfg, path)
+    run_logged(serve_entry, cfg, path)
+
+
+def run_logged(serve: Callable[..., Awaitable[None]], *args: object) -> None:
+    """Run an event loop; log the error that ends it, which the caller gets."""
+    try:
+        trio.run(serve, *args)
+    except Exception:
+        # The command line prints the message of an exception group, not its parts.
+        logger.critical("process ended by an error", exc_info=True)
+        raise
 
 
 def main() -> None:
--- a/berylshift/tests/test_daemon.py
+++ b/berylshift/tests/test_daemon.py
@@ -4,6 +4,10 @@
 import sys
 import unittest
 
+import trio
+
+from berylshift.daemon import run_logged
+
 # Modules that only the native API needs.
 NATIVE_MODULES = ("berylshift.application", "berylshift.process.control.pool_loop")
 PRINT_MODULES = "import sys, {module}; print(*sorted(sys.modules))"
@@ -39,5 +43,25 @@
         self.assertNotIn("berylshift.application", loaded)
 
 
+class EndByErrorTest(unittest.TestCase):
+    """An error that nothing handles ends the process."""
+
+    def test_error_is_logged_with_its_place(self):
+        """Guards against a process whose log does not show what ended it."""
+
+        async def fail_in_task() -> None:
+            raise RuntimeError("cause")
+
+        async def serve() -> None:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(fail_in_task)
+
+        with self.assertLogs("berylshift.daemon", "CRITICAL") as logs:
+            with self.assertRaises(ExceptionGroup):
+                run_logged(serve)
+        self.assertIn("fail_in_task", logs.output[0])
+        self.assertIn("RuntimeError: cause", logs.output[0])
+
+
 if __name__ == "__main__":
     unittest.main()
