Decode the JSON of others in one place, with one error

What callers saw: resets, refused connections and 503 for as long as one row of another writer stood in the table of replicas, since each host ended at each start. Cause: the decoder raises RecursionError for input that is nested too deeply, and each place that decodes listed the errors that it knew. One malformed row hides no other one: plans, confirmations, the shared key (replaced) and leases (replaced once nobody can hold them). A parser that raises anything else skips its entry and logs the trace.

--- a/berylshift/connection/engine_client.py
+++ b/berylshift/connection/engine_client.py
@@ -12,6 +12,7 @@
 )
 from berylshift.connection.http_client import HttpClient, HttpResponse, Outgoing
 from berylshift.ids import AttemptId
+from berylshift.messages.json_decoding import MalformedJsonError, decode_json
 from berylshift.messages.retry_after import parse_retry_after
 from berylshift.targets import (
     CacheEvent,
@@ -73,7 +74,6 @@
         self._headers = {"content-type": JSON_TYPE}
         if credential:
             self._headers["authorization"] = f"Bearer {credential}"
-        self._chunk_decoder = msgspec.json.Decoder(EngineChunk)
 
     @asynccontextmanager
     async def generate(
@@ -96,10 +96,10 @@
             async with aclosing(resp.chunks()) as pieces:
                 async for data in pieces:
                     lines = splitter.feed(data)
-                    decode = self._chunk_decoder.decode
-                    if chunks := [decode(line) for line in lines if line]:
+                    chunks = [decode_json(line, EngineChunk) for line in lines if line]
+                    if chunks:
                         yield chunks
-        except msgspec.DecodeError as exc:
+        except MalformedJsonError as exc:
             raise TargetBrokenError(f"invalid response chunk: {exc}") from exc
         except ConnectionLayerError as exc:
             raise TargetBrokenError(str(exc)) from exc
@@ -183,6 +183,6 @@
 
 def _decode(data: bytes, kind: type):
     try:
-        return msgspec.json.decode(data, type=kind)
-    except msgspec.DecodeError as exc:
+        return decode_json(data, kind)
+    except MalformedJsonError as exc:
         raise TargetBrokenError(str(exc)) from exc
--- a/berylshift/connection/peer_views.py
+++ b/berylshift/connection/peer_views.py
@@ -1,10 +1,10 @@
 """Fetches the operators' table from a peer while the store is down."""
 
-import msgspec
 import trio
 
 from berylshift.connection.errors import ConnectionLayerError
 from berylshift.connection.http_client import HttpClient, Outgoing
+from berylshift.messages.json_decoding import MalformedJsonError, decode_json
 from berylshift.process.table.table_follower import PeerView
 
 FETCH_TIMEOUT_SECONDS = 2.0
@@ -28,7 +28,7 @@
                     data = await resp.read()
                     if resp.status != STATUS_OK:
                         return None
-                return msgspec.json.decode(data, type=PeerView)
-            except (ConnectionLayerError, msgspec.DecodeError):
+                return decode_json(data, PeerView)
+            except (ConnectionLayerError, MalformedJsonError):
                 return None
         return None
--- a/berylshift/messages/wire_numbers.py
+++ b/berylshift/messages/wire_numbers.py
@@ -1,4 +1,14 @@
-"""Parses numbers from the wire, each within a range."""
+"""Numbers from the wire, each within a range."""
+
+from typing import Annotated
+
+from msgspec import Meta
+
+# Fields of JSON that other processes wrote. What computes with them, and what encodes
+# them for other hosts, takes all values of their range.
+Count = Annotated[int, Meta(ge=0, le=2**32 - 1)]
+Position = Annotated[int, Meta(ge=0, le=2**63 - 1)]
+Milliseconds = Annotated[float, Meta(ge=0, le=10**12)]
 
 # Longer texts are not converted: the time that takes grows with the square of the
 # length, and no field has a number as long.
--- a/berylshift/platform/codec.py
+++ b/berylshift/platform/codec.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from berylshift.ids import BlockId, CustomerName, ReplicaName, RequestId
+from berylshift.messages.json_decoding import MalformedJsonError, decode_json
 from berylshift.messages.retry_after import parse_retry_after
 from berylshift.messages.routed import (
     Body,
@@ -177,8 +178,8 @@
     def parse_kv_handle(self, body: bytes) -> KvHandle | None:
         """Return the KV cache handle of a prefill response; ``None`` if malformed."""
         try:
-            found = msgspec.json.decode(body, type=_Handle)
-        except msgspec.DecodeError:
+            found = decode_json(body, _Handle)
+        except MalformedJsonError:
             return None
         return KvHandle(found.kv_handle, found.tokens)
 
--- a/berylshift/platform/configuration.py
+++ b/berylshift/platform/configuration.py
@@ -12,7 +12,8 @@
     ServiceName,
     TableVersion,
 )
-from berylshift.store.directory import MalformedEntryError
+from berylshift.messages.json_decoding import MalformedJsonError, decode_json
+from berylshift.store.interfaces import MalformedEntryError
 from berylshift.version.customers import ApiKey, Customer, CustomerKeys
 from berylshift.version.routes import (
     CallerLimits,
@@ -110,10 +111,10 @@
 def parse_configuration(data: bytes) -> RouteTable:
     """Return the routes in a configuration; raise ``MalformedEntryError``."""
     try:
-        configuration = msgspec.json.decode(data, type=_Configuration)
+        configuration = decode_json(data, _Configuration)
         _log_unknown_fields(data, configuration.version)
         return _table(configuration)
-    except (msgspec.DecodeError, KeyError) as exc:
+    except (MalformedJsonError, KeyError) as exc:
         raise MalformedEntryError(f"configuration: {exc}") from exc
 
 
@@ -122,7 +123,7 @@
 
     Otherwise a field that is new on the platform goes unnoticed until a rule breaks.
     """
-    fields = msgspec.json.decode(data, type=dict[str, msgspec.Raw])
+    fields = decode_json(data, dict[str, msgspec.Raw])
     unknown = sorted(fields.keys() - set(_Configuration.__struct_fields__))
     if unknown:
         logger.warning(
--- a/berylshift/platform/engines.py
+++ b/berylshift/platform/engines.py
@@ -11,6 +11,7 @@
     OrderAnswer,
     PhaseOrder,
 )
+from berylshift.messages.json_decoding import MalformedJsonError, decode_json
 from berylshift.messages.replicas import EnginePhase, Replica
 from berylshift.platform import names
 
@@ -58,9 +59,9 @@
         if status != STATUS_OK:
             return None
         try:
-            decoded = msgspec.json.decode(body, type=_Report)
+            decoded = decode_json(body, _Report)
             phase = EnginePhase(decoded.phase)
-        except (msgspec.DecodeError, ValueError):
+        except (MalformedJsonError, ValueError):
             return None
         return EngineReport(phase, decoded.busy, decoded.sequence, decoded.born)
 
--- a/berylshift/platform/entries.py
+++ b/berylshift/platform/entries.py
@@ -11,8 +11,9 @@
     ServiceName,
     SoftwareVersion,
 )
+from berylshift.messages.json_decoding import MalformedJsonError, decode_json
 from berylshift.messages.replicas import EnginePhase, Replica, instance_of
-from berylshift.store.directory import MalformedEntryError
+from berylshift.store.interfaces import MalformedEntryError
 
 DRAINING = "draining"
 STATES = frozenset({"ready", DRAINING})
@@ -41,9 +42,9 @@
 def parse_replica_entry(key: str, data: bytes, revision: int = 0) -> Replica:
     """Return the replica that an entry describes; raise ``MalformedEntryError``."""
     try:
-        decoded = msgspec.json.decode(data, type=_Entry)
+        decoded = decode_json(data, _Entry)
         phase = EnginePhase(decoded.phase)
-    except (msgspec.DecodeError, ValueError) as exc:
+    except (MalformedJsonError, ValueError) as exc:
         raise MalformedEntryError(f"replica {key}: {exc}") from exc
     if decoded.state not in STATES:
         raise MalformedEntryError(f"replica {key}: unknown state {decoded.state!r}")
--- a/berylshift/platform/own_tables.py
+++ b/berylshift/platform/own_tables.py
@@ -1,5 +1,6 @@
 """Tables of this system in the platform's store: leases, hosts, crashes and more."""
 
+import logging
 from collections.abc import Iterable
 from typing import TypeVar
 from urllib.parse import urlencode
@@ -7,9 +8,11 @@
 import msgspec
 
 from berylshift.ids import Revision, ServiceName
+from berylshift.messages.json_decoding import MalformedJsonError, decode_json
 from berylshift.messages.usage import SettledUsage, UsageReport
 from berylshift.platform import names
 from berylshift.platform.rows import (
+    Row,
     RowCondition,
     RowRemoval,
     Rows,
@@ -22,11 +25,12 @@
 )
 from berylshift.store.client import StoreClient
 from berylshift.store.crash_rows import CrashRow, CrashRowsSnapshot
-from berylshift.store.directory import MalformedEntryError
 from berylshift.store.host_rows import HostRecord
-from berylshift.store.interfaces import ResponseLostError
+from berylshift.store.interfaces import MalformedEntryError, ResponseLostError
 from berylshift.store.lease_rows import ABSENT, Granted, LeaseRecord, LeaseRow
 
+logger = logging.getLogger(__name__)
+
 Kind = TypeVar("Kind")
 STATUS_PRECONDITION_FAILED = 412
 # Number of usage windows whose settled reports are kept.
@@ -45,7 +49,7 @@
         found = await _read_one(self._client, names.LEASE_TABLE, name)
         for row in found.rows:
             if row.key == name:
-                record = _lease(row.data())
+                record = _lease(row)
                 revision = Revision(row.row_version)
                 return LeaseRow(record, revision, found.now_ms, found.era)
         return LeaseRow(None, ABSENT, found.now_ms, found.era)
@@ -85,19 +89,23 @@
         return [rec for page in pages for rec in decode_records(page.rows, HostRecord)]
 
     async def get_or_set_shared_key(self, proposal: str) -> str:
-        """Return the key shared by all hosts; the first proposal is stored."""
+        """Return the key shared by all hosts; the first proposal is stored.
+
+        It replaces a row that can't be read, which no host can use.
+        """
         table, name = names.KEY_TABLE, names.DATAGRAM_KEY
         query = {"table": table, "part": "", "from": name, "limit": 1}
         path = f"{names.ROWS_GET}?{urlencode(query)}"
         found = parse_rows(await self._client.get(path))
-        if not found.rows:
+        key, revision = _shared_key(found, name)
+        if key is None:
             write = RowWrite(table, name, proposal.encode())
-            body = RowsTransaction([RowCondition(table, name, ABSENT)], [write])
+            body = RowsTransaction([RowCondition(table, name, revision)], [write])
             await self._client.post(names.ROWS_TX, msgspec.json.encode(body))
-            found = parse_rows(await self._client.get(path))
-        if not found.rows:
+            key, _ = _shared_key(parse_rows(await self._client.get(path)), name)
+        if key is None:
             raise ResponseLostError("the shared key is not readable yet")
-        return found.rows[0].data().decode()
+        return key
 
 
 class PlatformCrashes:
@@ -208,18 +216,34 @@
     for row in found.rows:
         if row.key == key:
             try:
-                return msgspec.json.decode(row.data(), type=kind)
-            except msgspec.DecodeError as exc:
+                return decode_json(row.data(), kind)
+            except MalformedJsonError as exc:
                 raise MalformedEntryError(f"row {key}: {exc}") from exc
     return None
 
 
+def _shared_key(found: Rows, name: str) -> tuple[str | None, Revision]:
+    """Return the key, ``None`` if it can't be read, and the revision of its row."""
+    for row in found.rows:
+        if row.key != name:
+            continue
+        revision = Revision(row.row_version)
+        try:
+            return row.data().decode(), revision
+        except (MalformedEntryError, UnicodeDecodeError) as exc:
+            logger.warning("malformed entry skipped", extra={"reason": str(exc)})
+            return None, revision
+    return None, ABSENT
+
+
 def _crash_key(row: CrashRow) -> str:
     return f"{row.request:016x}.{row.target:08x}"
 
 
-def _lease(data: bytes) -> LeaseRecord:
-    try:
-        return msgspec.json.decode(data, type=LeaseRecord)
-    except msgspec.DecodeError as exc:
-        raise MalformedEntryError(f"lease: {exc}") from exc
+def _lease(row: Row) -> LeaseRecord | None:
+    """Return the record of a lease; ``None`` if it can't be read.
+
+    Nobody can hold or release such a lease, so the next host that needs it replaces it.
+    """
+    records = decode_records([row], LeaseRecord)
+    return records[0] if records else None
--- a/berylshift/platform/rows.py
+++ b/berylshift/platform/rows.py
@@ -8,11 +8,15 @@
 import msgspec
 
 from berylshift.ids import StoreEra
+from berylshift.messages.json_decoding import MalformedJsonError, decode_json
 from berylshift.platform import names
 from berylshift.store.client import StoreClient, StoreResponse
-from berylshift.store.directory import MalformedEntryError
 from berylshift.store.eras import FIRST_ERA
-from berylshift.store.interfaces import ResponseLostError, StoreUnavailableError
+from berylshift.store.interfaces import (
+    MalformedEntryError,
+    ResponseLostError,
+    StoreUnavailableError,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -36,8 +40,8 @@
     def data(self) -> bytes:
         """Return the value; raise ``MalformedEntryError``."""
         try:
-            return msgspec.json.decode(self.value, type=bytes)
-        except msgspec.DecodeError as exc:
+            return decode_json(self.value, bytes)
+        except MalformedJsonError as exc:
             raise MalformedEntryError(f"row {self.key}: {exc}") from exc
 
 
@@ -124,8 +128,8 @@
     if response.status != STATUS_OK:
         raise ResponseLostError(f"status {response.status}")
     try:
-        decoded = msgspec.json.decode(response.body, type=_Response)
-    except msgspec.DecodeError as exc:
+        decoded = decode_json(response.body, _Response)
+    except MalformedJsonError as exc:
         raise ResponseLostError(f"malformed response: {exc}") from exc
     rows = _well_formed(decoded.rows)
     era = _era(response.headers.get(names.STORE_ERA, ""))
@@ -149,8 +153,8 @@
     found = []
     for raw in rows:
         try:
-            row = msgspec.json.decode(raw, type=Row)
-        except msgspec.DecodeError as exc:
+            row = decode_json(raw, Row)
+        except MalformedJsonError as exc:
             logger.warning("malformed row skipped", extra={"reason": str(exc)})
             continue
         if not row.part:
@@ -170,7 +174,9 @@
     found = []
     for row in rows:
         try:
-            found.append(msgspec.json.decode(row.data(), type=kind))
-        except (msgspec.DecodeError, MalformedEntryError) as exc:
-            logger.warning("malformed entry skipped", extra={"reason": str(exc)})
+            found.append(decode_json(row.data(), kind))
+        except (MalformedJsonError, MalformedEntryError) as exc:
+            logger.warning(
+                "malformed entry skipped", extra={"entry": row.key, "reason": str(exc)}
+            )
     return found
--- a/berylshift/platform/store.py
+++ b/berylshift/platform/store.py
@@ -18,7 +18,8 @@
     parse_rows,
 )
 from berylshift.store.client import StoreClient
-from berylshift.store.directory import HistoryLostError, MalformedEntryError
+from berylshift.store.directory import HistoryLostError
+from berylshift.store.interfaces import MalformedEntryError
 
 logger = logging.getLogger(__name__)
 
@@ -113,4 +114,8 @@
         except MalformedEntryError as exc:
             logger.warning("malformed entry skipped", extra={"reason": str(exc)})
             unusable.append(ReplicaName(row.key))
+        except Exception:
+            # All hosts read the same row at each start.
+            logger.exception("entry skipped", extra={"entry": row.key})
+            unusable.append(ReplicaName(row.key))
     return tuple(found), tuple(unusable)
--- a/berylshift/process/control/pool_loop.py
+++ b/berylshift/process/control/pool_loop.py
@@ -49,6 +49,7 @@
     Transaction,
     Write,
     as_raw,
+    decode_row,
 )
 from berylshift.targets import (
     EngineClient,
@@ -379,4 +380,4 @@
 
 
 def _decode(stored: StoredRow | None, row_type: type):
-    return msgspec.json.decode(stored.value, type=row_type) if stored else None
+    return decode_row(stored, row_type) if stored else None
--- a/berylshift/process/directory/directory_loop.py
+++ b/berylshift/process/directory/directory_loop.py
@@ -14,12 +14,8 @@
 from berylshift.process.directory.replica_updates import ReplicaUpdates
 from berylshift.process.directory.route_holder import RouteHolder
 from berylshift.process.directory.store_watch import Feed, StoreWatch
-from berylshift.store.directory import (
-    Directory,
-    HistoryLostError,
-    MalformedEntryError,
-)
-from berylshift.store.interfaces import PlatformError
+from berylshift.store.directory import Directory, HistoryLostError
+from berylshift.store.interfaces import MalformedEntryError, PlatformError
 
 logger = logging.getLogger(__name__)
 
@@ -143,6 +139,12 @@
                     await self._change_known.wait()
                     await trio.sleep(INITIAL_BACKOFF_SECONDS * self._rng.random())
                 continue
+            except Exception:
+                # What can't be applied changes nothing; the other feed goes on.
+                self._watch.forget(feed)
+                logger.exception("feed not applied", extra={"feed": feed_name})
+                await trio.sleep(MAX_BACKOFF_SECONDS)
+                continue
             if failures:
                 logger.info(
                     "store regained", extra={"feed": feed_name, "tries": failures}
--- a/berylshift/process/leader_tasks/leader_lease.py
+++ b/berylshift/process/leader_tasks/leader_lease.py
@@ -23,7 +23,13 @@
 from berylshift.ids import StoreEra
 from berylshift.process.directory.store_era_tracker import EraSource, StoreEraTracker
 from berylshift.store.eras import FIRST_ERA
-from berylshift.store.lease_rows import Granted, LeaseRecord, LeaseRow, LeaseRows
+from berylshift.store.lease_rows import (
+    ABSENT,
+    Granted,
+    LeaseRecord,
+    LeaseRow,
+    LeaseRows,
+)
 
 # How long a holder may act after it requested the lease, in seconds.
 USABLE_SECONDS = 2.0
@@ -91,6 +97,9 @@
         self._grant: Grant | None = None
         # Identifies this process's newest attempt to acquire the lease.
         self._last_attempt = ""
+        # A revision that could not be read, and when it was first seen.
+        self._unreadable = ABSENT
+        self._unreadable_since = 0.0
 
     @property
     def _exclusive_seconds(self) -> float:
@@ -134,11 +143,24 @@
             return Refused(row.record.holder, seconds_left)
         if row.record is not None and row.record.era == row.era:
             return None
+        if row.record is None and row.revision != ABSENT:
+            return self._refusal_of_unreadable(row)
         seconds_left = self._exclusive_seconds - self._eras.age()
         if seconds_left > 0 and self._may_be_lost(row):
             return Refused(UNKNOWN_HOLDER, seconds_left)
         return None
 
+    def _refusal_of_unreadable(self, row: LeaseRow) -> Refused | None:
+        """Return why a row that can't be read can't be replaced yet.
+
+        The lease that it replaced may be held for as long as any can be.
+        """
+        if self._unreadable != row.revision:
+            self._unreadable, self._unreadable_since = row.revision, self._boot_clock()
+        age = self._boot_clock() - self._unreadable_since
+        seconds_left = self._exclusive_seconds - age
+        return Refused(UNKNOWN_HOLDER, seconds_left) if seconds_left > 0 else None
+
     def _is_own_row(self, row: LeaseRow) -> bool:
         """Return whether the row is the last one that this process wrote.
 
--- a/berylshift/process/records/pending_loop.py
+++ b/berylshift/process/records/pending_loop.py
@@ -1,8 +1,8 @@
 """The loop that retries deferred writes of confirmation rows."""
 
+import logging
 import random
 
-import msgspec
 import trio
 
 from berylshift.process.limits.store_budget import Priority
@@ -12,11 +12,15 @@
 from berylshift.store.interfaces import (
     ABSENT,
     Condition,
+    MalformedEntryError,
     PlatformError,
     Write,
     as_raw,
+    decode_row,
 )
 
+logger = logging.getLogger(__name__)
+
 RETRY_INTERVAL_SECONDS = 0.5
 
 
@@ -41,7 +45,7 @@
             stored = (await self._gate.read([key], Priority.CONFIRMATION))[0]
             current = None
             if stored is not None:
-                current = msgspec.json.decode(stored.value, type=ConfirmRow)
+                current = decode_row(stored, ConfirmRow)
             revision = self._pending.revision_to_replace(
                 row, current, stored.revision if stored else ABSENT
             )
@@ -50,6 +54,9 @@
                 result = await self._gate.put_row(condition, Write(key, as_raw(row)))
                 if not result.committed:
                     return True
+        except MalformedEntryError as exc:
+            # Whoever wrote the row has it; the next record must not wait for it.
+            logger.error("record dropped", extra={"reason": str(exc)})
         except PlatformError:
             return False
         self._pending.remove(key)
--- a/berylshift/process/records/sweep_loop.py
+++ b/berylshift/process/records/sweep_loop.py
@@ -3,7 +3,6 @@
 import logging
 import random
 
-import msgspec
 import trio
 
 from berylshift.clock import Clock
@@ -13,10 +12,12 @@
 from berylshift.store.batch import TableGate
 from berylshift.store.interfaces import (
     Condition,
+    MalformedEntryError,
     PlatformError,
     StoredRow,
     Transaction,
     Write,
+    decode_row,
 )
 
 logger = logging.getLogger(__name__)
@@ -65,7 +66,11 @@
             logger.debug("sweep put off", extra={"why": str(exc)})
 
     def _is_expired(self, row: StoredRow) -> bool:
-        confirmation = msgspec.json.decode(row.value, type=ConfirmRow)
+        try:
+            confirmation = decode_row(row, ConfirmRow)
+        except MalformedEntryError as exc:
+            logger.warning("malformed row skipped", extra={"reason": str(exc)})
+            return False
         return (
             self._clock.now().timestamp() > confirmation.expires + EXPIRY_MARGIN_SECONDS
         )
--- a/berylshift/process/table/table_follower.py
+++ b/berylshift/process/table/table_follower.py
@@ -12,7 +12,13 @@
 from berylshift.ids import PoolName, TableVersion
 from berylshift.process.control.plans import PlanRow, Plans, plan_key
 from berylshift.process.membership.members import Membership
-from berylshift.store.interfaces import HostEntry, PlatformError, StoredRow
+from berylshift.store.interfaces import (
+    HostEntry,
+    MalformedEntryError,
+    PlatformError,
+    StoredRow,
+    decode_row,
+)
 from berylshift.version.changelog import TableLog, TableLogError
 from berylshift.version.freshness import Freshness
 from berylshift.version.rows import Row
@@ -143,10 +149,17 @@
         now = self._deps.clock.monotonic()
         for pool, row in zip(pools, stored, strict=True):
             if row is not None:
-                plan = msgspec.json.decode(row.value, type=PlanRow)
-                self._deps.plans.apply_if_newer(pool, plan, now)
+                self._offer_plan(pool, row, now)
         self._deps.fresh.plan = self._deps.plans.total
 
+    def _offer_plan(self, pool: PoolName, row: StoredRow, now: float) -> None:
+        try:
+            plan = decode_row(row, PlanRow)
+        except MalformedEntryError as exc:
+            logger.warning("malformed plan skipped", extra={"reason": str(exc)})
+            return
+        self._deps.plans.apply_if_newer(pool, plan, now)
+
     def _offer(self, table: Table) -> None:
         old = self._deps.holder.table
         if not self._deps.holder.offer(table):
--- a/berylshift/request/key_row.py
+++ b/berylshift/request/key_row.py
@@ -3,7 +3,6 @@
 import logging
 from dataclasses import dataclass
 
-import msgspec
 import trio
 
 from berylshift.clock import Clock
@@ -27,6 +26,7 @@
     TransactionResult,
     Write,
     as_raw,
+    decode_row,
 )
 
 logger = logging.getLogger(__name__)
@@ -117,7 +117,7 @@
                 stored = found[0]
                 row = None
                 if stored is not None:
-                    row = msgspec.json.decode(stored.value, type=ConfirmRow)
+                    row = decode_row(stored, ConfirmRow)
                 revision = stored.revision if stored else ABSENT
                 state.on_read(row, revision, clock.monotonic())
                 return
--- a/berylshift/request/native_handler.py
+++ b/berylshift/request/native_handler.py
@@ -13,6 +13,7 @@
 from berylshift.connection.http_request import HttpRequest
 from berylshift.connection.responder import Responder
 from berylshift.ids import CustomerName, FleetName, RequestId, WorkName
+from berylshift.messages.json_decoding import MalformedJsonError, decode_json
 from berylshift.metrics import Metrics
 from berylshift.process.limits.customer_limits import CustomerLimits
 from berylshift.request.completion import Completion
@@ -280,8 +281,8 @@
     if req.method != "POST":
         raise BadRequestError("completions are asked for by POST")
     try:
-        body = msgspec.json.decode(req.body, type=CompletionBody)
-    except msgspec.DecodeError as exc:
+        body = decode_json(req.body, CompletionBody)
+    except MalformedJsonError as exc:
         raise BadRequestError(str(exc)) from exc
     if body.max_tokens < 1:
         raise BadRequestError("max_tokens: must be 1 or more")
--- a/berylshift/settings.py
+++ b/berylshift/settings.py
@@ -9,6 +9,7 @@
 from msgspec import Meta
 from returns.result import Failure, Result, Success
 
+from berylshift.messages.json_decoding import MalformedJsonError, decode_json
 from berylshift.version.checks import is_valid_address
 
 Seconds = Annotated[float, Meta(gt=0, le=86400)]
@@ -415,9 +416,9 @@
     """Return the credentials in a JSON file, or the error."""
     try:
         data = Path(path).read_bytes()
-        return Success(msgspec.json.decode(data, type=Credentials))
+        return Success(decode_json(data, Credentials))
     except OSError as exc:
         reason = f"can't be read: {exc.strerror}"
-    except msgspec.DecodeError as exc:
+    except MalformedJsonError as exc:
         reason = f"not a credentials file: {exc}"
     return Failure(SettingError("host", "credentials", path, reason))
--- a/berylshift/stand_ins/fake_directory.py
+++ b/berylshift/stand_ins/fake_directory.py
@@ -191,7 +191,7 @@
     def __init__(self, now=trio.current_time) -> None:
         """Use ``now``, in seconds, as the store's clock."""
         self._now = now
-        self._rows: dict[str, tuple[LeaseRecord, int]] = {}
+        self._rows: dict[str, tuple[LeaseRecord | None, int]] = {}
         self._revision = FIRST_LEASE_REVISION
         self._snapshots: list[LeaseSnapshot] = []
         self._delayed_writes: list[tuple[float, str, LeaseRecord, Revision]] = []
@@ -201,6 +201,11 @@
         self.era = FIRST_ERA
         self.after_read: Callable[[], Awaitable[object]] | None = None
 
+    def overwrite(self, name: str) -> None:
+        """Write bytes to a row that can't be read."""
+        self._revision += 1
+        self._rows[name] = None, self._revision
+
     async def read(self, name: str) -> LeaseRow:
         """Return a row; ``after_read`` is awaited once, after the row was read."""
         self._check()
--- a/berylshift/store/directory.py
+++ b/berylshift/store/directory.py
@@ -14,10 +14,6 @@
     """
 
 
-class MalformedEntryError(PlatformError):
-    """An entry can't be decoded; the message names it and the reason."""
-
-
 class Directory(Protocol):
     """Reads and watches routes and replicas; all calls raise ``PlatformError``."""
 
--- a/berylshift/store/http.py
+++ b/berylshift/store/http.py
@@ -11,6 +11,7 @@
     ConnectionLayerError,
 )
 from berylshift.connection.http_client import HttpClient, Outgoing
+from berylshift.messages.json_decoding import MalformedJsonError, decode_json
 from berylshift.store.interfaces import (
     HostEntry,
     ResponseLostError,
@@ -69,8 +70,8 @@
 
 def _decode(data: bytes | None, kind: type[Item]) -> Item:
     try:
-        return msgspec.json.decode(data or b"null", type=kind)
-    except msgspec.DecodeError as exc:
+        return decode_json(data or b"null", kind)
+    except MalformedJsonError as exc:
         raise ResponseLostError(f"malformed response: {exc}") from exc
 
 
--- a/berylshift/store/interfaces.py
+++ b/berylshift/store/interfaces.py
@@ -1,11 +1,14 @@
 """Protocols and data types of the platform's services."""
 
 from enum import StrEnum
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 import msgspec
 
 from berylshift.ids import DomainName, HostName, Incarnation
+from berylshift.messages.json_decoding import MalformedJsonError, decode_json
+
+Value = TypeVar("Value")
 
 ABSENT = 0
 
@@ -26,6 +29,10 @@
     """No valid response was received: a write may have taken effect."""
 
 
+class MalformedEntryError(PlatformError):
+    """An entry can't be decoded; the message names it and the reason."""
+
+
 class StoredRow(msgspec.Struct, frozen=True):
     """A row of the table service; its revision starts at 1 and grows per write."""
 
@@ -137,6 +144,14 @@
         """Return a model version, ``None`` if unknown; raise ``PlatformError``."""
 
 
+def decode_row(row: StoredRow, kind: type[Value]) -> Value:
+    """Return the value of a row; raise ``MalformedEntryError``."""
+    try:
+        return decode_json(row.value, kind)
+    except MalformedJsonError as exc:
+        raise MalformedEntryError(f"row {row.key}: {exc}") from exc
+
+
 def as_raw(value: object) -> msgspec.Raw:
     """Return ``value`` encoded as the JSON value of a row."""
     return msgspec.Raw(msgspec.json.encode(value))
--- a/berylshift/store/lease_rows.py
+++ b/berylshift/store/lease_rows.py
@@ -24,7 +24,10 @@
 
 
 class LeaseRow(msgspec.Struct, frozen=True):
-    """A row as read; ``store_ms`` is the store's clock at the time of the response."""
+    """A row as read; ``store_ms`` is the store's clock at the time of the response.
+
+    ``record``: ``None`` if there is no row, or, with a revision, none that can be read.
+    """
 
     record: LeaseRecord | None
     revision: Revision
--- a/berylshift/tests/test_leader_lease.py
+++ b/berylshift/tests/test_leader_lease.py
@@ -94,6 +94,18 @@
         world.order(1)
         self.assertEqual([number for _, number, _ in world.orders], [1])
 
+    def test_unreadable_row_is_replaced_once_no_lease_can_be_held(self):
+        """Guards against a task that stops for good, and against two holders."""
+        world = Holders()
+        self.assertIsInstance(world.acquire(0), Grant)
+        world.rows.overwrite("pool")
+        refused = world.acquire(1)
+        self.assertIsInstance(refused, Refused)
+        world.time += refused.seconds - 0.01
+        self.assertIsInstance(world.acquire(1), Refused)
+        world.time += 0.02
+        self.assertIsInstance(world.acquire(1), Grant)
+
     def test_lost_answer_grants_nothing(self):
         world = Holders()
         world.rows.lose_answers = 1
--- a/berylshift/tests/test_platform_adapter.py
+++ b/berylshift/tests/test_platform_adapter.py
@@ -19,7 +19,7 @@
 from berylshift.platform.entries import parse_replica_entry
 from berylshift.platform.unknown_headers import MAX_LOGGED_NAMES
 from berylshift.request.errors import BadRequestError
-from berylshift.store.directory import MalformedEntryError
+from berylshift.store.interfaces import MalformedEntryError
 from berylshift.tests.support import EXPLORE
 from berylshift.version.routes import RouteKind
 
--- a/berylshift/tests/test_platform_store.py
+++ b/berylshift/tests/test_platform_store.py
@@ -20,9 +20,10 @@
 from berylshift.stand_ins.store_server import StoreRow, StoreServer
 from berylshift.store.client import StoreClient
 from berylshift.store.crash_rows import CrashRow
-from berylshift.store.directory import HistoryLostError, MalformedEntryError
+from berylshift.store.directory import HistoryLostError
 from berylshift.store.host_rows import HostRecord
 from berylshift.store.interfaces import (
+    MalformedEntryError,
     ResponseLostError,
     StoreThrottledError,
     StoreUnavailableError,
--- a/berylshift/tests/test_version_customers.py
+++ b/berylshift/tests/test_version_customers.py
@@ -6,7 +6,7 @@
 
 from berylshift.ids import CustomerName
 from berylshift.platform.configuration import parse_configuration
-from berylshift.store.directory import MalformedEntryError
+from berylshift.store.interfaces import MalformedEntryError
 from berylshift.tests.test_platform_adapter import CONFIGURATION
 from berylshift.version.customers import ApiKey, Customer, CustomerKeys
 
--- a/berylshift/version/changelog.py
+++ b/berylshift/version/changelog.py
@@ -12,6 +12,7 @@
 from returns.result import Failure, Result, Success
 
 from berylshift.ids import ChangeId, TableVersion
+from berylshift.messages.json_decoding import MalformedJsonError, decode_json
 from berylshift.process.limits.store_budget import Priority
 from berylshift.store.interfaces import (
     ABSENT,
@@ -24,6 +25,7 @@
     TransactionResult,
     Write,
     as_raw,
+    decode_row,
 )
 from berylshift.version.diff import Conflict, Edit, Rejected, merge
 from berylshift.version.rows import Row
@@ -101,7 +103,7 @@
         found = await self._gate.read([HEAD_KEY], Priority.TABLE)
         if found[0] is None:
             return Head(TableVersion(0), ChangeId("")), ABSENT
-        head = msgspec.json.decode(found[0].value, type=Head)
+        head = decode_row(found[0], Head)
         return head, found[0].revision
 
     async def read_with_head(
@@ -111,7 +113,7 @@
         found = await self._gate.read([HEAD_KEY, *keys], Priority.TABLE)
         if found[0] is None:
             return Head(TableVersion(0), ChangeId("")), found[1:]
-        return msgspec.json.decode(found[0].value, type=Head), found[1:]
+        return decode_row(found[0], Head), found[1:]
 
     async def read_changes(self, after: int, last: int) -> list[Change]:
         """Return the changes of versions ``after + 1`` to ``last``."""
@@ -124,7 +126,7 @@
                     raise TableLogError(
                         f"no change row for a version in {versions[0]}-{versions[-1]}"
                     )
-                found.append(msgspec.json.decode(stored.value, type=Change))
+                found.append(decode_row(stored, Change))
         return found
 
     async def catch_up(self, table: Table, head: Head) -> Table:
@@ -153,7 +155,10 @@
         data = await self._objects.get(name)
         if data is None:
             return None
-        found = msgspec.json.decode(data, type=Snapshot)
+        try:
+            found = decode_json(data, Snapshot)
+        except MalformedJsonError as exc:
+            raise TableLogError(f"snapshot {name}: {exc}") from exc
         return Table(found.version, found.rows)
 
     async def commit(
