Let an error end its task or restart its loop, not the process

Cause: all loops and the tasks that send bodies ran in one nursery, so any error ended the process. Change: supervision.py says what an error ends. A batch that fails fails its writes. The process ends by settings and listeners at its start, a listener that takes no connections, and what is no Exception. Operators see it: the log has the trace, berylshift_loop_failures counts restarts and berylshift_log_records all warnings and errors, by logger. Tests run with PropagatingSupervisor, so that no test passes over an error. Conclusion: no byte of others and no fault in one loop ends a host.

--- a/berylshift/application.py
+++ b/berylshift/application.py
@@ -2,8 +2,9 @@
 
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from functools import partial
 
 import trio
 
@@ -82,6 +83,7 @@
     TableService,
     WeightStore,
 )
+from berylshift.supervision import Loop, PropagatingSupervisor, Supervisor
 from berylshift.targets import EngineClient, ServiceClient
 from berylshift.version.changelog import TableLog
 from berylshift.version.freshness import Freshness
@@ -123,6 +125,7 @@
     dial_peer: Dial = dial_tcp
     # Breaks requests to a target whose connections have become silent.
     break_silent: Callable[[str], None] = lambda address: None
+    supervisor: Supervisor = field(default_factory=PropagatingSupervisor)
 
 
 @dataclass(frozen=True)
@@ -245,8 +248,16 @@
 
     def _start_task(self, task, *args) -> None:
         """Run a task that no request waits for."""
+
+        async def run() -> None:
+            try:
+                await task(*args)
+            except Exception:
+                # Propagated, it would end the process with all callers' requests.
+                logger.exception("background task failed")
+
         if self._nursery is not None:
-            self._nursery.start_soon(task, *args)
+            self._nursery.start_soon(run)
 
     def _clear_failures(self, instance: InstanceId) -> None:
         """Drop the failures of a target that its path was to blame for."""
@@ -432,17 +443,23 @@
         """Run the loops until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            nursery.start_soon(self.gate.run)
-            nursery.start_soon(self.services.serve)
-            nursery.start_soon(self.follower.run)
-            nursery.start_soon(self.poller.run)
-            nursery.start_soon(self.host_loop.run)
-            nursery.start_soon(self.peer_loop.run)
-            nursery.start_soon(self.ports.link.receive, self.peer_loop.on_digest)
-            nursery.start_soon(self.pending_loop.run)
-            nursery.start_soon(self.pool_loop.run)
-            nursery.start_soon(self.sweep_loop.run)
-            nursery.start_soon(self._report_gauges)
+            for name, loop in self._loops():
+                nursery.start_soon(self.ports.supervisor.run, name, loop)
+
+    def _loops(self) -> Iterator[tuple[str, Loop]]:
+        """Yield the loops that run for the whole life of the process."""
+        yield "store batches", self.gate.run
+        yield "confirmations", self.services.serve
+        yield "table", self.follower.run
+        yield "engine reports", self.poller.run
+        yield "host list", self.host_loop.run
+        yield "digests sent", self.peer_loop.run
+        receive = partial(self.ports.link.receive, self.peer_loop.on_digest)
+        yield "digests received", receive
+        yield "pending records", self.pending_loop.run
+        yield "engine pools", self.pool_loop.run
+        yield "expired records", self.sweep_loop.run
+        yield "gauges", self._report_gauges
 
     def on_start(self) -> None:
         """Log that the process has started."""
--- a/berylshift/connection/awaited_responses.py
+++ b/berylshift/connection/awaited_responses.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+import logging
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
@@ -10,6 +11,8 @@
 from berylshift.connection.http_client import ClientConnection
 from berylshift.connection.target_request import TargetRequest
 
+logger = logging.getLogger(__name__)
+
 
 class AwaitedResponses:
     """Requests sent on direct connections that have no response yet."""
@@ -61,4 +64,11 @@
             while self._due and self._due[0][0] <= now:
                 _, number = heapq.heappop(self._due)
                 if number in self._open:
-                    self._on_overdue(self._open[number][1])
+                    self._report(self._open[number][1])
+
+    def _report(self, out: TargetRequest) -> None:
+        try:
+            self._on_overdue(out)
+        except Exception:
+            # Other requests' responses are awaited here, too.
+            logger.exception("overdue response not reported")
--- a/berylshift/connection/peer_link.py
+++ b/berylshift/connection/peer_link.py
@@ -75,7 +75,11 @@
                 continue
             except OSError:
                 continue
-            on_message(message)
+            try:
+                on_message(message)
+            except Exception:
+                # One message must not end the exchange with all other hosts.
+                logger.exception("message not handled")
 
     def close(self) -> None:
         """Close the socket."""
--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -2,9 +2,9 @@
 
 import logging
 import random
-from collections.abc import Callable
-from dataclasses import dataclass
-from functools import cached_property
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from functools import cached_property, partial
 
 import trio
 
@@ -97,6 +97,7 @@
 from berylshift.store.directory import Directory
 from berylshift.store.host_rows import HostRows
 from berylshift.store.lease_rows import LeaseRows
+from berylshift.supervision import Loop, PropagatingSupervisor, Supervisor
 from berylshift.telemetry import Telemetry
 from berylshift.version.routes import EngineFacts, RouteTable, Service
 
@@ -149,6 +150,7 @@
     make_origin_link: Callable[[str], OriginLink] | None = None
     # Opens connections to other hosts, for tunnels.
     dial_peer: Dial = dial_tcp
+    supervisor: Supervisor = field(default_factory=PropagatingSupervisor)
 
 
 class EntryApplication:
@@ -606,7 +608,11 @@
                     and service.name not in self._phase_loop_services
                 ):
                     self._phase_loop_services.add(service.name)
-                    self._nursery.start_soon(self._make_phase_loop(service.name).run)
+                    self._nursery.start_soon(
+                        self.ports.supervisor.run,
+                        "engine phases",
+                        self._make_phase_loop(service.name).run,
+                    )
 
     def _make_lease(self, task_name: str, can_reacquire: bool = False) -> LeaderLease:
         cfg, ports = self.cfg, self.ports
@@ -713,18 +719,25 @@
         """Run the loops until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            nursery.start_soon(self.ports.client.run)
-            nursery.start_soon(self.directory_loop.run)
-            nursery.start_soon(self.load_loop.run)
-            if self.queue_loop is not None:
-                nursery.start_soon(self.queue_loop.run)
-            if self.origins is not None:
-                nursery.start_soon(self.origins.run)
-            for loop in self.quarantine_loops:
-                nursery.start_soon(loop.run)
-            nursery.start_soon(report_gauges, self)
-            nursery.start_soon(LoopMonitor(self.ports.clock).run)
-            nursery.start_soon(self.leader_tasks.run)
+            for name, loop in self._loops():
+                nursery.start_soon(self.ports.supervisor.run, name, loop)
+
+    def _loops(self) -> Iterator[tuple[str, Loop]]:
+        """Yield the loops that run for the whole life of the process."""
+        yield "target client", self.ports.client.run
+        yield "route feed", self.directory_loop.follow_routes
+        yield "replica feed", self.directory_loop.follow_replicas
+        yield "replica expiry", self.directory_loop.expire_entries
+        yield "load digests", self.load_loop.run
+        if self.queue_loop is not None:
+            yield "engine queues", self.queue_loop.run
+        if self.origins is not None:
+            yield "stream origins", self.origins.run
+        for loop in self.quarantine_loops:
+            yield "quarantine rows", loop.run
+        yield "gauges", partial(report_gauges, self)
+        yield "loop monitor", LoopMonitor(self.ports.clock).run
+        yield from self.leader_tasks.loops()
 
     def on_start(self) -> None:
         """Log that the process has started."""
--- a/berylshift/entry_gauges.py
+++ b/berylshift/entry_gauges.py
@@ -43,6 +43,11 @@
         "Times that changes sent by other hosts didn't continue the replica list.",
         updates.gaps,
     )
+    gauge(
+        "loop_failures",
+        "Times that a loop of the process failed and was started again.",
+        app.ports.supervisor.failures.total(),
+    )
     gauge("in_flight", "Requests in flight.", app.handler.in_flight)
     hosts = app.load_loop.known_hosts or 0
     gauge("hosts_known", "Hosts among which limits are divided.", hosts)
--- a/berylshift/entry_leader_tasks.py
+++ b/berylshift/entry_leader_tasks.py
@@ -1,10 +1,8 @@
 """Leader tasks of an entry host: reporting usage and ordering replicas."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 
-import trio
-
 from berylshift.clock import Clock
 from berylshift.ids import CustomerName
 from berylshift.messages.scaling import ScaleOrdering, ScaleRows
@@ -18,6 +16,7 @@
 from berylshift.process.usage.usage_loop import UsageLoop
 from berylshift.process.usage.windows import UsageSchedule, UsageWindows
 from berylshift.settings import Settings
+from berylshift.supervision import Loop
 from berylshift.version.routes import RouteTable, Service
 
 
@@ -88,13 +87,12 @@
         if table.customers is not None:
             self.usage.add_names(table.customers.names)
 
-    async def run(self) -> None:
-        """Run the enabled loops until cancelled."""
-        async with trio.open_nursery() as nursery:
-            if self._cfg.usage_report:
-                nursery.start_soon(self._usage_loop.run)
-            if self._cfg.autoscale:
-                nursery.start_soon(self._scale_loop.run)
+    def loops(self) -> Iterator[tuple[str, Loop]]:
+        """Yield the enabled loops and their names."""
+        if self._cfg.usage_report:
+            yield "usage reports", self._usage_loop.run
+        if self._cfg.autoscale:
+            yield "scaling", self._scale_loop.run
 
     @property
     def windows_reported(self) -> int:
--- a/berylshift/log.py
+++ b/berylshift/log.py
@@ -4,6 +4,7 @@
 import os
 import sys
 import time
+from collections.abc import Callable
 from typing import Protocol
 
 from pythonjsonlogger.json import JsonFormatter
@@ -107,6 +108,19 @@
             self.dropped += 1
 
 
+class RecordCounter(logging.Handler):
+    """Counts warnings and errors, also those that the rate limit leaves out."""
+
+    def __init__(self, count: Callable[[str, str], None]):
+        """Call ``count`` with the logger and the level of each record."""
+        super().__init__(logging.WARNING)
+        self._count = count
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Count a record."""
+        self._count(record.name, record.levelname)
+
+
 def init_logging(level: str, host: str) -> None:
     """Log each record to standard output as one JSON object with the host's name."""
     handler = BoundedHandler(DescriptorSink(sys.stdout.fileno()))
--- a/berylshift/process/datagrams/mailbox_loop.py
+++ b/berylshift/process/datagrams/mailbox_loop.py
@@ -61,7 +61,8 @@
 
     async def run(self) -> None:
         """Send and receive until cancelled."""
-        await self._key_changed.wait()
+        if self._key is None:
+            await self._key_changed.wait()
         while True:
             self._key_changed = trio.Event()
             link = self._make_link(self._key or "")
--- a/berylshift/process/directory/directory_loop.py
+++ b/berylshift/process/directory/directory_loop.py
@@ -81,11 +81,19 @@
         self._change_known = trio.Event()
 
     async def run(self) -> None:
-        """Read both feeds until cancelled."""
+        """Run the three loops until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._poll_feed, Feed.ROUTES, self._read_routes)
-            nursery.start_soon(self._poll_feed, Feed.REPLICAS, self._read_replicas)
-            nursery.start_soon(self._expire)
+            nursery.start_soon(self.follow_routes)
+            nursery.start_soon(self.follow_replicas)
+            nursery.start_soon(self.expire_entries)
+
+    async def follow_routes(self) -> None:
+        """Read the feed of routes until cancelled."""
+        await self._poll_feed(Feed.ROUTES, self._read_routes)
+
+    async def follow_replicas(self) -> None:
+        """Read the feed of replicas until cancelled."""
+        await self._poll_feed(Feed.REPLICAS, self._read_replicas)
 
     def notify_change(self) -> None:
         """Check again whether a feed must be read: another host reported a change."""
@@ -139,12 +147,6 @@
                     await self._change_known.wait()
                     await trio.sleep(INITIAL_BACKOFF_SECONDS * self._rng.random())
                 continue
-            except Exception:
-                # What can't be applied changes nothing; the other feed goes on.
-                self._watch.forget(feed)
-                logger.exception("feed not applied", extra={"feed": feed_name})
-                await trio.sleep(MAX_BACKOFF_SECONDS)
-                continue
             if failures:
                 logger.info(
                     "store regained", extra={"feed": feed_name, "tries": failures}
@@ -308,7 +310,8 @@
             if replicas <= self._watch.max_age_seconds:
                 self._replicas.release_suspects(now)
 
-    async def _expire(self) -> None:
+    async def expire_entries(self) -> None:
+        """Drop entries that have expired, until cancelled."""
         while True:
             await trio.sleep(EXPIRE_INTERVAL_SECONDS)
             now = self._clock.monotonic()
--- a/berylshift/reload.py
+++ b/berylshift/reload.py
@@ -47,16 +47,14 @@
         """Read the file again; if it is invalid, keep the last valid settings."""
         self._stamp = _stamp(self._path)
         try:
-            result = read_settings(self._path)
+            match read_settings(self._path):
+                case Failure(errors):
+                    self._reject(cause, [str(error) for error in errors])
+                case Success(cfg):
+                    self._accept(cfg, cause)
         except Exception as exc:
             # The file may be corrupt in any way; raised, it would end the process.
             self._reject(cause, [repr(exc)])
-            return
-        match result:
-            case Failure(errors):
-                self._reject(cause, [str(error) for error in errors])
-            case Success(cfg):
-                self._accept(cfg, cause)
 
     def _reject(self, cause: str, reasons: list[str]) -> None:
         logger.error("settings rejected", extra={"cause": cause, "reasons": reasons})
--- a/berylshift/serve_entry.py
+++ b/berylshift/serve_entry.py
@@ -1,5 +1,6 @@
 """Serves the platform's routes: entry application on real sockets and clients."""
 
+import logging
 import random
 from collections.abc import Callable
 
@@ -15,6 +16,7 @@
 from berylshift.connection.queue_codec import QueueCodec
 from berylshift.connection.target_client import TargetClient
 from berylshift.entry_application import EntryApplication, EntryPorts
+from berylshift.log import RecordCounter
 from berylshift.platform.codec import PlatformCodec
 from berylshift.platform.contracts import announces_contention
 from berylshift.platform.engines import PlatformEngines
@@ -34,6 +36,7 @@
 from berylshift.settings import Settings
 from berylshift.signals import watch_signals
 from berylshift.store.client import StoreClient
+from berylshift.supervision import RestartingSupervisor
 from berylshift.utils import split_address
 
 
@@ -77,6 +80,7 @@
         announces_contention=announces_contention,
         make_queue_link=lambda key: make_queue_link(QueueCodec(key)),
         make_origin_link=lambda key: make_origin_link(OriginCodec(key)),
+        supervisor=RestartingSupervisor(),
     )
 
 
@@ -101,6 +105,7 @@
         lambda codec: UdpPeerLink(codec, MAX_DATAGRAM_BYTES, origin_sock),
     )
     app = EntryApplication(cfg, ports)
+    logging.getLogger().addHandler(RecordCounter(app.telemetry.count_record))
     settings_file = SettingsFile(path, cfg, app.apply_settings)
     stop = trio.Event()
     app.on_start()
@@ -113,7 +118,7 @@
         if cfg.entry.metrics_address:
             metrics_listener = open_listener(cfg.entry.metrics_address)
             nursery.start_soon(app.status_server.serve, metrics_listener)
-        nursery.start_soon(settings_file.watch)
+        nursery.start_soon(ports.supervisor.run, "settings", settings_file.watch)
         await stop.wait()
         await app.on_shutdown()
         nursery.cancel_scope.cancel()
--- a/berylshift/serve_native.py
+++ b/berylshift/serve_native.py
@@ -27,6 +27,7 @@
     HttpTableService,
     HttpWeightStore,
 )
+from berylshift.supervision import RestartingSupervisor
 
 logger = logging.getLogger(__name__)
 
@@ -52,6 +53,7 @@
         peer_views=HttpPeerViews(client, creds.cluster_key),
         target_dial=target_dial,
         break_silent=targets.break_silent,
+        supervisor=RestartingSupervisor(),
     )
 
 
--- a/berylshift/store/batch.py
+++ b/berylshift/store/batch.py
@@ -145,11 +145,13 @@
         try:
             transaction = Transaction(conditions, writes)
             return await self._call(self._writes, self._service.transact, transaction)
-        except PlatformError as exc:
+        except Exception as exc:
             for pending in batch:
                 pending.error = exc
                 pending.done.set()
-            return None
+            if isinstance(exc, PlatformError):
+                return None
+            raise
 
     async def _admit(self, budget: StoreBudget, priority: Priority) -> None:
         while wait := budget.wait_seconds(priority, self._clock.monotonic()):
--- a/berylshift/telemetry.py
+++ b/berylshift/telemetry.py
@@ -70,6 +70,12 @@
             ["service", "reason"],
             registry=self.registry,
         )
+        self._records = Counter(
+            "berylshift_log_records",
+            "Warnings and errors logged, by logger and level.",
+            ["logger", "level"],
+            registry=self.registry,
+        )
         self._customers: set[str] = set()
         self._gauges: dict[str, Gauge] = {}
 
@@ -89,6 +95,10 @@
             label = self._customer_label(ended.customer)
             self._by_customer.labels(label, ended.outcome).inc()
 
+    def count_record(self, name: str, level: str) -> None:
+        """Count a record of a logger."""
+        self._records.labels(name, level).inc()
+
     def _customer_label(self, customer: str) -> str:
         """Return a customer's label; the number of labels is limited."""
         if len(self._customers) < MAX_CUSTOMER_LABELS:
--- a/berylshift/tests/entry_world.py
+++ b/berylshift/tests/entry_world.py
@@ -43,6 +43,7 @@
     FakeUsageRows,
 )
 from berylshift.stand_ins.pipes import Pipe, pipe_pair
+from berylshift.supervision import PropagatingSupervisor, RestartingSupervisor
 from berylshift.tests.support import run_virtual
 from berylshift.version.customers import CustomerKeys
 from berylshift.version.routes import (
@@ -314,11 +315,13 @@
         name: str = "",
         domain: str = "domain-1",
         scheduling: Mapping[str, str] = NO_SCHEDULING,
+        restarts: bool = False,
         **entry: object,
     ) -> EntryApplication:
         """Start a host and wait until it is ready, for one second at most.
 
-        ``scheduling`` and ``entry`` are settings of the sections with these names.
+        ``scheduling`` and ``entry`` are settings of the sections with these names;
+        ``restarts``: loops that fail start again.
         """
         name = name or f"host-{len(self.hosts) + 1}"
         values = {"grace": 8, "reading_share": 0, **entry}
@@ -351,6 +354,7 @@
             make_origin_link=lambda key: DatagramLink(
                 self, origin_address(peer_address), OriginCodec(key)
             ),
+            supervisor=RestartingSupervisor() if restarts else PropagatingSupervisor(),
         )
         app = EntryApplication(parse_settings(text).unwrap(), ports)
         self.hosts.append(app)
@@ -489,7 +493,8 @@
 ):
     """Run ``task(world)``; ``engines`` has a letter each: p prefill, d decode.
 
-    ``scheduling`` and ``entry`` are settings of the hosts' sections with these names.
+    ``scheduling`` and ``entry`` are settings of the hosts' sections with these names,
+    and ``restarts`` as for ``EntryWorld.add_host``.
     """
 
     async def main():
--- a/berylshift/tests/test_reload.py
+++ b/berylshift/tests/test_reload.py
@@ -43,6 +43,15 @@
         self.assertEqual(self.applied, [])
         self.assertIn("retry_ratio", str(logs.records[0].reasons))
 
+    def test_settings_that_cannot_be_applied(self):
+        """Guards against a reload that ends the process as it takes effect."""
+        cfg = read_settings(str(self.path)).unwrap()
+        self.file = SettingsFile(str(self.path), cfg, lambda cfg: 1 // 0)
+        self.write(0.35)
+        with self.assertLogs("berylshift.reload", "ERROR") as logs:
+            self.file.reload("SIGHUP")
+        self.assertIn("ZeroDivisionError", str(logs.records[-1].reasons))
+
     def test_undecodable_file_keeps_the_last_valid_settings(self):
         """Guards against a reload that ends the process.
 
