Give the sender and the reader of a connection a state each

Cause: a long body is sent by a task of its own. The reader that skips a late response replaced the HTTP state of the connection, and a sender that had not begun by then went on with that one, in which the request is sent. Evidence: LocalProtocolError in _send_concurrently in the logs of the hosts that ended. Change: before a sending task starts, the connection is split: the task gets the state in which the head was encoded, and nobody else has it; the reader gets a state of its own in which the request is sent, and may replace it at any time. Short bodies are sent by the reader itself, before it reads. Any other error of a sending task is logged and closes its connection alone. A reader that skips a response also keeps the end of the connection, if that has been read. Conclusion: no order of events decides whose state it is.

--- a/berylshift/connection/http_client.py
+++ b/berylshift/connection/http_client.py
@@ -172,6 +172,25 @@
                 on_size(body.add(data))
         return body.whole()
 
+    def split(self, method: bytes) -> h11.Connection:
+        """Return the HTTP state for a task that goes on sending a ``method`` request.
+
+        The task that reads has ``conn``, a state of its own in which the request is
+        sent: it may have to replace that one, whatever the other task has done by then.
+        """
+        writer = self.conn
+        self.conn = state_after_send(method)
+        return writer
+
+    def read_next_response(self, method: bytes) -> None:
+        """Expect another response to a ``method`` request after the last one."""
+        remaining, is_closed = self.conn.trailing_data
+        self.conn = state_after_send(method)
+        if remaining:
+            self.conn.receive_data(remaining)
+        if is_closed:
+            self.conn.receive_data(b"")
+
     def is_reusable(self) -> bool:
         """Return whether request and response are complete and no bytes follow."""
         if self.conn.our_state is not h11.DONE:
@@ -335,6 +354,14 @@
         self._idle.clear()
 
 
+def state_after_send(method: bytes) -> h11.Connection:
+    """Return the HTTP state of a client that has sent a ``method`` request."""
+    conn = h11.Connection(h11.CLIENT)
+    conn.send(h11.Request(method=method, target=b"/", headers=[(b"host", b"-")]))
+    conn.send(h11.EndOfMessage())
+    return conn
+
+
 def close_now(stream: trio.abc.Stream) -> None:
     """Close a stream immediately, without waiting."""
     if isinstance(stream, TunnelStream):
--- a/berylshift/connection/target_client.py
+++ b/berylshift/connection/target_client.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import logging
 from collections import defaultdict
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
@@ -37,6 +38,8 @@
 from berylshift.ids import InstanceId
 from berylshift.messages.routed import Header
 
+logger = logging.getLogger(__name__)
+
 # Bodies up to this size fit into the windows of a new connection and are sent before
 # the response is read. Larger ones are sent concurrently with reading the response: a
 # replica may respond before it has read them, and both sides would deadlock.
@@ -285,8 +288,9 @@
             return sent
         if self._send_nursery is None:
             raise ConnectionBrokenError("the target client is not running")
+        writer = connection.split(out.method)
         self._send_nursery.start_soon(
-            _send_concurrently, connection, head, body, scope, sent
+            _send_concurrently, connection.stream, writer, head, body, scope, sent
         )
         return sent
 
@@ -403,7 +407,8 @@
 
 
 async def _send_concurrently(
-    connection: ClientConnection,
+    stream: trio.abc.Stream,
+    writer: h11.Connection,
     head: bytes,
     body: RequestBody,
     scope: trio.CancelScope,
@@ -412,19 +417,27 @@
     """Send a long request; the task that reads the response sees any send failure.
 
     A body that its caller aborts must not look complete to the target, which would
-    process half of it: the connection is closed instead.
+    process half of it: the connection is closed instead. So it is after any other
+    error, which concerns this request alone.
     """
-    conn = connection.conn
-    with scope, contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
-        await connection.stream.send_all(head)
+    with scope:
         try:
-            async with contextlib.aclosing(body.chunks()) as chunks:
-                async for data in chunks:
-                    await connection.stream.send_all(
-                        conn.send(h11.Data(data=data)) or b""
-                    )
-        except BodyBrokenError:
-            close_now(connection.stream)
+            await _send_all(stream, writer, head, body)
+            sent.set()
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
             return
-        await connection.stream.send_all(conn.send(h11.EndOfMessage()) or b"")
-        sent.set()
+        except BodyBrokenError:
+            close_now(stream)
+        except Exception:
+            logger.exception("request not sent")
+            close_now(stream)
+
+
+async def _send_all(
+    stream: trio.abc.Stream, writer: h11.Connection, head: bytes, body: RequestBody
+) -> None:
+    await stream.send_all(head)
+    async with contextlib.aclosing(body.chunks()) as chunks:
+        async for data in chunks:
+            await stream.send_all(writer.send(h11.Data(data=data)) or b"")
+    await stream.send_all(writer.send(h11.EndOfMessage()) or b"")
--- a/berylshift/connection/target_response.py
+++ b/berylshift/connection/target_response.py
@@ -137,10 +137,7 @@
         instead would lose the response of a request that may not be repeated.
         """
         await self.read(MAX_SKIPPED_BYTES)
-        remaining, _ = self._connection.conn.trailing_data
-        self._connection.conn = _state_after_send(self._out)
-        if remaining:
-            self._connection.conn.receive_data(remaining)
+        self._connection.read_next_response(self._out.method)
         self._set_head(await self._connection.read_head())
 
     def chunks(self) -> AsyncIterator[bytes]:
@@ -176,11 +173,3 @@
             except ConnectionLayerError:
                 pass
         self.may_reuse = False
-
-
-def _state_after_send(out: TargetRequest) -> h11.Connection:
-    """Return the HTTP state of a connection on which ``out`` was sent."""
-    conn = h11.Connection(h11.CLIENT)
-    conn.send(h11.Request(method=out.method, target=out.target, headers=out.headers))
-    conn.send(h11.EndOfMessage())
-    return conn
