Pool no connection that another task has closed

Cause: when a path is lost, connections are closed from another task. One whose response had been read by then counted as reusable, went into the pool, and the next look at it raised ValueError (file descriptor -1), an error that no caller of the client expects; in the store's client it ended the loop that read. Change: a closed connection is neither reusable nor idle. Conclusion: one owner decides on reuse, and looks at what others may have done.

--- a/berylshift/connection/http_client.py
+++ b/berylshift/connection/http_client.py
@@ -192,8 +192,11 @@
             self.conn.receive_data(b"")
 
     def is_reusable(self) -> bool:
-        """Return whether request and response are complete and no bytes follow."""
-        if self.conn.our_state is not h11.DONE:
+        """Return whether request and response are complete and no bytes follow.
+
+        Another task may have closed the connection after its last byte was read.
+        """
+        if self.conn.our_state is not h11.DONE or is_closed(self.stream):
             return False
         return self.conn.their_state is h11.DONE and not self.conn.trailing_data[0]
 
@@ -362,6 +365,13 @@
     return conn
 
 
+def is_closed(stream: trio.abc.Stream) -> bool:
+    """Return whether this host has closed a connection."""
+    if isinstance(stream, TunnelStream):
+        stream = stream.inner
+    return isinstance(stream, trio.SocketStream) and stream.socket.fileno() < 0
+
+
 def close_now(stream: trio.abc.Stream) -> None:
     """Close a stream immediately, without waiting."""
     if isinstance(stream, TunnelStream):
@@ -381,6 +391,8 @@
     """
     if not isinstance(stream, trio.SocketStream):
         return True
+    if is_closed(stream):
+        return False
     poll = select.poll()
     poll.register(stream.socket.fileno(), select.POLLIN)
     return not poll.poll(0)
--- a/berylshift/tests/test_connection_two_tasks.py
+++ b/berylshift/tests/test_connection_two_tasks.py
@@ -1,5 +1,6 @@
 """Tests of connections that one task reads while another one sends a long request."""
 
+import socket
 import unittest
 from collections.abc import AsyncIterator
 
@@ -8,6 +9,13 @@
 import trio.testing
 
 from berylshift.connection.errors import ConnectionLayerError
+from berylshift.connection.http_client import (
+    ClientConnection,
+    HttpClient,
+    Outgoing,
+    close_now,
+    has_no_input,
+)
 from berylshift.connection.request_body import RequestBody
 from berylshift.connection.target_client import MAX_INLINE_BYTES, TargetClient
 from berylshift.connection.target_request import TargetRequest
@@ -233,5 +241,52 @@
         self.assertEqual(found, ["ConnectionBrokenError", 200])
 
 
+class ClosedByAnotherTaskTest(unittest.TestCase):
+    """A connection that another task closes once its response was read."""
+
+    def test_it_is_not_used_again(self):
+        """Guards against a closed connection in the pool."""
+
+        async def main():
+            near, far = map(trio.socket.from_stdlib_socket, socket.socketpair())
+            stream = trio.SocketStream(near)
+            connection = ClientConnection(stream)
+            await connection.send_request(Outgoing("x", "GET", "/", {}))
+            await far.send(response(200))
+            await connection.read_head()
+            await connection.read_body(10)
+            before = connection.is_reusable()
+            close_now(stream)
+            far.close()
+            return before, connection.is_reusable(), has_no_input(stream)
+
+        self.assertEqual(trio.run(main), (True, False, False))
+
+    def test_path_that_is_lost_as_the_response_ends(self):
+        """Guards against a store call or a request that gets an internal error."""
+
+        async def main():
+            async with trio.open_nursery() as nursery:
+                listener = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
+                port = listener.socket.getsockname()[1]
+                address = f"127.0.0.1:{port}"
+
+                async def answer(stream: trio.abc.Stream) -> None:
+                    while await stream.receive_some(65536):
+                        await stream.send_all(response(200))
+
+                nursery.start_soon(trio.serve_listeners, answer, [listener])
+                client, found = HttpClient(), []
+                for _ in range(2):
+                    async with client.request(Outgoing(address, "GET", "/", {})) as got:
+                        await got.read()
+                        client.break_silent(address)
+                    found.append(got.status)
+                nursery.cancel_scope.cancel()
+            return found
+
+        self.assertEqual(trio.run(main), [200, 200])
+
+
 if __name__ == "__main__":
     unittest.main()
