Give numbers, names and addresses of others ranges where they are decoded

Cause: a type isn't a range; divisions, digests, timers and gauges take less than a decoder accepts. Change: ranges with units in wire_numbers, used by entries, configurations, reports, revisions, eras and clocks of the store, leases, usage and crashes; an address must be IPv4 and a port; a replica's name must fit into a header; a route must lead to a service. What is out of range is malformed as other bytes are: the entry or row is skipped with a line in the log, the configuration in force stays. Conclusion: what a decoder lets through can be computed with. A version of 10^15 would still be the last one taken: only the operator writes it.

--- /dev/null
+++ b/berylshift/messages/addresses.py
@@ -0,0 +1,17 @@
+"""Checks addresses that other processes wrote."""
+
+import ipaddress
+
+MAX_PORT = 65535
+
+
+def is_endpoint(address: str) -> bool:
+    """Return whether a text is ``IP:PORT`` with an IPv4 address and a port."""
+    host, _, port = address.rpartition(":")
+    if not (port.isascii() and port.isdigit() and len(port) <= len(str(MAX_PORT))):
+        return False
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return 0 < int(port) <= MAX_PORT
--- a/berylshift/messages/usage.py
+++ b/berylshift/messages/usage.py
@@ -8,6 +8,7 @@
 
 from berylshift.ids import CustomerName, StoreEra
 from berylshift.messages.leader_calls import CallResult, LeaseHolder
+from berylshift.messages.wire_numbers import Count, Position
 from berylshift.store.eras import FIRST_ERA
 
 MAX_CACHED_HASHES = 8192
@@ -29,13 +30,13 @@
     """The number of requests of one customer."""
 
     customer: CustomerName
-    count: int
+    count: Position
 
 
 class UsageReport(msgspec.Struct, frozen=True):
     """The report of one window; customers without requests are omitted."""
 
-    window: int
+    window: Count
     counts: tuple[CustomerCount, ...]
 
 
--- a/berylshift/messages/wire_numbers.py
+++ b/berylshift/messages/wire_numbers.py
@@ -9,6 +9,13 @@
 Count = Annotated[int, Meta(ge=0, le=2**32 - 1)]
 Position = Annotated[int, Meta(ge=0, le=2**63 - 1)]
 Milliseconds = Annotated[float, Meta(ge=0, le=10**12)]
+Amount = Annotated[float, Meta(ge=0, le=10**12)]
+Rank = Annotated[int, Meta(ge=-(10**6), le=10**6)]
+# Texts of rows have at most this many bytes.
+MAX_TEXT = 200
+Text = Annotated[str, Meta(max_length=MAX_TEXT)]
+Name = Annotated[str, Meta(min_length=1, max_length=MAX_TEXT)]
+MAX_U64 = 2**64 - 1
 
 # Longer texts are not converted: the time that takes grows with the square of the
 # length, and no field has a number as long.
@@ -16,8 +23,9 @@
 MAX_TIME_LEFT_MS = 10**12
 MAX_TOKENS = 10**9
 MAX_BYTES = 10**15
-# Requests at one replica.
+# Requests at one replica, and requests per second.
 MAX_REQUESTS = 10**6
+Requests = Annotated[int, Meta(ge=0, le=MAX_REQUESTS)]
 
 
 def whole_number(text: bytes, maximum: int) -> int | None:
--- a/berylshift/platform/configuration.py
+++ b/berylshift/platform/configuration.py
@@ -12,7 +12,16 @@
     ServiceName,
     TableVersion,
 )
-from berylshift.messages.json_decoding import MalformedJsonError, decode_json
+from berylshift.messages.json_decoding import decode_json
+from berylshift.messages.wire_numbers import (
+    Amount,
+    Count,
+    Milliseconds,
+    Name,
+    Position,
+    Rank,
+    Requests,
+)
 from berylshift.store.interfaces import MalformedEntryError
 from berylshift.version.customers import ApiKey, Customer, CustomerKeys
 from berylshift.version.routes import (
@@ -29,6 +38,9 @@
 
 logger = logging.getLogger(__name__)
 
+# A version near the end of its range would be the last one that hosts take.
+Version = Annotated[int, msgspec.Meta(ge=0, le=10**15)]
+
 ROUTE_KINDS = {
     "idempotent": RouteKind.IDEMPOTENT,
     "non_idempotent": RouteKind.AT_MOST_ONCE,
@@ -37,69 +49,69 @@
 
 
 class _Share(msgspec.Struct):
-    service: str
-    weight: int
+    service: Name
+    weight: Requests
 
 
 class _Route(msgspec.Struct):
-    name: str
+    name: Name
     host: str
     prefix: str
     route_kind: str
-    timeout_ms: float
-    target_latency_ms: float = 0.0
-    priority: int = 5
+    timeout_ms: Milliseconds
+    target_latency_ms: Milliseconds = 0.0
+    priority: Rank = 5
     service: str = ""
     # Set instead of ``service`` to split requests over several services.
     backends: list[_Share] = []
-    max_attempts: int = 1
+    max_attempts: Count = 1
     # Means that requests describe their prompt, not that sessions are pinned.
     session_affinity: bool = False
     resumable: bool = False
     # The longest gap between two events, not between single tokens.
-    target_itl_ms: float = 0.0
+    target_itl_ms: Milliseconds = 0.0
     # Accepts requests without a customer's key.
     public: bool = False
 
 
 class _Engine(msgspec.Struct):
-    batch_slots: int
-    kv_capacity: int
-    kv_bytes: int
-    bandwidth_mbps: float
+    batch_slots: Requests
+    kv_capacity: Position
+    kv_bytes: Position
+    bandwidth_mbps: Amount
 
 
 class _Scaling(msgspec.Struct):
-    min_replicas: int
-    max_replicas: int
-    boot_s: float
+    min_replicas: Requests
+    max_replicas: Requests
+    boot_s: Amount
     # A fraction of the on-demand price, not the maximum bid for a replica.
-    max_spot_price: float | None = None
-    zone_prices: dict[str, float] = {}
+    max_spot_price: Amount | None = None
+    zone_prices: dict[str, Amount] = {}
 
 
 class _Service(msgspec.Struct):
-    name: str
-    max_connections: int = 0
+    name: Name
+    max_connections: Count = 0
     engine: _Engine | None = None
     scaling: _Scaling | None = None
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 4194304
-    header_timeout_ms: float = 3000
-    idle_timeout_ms: float = 15000
+    max_header_bytes: Count = 16384
+    max_body_bytes: Count = 4194304
+    header_timeout_ms: Milliseconds = 3000
+    idle_timeout_ms: Milliseconds = 15000
 
 
 class _Tenant(msgspec.Struct):
-    name: Annotated[str, msgspec.Meta(min_length=1)]
+    name: Name
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: Rank | None = None
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: Version
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -114,7 +126,7 @@
         configuration = decode_json(data, _Configuration)
         _log_unknown_fields(data, configuration.version)
         return _table(configuration)
-    except (MalformedJsonError, KeyError) as exc:
+    except (ValueError, KeyError) as exc:
         raise MalformedEntryError(f"configuration: {exc}") from exc
 
 
@@ -158,6 +170,8 @@
 
 def _route(route: _Route) -> Route:
     shares = [_Share(route.service, 1)] if route.service else route.backends
+    if not any(share.weight for share in shares):
+        raise ValueError(f"route {route.name} leads to no service")
     return Route(
         name=RouteName(route.name),
         host=route.host.lower(),
--- a/berylshift/platform/engines.py
+++ b/berylshift/platform/engines.py
@@ -13,6 +13,7 @@
 )
 from berylshift.messages.json_decoding import MalformedJsonError, decode_json
 from berylshift.messages.replicas import EnginePhase, Replica
+from berylshift.messages.wire_numbers import Position
 from berylshift.platform import names
 
 STATUS_OK = 200
@@ -31,9 +32,9 @@
     phase: str
     busy: bool
     # The number of orders accepted since the replica's start, not a heartbeat number.
-    sequence: int
+    sequence: Position
     # Unix time of the replica's start in milliseconds; not all replicas report it.
-    born: int | None = None
+    born: Position | None = None
 
 
 class _Order(msgspec.Struct):
--- a/berylshift/platform/entries.py
+++ b/berylshift/platform/entries.py
@@ -11,30 +11,30 @@
     ServiceName,
     SoftwareVersion,
 )
+from berylshift.messages.addresses import is_endpoint
 from berylshift.messages.json_decoding import MalformedJsonError, decode_json
 from berylshift.messages.replicas import EnginePhase, Replica, instance_of
+from berylshift.messages.wire_numbers import MAX_REQUESTS, Name, Position, Text
 from berylshift.store.interfaces import MalformedEntryError
 
 DRAINING = "draining"
 STATES = frozenset({"ready", DRAINING})
-Text = Annotated[str, msgspec.Meta(min_length=1)]
-Address = Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
 
 
 class _Entry(msgspec.Struct):
     """The fields that every replica writes; an entry without them is foreign."""
 
-    service: Text
-    address: Address
-    zone: Text
-    version: str
-    batch_slots: Annotated[int, msgspec.Meta(ge=1)]
+    service: Name
+    address: str
+    zone: Name
+    version: Text
+    batch_slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_REQUESTS)]
     state: str
     cold_remaining_ms: float
     sequence: int
     phase: str = ""
     # Unix time of the replica's start in milliseconds; not all replicas report it.
-    born: Annotated[int, msgspec.Meta(ge=0)] | msgspec.UnsetType = msgspec.UNSET
+    born: Position | msgspec.UnsetType = msgspec.UNSET
     # Whether the replica is interruptible: the platform may reclaim it.
     spot_enabled: bool = False
 
@@ -48,6 +48,10 @@
         raise MalformedEntryError(f"replica {key}: {exc}") from exc
     if decoded.state not in STATES:
         raise MalformedEntryError(f"replica {key}: unknown state {decoded.state!r}")
+    if not is_endpoint(decoded.address):
+        raise MalformedEntryError(f"replica {key}: address {decoded.address!r}")
+    if not _is_name(key):
+        raise MalformedEntryError(f"replica {key!r}: the name can't be in a header")
     name = ReplicaName(key)
     started_ms = None if decoded.born is msgspec.UNSET else decoded.born
     return Replica(
@@ -64,3 +68,7 @@
         interruptible=decoded.spot_enabled,
         version=SoftwareVersion(decoded.version),
     )
+
+
+def _is_name(key: str) -> bool:
+    return bool(key) and key.isprintable() and key == key.strip()
--- a/berylshift/platform/own_tables.py
+++ b/berylshift/platform/own_tables.py
@@ -8,8 +8,10 @@
 import msgspec
 
 from berylshift.ids import Revision, ServiceName
+from berylshift.messages.addresses import is_endpoint
 from berylshift.messages.json_decoding import MalformedJsonError, decode_json
 from berylshift.messages.usage import SettledUsage, UsageReport
+from berylshift.messages.wire_numbers import MAX_TEXT, MAX_U64, Count
 from berylshift.platform import names
 from berylshift.platform.rows import (
     Row,
@@ -86,7 +88,10 @@
     async def hosts(self) -> list[HostRecord]:
         """Return the rows of all hosts, including those that no longer run."""
         pages = await read_pages(self._client, names.HOST_TABLE)
-        return [rec for page in pages for rec in decode_records(page.rows, HostRecord)]
+        records = (
+            rec for page in pages for rec in decode_records(page.rows, HostRecord)
+        )
+        return [rec for rec in records if _is_usable(rec)]
 
     async def get_or_set_shared_key(self, proposal: str) -> str:
         """Return the key shared by all hosts; the first proposal is stored.
@@ -120,7 +125,10 @@
         """Return all rows that can be decoded."""
         pages = await read_pages(self._client, self._table)
         rows = tuple(
-            row for page in pages for row in decode_records(page.rows, CrashRow)
+            row
+            for page in pages
+            for row in decode_records(page.rows, CrashRow)
+            if 0 <= row.request <= MAX_U64
         )
         return CrashRowsSnapshot(rows, pages[-1].now_ms, common_era(pages))
 
@@ -187,7 +195,7 @@
         write = RowWrite(table, service, msgspec.json.encode(needed))
         if await _write_once(self._client, write) is not None:
             return needed
-        found = _record(await _read_one(self._client, table, service), service, int)
+        found = _record(await _read_one(self._client, table, service), service, Count)
         if found is None:
             raise ResponseLostError("the needed number is not readable yet")
         return found
@@ -236,6 +244,14 @@
     return None, ABSENT
 
 
+def _is_usable(record: HostRecord) -> bool:
+    """Return whether other hosts can send to a host."""
+    if is_endpoint(record.address):
+        return True
+    logger.warning("host skipped", extra={"entry": record.host[:MAX_TEXT]})
+    return False
+
+
 def _crash_key(row: CrashRow) -> str:
     return f"{row.request:016x}.{row.target:08x}"
 
--- a/berylshift/platform/rows.py
+++ b/berylshift/platform/rows.py
@@ -9,6 +9,7 @@
 
 from berylshift.ids import StoreEra
 from berylshift.messages.json_decoding import MalformedJsonError, decode_json
+from berylshift.messages.wire_numbers import MAX_TEXT, Position, whole_number
 from berylshift.platform import names
 from berylshift.store.client import StoreClient, StoreResponse
 from berylshift.store.eras import FIRST_ERA
@@ -24,6 +25,7 @@
 REFUSALS = frozenset({429, 503})
 # Maximum number of rows in a response; the platform truncates longer ones.
 PAGE_ROWS = 500
+MAX_ERA = 2**32 - 1
 Record = TypeVar("Record")
 
 
@@ -33,7 +35,7 @@
     key: str
     # Base64 on the wire; decoded later, since other writers may store any value.
     value: msgspec.Raw = msgspec.Raw(b'""')
-    row_version: int = 0
+    row_version: Position = 0
     deleted: bool = False
     part: str = ""
 
@@ -49,12 +51,12 @@
     """A response on the wire."""
 
     # The latest revision of the whole store, not of the returned rows.
-    row_version: int
+    row_version: Position
     # Decoded one by one, so that a malformed row does not hide the others.
     rows: list[msgspec.Raw] = []
     has_more: bool = False
     # The store's monotonic clock.
-    now_ms: int = 0
+    now_ms: Position = 0
 
 
 class Rows(msgspec.Struct):
@@ -140,9 +142,10 @@
     """Return the era in a response header; ``FIRST_ERA`` if there is none."""
     if not text:
         return FIRST_ERA
-    if not text.isascii() or not text.isdigit():
-        raise ResponseLostError(f"store era {text!r} is not a number")
-    return StoreEra(int(text))
+    found = whole_number(text.encode(), MAX_ERA)
+    if found is None:
+        raise ResponseLostError(f"store era {text[:MAX_TEXT]!r} is not a number")
+    return StoreEra(found)
 
 
 def _well_formed(rows: Iterable[msgspec.Raw]) -> list[Row]:
--- a/berylshift/store/crash_rows.py
+++ b/berylshift/store/crash_rows.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from berylshift.ids import Fingerprint, StoreEra
+from berylshift.messages.wire_numbers import Count, Position
 from berylshift.store.eras import FIRST_ERA
 
 
@@ -20,8 +21,8 @@
     """
 
     request: Fingerprint
-    target: int
-    at_ms: int
+    target: Count
+    at_ms: Position
 
 
 class CrashRowsSnapshot(msgspec.Struct, frozen=True):
--- a/berylshift/store/lease_rows.py
+++ b/berylshift/store/lease_rows.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from berylshift.ids import Revision, StoreEra
+from berylshift.messages.wire_numbers import Position
 from berylshift.store.eras import FIRST_ERA
 
 ABSENT = Revision(0)
@@ -19,7 +20,7 @@
 
     holder: str
     grant: str
-    until_ms: int
+    until_ms: Position
     era: StoreEra = FIRST_ERA
 
 
