Cut replicas' limits to a range, so that none becomes infinite between hosts

Cause: the limit is a double at the host that reads it and a 32-bit float in digests, where it is infinite; LimitShares.share converts it to an int (OverflowError). Change: limits are cut to 1e6 requests a second by the host that reads them and by those that get them in a digest, whose request rates are cut, too; the tokens of a handle have a range. Conclusion: a limit that large limits nothing, and now it ends nothing.

--- a/berylshift/connection/load_codec.py
+++ b/berylshift/connection/load_codec.py
@@ -1,6 +1,5 @@
 """Encoding of load digests: capnp messages with an authentication tag."""
 
-import math
 from pathlib import Path
 
 import capnp
@@ -30,6 +29,7 @@
 )
 from berylshift.messages.replicas import EnginePhase
 from berylshift.messages.usage import RunCount
+from berylshift.messages.wire_numbers import MAX_REQUESTS
 
 TOKENS_PER_UNIT = 16
 FAILURE_UNIT = 1 / 32
@@ -250,11 +250,16 @@
 def _unpack_limits(packed) -> tuple[LimitUpdate, ...]:
     columns = zip(packed.targets, packed.perSecond, packed.ages, strict=True)
     return tuple(
-        LimitUpdate(target, rate if rate >= 0 else None, age * AGE_UNIT_SECONDS)
+        LimitUpdate(target, _unpack_rate(rate), age * AGE_UNIT_SECONDS)
         for target, rate, age in columns
     )
 
 
+def _unpack_rate(rate: float) -> float | None:
+    """Return a limit of requests per second; ``None``: there is none."""
+    return min(rate, MAX_REQUESTS) if rate >= 0 else None
+
+
 def _pack_speeds(packed, speeds: tuple[SpeedUpdate, ...]) -> None:
     packed.targets = [update.target for update in speeds]
     packed.kinds = [int(update.kind) for update in speeds]
@@ -375,5 +380,5 @@
         _unpack_demand(packed.demand) if packed._has("demand") else (),
         unpack_pieces(packed.replicas) if packed._has("replicas") else (),
         _unpack_block_reports(packed.blocks) if packed._has("blocks") else (),
-        packed.requestRate if math.isfinite(packed.requestRate) else 0.0,
+        _unpack_rate(packed.requestRate) or 0.0,
     )
--- a/berylshift/platform/codec.py
+++ b/berylshift/platform/codec.py
@@ -1,5 +1,7 @@
 """Converts between the platform's HTTP headers and typed messages."""
 
+from typing import Annotated
+
 import msgspec
 
 from berylshift.ids import BlockId, CustomerName, ReplicaName, RequestId
@@ -82,7 +84,7 @@
 
 class _Handle(msgspec.Struct):
     kv_handle: str
-    tokens: int = 0
+    tokens: Annotated[int, msgspec.Meta(ge=0, le=MAX_TOKENS)] = 0
 
 
 class PlatformCodec:
@@ -306,12 +308,12 @@
 
 
 def _rate(value: bytes | None) -> float | None:
-    """Return requests per second; a malformed value means no limit."""
+    """Return requests per second, cut to a range; malformed values mean no limit."""
     try:
         found = float(value) if value is not None else -1.0
     except ValueError:
         return None
-    return found if 0 <= found < float("inf") else None
+    return min(found, MAX_REQUESTS) if 0 <= found < float("inf") else None
 
 
 def _keep_alive_seconds(value: bytes | None) -> float | None:
--- a/berylshift/tests/test_foreign_numbers.py
+++ b/berylshift/tests/test_foreign_numbers.py
@@ -7,13 +7,15 @@
 import trio
 
 from berylshift.connection.load_codec import LoadCodec
-from berylshift.ids import RequestId, Revision, StoreEra
+from berylshift.ids import InstanceId, RequestId, Revision, StoreEra
 from berylshift.messages.addresses import is_endpoint
 from berylshift.messages.load_digest import (
     FeedStatus,
+    LimitUpdate,
     LoadDigest,
     StoreStatus,
 )
+from berylshift.messages.retry_after import MAX_RETRY_AFTER_SECONDS, parse_retry_after
 from berylshift.messages.wire_numbers import MAX_REQUESTS
 from berylshift.platform import names
 from berylshift.platform.codec import PlatformCodec
@@ -21,7 +23,9 @@
 from berylshift.platform.entries import parse_replica_entry
 from berylshift.platform.own_tables import PlatformCrashes, PlatformHosts
 from berylshift.platform.rows import MAX_ERA, parse_rows
+from berylshift.process.targets.limit_shares import LimitShares
 from berylshift.store.client import StoreResponse
+from berylshift.store.host_rows import HostRecord
 from berylshift.store.interfaces import MalformedEntryError, ResponseLostError
 from berylshift.tests.entry_world import run_entry
 from berylshift.tests.test_platform_store import ENTRY, StoreClientCase
@@ -147,6 +151,45 @@
             self.assertEqual(parse_configuration(data).version, 1)
 
 
+class FlowControlTest(unittest.TestCase):
+    """Limits and delays that replicas state."""
+
+    def limit(self, text: bytes) -> float | None:
+        """Return the limit in a response."""
+        headers = [(names.RATE_LIMIT, text)]
+        return PlatformCodec().parse_flow_control(200, headers).rate_limit
+
+    def test_limits_are_cut_to_a_range(self):
+        """Guards against a limit that becomes infinite between hosts and ends them."""
+        for text in (b"1e308", b"1e39", b"3.5e38", b"1000001"):
+            self.assertEqual(self.limit(text), MAX_REQUESTS)
+        for text in (b"nan", b"inf", b"-1", b"", b"1e999"):
+            self.assertIsNone(self.limit(text))
+        self.assertEqual(self.limit(b"0"), 0)
+
+    def test_limits_of_peers_are_cut_to_a_range(self):
+        """Guards against a digest of another build whose limit is infinite."""
+        codec = LoadCodec("key")
+        rates = (1e308, float("inf"), float("nan"), -5.0, 7.0)
+        limits = tuple(LimitUpdate(1, rate, 0.0) for rate in rates)
+        found = codec.decode(
+            codec.encode(LoadDigest("h", 1, (), (), limits=limits), 1400)
+        )
+        stated = [update.requests_per_second for update in found.limits]
+        self.assertEqual(stated, [MAX_REQUESTS, MAX_REQUESTS, None, None, 7.0])
+        hosts = [HostRecord(f"h{n}", f"10.0.0.{n}:1") for n in range(1, 9)]
+        shares = LimitShares("h1", lambda: hosts, 20)
+        for rate in filter(None, stated):
+            share = shares.share(InstanceId("i"), None, rate)
+            self.assertLessEqual(share.fraction, 1)
+
+    def test_delays_are_cut_to_a_range(self):
+        """Guards against a caller that is told to return in a thousand years."""
+        for text in ("1e300", "86400", "9" * 400):
+            wanted = 0 if text[0] == "9" else MAX_RETRY_AFTER_SECONDS
+            self.assertEqual(parse_retry_after(text), wanted)
+
+
 class StoreNumbersTest(StoreClientCase):
     """Figures of the store, and rows of this system's tables."""
 
