Send the refusal of a malformed request that follows a HEAD request

Cause: whether a response has a body was kept from the request before, when the next one could not be parsed; the head said how long the body is, and the body was left out (LocalProtocolError: too little data). Change: it is forgotten as a request begins. Result: MalformedAfterHeadTest failed before with that error and passes. Conclusion: what a connection knows of a request ends with it.

--- a/berylshift/connection/server_connection.py
+++ b/berylshift/connection/server_connection.py
@@ -151,7 +151,7 @@
     async def _serve_one(self) -> bool:
         """Serve a request; return whether the connection may be reused."""
         with self.server.count_request():
-            self.head = None
+            self.head, self.is_head_request = None, False
             try:
                 req = await self._read_request()
                 return req is not None and await self._handle_request(req)
--- a/berylshift/tests/test_entry_unusual_requests.py
+++ b/berylshift/tests/test_entry_unusual_requests.py
@@ -71,6 +71,28 @@
         run_virtual(main)
 
 
+class MalformedAfterHeadTest(unittest.TestCase):
+    """A malformed request on a connection whose last one was a HEAD request."""
+
+    def test_refusal_has_its_body(self):
+        """Guards against a connection that closes without its refusal."""
+
+        async def task(world):
+            link = world.connect()
+            await link.stream.send_all(head("HEAD /none/x HTTP/1.1"))
+            first = await link.stream.receive_some(65536)
+            await link.stream.send_all(b"no request\r\n\r\n")
+            second = b""
+            while data := await link.stream.receive_some(65536):
+                second += data
+            return first[:12], second
+
+        first, second = run_entry(task, plain=1)
+        self.assertEqual(first, b"HTTP/1.1 404")
+        self.assertEqual(second[:12], b"HTTP/1.1 400")
+        self.assertTrue(second.endswith(b"}"))
+
+
 class NumberTest(unittest.TestCase):
     """Guards against numbers that make the handler of a request fail."""
 
