--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -319,9 +319,9 @@
     Proof(
         "a truncated body is not sent as complete",
         "connection/target_client.py",
+        "BodyBrokenError:\n            close_now(stream)\n",
         "BodyBrokenError:\n"
-        "            close_now(connection.stream)\n            return\n",
-        "BodyBrokenError:\n            pass\n",
+        '            await stream.send_all(writer.send(h11.EndOfMessage()) or b"")\n',
         "test_request_bodies.ClientTest.test_truncated_body_is_not_sent_as_complete",
     ),
     Proof(
@@ -1950,6 +1950,76 @@
         "            if True\n",
         "test_stream_origins.PoolTest",
     ),
+    Proof(
+        "bytes that are nested without end are malformed",
+        "messages/json_decoding.py",
+        "        if len(bytes(data)) > MAX_SIMPLIFIED_BYTES:\n",
+        "        raise\n        if len(bytes(data)) > MAX_SIMPLIFIED_BYTES:\n",
+        "test_foreign_bytes.ForeignRowTest",
+    ),
+    Proof(
+        "a lease that can't be read is replaced only once nobody can hold it",
+        "process/leader_tasks/leader_lease.py",
+        "        if row.record is None and row.revision != ABSENT:\n",
+        "        if False:\n",
+        "test_leader_lease.LeaderLeaseTest",
+    ),
+    Proof(
+        "an address is IPv4 and a port",
+        "platform/entries.py",
+        "    if not is_endpoint(decoded.address):\n",
+        "    if False:\n",
+        "test_foreign_numbers.EntryTest",
+    ),
+    Proof(
+        "a replica's limit stays finite between hosts",
+        "platform/codec.py",
+        "min(found, MAX_REQUESTS) if 0 <= found",
+        "found if 0 <= found",
+        "test_foreign_numbers.FlowControlTest",
+    ),
+    Proof(
+        "a loop that fails starts again",
+        "supervision.py",
+        "            except Exception:\n",
+        "            except ZeroDivisionError:\n",
+        "test_supervision.RestartTest",
+    ),
+    Proof(
+        "a message whose handler fails ends alone",
+        "connection/peer_link.py",
+        "            except Exception:\n",
+        "            except ZeroDivisionError:\n",
+        "test_supervision.MessageTest",
+    ),
+    Proof(
+        "an error of a sending task ends its request alone",
+        "connection/target_client.py",
+        '        except Exception:\n            logger.exception("request not sent")\n',
+        "        except ZeroDivisionError:\n            pass\n",
+        "test_connection_two_tasks.SendErrorTest",
+    ),
+    Proof(
+        "the sender keeps the state in which it began",
+        "connection/http_client.py",
+        "        writer = self.conn\n        self.conn = state_after_send(method)\n",
+        "        writer = self.conn = state_after_send(method)\n",
+        "test_connection_two_tasks.LateCopyTest",
+    ),
+    Proof(
+        "a connection that another task has closed is not pooled",
+        "connection/http_client.py",
+        " or is_closed(self.stream)",
+        "",
+        "test_connection_two_tasks.ClosedByAnotherTaskTest",
+    ),
+    Proof(
+        "whether a response has a body is forgotten with its request",
+        "connection/server_connection.py",
+        "            self.head, self.is_head_request = None, False\n",
+        "            self.head = None\n",
+        "test_entry_unusual_requests.MalformedAfterHeadTest",
+    ),
 )
 
 
