Read texts without an end once when deep values are removed

Cause, found while reading the change: the search for texts in a deeply nested input began again at each quote of a text without an end, so 64 KiB of one row would have kept a host busy for 29 s (processor time of the new test before). Change: the first such quote makes the input malformed, and the search gives nothing back. Fields that are logged when they are unusable have a length. Result: test_texts_without_an_end_are_read_once failed before and passes. Conclusion: what bytes may cost is bounded, too.

--- a/berylshift/messages/json_decoding.py
+++ b/berylshift/messages/json_decoding.py
@@ -15,7 +15,7 @@
 # caller, not of the bytes.
 DECODER_ERRORS = (ValueError, ArithmeticError, RuntimeError)
 OPENING = {b"{": b"}", b"[": b"]"}
-_TOKENS = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{}"]', re.DOTALL)
+_TOKENS = re.compile(rb'"(?:[^"\\]|\\.)*+"|[\[\]{}"]', re.DOTALL)
 
 
 class MalformedJsonError(ValueError):
@@ -52,6 +52,9 @@
     start = 0
     for match in _TOKENS.finditer(data):
         token = match.group()
+        if token == b'"':
+            # Each further quote would be compared with all that follows it.
+            raise MalformedJsonError("the input ends within a text")
         if token in OPENING:
             if len(ends) == MAX_DEPTH:
                 parts += [data[start : match.start()], b"null"]
--- a/berylshift/messages/wire_numbers.py
+++ b/berylshift/messages/wire_numbers.py
@@ -11,7 +11,7 @@
 Milliseconds = Annotated[float, Meta(ge=0, le=10**12)]
 Amount = Annotated[float, Meta(ge=0, le=10**12)]
 Rank = Annotated[int, Meta(ge=-(10**6), le=10**6)]
-# Texts of rows have at most this many bytes.
+# Characters of a text that names something.
 MAX_TEXT = 200
 Text = Annotated[str, Meta(max_length=MAX_TEXT)]
 Name = Annotated[str, Meta(min_length=1, max_length=MAX_TEXT)]
--- a/berylshift/platform/entries.py
+++ b/berylshift/platform/entries.py
@@ -25,14 +25,14 @@
     """The fields that every replica writes; an entry without them is foreign."""
 
     service: Name
-    address: str
+    address: Text
     zone: Name
     version: Text
     batch_slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_REQUESTS)]
-    state: str
+    state: Text
     cold_remaining_ms: float
     sequence: int
-    phase: str = ""
+    phase: Text = ""
     # Unix time of the replica's start in milliseconds; not all replicas report it.
     born: Position | msgspec.UnsetType = msgspec.UNSET
     # Whether the replica is interruptible: the platform may reclaim it.
--- a/berylshift/tests/test_foreign_bytes.py
+++ b/berylshift/tests/test_foreign_bytes.py
@@ -1,6 +1,7 @@
 """Tests of what bytes that other processes wrote may do to a host."""
 
 import ast
+import time
 import unittest
 from pathlib import Path
 
@@ -37,6 +38,8 @@
 # Packages that run in no host.
 TOOLS = {"tests", "stand_ins", "model", "replay", "tools"}
 CONFIGURATION = {"version": 1, "routes": [], "services": []}
+# What a row may cost the event loop, far below a caller's patience.
+MAX_BUSY_SECONDS = 0.5
 ENDLESS = b'{"a":' * 6000
 CLOSED = b"[" * 5000 + b"]" * 5000
 
@@ -73,6 +76,14 @@
         with self.assertRaises(MalformedJsonError):
             decode_json(data, list)
 
+    def test_texts_without_an_end_are_read_once(self):
+        """Guards against bytes that keep a host busy for seconds."""
+        data = (b"[" * 5000 + b'"' + b'\\"' * 30_000)[:MAX_SIMPLIFIED_BYTES]
+        start = time.process_time()
+        with self.assertRaises(MalformedJsonError):
+            decode_json(data, list)
+        self.assertLess(time.process_time() - start, MAX_BUSY_SECONDS)
+
     def test_values_as_deep_as_fields_go_are_kept(self):
         """Guards against a value that is removed although somebody reads it."""
         deep = b"[" * MAX_DEPTH + b"]" * MAX_DEPTH
--- a/berylshift/tests/test_foreign_numbers.py
+++ b/berylshift/tests/test_foreign_numbers.py
@@ -69,6 +69,7 @@
             ("born", -1),
             ("service", "s" * 201),
             ("zone", ""),
+            ("state", "ready" * 9000),
             ("version", "v" * 60_000),
             ("address", "\u0661.1.1.1:80"),
             ("address", "1.1.1.1:\u0661"),
