Send HEAD requests to replicas on connections of their own

A replica may send a response again, late, where the next one is expected. Whether it has a body depends on the method of its request, but the reader knew the method of its own request alone: after a late response to HEAD the answer was read as the body of that one, and before the response to HEAD a late body was read as a head. The caller got a failure for a request that had run. Both tests ended in an error before. A connection that carries a HEAD request now carries no other one, so no late response of another method can precede; HEAD requests are rare, so a connection each is cheap.

--- a/berylshift/connection/target_client.py
+++ b/berylshift/connection/target_client.py
@@ -229,9 +229,11 @@
             if is_direct:
                 self._dialer.record_life(out.address)
             yield response
+            # Whether a late response has a body depends on its request's method.
             is_reusable = (
                 sent.is_set()
                 and is_direct
+                and out.method != b"HEAD"
                 and response.may_reuse
                 and connection.is_reusable()
             )
@@ -334,6 +336,8 @@
 
     def _pop_idle(self, out: TargetRequest) -> ClientConnection | None:
         """Return an idle connection that has not carried the id of ``out``."""
+        if out.method == b"HEAD":
+            return None
         if not self._dialer.may_reuse(out.address):
             self.forget(out.instance)
         connections = self._idle.get(out.instance, [])
--- a/berylshift/tests/test_connection_target_response.py
+++ b/berylshift/tests/test_connection_target_response.py
@@ -81,11 +81,31 @@
             await stream.send_all(self.answers.pop(0))
 
 
+class RepeatingReplica(ScriptedReplica):
+    """Sends the last response on a connection again before the next one."""
+
+    async def _serve(self, stream: trio.abc.Stream) -> None:
+        last = b""
+        while await stream.receive_some(65536):
+            answer = self.answers.pop(0)
+            await stream.send_all(last + answer)
+            last = answer
+
+
 class ConnectionTest(unittest.TestCase):
     """Connections to a replica that sends responses late or without ids."""
 
-    def exchange(self, replica: ScriptedReplica, *ids: RequestId | None):
+    def setUp(self):
+        self.bodies: list[bytes] = []
+
+    def exchange(
+        self,
+        replica: ScriptedReplica,
+        *ids: RequestId | None,
+        methods: dict[RequestId, bytes] | None = None,
+    ):
         """Send requests with these ids; return status, or 0 where it is not theirs."""
+        methods = methods or {}
 
         async def main():
             client = TargetClient(1.0, replica.dial, read_id)
@@ -95,13 +115,13 @@
                     out = TargetRequest(
                         InstanceId("i"),
                         "10.0.0.1:80",
-                        b"GET",
+                        methods.get(number, b"GET"),
                         b"/",
                         [(b"host", b"x")],
                         id=number,
                     )
                     async with client.exchange(out) as answer:
-                        await answer.read(100)
+                        self.bodies.append(await answer.read(100))
                         found.append(answer.status if answer.is_identified else 0)
                 replica.nursery.cancel_scope.cancel()
             return found
@@ -148,6 +168,22 @@
         self.assertEqual(self.exchange(replica, None, None), [200, 409])
         self.assertEqual(replica.connections, 2)
 
+    def test_late_response_to_head_before_an_answer(self):
+        """Guards against an answer read as the body of a late response to HEAD."""
+        head = b"HTTP/1.1 200 X\r\nid: one\r\ncontent-length: 9\r\n\r\n"
+        whole = b"HTTP/1.1 201 X\r\nid: two\r\ncontent-length: 3\r\n\r\nall"
+        replica = RepeatingReplica(head, whole)
+        found = self.exchange(replica, ONE, TWO, methods={ONE: b"HEAD"})
+        self.assertEqual((found, self.bodies[-1]), ([200, 201], b"all"))
+
+    def test_late_response_with_a_body_before_the_response_to_head(self):
+        """Guards against a late body read as the head of the response to HEAD."""
+        late = b"HTTP/1.1 200 X\r\nid: one\r\ncontent-length: 4\r\n\r\nbody"
+        head = b"HTTP/1.1 201 X\r\nid: two\r\ncontent-length: 9\r\n\r\n"
+        replica = RepeatingReplica(late, head)
+        found = self.exchange(replica, ONE, TWO, methods={TWO: b"HEAD"})
+        self.assertEqual(found, [200, 201])
+
     def test_late_response_with_an_id_is_skipped_by_a_call_without(self):
         """Guards against a late stream response taken for the answer to an order."""
         late = response(200, "id: one\r\n")
