Let TCP choose the port that a native host shares with its datagrams

With port 0 a host took a free UDP port and then listened on TCP at the same number, which a connection of the computer could hold: the host ended at its start with 'Address already in use'. make demo failed twice that way in a fresh clone beside other work. The order of the two in a function of its own is reversed: connections hold many ports and datagrams few.

--- a/berylshift/serve_native.py
+++ b/berylshift/serve_native.py
@@ -57,14 +57,24 @@
     )
 
 
+async def open_peer_port(
+    address: str, link: UdpPeerLink
+) -> tuple[trio.SocketListener, str]:
+    """Bind TCP and UDP to one ``IP:PORT``; return the listener and the address.
+
+    With port 0, TCP chooses the port: connections hold many more ports than datagrams.
+    """
+    listener = open_listener(address)
+    return listener, await link.bind(bound_address(listener))
+
+
 async def serve(cfg: Settings, creds: Credentials) -> None:
     """Serve until SIGTERM, then shut down gracefully."""
     max_digest_bytes = min(
         MAX_DATAGRAM_BYTES, cfg.peers.byte_budget // (2 * cfg.peers.fanout)
     )
     link = UdpPeerLink(PeerCodec(creds.cluster_key), max_digest_bytes)
-    peer_address = await link.bind(cfg.host.peer_address)
-    tunnel_listener = open_listener(peer_address)
+    tunnel_listener, peer_address = await open_peer_port(cfg.host.peer_address, link)
     listener = open_listener(cfg.host.address)
     admin_listener = open_listener(cfg.host.admin_address)
     addresses = Addresses(peer_address, bound_address(admin_listener))
