--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -2281,6 +2281,13 @@
         "False",
         f"{MOMENTS}.StormTest",
     ),
+    Proof(
+        "partitioned hosts share the burst of retries",
+        "process/gossip/load_loop.py",
+        "2 * others < listed",
+        "False",
+        f"{LIMITS}.SharingHostsTest.test_partitioned_host_shares_the_retry_budget",
+    ),
 )
 
 
