Leave a usage report to others where most of them have not been heard of

The host that reported last went on while it was partitioned and settled windows with its own counts alone. A settled report can't be corrected, so the platform got usage that lacked most requests. Silence of the others was taken for hosts without requests.

A host now settles a window only if it has heard of most others since the window's end, directly or through collectors; else it waits like the host of the last rank, and others settle the window before. If it is the only one left it still reports in time. The test world's hosts note when they hear of each other, since the loop asks for that now.

--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -680,6 +680,7 @@
                 task_name, can_reacquire=True
             ),
             rank_for=self._task_rank,
+            hears_others=self._hears_others,
             is_idle=self.is_idle,
         )
         return EntryLeaderTasks(self.cfg, deps)
@@ -688,6 +689,10 @@
         table = self.routes.table
         return () if table is None else tuple(table.services.values())
 
+    def _hears_others(self, seconds: float) -> bool:
+        """Return whether most other hosts were heard of within some seconds."""
+        return self.peers.hears_most(seconds, self.ports.clock.monotonic())
+
     def _task_rank(self, task_name: str) -> int | None:
         """Return this host's rank for a leader task; ``None`` during shutdown."""
         return None if self.is_stopping else self.load_loop.task_rank(task_name)
--- a/berylshift/entry_leader_tasks.py
+++ b/berylshift/entry_leader_tasks.py
@@ -25,7 +25,8 @@
     """Dependencies of the leader tasks.
 
     ``make_lease`` makes a task's lease, ``rank_for`` returns this host's rank for a
-    task, ``is_idle`` tells whether no traffic needs the replicas.
+    task, ``hears_others`` whether it has heard of most others within some seconds,
+    ``is_idle`` tells whether no traffic needs the replicas.
     """
 
     clock: Clock
@@ -39,6 +40,7 @@
     services: Callable[[], Iterable[Service]]
     make_lease: Callable[[str], LeaderLease]
     rank_for: Callable[[str], int | None]
+    hears_others: Callable[[float], bool]
     is_idle: Callable[[], bool]
 
 
@@ -64,6 +66,7 @@
             eras=deps.eras,
             clock=deps.clock,
             rank_for=deps.rank_for,
+            hears_others=deps.hears_others,
         )
         self._scale_loop = ScaleLoop(
             host=host.name,
--- a/berylshift/process/gossip/peer_loads.py
+++ b/berylshift/process/gossip/peer_loads.py
@@ -307,6 +307,17 @@
             return max(heard, self._max_hosts - 1)
         return heard
 
+    def hears_most(self, seconds: float, now: float) -> bool:
+        """Return whether most of the others were heard of within some seconds.
+
+        They are those of the time of a partition, directly or through collectors.
+        """
+        found = [(1, sender.received_at) for sender in self._hosts.values()]
+        found += [(each.hosts, each.received_at) for each in self._domains.values()]
+        lately = sum(hosts for hosts, at in found if now - at < PARTITION_SECONDS)
+        heard = sum(hosts for hosts, at in found if now - at < seconds)
+        return 2 * heard >= lately
+
     def most_members(self, now: float) -> int:
         """Return how many other hosts there were lately, also those silent since."""
         heard = sum(now - at < PARTITION_SECONDS for at in self._heard_at.values())
--- a/berylshift/process/usage/usage_loop.py
+++ b/berylshift/process/usage/usage_loop.py
@@ -20,7 +20,7 @@
     FilteredClock,
 )
 from berylshift.process.usage.usage_counts import UsageCounts
-from berylshift.process.usage.windows import UsageWindows
+from berylshift.process.usage.windows import MAX_RANK, UsageWindows
 from berylshift.store.interfaces import PlatformError
 
 logger = logging.getLogger(__name__)
@@ -47,8 +47,13 @@
         eras: StoreEraTracker,
         clock: Clock,
         rank_for: Callable[[str], int | None],
+        hears_others: Callable[[float], bool],
     ):
-        """Report as ``host``; ``rank_for`` returns its rank for a leader task."""
+        """Report as ``host``; ``rank_for`` returns its rank for a leader task.
+
+        ``hears_others`` returns whether this host has heard of most others within some
+        seconds.
+        """
         self._host = host
         self._windows = windows
         self._usage_counts = usage_counts
@@ -59,6 +64,7 @@
         self._eras = eras
         self._clock = clock
         self._rank_for = rank_for
+        self._hears_others = hears_others
         self._settled: dict[int, UsageReport] = {}
         self._started_at = filtered_clock.now()
         self._refused_until = float("-inf")
@@ -84,11 +90,27 @@
             return []
         # The host that reported last goes on; others would wait for its lease to end.
         rank = 0 if self._usage_counts.reported_last else rank + 1
+        return [
+            window
+            for window in self._due_at(rank)
+            if self._has_counts_of(window) or window in self._due_at(MAX_RANK)
+        ]
+
+    def _due_at(self, rank: int) -> list[int]:
         last_done, started_at = self._usage_counts.last_done, self._started_at
         return self._windows.due(
             self._filtered_clock.now(), last_done, rank, started_at
         )
 
+    def _has_counts_of(self, window: int) -> bool:
+        """Return whether most other hosts can have told all their counts of a window.
+
+        A partitioned host leaves the report to the others as long as there is time.
+        """
+        return self._hears_others(
+            self._filtered_clock.now() - self._windows.end_of(window)
+        )
+
     async def _process(self, window: int) -> bool:
         """Try to report a window; return whether it is done."""
         if self._windows.is_late(window, self._filtered_clock.now()):
--- a/berylshift/tests/test_gossip_collectors.py
+++ b/berylshift/tests/test_gossip_collectors.py
@@ -447,6 +447,23 @@
 
         self.assertEqual(run_world(task), {HOSTS})
 
+    def test_collector_without_other_domains_hears_of_few(self):
+        """Guards against a domain that reports alone while it is partitioned."""
+
+        async def task(world):
+            await trio.sleep(5)
+            collectors = world.collectors()
+            now = trio.current_time()
+            before = {host.peers.hears_most(1.0, now) for host in collectors}
+            for host in world.hosts:
+                if host.domain != collectors[0].domain:
+                    world.net.paths[host.address] = Path.CUT
+            await trio.sleep(2)
+            now = trio.current_time()
+            return before, collectors[0].peers.hears_most(1.0, now)
+
+        self.assertEqual(run_world(task), ({True}, False))
+
     def test_datagrams_received_by_a_host_do_not_grow_with_the_hosts(self):
         async def received_per_second(world):
             before = dict(world.net.received)
--- a/berylshift/tests/test_usage_loop.py
+++ b/berylshift/tests/test_usage_loop.py
@@ -169,6 +169,32 @@
         ]
         self.assertEqual(lacking, [])
 
+    def test_others_report_for_a_partitioned_reporter(self):
+        """Guards against windows that nobody reports while the reporter is cut off."""
+
+        async def task(world):
+            await trio.sleep(21)
+            reporter = next(h for h in world.hosts if h.usage_counts.reported_last)
+            reporter.cut = True
+            await trio.sleep(40)
+
+        found = windows_reported(run_world(task))
+        self.assertEqual(found, list(range(found[0], found[0] + len(found))))
+        self.assertGreaterEqual(len(found), 9)
+
+    def test_hosts_that_are_left_report_in_time(self):
+        """Guards against a loss of most hosts that ends the reports."""
+
+        async def task(world):
+            await trio.sleep(21)
+            for host in world.hosts[1:]:
+                world.kill(host)
+            await trio.sleep(40)
+
+        found = windows_reported(run_world(task))
+        self.assertEqual(found, list(range(found[0], found[0] + len(found))))
+        self.assertGreaterEqual(len(found), 9)
+
 
 class ScheduleTest(unittest.TestCase):
     """Random faults of all kinds, one after another and overlapping."""
--- a/berylshift/tests/usage_world.py
+++ b/berylshift/tests/usage_world.py
@@ -36,6 +36,14 @@
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     alive: bool = True
     cut: bool = False
+    # When another host's counts last came.
+    heard_at: dict[str, float] = field(default_factory=dict)
+
+    def hears_others(self, seconds: float) -> bool:
+        """Return whether most others were heard of within ``seconds``."""
+        now = trio.current_time()
+        heard = sum(now - at < seconds for at in self.heard_at.values())
+        return 2 * heard >= len(self.heard_at)
 
 
 class UsageWorld:
@@ -87,6 +95,7 @@
             eras=eras,
             clock=clock,
             rank_for=lambda task: self._place(name),
+            hears_others=lambda seconds: host.hears_others(seconds),
         )
         host = UsageHost(name, usage_counts, eras, loop)
         self.hosts = [known for known in self.hosts if known.name != name] + [host]
@@ -122,6 +131,8 @@
                 counts = sender.usage_counts.take_own_counts(trio.current_time())
                 done = sender.usage_counts.done_to_announce(trio.current_time())
                 for receiver in self._connected():
+                    if receiver is not sender:
+                        receiver.heard_at[sender.name] = trio.current_time()
                     start = sender.usage_counts.start
                     receiver.usage_counts.merge_host(sender.name, "z1", start, counts)
                     receiver.usage_counts.mark_done(done)
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -2288,6 +2288,27 @@
         "known",
         f"{LIMITS}.SharingHostsTest.test_partitioned_host_shares_the_retry_budget",
     ),
+    Proof(
+        "a partitioned host leaves usage reports to the others",
+        "process/usage/usage_loop.py",
+        "self._has_counts_of(window) or window in self._due_at(MAX_RANK)",
+        "True",
+        f"{USAGE}.UsageLoopTest",
+    ),
+    Proof(
+        "hosts that are left after a loss report usage",
+        "process/usage/usage_loop.py",
+        " or window in self._due_at(MAX_RANK)",
+        "",
+        f"{USAGE}.UsageLoopTest.test_hosts_that_are_left_report_in_time",
+    ),
+    Proof(
+        "hosts of other domains count where collectors tell of them",
+        "process/gossip/peer_loads.py",
+        "found += [(each.hosts, each.received_at) for each in self._domains.values()]",
+        "",
+        "test_gossip_collectors.AggregateTest",
+    ),
 )
 
 
