Learn from the store's history which versions were in use before a start

The store keeps its changes for some 20 s, but a host that starts does not know which revision is how old.

Two hosts, those that read the feeds, now write down every four seconds which revision the store had at which time. A host that is asked for a stream whose past it does not know reads the changes since the oldest such revision that the store still has, once for all callers. Each version in them counts as in use; an entry that was removed and not written since, a changed route, another era or a history that is gone leave the past as unknown as before.

The test of a take-up after all hosts were killed was refused before; nine others hold what must still be refused.

--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -35,6 +35,7 @@
 from berylshift.process.directory.replica_set import ReplicaSet
 from berylshift.process.directory.replica_updates import ReplicaUpdates
 from berylshift.process.directory.route_holder import RouteHolder
+from berylshift.process.directory.store_past_loop import StorePastLoop
 from berylshift.process.directory.store_watch import Feed, StoreWatch
 from berylshift.process.directory.version_check_loop import VersionCheck
 from berylshift.process.gossip.digest_builder import DigestSources
@@ -101,6 +102,7 @@
 from berylshift.scheduling.prefill_scheduler import PrefillScheduler
 from berylshift.scheduling.used_capacity import UsedCapacity
 from berylshift.settings import Settings
+from berylshift.store.checkpoint_rows import CheckpointRows
 from berylshift.store.crash_rows import CrashRows
 from berylshift.store.directory import Directory
 from berylshift.store.host_rows import HostRows
@@ -145,6 +147,7 @@
     engines: EngineControl
     boot_clock: Callable[[], float]
     hosts: HostRows
+    checkpoints: CheckpointRows
     crashes: CrashRows
     block_crashes: CrashRows
     usage_rows: UsageRows
@@ -254,6 +257,19 @@
             found |= {VERSION_ELSEWHERE}
         return found
 
+    @cached_property
+    def store_past(self) -> StorePastLoop:
+        """Return the loop that learns from the store's history."""
+        return StorePastLoop(
+            self.ports.directory,
+            self.ports.checkpoints,
+            self.store_watch,
+            self.replicas,
+            self.route_history,
+            self.ports.clock,
+            lambda: len(self.replicas) / self.heartbeat_seconds,
+        )
+
     @cached_property
     def request_memory(self) -> RequestMemory:
         """Return what this process may hold for callers' requests."""
@@ -439,6 +455,7 @@
             services=replicas.versions.services,
             known_from=lambda: replicas.versions.known_from,
             position=self.store_watch.replicas_position,
+            learn_past=self.store_past.learn,
             is_sole=check.is_sole,
             is_store_lost=lambda: replicas.is_store_lost,
             routes=self.route_history,
@@ -772,6 +789,8 @@
             yield "engine queues", self.queue_loop.run
         if self.origins is not None:
             yield "stream origins", self.origins.run
+            yield "store history", self.store_past.read_history
+            yield "store checkpoints", self.store_past.write_checkpoints
         for loop in self.quarantine_loops:
             yield "quarantine rows", loop.run
         yield "gauges", partial(report_gauges, self)
--- a/berylshift/platform/own_tables.py
+++ b/berylshift/platform/own_tables.py
@@ -25,6 +25,7 @@
     parse_rows,
     read_pages,
 )
+from berylshift.store.checkpoint_rows import Checkpoint, CheckpointsSnapshot
 from berylshift.store.client import StoreClient
 from berylshift.store.crash_rows import CrashRow, CrashRowsSnapshot
 from berylshift.store.host_rows import PORTS_PER_HOST, HostRecord
@@ -174,6 +175,33 @@
         super().__init__(client, names.BLOCK_CRASH_TABLE)
 
 
+class PlatformCheckpoints:
+    """Revisions of the store and their times, in the table of checkpoints."""
+
+    def __init__(self, client: StoreClient):
+        """Call the store through ``client``, which applies timeouts."""
+        self._client = client
+
+    async def read(self) -> CheckpointsSnapshot:
+        """Return the checkpoints of all slots."""
+        pages = await read_pages(self._client, names.CHECKPOINT_TABLE)
+        found = tuple(
+            checkpoint
+            for page in pages
+            for checkpoint in decode_records(page.rows, Checkpoint)
+        )
+        first = pages[0]
+        revision = Revision(first.row_version)
+        return CheckpointsSnapshot(found, revision, first.now_ms, common_era(pages))
+
+    async def write(self, slot: int, checkpoint: Checkpoint) -> None:
+        """Replace the checkpoint of a slot."""
+        data = msgspec.json.encode(checkpoint)
+        write = RowWrite(names.CHECKPOINT_TABLE, str(slot), data)
+        body = msgspec.json.encode(RowsTransaction([], [write]))
+        parse_rows(await self._client.post(names.ROWS_TX, body))
+
+
 class PlatformUsage:
     """Settled usage reports, in the table of usage."""
 
--- /dev/null
+++ b/berylshift/process/directory/store_past_loop.py
@@ -0,0 +1,179 @@
+"""Learns which versions were in use before this process, from the store's history.
+
+The store keeps the changes of some seconds, but tells of none when it was made. So some
+hosts write down which revision the store had at which time. A host that has started
+reads the changes since such a revision, if a caller needs to know the past.
+"""
+
+import logging
+from collections.abc import Callable, Iterator
+
+import trio
+
+from berylshift.clock import Clock
+from berylshift.ids import Revision, StoreEra
+from berylshift.messages.replicas import ReplicaChanges
+from berylshift.process.directory.replica_set import ReplicaSet
+from berylshift.process.directory.store_watch import Feed, StoreWatch
+from berylshift.process.targets.route_history import RouteHistory
+from berylshift.store.checkpoint_rows import (
+    Checkpoint,
+    CheckpointRows,
+    CheckpointsSnapshot,
+)
+from berylshift.store.directory import Directory, HistoryLostError
+from berylshift.store.interfaces import MalformedEntryError, PlatformError
+
+logger = logging.getLogger(__name__)
+
+CHECKPOINT_SECONDS = 4.0
+SLOTS = 8
+# Older checkpoints are those of an earlier run of the system.
+MAX_AGE_SECONDS = 60.0
+# The store may read its clock and its revision at slightly different times.
+CLOCK_MARGIN_SECONDS = 0.1
+# The history since a checkpoint is not read if it may hold more entries.
+MAX_ENTRIES = 5000
+RETRY_SECONDS = 1.0
+
+
+class StorePastLoop:
+    """Writes checkpoints, and extends what is known of the past back to one."""
+
+    def __init__(
+        self,
+        directory: Directory,
+        rows: CheckpointRows,
+        watch: StoreWatch,
+        replicas: ReplicaSet,
+        routes: RouteHistory,
+        clock: Clock,
+        entries_per_second: Callable[[], float],
+    ):
+        """Extend the past of ``replicas`` and ``routes``.
+
+        ``entries_per_second`` returns how often replicas write their entries.
+        """
+        self._directory = directory
+        self._rows = rows
+        self._watch = watch
+        self._replicas = replicas
+        self._routes = routes
+        self._clock = clock
+        self._entries_per_second = entries_per_second
+        self._written_ms = 0
+        self._wanted = trio.Event()
+        self._ended = trio.Event()
+        # The start of the known past at the last attempt, and when that was.
+        self._tried_from: Revision | None = None
+        self._tried_at = float("-inf")
+
+    async def learn(self) -> None:
+        """Return once the past is known as far back as the store can tell."""
+        known_from = self._replicas.versions.known_from
+        is_new = known_from != self._tried_from
+        if is_new or self._clock.monotonic() - self._tried_at >= RETRY_SECONDS:
+            self._wanted.set()
+        if self._wanted.is_set():
+            await self._ended.wait()
+
+    async def write_checkpoints(self) -> None:
+        """Write down the store's revision regularly, until cancelled.
+
+        Only hosts that read the feeds do, which are few.
+        """
+        while True:
+            await trio.sleep(CHECKPOINT_SECONDS)
+            status = self._watch.last_read(Feed.REPLICAS)
+            if not self._watch.reads_feeds or status is None:
+                continue
+            if status.store_ms <= self._written_ms:
+                continue
+            self._written_ms = status.store_ms
+            slot = status.store_ms // int(CHECKPOINT_SECONDS * 1000) % SLOTS
+            checkpoint = Checkpoint(status.revision, status.store_ms, status.era)
+            try:
+                await self._rows.write(slot, checkpoint)
+            except PlatformError as exc:
+                logger.info("checkpoint not written", extra={"reason": str(exc)})
+
+    async def read_history(self) -> None:
+        """Extend the known past whenever ``learn`` asks for it, until cancelled."""
+        while True:
+            await self._wanted.wait()
+            try:
+                await self._extend()
+            except (PlatformError, MalformedEntryError) as exc:
+                logger.info("past not read", extra={"reason": str(exc)})
+            self._tried_at = self._clock.monotonic()
+            self._tried_from = self._replicas.versions.known_from
+            self._wanted = trio.Event()
+            self._ended.set()
+            self._ended = trio.Event()
+
+    async def _extend(self) -> None:
+        usable = list(self._usable(await self._rows.read()))
+        for extend in (self._extend_replicas, self._extend_routes):
+            for checkpoint in usable:
+                try:
+                    await extend(checkpoint)
+                    break
+                except HistoryLostError as exc:
+                    logger.info("checkpoint not used", extra={"reason": str(exc)})
+
+    def _usable(self, found: CheckpointsSnapshot) -> Iterator[Checkpoint]:
+        """Yield the checkpoints whose history may be read, the oldest first."""
+        for checkpoint in sorted(found.checkpoints, key=lambda each: each.store_ms):
+            age = (found.store_ms - checkpoint.store_ms) / 1000
+            is_past = 0 <= age <= MAX_AGE_SECONDS
+            is_past = is_past and checkpoint.revision <= found.revision
+            is_short = age * self._entries_per_second() <= MAX_ENTRIES
+            if checkpoint.era == found.era and is_past and is_short:
+                yield checkpoint
+
+    async def _extend_replicas(self, checkpoint: Checkpoint) -> None:
+        revision = Revision(checkpoint.revision)
+        changes = await self._directory.await_replicas(revision, 0.0)
+        versions, now = self._replicas.versions, self._clock.monotonic()
+        known_from = versions.known_from
+        if known_from is None or changes.revision < known_from:
+            raise HistoryLostError("the list was read anew")
+        self._check_era(checkpoint, changes.era)
+        _check_versions(changes)
+        for service in versions.observe_passed((*changes.put, *changes.passed), now):
+            self._replicas.on_further_version(service)
+        versions.extend_past(revision, now - _age(checkpoint, changes.store_ms))
+        logger.info(
+            "past of versions read",
+            extra={"revision": revision, "age": _age(checkpoint, changes.store_ms)},
+        )
+
+    async def _extend_routes(self, checkpoint: Checkpoint) -> None:
+        found = await self._directory.await_routes(Revision(checkpoint.revision), 0.0)
+        if found.table is not None:
+            raise HistoryLostError("the routes have changed since")
+        self._check_era(checkpoint, found.era)
+        now = self._clock.monotonic()
+        self._routes.extend_past(now - _age(checkpoint, found.store_ms))
+
+    def _check_era(self, checkpoint: Checkpoint, era: StoreEra) -> None:
+        if not checkpoint.era == era == self._watch.eras.current:
+            raise HistoryLostError("the store was restored")
+
+
+def _check_versions(changes: ReplicaChanges) -> None:
+    """Raise ``HistoryLostError`` unless the versions of all entries are known.
+
+    An entry that was removed and not written before may have had any. So may the one
+    that an entry replaced, where replicas can start again under their name.
+    """
+    written = (*changes.put, *changes.passed)
+    if set(changes.removed) - {rep.name for rep in changes.passed}:
+        raise HistoryLostError("an entry was removed that was not written since")
+    if any(rep.started_ms is not None for rep in written):
+        raise HistoryLostError("replicas may start again under their names")
+
+
+def _age(checkpoint: Checkpoint, store_ms: int) -> float:
+    """Return for how many seconds a checkpoint was known to be past."""
+    return (store_ms - checkpoint.store_ms) / 1000 - CLOCK_MARGIN_SECONDS
--- a/berylshift/process/directory/store_watch.py
+++ b/berylshift/process/directory/store_watch.py
@@ -159,6 +159,10 @@
         """
         return self._feeds[feed].former_position
 
+    def last_read(self, feed: Feed) -> FeedStatus | None:
+        """Return what this host's last read of a feed showed; ``None``: none."""
+        return self._feeds[feed].own
+
     def replicas_position(self) -> tuple[StoreEra, Revision] | None:
         """Return the era and revision of the list of replicas; ``None``: none."""
         era, position = self.eras.current, self.position(Feed.REPLICAS)
--- a/berylshift/process/directory/version_history.py
+++ b/berylshift/process/directory/version_history.py
@@ -30,6 +30,11 @@
         self._known_since, self.known_from = now, revision
         return had_past
 
+    def extend_past(self, revision: Revision, since: float) -> None:
+        """Record that all versions from an earlier revision and time on are known."""
+        if self._known_since is not None and since < self._known_since:
+            self._known_since, self.known_from = since, revision
+
     def observe(self, replicas: Iterable[Replica], now: float) -> set[ServiceName]:
         """Record the listed replicas; return the services with a further version."""
         found = _by_service(replicas)
--- a/berylshift/process/streams/origin_loop.py
+++ b/berylshift/process/streams/origin_loop.py
@@ -87,6 +87,8 @@
     known_from: Callable[[], Revision | None]
     # The era and revision of the store up to which the list is known.
     position: Callable[[], tuple[StoreEra, Revision] | None]
+    # Learns as much of the past as the store can tell.
+    learn_past: Callable[[], Awaitable[None]]
     # Asks the store whether no other version of a service was listed since.
     is_sole: Callable[[ServiceName, SoftwareVersion], Awaitable[bool]]
     # Whether the store can't be asked at present.
@@ -114,8 +116,16 @@
 class _Query:
     search: OriginSearch
     waiting: set[str] = field(default_factory=set)
+    # Whether this host has learned what the store can tell of the past.
+    has_learned: bool = False
     changed: trio.Event = field(default_factory=trio.Event)
 
+    @property
+    def needs_past(self) -> bool:
+        """Return whether the past is unknown and the store may still tell of it."""
+        evidence = self.search.finding(()).evidence
+        return evidence is Evidence.UNKNOWN_PAST and not self.has_learned
+
     @property
     def needs_store(self) -> bool:
         """Return whether the store alone can still decide."""
@@ -213,8 +223,11 @@
         try:
             with trio.move_on_after(REPLY_SECONDS):
                 async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._learn_past, asked, query)
                     nursery.start_soon(self._confirm, asked, service, query)
                     await self._ask_all(hosts, asked, query)
+                    while query.needs_past:
+                        await query.changed.wait()
                     if not query.needs_store:
                         nursery.cancel_scope.cancel()
         finally:
@@ -224,6 +237,15 @@
         self.inferred += finding.evidence is Evidence.SOLE_VERSION
         return finding
 
+    async def _learn_past(self, asked: OriginQuery, query: _Query) -> None:
+        """Learn what the store can tell of the past, if this host does not know it."""
+        if query.needs_past:
+            await self._deps.versions.learn_past()
+            query.has_learned = True
+            now = self._deps.clock.monotonic()
+            query.search.learn(self._knowledge(asked, now))
+            query.notify()
+
     async def _confirm(
         self, asked: OriginQuery, service: ServiceName, query: _Query
     ) -> None:
--- a/berylshift/process/streams/origin_search.py
+++ b/berylshift/process/streams/origin_search.py
@@ -70,6 +70,10 @@
         """Add the reply of a host."""
         self._replies[host] = reply
 
+    def learn(self, own: OwnKnowledge) -> None:
+        """Set what this host knows, now that it knows more of the past."""
+        self._own = own
+
     def confirm(self, own: OwnKnowledge) -> None:
         """Set what this host knows, now that the store has confirmed it."""
         self._own = own
--- a/berylshift/process/targets/route_history.py
+++ b/berylshift/process/targets/route_history.py
@@ -50,6 +50,11 @@
         if self._table is not None:
             self._known_since, self.known_from = now, self._table.version
 
+    def extend_past(self, since: float) -> None:
+        """Record that no tables but those known were in force from a time on."""
+        if self._known_since is not None:
+            self._known_since = min(self._known_since, since)
+
     def observe(self, table: RouteTable, now: float) -> set[ServiceName]:
         """Record the routes in force; return services whose streams may move."""
         former, before = self._table, self._by_key
--- a/berylshift/serve_entry.py
+++ b/berylshift/serve_entry.py
@@ -23,6 +23,7 @@
 from berylshift.platform.leader_calls import PlatformLeaderCalls
 from berylshift.platform.own_tables import (
     PlatformBlockCrashes,
+    PlatformCheckpoints,
     PlatformCrashes,
     PlatformHosts,
     PlatformLeases,
@@ -70,6 +71,7 @@
         engines=PlatformEngines(client, cfg.targets.report_timeout),
         boot_clock=boot_seconds,
         hosts=PlatformHosts(store),
+        checkpoints=PlatformCheckpoints(store),
         crashes=PlatformCrashes(store),
         block_crashes=PlatformBlockCrashes(store),
         usage_rows=PlatformUsage(store),
--- a/berylshift/stand_ins/fake_directory.py
+++ b/berylshift/stand_ins/fake_directory.py
@@ -8,6 +8,7 @@
 
 from berylshift.ids import ReplicaName, Revision, StoreEra
 from berylshift.messages.replicas import Replica, ReplicaChanges, RouteSnapshot
+from berylshift.store.checkpoint_rows import Checkpoint, CheckpointsSnapshot
 from berylshift.store.crash_rows import CrashRow, CrashRowsSnapshot
 from berylshift.store.directory import HistoryLostError
 from berylshift.store.eras import FIRST_ERA
@@ -180,6 +181,29 @@
             raise StoreUnavailableError("down")
 
 
+class FakeCheckpointRows:
+    """Checkpoints of a directory in memory."""
+
+    def __init__(self, directory: FakeDirectory) -> None:
+        """Start empty, with the clock, era and revisions of ``directory``."""
+        self._directory = directory
+        self.slots: dict[int, Checkpoint] = {}
+        self.writes = 0
+
+    async def read(self) -> CheckpointsSnapshot:
+        """Return the checkpoints of all slots."""
+        found = await self._directory.read_routes()
+        slots = tuple(self.slots.values())
+        return CheckpointsSnapshot(slots, found.revision, found.store_ms, found.era)
+
+    async def write(self, slot: int, checkpoint: Checkpoint) -> None:
+        """Replace the checkpoint of a slot."""
+        if self._directory.down:
+            raise StoreUnavailableError("down")
+        self.slots[slot] = checkpoint
+        self.writes += 1
+
+
 @dataclass
 class LeaseSnapshot:
     """The lease rows at one time."""
--- a/berylshift/tests/entry_world.py
+++ b/berylshift/tests/entry_world.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
-from functools import partial
+from functools import cached_property, partial
 
 import h11
 import trio
@@ -33,6 +33,7 @@
 from berylshift.settings import parse_settings
 from berylshift.stand_ins.entry_replica import EntryReplica, FleetState
 from berylshift.stand_ins.fake_directory import (
+    FakeCheckpointRows,
     FakeCrashRows,
     FakeDirectory,
     FakeHostRows,
@@ -44,6 +45,7 @@
     FakeUsageRows,
 )
 from berylshift.stand_ins.pipes import Pipe, pipe_pair
+from berylshift.store.checkpoint_rows import CheckpointRows
 from berylshift.store.directory import Directory
 from berylshift.supervision import PropagatingSupervisor, RestartingSupervisor
 from berylshift.tests.support import run_virtual
@@ -228,6 +230,11 @@
     dials: int = 0
     dialed: list[str] = field(default_factory=list)
 
+    @cached_property
+    def checkpoint_rows(self) -> CheckpointRows:
+        """Return the rows of checkpoints of the directory."""
+        return FakeCheckpointRows(self.directory)
+
     def is_split(self, address: str, other: str) -> bool:
         """Return whether one of two hosts is on the island, the other one not."""
         return (_ip(address) in self.island) != (_ip(other) in self.island)
@@ -368,6 +375,7 @@
             engines=PlatformEngines(client, 0.5),
             boot_clock=self.boot_seconds,
             hosts=self.host_rows,
+            checkpoints=self.checkpoint_rows,
             crashes=self.crash_rows,
             block_crashes=self.block_crash_rows,
             usage_rows=self.usage_rows,
--- a/berylshift/tests/stored_world.py
+++ b/berylshift/tests/stored_world.py
@@ -12,6 +12,7 @@
 from berylshift.platform import names
 from berylshift.platform.own_tables import (
     PlatformBlockCrashes,
+    PlatformCheckpoints,
     PlatformCrashes,
     PlatformHosts,
     PlatformLeases,
@@ -41,6 +42,7 @@
         self.calls = StoreClient(HttpClient(self._dial_store), STORE_ADDRESS, 0.5)
         self.leases = PlatformLeases(self.calls)
         self.host_rows = PlatformHosts(self.calls)
+        self.checkpoint_rows = PlatformCheckpoints(self.calls)
         self.crash_rows = PlatformCrashes(self.calls)
         self.block_crash_rows = PlatformBlockCrashes(self.calls)
         self.usage_rows = PlatformUsage(self.calls)
--- a/berylshift/tests/test_foreign_bytes.py
+++ b/berylshift/tests/test_foreign_bytes.py
@@ -22,12 +22,14 @@
 from berylshift.platform.engines import PlatformEngines
 from berylshift.platform.entries import parse_replica_entry
 from berylshift.platform.own_tables import (
+    PlatformCheckpoints,
     PlatformCrashes,
     PlatformHosts,
     PlatformLeases,
     PlatformScaling,
     PlatformUsage,
 )
+from berylshift.store.checkpoint_rows import Checkpoint
 from berylshift.store.interfaces import (
     MalformedEntryError,
     StoredRow,
@@ -183,6 +185,23 @@
         self.assertGreater(lease.revision, ABSENT)
         self.assertEqual((hosts, crashes), ([], ()))
 
+    def test_unreadable_checkpoints_are_skipped(self):
+        """Guards against a past that no host can read any more."""
+
+        async def task(world):
+            rows, sound = PlatformCheckpoints(world.calls), Checkpoint(3, 4000, 0)
+            for key, value in (
+                ("0", ENDLESS),
+                ("1", {"revision": -1, "store_ms": 1}),
+                ("2", {"revision": 10**30, "store_ms": 1}),
+                ("x", b"\xff"),
+            ):
+                world.put(names.CHECKPOINT_TABLE, key, value)
+            await rows.write(7, sound)
+            return (await rows.read()).checkpoints, (sound,)
+
+        self.assertEqual(*self.run_store(task))
+
     def test_unreadable_shared_key_is_replaced(self):
         """Guards against hosts that never join since nobody can read their key."""
 
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -40,6 +40,7 @@
 STREAMS = "test_request_streams"
 MOVED = "test_gossip_moved_hosts"
 LIMITS = "test_entry_limits"
+PAST = "test_entry_store_past.StorePastTest"
 RATES = "test_targets_rate_limits"
 DRAINING = "test_entry_draining"
 BACKOFF = "test_entry_backoff"
@@ -2281,6 +2282,41 @@
         "False",
         f"{MOMENTS}.StormTest",
     ),
+    Proof(
+        "the past reaches back to a checkpoint",
+        "process/directory/version_history.py",
+        "if self._known_since is not None and since < self._known_since:",
+        "if False:",
+        f"{PAST}.test_streams_go_on_after_a_start_of_all_hosts",
+    ),
+    Proof(
+        "versions in the store's history count",
+        "process/directory/store_past_loop.py",
+        "versions.observe_passed((*changes.put, *changes.passed), now)",
+        "()",
+        f"{PAST}.test_version_that_left_before_all_hosts_were_killed",
+    ),
+    Proof(
+        "an entry whose version the history lacks ends the past",
+        "process/directory/store_past_loop.py",
+        "if set(changes.removed) - {rep.name for rep in changes.passed}:",
+        "if False:",
+        f"{PAST}.test_removed_entry_that_the_history_does_not_hold",
+    ),
+    Proof(
+        "routes that have changed since a checkpoint end the past",
+        "process/directory/store_past_loop.py",
+        "if found.table is not None:",
+        "if False:",
+        f"{PAST}.test_routes_that_moved",
+    ),
+    Proof(
+        "checkpoints of the future or of another era are not used",
+        "process/directory/store_past_loop.py",
+        "if checkpoint.era == found.era and is_past and is_short:",
+        "if True:",
+        f"{PAST}.test_checkpoints_that_can_not_be_true",
+    ),
 )
 
 
