--- a/berylshift/process/directory/store_past_loop.py
+++ b/berylshift/process/directory/store_past_loop.py
@@ -7,6 +7,7 @@
 
 import logging
 from collections.abc import Callable, Iterator
+from typing import Protocol
 
 import trio
 
@@ -15,7 +16,6 @@
 from berylshift.messages.replicas import ReplicaChanges
 from berylshift.process.directory.replica_set import ReplicaSet
 from berylshift.process.directory.store_watch import Feed, StoreWatch
-from berylshift.process.targets.route_history import RouteHistory
 from berylshift.store.checkpoint_rows import (
     Checkpoint,
     CheckpointRows,
@@ -37,6 +37,13 @@
 RETRY_SECONDS = 1.0
 
 
+class RoutePast(Protocol):
+    """What is known of the routes of the past."""
+
+    def extend_past(self, since: float) -> None:
+        """Record that no tables but those known were in force from a time on."""
+
+
 class StorePastLoop:
     """Writes checkpoints, and extends what is known of the past back to one."""
 
@@ -46,7 +53,7 @@
         rows: CheckpointRows,
         watch: StoreWatch,
         replicas: ReplicaSet,
-        routes: RouteHistory,
+        routes: RoutePast,
         clock: Clock,
         entries_per_second: Callable[[], float],
     ):
