Read no history that is known, and write checkpoints on in a restored store

A host that can't know as much of the past as a route needs read the same history again each second that a caller asked. It now skips what it knows, and asks every two seconds at most. In a restored store whose clock has gone back the writers waited until it had caught up; times are compared within an era now. Found by reading; the module's tests pass.

--- a/berylshift/process/directory/store_past_loop.py
+++ b/berylshift/process/directory/store_past_loop.py
@@ -22,6 +22,7 @@
     CheckpointsSnapshot,
 )
 from berylshift.store.directory import Directory, HistoryLostError
+from berylshift.store.eras import FIRST_ERA
 from berylshift.store.interfaces import MalformedEntryError, PlatformError
 
 logger = logging.getLogger(__name__)
@@ -34,7 +35,7 @@
 CLOCK_MARGIN_SECONDS = 0.1
 # The history since a checkpoint is not read if it may hold more entries.
 MAX_ENTRIES = 5000
-RETRY_SECONDS = 1.0
+RETRY_SECONDS = 2.0
 
 
 class RoutePast(Protocol):
@@ -68,7 +69,8 @@
         self._routes = routes
         self._clock = clock
         self._entries_per_second = entries_per_second
-        self._written_ms = 0
+        # The era and time of the last checkpoint.
+        self._written = FIRST_ERA, 0
         self._wanted = trio.Event()
         self._ended = trio.Event()
         # The start of the known past at the last attempt, and when that was.
@@ -94,9 +96,9 @@
             status = self._watch.last_read(Feed.REPLICAS)
             if not self._watch.reads_feeds or status is None:
                 continue
-            if status.store_ms <= self._written_ms:
+            if (status.era, status.store_ms) <= self._written:
                 continue
-            self._written_ms = status.store_ms
+            self._written = status.era, status.store_ms
             slot = status.store_ms // int(CHECKPOINT_SECONDS * 1000) % SLOTS
             checkpoint = Checkpoint(status.revision, status.store_ms, status.era)
             try:
@@ -140,6 +142,8 @@
 
     async def _extend_replicas(self, checkpoint: Checkpoint) -> None:
         revision = Revision(checkpoint.revision)
+        if self._replicas.versions.is_known_from(revision):
+            return
         changes = await self._directory.await_replicas(revision, 0.0)
         versions, now = self._replicas.versions, self._clock.monotonic()
         known_from = versions.known_from
--- a/berylshift/process/directory/version_history.py
+++ b/berylshift/process/directory/version_history.py
@@ -30,6 +30,10 @@
         self._known_since, self.known_from = now, revision
         return had_past
 
+    def is_known_from(self, revision: Revision) -> bool:
+        """Return whether all versions from a revision on are known."""
+        return self.known_from is not None and self.known_from <= revision
+
     def extend_past(self, revision: Revision, since: float) -> None:
         """Record that all versions from an earlier revision and time on are known."""
         if self._known_since is not None and since < self._known_since:
