Learn from checkpoints what other hosts knew, not from the store's history alone

Another host that had started since knew a past as long as a stream may last, which is too short then; the store's history, 20 s at most, is no longer; and a move of a route was forgotten after 13 s.

A checkpoint now tells what its writer knew: the versions and moved routes of the last 120 s, since when it knows all, and up to which revisions. A host that has started learns all of that, with the changes since, which are few. So versions and moves count for 120 s whether a host has run for long or not. A host that finds checkpoints and can't use them must have followed the store for 120 s itself; without any, which is a first start or a build before this one, two timeouts and 5 s suffice as before.

In the module's own tests an entry that was removed and never written again is known from the checkpoint now, so its test has a version that leaves while no host runs; one more lets a version leave a minute before, and one restarts all hosts one after the other. The forged checkpoint that was only old is a valid one now and is replaced by one of a revision that does not exist yet. test_store_slow_answers runs hosts on another directory and has the rows that go with it.

--- a/berylshift/process/directory/version_history.py
+++ b/berylshift/process/directory/version_history.py
@@ -1,6 +1,6 @@
 """The software versions of services' replicas that are listed, or were recently."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from berylshift.ids import Revision, ServiceName, SoftwareVersion
 from berylshift.messages.replicas import Replica
@@ -30,14 +30,26 @@
         self._known_since, self.known_from = now, revision
         return had_past
 
-    def is_known_from(self, revision: Revision) -> bool:
-        """Return whether all versions from a revision on are known."""
-        return self.known_from is not None and self.known_from <= revision
+    @property
+    def known_since(self) -> float | None:
+        """Return the time since which all versions are known; ``None``: none."""
+        return self._known_since
+
+    def extend_past(
+        self,
+        versions: Mapping[ServiceName, Iterable[SoftwareVersion]],
+        revision: Revision,
+        since: float,
+        now: float,
+    ) -> set[ServiceName]:
+        """Record that no other ``versions`` were in use from a time to a revision.
 
-    def extend_past(self, revision: Revision, since: float) -> None:
-        """Record that all versions from an earlier revision and time on are known."""
-        if self._known_since is not None and since < self._known_since:
-            self._known_since, self.known_from = since, revision
+        Return the services that had versions which are not listed.
+        """
+        if self._known_since is None or since >= self._known_since:
+            return set()
+        self._known_since, self.known_from = since, revision
+        return self._record_former(versions, now)
 
     def observe(self, replicas: Iterable[Replica], now: float) -> set[ServiceName]:
         """Record the listed replicas; return the services with a further version."""
@@ -61,9 +73,15 @@
         self, replicas: Iterable[Replica], now: float
     ) -> set[ServiceName]:
         """Record replicas that came and left; return as ``observe`` does."""
+        return self._record_former(_by_service(replicas), now)
+
+    def _record_former(
+        self, found: Mapping[ServiceName, Iterable[SoftwareVersion]], now: float
+    ) -> set[ServiceName]:
+        """Record versions that are in use no more, unless they are listed."""
         changed = set()
-        for service, versions in _by_service(replicas).items():
-            further = versions - self._listed.get(service, frozenset())
+        for service, versions in found.items():
+            further = set(versions) - self._listed.get(service, frozenset())
             if further:
                 self._record_gone(service, further, now)
                 changed.add(service)
--- a/berylshift/process/streams/origin_loop.py
+++ b/berylshift/process/streams/origin_loop.py
@@ -87,6 +87,8 @@
     known_from: Callable[[], Revision | None]
     # The era and revision of the store up to which the list is known.
     position: Callable[[], tuple[StoreEra, Revision] | None]
+    # How much of the past must be known where streams may last some seconds.
+    seconds_needed: Callable[[float], float]
     # Learns as much of the past as the store can tell.
     learn_past: Callable[[], Awaitable[None]]
     # Asks the store whether no other version of a service was listed since.
@@ -380,8 +382,9 @@
         """Return what this host knows of a stream and its service."""
         sources = self._deps.versions
         only, has_several = self._only_variant(query.service, query.seconds, now)
-        is_complete = sources.is_complete(query.seconds, now)
-        is_complete = is_complete and sources.routes.is_complete(query.seconds, now)
+        seconds = sources.seconds_needed(query.seconds)
+        is_complete = sources.is_complete(seconds, now)
+        is_complete = is_complete and sources.routes.is_complete(seconds, now)
         era, until = sources.position() or (FIRST_ERA, Revision(0))
         reply = OriginReply(
             query.number,
--- a/berylshift/process/targets/route_history.py
+++ b/berylshift/process/targets/route_history.py
@@ -1,7 +1,7 @@
 """The routes that led requests' paths recently, and the services they led to."""
 
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 import msgspec
 
@@ -50,10 +50,25 @@
         if self._table is not None:
             self._known_since, self.known_from = now, self._table.version
 
-    def extend_past(self, since: float) -> None:
-        """Record that no tables but those known were in force from a time on."""
-        if self._known_since is not None:
-            self._known_since = min(self._known_since, since)
+    @property
+    def known_since(self) -> float | None:
+        """Return the time since which all tables are known; ``None``: none."""
+        return self._known_since
+
+    def extend_past(
+        self, moved: Iterable[ServiceName], since: float, now: float
+    ) -> None:
+        """Record that from a time on no streams were led to other services.
+
+        ``moved``: services to which streams of other ones were led since.
+        """
+        if self._known_since is not None and since < self._known_since:
+            self._known_since = since
+            self._gained_at.update(dict.fromkeys(moved, now))
+
+    def services_gained(self, seconds: float, now: float) -> list[ServiceName]:
+        """Return the services to which paths of other ones were led recently."""
+        return [name for name in self._gained_at if self.has_gained(name, seconds, now)]
 
     def observe(self, table: RouteTable, now: float) -> set[ServiceName]:
         """Record the routes in force; return services whose streams may move."""
--- a/berylshift/store/checkpoint_rows.py
+++ b/berylshift/store/checkpoint_rows.py
@@ -10,10 +10,20 @@
 
 
 class Checkpoint(msgspec.Struct, frozen=True):
-    """The store's newest revision at ``store_ms`` of its monotonic clock."""
+    """What a host knew of versions and routes, and up to which revisions.
+
+    ``store_ms`` is the store's monotonic clock when the replicas were read. All that
+    was in use since ``since_ms`` is known: ``versions`` by service, and the services
+    to which ``moved`` routes have led streams of other ones.
+    """
 
     revision: Position
+    routes_revision: Position
+    routes_version: Position
     store_ms: Position
+    since_ms: Position
+    versions: dict[str, list[str]]
+    moved: list[str]
     era: Count = FIRST_ERA
 
 
--- a/berylshift/tests/test_entry_store_past.py
+++ b/berylshift/tests/test_entry_store_past.py
@@ -7,7 +7,6 @@
 
 from berylshift.process.directory.store_past_loop import CHECKPOINT_SECONDS, SLOTS
 from berylshift.process.streams.origin_records import KEEP_SECONDS
-from berylshift.store.checkpoint_rows import Checkpoint
 from berylshift.tests.entry_world import routes
 from berylshift.tests.stale_list_world import StaleListWorld
 from berylshift.tests.stream_version_world import DOMAINS, HOSTS, RETRY_BURST, Stream
@@ -111,19 +110,61 @@
 
         self.check_refused(run_restart(after=release))
 
-    def test_removed_entry_that_the_history_does_not_hold(self):
+    def test_version_that_left_before_the_history_of_the_store(self):
+        """Guards against hosts out of step that used a version removed long before."""
+
+        async def release(world):
+            world.add_engines(NEW, 3, prefill=1)
+            world.remove(OLD)
+            await trio.sleep(KEEP_SECONDS / 2)
+            world.directory.forget_history()
+            await trio.sleep(2 * CHECKPOINT_SECONDS)
+
+        self.check_refused(run_restart(release))
+
+    def test_entry_that_is_removed_while_no_host_runs(self):
         """Guards against an unknown version that passes for the only one."""
 
         async def release(world):
+            world.add_engines(NEW, 3, prefill=1)
             world.renews = False
             await trio.sleep(SLOTS * CHECKPOINT_SECONDS)
-            world.add_engines(NEW, 3, prefill=1)
 
         async def leave(world):
             world.remove(OLD)
 
         self.check_refused(run_restart(release, leave))
 
+    def test_hosts_restarted_one_after_the_other(self):
+        """Guards against knowledge that ends with the last host that gathered it."""
+
+        async def replace_hosts(world):
+            for host in range(HOSTS):
+                world.kill_host(host)
+                await world.add_host(
+                    domain=f"domain-{host % DOMAINS}", retry_burst=RETRY_BURST
+                )
+                await trio.sleep(RESTART_SECONDS)
+            await trio.sleep(2 * CHECKPOINT_SECONDS)
+
+        async def main():
+            async with trio.open_nursery() as nursery:
+                world = RestartWorld(nursery)
+                world.directory.put_routes(routes())
+                world.add_engines(OLD, 3, prefill=1)
+                await world.start_hosts()
+                nursery.start_soon(world.renew)
+                await trio.sleep(KEEP_SECONDS)
+                await replace_hosts(world)
+                stream = await world.begin("r1", HOSTS)
+                world.kill_all()
+                await world.start_hosts()
+                await world.stream(stream, "r1-again", 2 * HOSTS, resumes="r1")
+                nursery.cancel_scope.cancel()
+                return stream
+
+        self.assertEqual(run_virtual(main).statuses, [200, 200])
+
     def test_history_that_the_store_dropped(self):
         """Guards against a past that begins before what the store tells."""
 
@@ -171,11 +212,12 @@
             rows = world.checkpoint_rows
             newest = max(rows.slots.values(), key=lambda each: each.store_ms)
             late = msgspec.structs.replace(newest, store_ms=newest.store_ms + 10**6)
+            after = msgspec.structs.replace(newest, revision=newest.revision + 10**6)
             rows.slots = {
                 0: late,
-                1: Checkpoint(newest.revision + 10**6, newest.store_ms - 15_000),
+                1: after,
                 2: msgspec.structs.replace(newest, era=newest.era + 1),
-                3: msgspec.structs.replace(newest, store_ms=0),
+                3: msgspec.structs.replace(newest, store_ms=0, since_ms=0),
             }
 
         self.check_refused(run_restart(after=forge))
--- a/berylshift/tests/test_foreign_bytes.py
+++ b/berylshift/tests/test_foreign_bytes.py
@@ -189,7 +189,10 @@
         """Guards against a past that no host can read any more."""
 
         async def task(world):
-            rows, sound = PlatformCheckpoints(world.calls), Checkpoint(3, 4000, 0)
+            rows, sound = (
+                PlatformCheckpoints(world.calls),
+                Checkpoint(3, 3, 1, 4000, 0, {}, []),
+            )
             for key, value in (
                 ("0", ENDLESS),
                 ("1", {"revision": -1, "store_ms": 1}),
--- a/berylshift/tests/test_store_slow_answers.py
+++ b/berylshift/tests/test_store_slow_answers.py
@@ -5,6 +5,7 @@
 import trio
 
 from berylshift.platform import names
+from berylshift.platform.own_tables import PlatformCheckpoints
 from berylshift.store.interfaces import ResponseLostError
 from berylshift.tests.entry_world import EntryWorld
 from berylshift.tests.support import VirtualTestCase
@@ -94,6 +95,7 @@
             world.wrap_responder = SlowResponder
             self.put(world, 1, 1)
             entry = EntryWorld(world.nursery, directory=world.directory)
+            entry.checkpoint_rows = PlatformCheckpoints(world.calls)
             host = await entry.add_host()
             first = host.routes.table.version
             self.put(world, 2, ROUTE_COUNT)
@@ -107,6 +109,7 @@
             self.put(world, 2, ROUTE_COUNT)
             world.wrap_responder = SlowResponder
             entry = EntryWorld(world.nursery, directory=world.directory)
+            entry.checkpoint_rows = PlatformCheckpoints(world.calls)
             host = await entry.add_host()
             await trio.sleep(IN_FORCE_SECONDS)
             return host.is_ready()
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -2313,8 +2313,8 @@
     Proof(
         "the past reaches back to a checkpoint",
         "process/directory/version_history.py",
-        "if self._known_since is not None and since < self._known_since:",
-        "if False:",
+        "if self._known_since is None or since >= self._known_since:",
+        "if True:",
         f"{PAST}.test_streams_go_on_after_a_start_of_all_hosts",
     ),
     Proof(
@@ -2325,24 +2325,24 @@
         f"{PAST}.test_version_that_left_before_all_hosts_were_killed",
     ),
     Proof(
-        "an entry whose version the history lacks ends the past",
+        "versions that a host knew of count after a start of all",
         "process/directory/store_past_loop.py",
-        "if set(changes.removed) - {rep.name for rep in changes.passed}:",
-        "if False:",
-        f"{PAST}.test_removed_entry_that_the_history_does_not_hold",
+        "further = versions.extend_past(former, revision, now - age, now)",
+        "further = versions.extend_past({}, revision, now - age, now)",
+        f"{PAST}.test_version_that_left_before_the_history_of_the_store",
     ),
     Proof(
         "routes that have changed since a checkpoint end the past",
         "process/directory/store_past_loop.py",
-        "if found.table is not None:",
+        "if not is_same or routes.table is not None:",
         "if False:",
         f"{PAST}.test_routes_that_moved",
     ),
     Proof(
         "checkpoints of the future or of another era are not used",
         "process/directory/store_past_loop.py",
-        "if checkpoint.era == found.era and is_past and is_short:",
-        "if True:",
+        "max(each.revision, each.routes_revision) <= found.revision",
+        "True",
         f"{PAST}.test_checkpoints_that_can_not_be_true",
     ),
 )
