Remember a route's move for as long as records of streams are kept

What callers saw: events of two services in one stream, without a restart of any host. A host that was cut off from the store and the other hosts led streams by its old routes 20 s after a move; the caller took its stream up at another host, for which the move was longer ago than a stream can last.

Cause: a further version counts for 120 s, since a host that has not heard of a removal still begins streams there, but a move of a route counted for two timeouts and 5 s only.

Change: both count for the same 120 s. Streams there are told to the holders for as long, so that those with a record go on. The test of hosts with old routes was red with both kinds of callers and passes; its proof is red, and the modules on former routes, moves, versions and stale lists pass.

--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -248,11 +248,12 @@
         """Return the versions at which streams of a service may have begun.
 
         Replicas serve for a while after their entries are gone, and a host that has not
-        heard of that still sends requests to them: versions count for as long as
-        records of streams are kept, so that a stream without one is not guessed.
+        heard of that still sends requests to them. The same holds for routes. Both
+        count for as long as records of streams are kept, so that a stream without one
+        is not guessed.
         """
-        listed_seconds = max(seconds, KEEP_SECONDS)
-        found = self.replicas.versions.versions(service, listed_seconds, now)
+        seconds = max(seconds, KEEP_SECONDS)
+        found = self.replicas.versions.versions(service, seconds, now)
         if self.route_history.has_gained(service, seconds, now):
             found |= {VERSION_ELSEWHERE}
         return found
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -41,6 +41,7 @@
 MOVED = "test_gossip_moved_hosts"
 LIMITS = "test_entry_limits"
 PAST = "test_entry_store_past.StorePastTest"
+OUT_OF_STEP = "test_entry_hosts_out_of_step"
 RATES = "test_targets_rate_limits"
 DRAINING = "test_entry_draining"
 BACKOFF = "test_entry_backoff"
@@ -2345,6 +2346,13 @@
         "if True:",
         f"{PAST}.test_checkpoints_that_can_not_be_true",
     ),
+    Proof(
+        "a host with old routes may still lead streams as before a move",
+        "entry_application.py",
+        "self.route_history.has_gained(service, seconds, now)",
+        "self.route_history.has_gained(service, 13.0, now)",
+        f"{OUT_OF_STEP}.OldRoutesTest.test_stream_that_a_host_with_old_routes_began",
+    ),
 )
 
 
