Don't extend the past by routes that were not those in force

What callers saw: a stream of two services after a start of all hosts, if the store had been restored from a copy with older routes before. Running hosts keep newer routes than the store has; a host that starts finds the older ones and, in the store's history, that these have not changed.

Change: a checkpoint tells which version of the routes its writer had in force, and extends the past of routes only where that is this host's version.

The test of the restored store was red and passes; its proof is red. The proof that changed routes end the past was hidden by the new check, and rests now on a test where a former version is written again, which the new check does not find. test_entry_store_past, test_foreign_bytes and test_targets_route_history pass.

--- a/berylshift/process/directory/store_past_loop.py
+++ b/berylshift/process/directory/store_past_loop.py
@@ -12,7 +12,7 @@
 import trio
 
 from berylshift.clock import Clock
-from berylshift.ids import Revision, StoreEra
+from berylshift.ids import Revision, StoreEra, TableVersion
 from berylshift.messages.replicas import ReplicaChanges
 from berylshift.process.directory.replica_set import ReplicaSet
 from berylshift.process.directory.store_watch import Feed, StoreWatch
@@ -40,6 +40,10 @@
 class RoutePast(Protocol):
     """What is known of the routes of the past."""
 
+    @property
+    def version(self) -> TableVersion | None:
+        """Return the version in force; ``None``: none is."""
+
     def extend_past(self, since: float) -> None:
         """Record that no tables but those known were in force from a time on."""
 
@@ -92,13 +96,16 @@
         while True:
             await trio.sleep(CHECKPOINT_SECONDS)
             status = self._watch.last_read(Feed.REPLICAS)
-            if not self._watch.reads_feeds or status is None:
+            routes = self._routes.version
+            if not self._watch.reads_feeds or status is None or routes is None:
                 continue
             if status.store_ms <= self._written_ms:
                 continue
             self._written_ms = status.store_ms
             slot = status.store_ms // int(CHECKPOINT_SECONDS * 1000) % SLOTS
-            checkpoint = Checkpoint(status.revision, status.store_ms, status.era)
+            checkpoint = Checkpoint(
+                status.revision, status.store_ms, status.era, routes
+            )
             try:
                 await self._rows.write(slot, checkpoint)
             except PlatformError as exc:
@@ -159,6 +166,9 @@
         found = await self._directory.await_routes(Revision(checkpoint.revision), 0.0)
         if found.table is not None:
             raise HistoryLostError("the routes have changed since")
+        if checkpoint.routes != self._routes.version:
+            # Hosts keep routes that a restored store has lost.
+            raise HistoryLostError("the store's routes were not those in force")
         self._check_era(checkpoint, found.era)
         now = self._clock.monotonic()
         self._routes.extend_past(now - _age(checkpoint, found.store_ms))
--- a/berylshift/process/targets/route_history.py
+++ b/berylshift/process/targets/route_history.py
@@ -45,6 +45,11 @@
         # The version from which on all tables are known.
         self.known_from: TableVersion | None = None
 
+    @property
+    def version(self) -> TableVersion | None:
+        """Return the version in force; ``None``: none is."""
+        return None if self._table is None else self._table.version
+
     def forget_past(self, now: float) -> None:
         """Record that tables may have come and gone unseen until now."""
         if self._table is not None:
--- a/berylshift/store/checkpoint_rows.py
+++ b/berylshift/store/checkpoint_rows.py
@@ -10,11 +10,15 @@
 
 
 class Checkpoint(msgspec.Struct, frozen=True):
-    """The store's newest revision at ``store_ms`` of its monotonic clock."""
+    """The store's newest revision at ``store_ms`` of its monotonic clock.
+
+    ``routes``: the version of the routes that its writer had in force.
+    """
 
     revision: Position
     store_ms: Position
     era: Count = FIRST_ERA
+    routes: Position = 0
 
 
 class CheckpointsSnapshot(msgspec.Struct, frozen=True):
--- a/berylshift/tests/test_entry_store_past.py
+++ b/berylshift/tests/test_entry_store_past.py
@@ -164,6 +164,15 @@
 
         self.check_refused(run_restart(after=move))
 
+    def test_routes_whose_former_version_is_written_again(self):
+        """Guards against routes in between that only the history shows."""
+
+        async def move(world):
+            world.directory.put_routes(routes(2))
+            world.directory.put_routes(routes(1))
+
+        self.check_refused(run_restart(after=move))
+
     def test_checkpoints_that_can_not_be_true(self):
         """Guards against a past that a checkpoint of the future or of none proves."""
 
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -2337,7 +2337,7 @@
         "process/directory/store_past_loop.py",
         "if found.table is not None:",
         "if False:",
-        f"{PAST}.test_routes_that_moved",
+        f"{PAST}.test_routes_whose_former_version_is_written_again",
     ),
     Proof(
         "checkpoints of the future or of another era are not used",
@@ -2353,6 +2353,13 @@
         "self.route_history.has_gained(service, 13.0, now)",
         f"{OUT_OF_STEP}.OldRoutesTest.test_stream_that_a_host_with_old_routes_began",
     ),
+    Proof(
+        "hosts keep routes that a restored store has lost",
+        "process/directory/store_past_loop.py",
+        "if checkpoint.routes != self._routes.version:",
+        "if False:",
+        f"{OUT_OF_STEP}.OldRoutesTest.test_routes_that_a_restored_store_has_lost",
+    ),
 )
 
 
