--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -41,6 +41,7 @@
 MOVED = "test_gossip_moved_hosts"
 LIMITS = "test_entry_limits"
 PAST = "test_entry_store_past.StorePastTest"
+OUT_OF_STEP = "test_entry_hosts_out_of_step"
 RATES = "test_targets_rate_limits"
 DRAINING = "test_entry_draining"
 BACKOFF = "test_entry_backoff"
@@ -2336,7 +2337,7 @@
         "process/directory/store_past_loop.py",
         "if not is_same or routes.table is not None:",
         "if False:",
-        f"{PAST}.test_routes_that_moved",
+        f"{PAST}.test_routes_whose_former_version_is_written_again",
     ),
     Proof(
         "checkpoints of the future or of another era are not used",
@@ -2345,6 +2346,20 @@
         "True",
         f"{PAST}.test_checkpoints_that_can_not_be_true",
     ),
+    Proof(
+        "a host with old routes may still lead streams as before a move",
+        "entry_application.py",
+        "self.route_history.has_gained(service, seconds, now)",
+        "self.route_history.has_gained(service, 13.0, now)",
+        f"{OUT_OF_STEP}.OldRoutesTest.test_stream_that_a_host_with_old_routes_began",
+    ),
+    Proof(
+        "hosts keep routes that a restored store has lost",
+        "process/directory/store_past_loop.py",
+        "is_same = table is not None and table.version == checkpoint.routes_version",
+        "is_same = True",
+        f"{OUT_OF_STEP}.OldRoutesTest.test_routes_that_a_restored_store_has_lost",
+    ),
 )
 
 
