--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -2340,10 +2340,10 @@
         f"{PAST}.test_routes_whose_former_version_is_written_again",
     ),
     Proof(
-        "checkpoints of the future or of another era are not used",
+        "checkpoints of the future are not used",
         "process/directory/store_past_loop.py",
-        "max(each.revision, each.routes_revision) <= found.revision",
-        "True",
+        "and each.since_ms <= each.store_ms <= found.store_ms",
+        "",
         f"{PAST}.test_checkpoints_that_can_not_be_true",
     ),
     Proof(
