Count the time suspended in the age of the native API's table

Cause: hosts of the native API counted the age of their table, of the store's confirmations and of their peers' ones on the event loop's clock, which stands still while the machine is suspended. A host that resumed held its view for as fresh as before, whatever had changed meanwhile.

What callers saw: right after a suspend of any length, until the next read of the store, requests were sent to targets that had been withdrawn, and the host told its peers, too, that its view was fresh.

Change: these times are taken from the clock that runs while the host is suspended, as the entry hosts do it. Peers' liveness stays on the loop's clock.

The leases of engine pools count on the loop's clock still; every write of a plan or an order is conditional on the epoch in the store.

--- a/berylshift/application.py
+++ b/berylshift/application.py
@@ -109,6 +109,8 @@
     """External dependencies of the process; tests pass fakes."""
 
     clock: Clock
+    # Seconds on a clock that runs while the host is suspended.
+    boot_clock: Callable[[], float]
     rng: random.Random
     metrics: Metrics
     table_service: TableService
@@ -182,7 +184,9 @@
             rng,
         )
         self.members = Membership(host, self.incarnation, cfg.peers.silent_after, rng)
-        self.readiness = Readiness(host, self.holder, self.freshness, clock)
+        self.readiness = Readiness(
+            host, self.holder, self.freshness, clock, ports.boot_clock
+        )
         self.quarantine = Quarantine(
             cfg.targets.report_interval, CRASH_GOSSIP_ROUNDS * cfg.peers.interval
         )
@@ -345,6 +349,7 @@
             members=self.members,
             peers=ports.peer_views,
             clock=ports.clock,
+            boot_clock=ports.boot_clock,
             on_change=self.on_table_change,
             poll_interval_seconds=cfg.table.poll_interval,
             seeds=[seed.strip() for seed in cfg.host.seeds.split(",") if seed.strip()],
@@ -376,6 +381,7 @@
             plans=self.plans,
             quarantine=self.quarantine,
             clock=ports.clock,
+            boot_clock=ports.boot_clock,
         )
         self.peer_loop = PeerLoop(peers)
         entry = HostEntry(
@@ -415,12 +421,10 @@
 
     async def _report_gauges(self) -> None:
         """Report the gauges until cancelled."""
-        metrics, clock = self.ports.metrics, self.ports.clock
+        metrics, boot_clock = self.ports.metrics, self.ports.boot_clock
         while True:
             metrics.gauge("table_version", self.holder.table.version)
-            age = min(
-                MAX_GAUGE_AGE_SECONDS, self.freshness.store_age(clock.monotonic())
-            )
+            age = min(MAX_GAUGE_AGE_SECONDS, self.freshness.store_age(boot_clock()))
             metrics.gauge("store_age_seconds", age)
             metrics.gauge("in_flight", self.handler.in_flight)
             metrics.gauge("pending_records", len(self.pending))
--- a/berylshift/connection/status.py
+++ b/berylshift/connection/status.py
@@ -53,6 +53,7 @@
 def make_status(app: Application) -> HostStatus:
     """Return the status of a host."""
     now = app.ports.clock.monotonic()
+    store_age = app.freshness.store_age(app.ports.boot_clock())
     return HostStatus(
         host=app.members.host,
         incarnation=app.incarnation,
@@ -60,7 +61,7 @@
         ready=app.readiness.is_ready(),
         phase=app.readiness.phase.value,
         table_version=app.holder.table.version,
-        store_age=round(min(app.freshness.store_age(now), 1e6), 3),
+        store_age=round(min(store_age, 1e6), 3),
         in_flight=app.handler.in_flight,
         peers_in_sight=len(app.members.live_hosts(now)) - 1,
         hosts_listed=app.members.host_count(),
--- a/berylshift/process/membership/members.py
+++ b/berylshift/process/membership/members.py
@@ -19,7 +19,8 @@
 class Peer:
     """State of a peer; times in monotonic seconds.
 
-    ``sent_at`` holds the send times of recent datagrams to it, by sequence number.
+    ``sent_at`` holds the send times of recent datagrams to it, by sequence number, on
+    the clock of the view's freshness.
     """
 
     entry: HostEntry | None = None
@@ -142,10 +143,10 @@
         self.sequence += 1
         return self.sequence
 
-    def record_send(self, host: HostName, sequence: int, now: float) -> None:
+    def record_send(self, host: HostName, sequence: int, at: float) -> None:
         """Record when a datagram was sent to a peer, for when it is echoed."""
         sent_at = self.peers[host].sent_at
-        sent_at[sequence] = now
+        sent_at[sequence] = at
         while len(sent_at) > MAX_SENT_TIMES:
             del sent_at[next(iter(sent_at))]
 
--- a/berylshift/process/membership/peer_loop.py
+++ b/berylshift/process/membership/peer_loop.py
@@ -36,7 +36,10 @@
 
 @dataclass
 class PeerDependencies:
-    """What the peer loop works with."""
+    """What the peer loop works with.
+
+    ``boot_clock`` gives the times of queries; it runs while the host is suspended.
+    """
 
     cfg: PeerSettings
     members: Membership
@@ -50,6 +53,7 @@
     plans: Plans
     quarantine: Quarantine
     clock: Clock
+    boot_clock: Callable[[], float]
 
 
 class PeerLoop:
@@ -115,16 +119,15 @@
     async def _send_in_turn(self) -> None:
         deps = self._deps
         while True:
-            now = deps.clock.monotonic()
-            self._update_host_counts(now)
+            self._update_host_counts(deps.clock.monotonic())
             for entry in deps.members.next_peers(deps.cfg.fanout):
-                deps.fresh.note_peer_query(entry.host, now)
+                deps.fresh.note_peer_query(entry.host, deps.boot_clock())
                 await self._send(entry, is_reply=False)
             await trio.sleep(deps.cfg.interval)
 
     async def _send(self, entry: HostEntry, is_reply: bool) -> None:
         deps = self._deps
-        now = deps.clock.monotonic()
+        now, sent_at = deps.clock.monotonic(), deps.boot_clock()
         if entry.host not in deps.members.peers:
             return
         sequence = deps.members.next_sequence()
@@ -133,7 +136,7 @@
             incarnation=deps.members.incarnation,
             sequence=sequence,
             table_version=deps.holder.table.version,
-            store_age_seconds=min(MAX_STORE_AGE_SECONDS, deps.fresh.store_age(now)),
+            store_age_seconds=min(MAX_STORE_AGE_SECONDS, deps.fresh.store_age(sent_at)),
             leaving=self.leaving,
             is_reply=is_reply,
             echoes=deps.members.echoes_for(entry.host),
@@ -145,5 +148,5 @@
             finished=list(deps.quarantine.pending_completions(now)),
             blocks=list(deps.quarantine.blocks.take_reports(now)),
         )
-        deps.members.record_send(entry.host, sequence, now)
+        deps.members.record_send(entry.host, sequence, sent_at)
         await deps.link.send(entry.peer_address, digest)
--- a/berylshift/process/membership/readiness.py
+++ b/berylshift/process/membership/readiness.py
@@ -1,5 +1,6 @@
 """Whether this process accepts new requests, and its readiness for load balancers."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -24,18 +25,22 @@
 
 @dataclass
 class Readiness:
-    """Combines the process's phase, the host's state and the table's freshness."""
+    """Combines the process's phase, the host's state and the table's freshness.
+
+    ``boot_clock`` runs while the host is suspended.
+    """
 
     host: HostName
     holder: TableHolder
     fresh: Freshness
     clock: Clock
+    boot_clock: Callable[[], float]
     phase: Phase = Phase.SERVING
     _inactive_since: float | None = field(default=None)
 
     def may_route(self) -> bool:
         """Return whether requests may be routed by the current table."""
-        return self.fresh.view(self.clock.monotonic()) is View.FRESH
+        return self.fresh.view(self.boot_clock()) is View.FRESH
 
     def is_ready(self) -> bool:
         """Return whether load balancers should send requests to this process."""
--- a/berylshift/process/table/table_follower.py
+++ b/berylshift/process/table/table_follower.py
@@ -67,7 +67,8 @@
 
     ``on_change`` is called with the old and the new table. ``seeds`` are admin
     addresses of peers that are asked while there is no table yet: a process that starts
-    while the store and the host list are down knows no peers.
+    while the store and the host list are down knows no peers. ``boot_clock`` gives the
+    times of confirmations; it runs while the host is suspended.
     """
 
     holder: TableHolder
@@ -77,6 +78,7 @@
     members: Membership
     peers: PeerViews
     clock: Clock
+    boot_clock: Callable[[], float]
     on_change: Callable[[Table, Table], None]
     poll_interval_seconds: float
     seeds: list[str]
@@ -111,7 +113,7 @@
                 await self._wake.wait()
 
     async def _read_store(self) -> bool:
-        asked_at = self._deps.clock.monotonic()
+        asked_at = self._deps.boot_clock()
         try:
             pools = sorted({row.serves for row in self._deps.holder.table.engines()})
             keys = [plan_key(pool) for pool in pools]
--- a/berylshift/replay/virtual_fleet.py
+++ b/berylshift/replay/virtual_fleet.py
@@ -10,6 +10,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from datetime import UTC, datetime
+from functools import partial
 
 import msgspec
 import trio
@@ -149,6 +150,7 @@
         self.services: dict[str, FakeService] = {}
         self.store_links: dict[str, MemoryPlatform] = {}
         self.key_outcomes = KeyOutcomes()
+        self._suspended_seconds: Counter[str] = Counter()
         self._nursery = nursery
         self._start_count = 0
         for number, row in enumerate(rows):
@@ -199,6 +201,7 @@
         self.hub.host_names[addresses.admin] = name
         ports = Ports(
             clock=self.clock,
+            boot_clock=partial(self.boot_seconds, name),
             rng=rng,
             metrics=NoMetrics(),
             table_service=store,
@@ -215,6 +218,14 @@
         self.hub.views[addresses.admin] = app.peer_view
         return app
 
+    def boot_seconds(self, host: str) -> float:
+        """Return the time on a host's clock that counts suspends."""
+        return trio.current_time() + self._suspended_seconds[host]
+
+    def suspend(self, host: str, seconds: float) -> None:
+        """Let time pass that only a host's clock that counts suspends shows."""
+        self._suspended_seconds[host] += seconds
+
     def addresses_of(self, name: str) -> Addresses:
         """Return the addresses that a host listens on."""
         return Addresses(peer=f"{name}:peer", admin=f"{name}:admin")
--- a/berylshift/serve_native.py
+++ b/berylshift/serve_native.py
@@ -6,7 +6,7 @@
 import trio
 
 from berylshift.application import Addresses, Application, Ports
-from berylshift.clock import LoopClock
+from berylshift.clock import LoopClock, boot_seconds
 from berylshift.connection.admin import Admin
 from berylshift.connection.datagram_tag import MAX_DATAGRAM_BYTES
 from berylshift.connection.engine_client import HttpEngineClient
@@ -41,6 +41,7 @@
     store, timeout = cfg.platform, cfg.platform.timeout
     return Ports(
         clock=LoopClock(),
+        boot_clock=boot_seconds,
         rng=random.Random(),
         metrics=make_metrics(cfg.observability.statsd),
         table_service=HttpTableService(client, store.table, timeout),
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -68,6 +68,7 @@
 TUNNEL_SERVER = "connection/tunnel_server.py"
 BLOCKS = "process/quarantine/block_quarantine.py"
 BLOCK_TESTS = "test_block_quarantine"
+SUSPENDED = "test_suspended_hosts.SuspendedHostTest"
 PROOFS = (
     Proof(
         "replicas receive the customer name, never the key",
@@ -2345,6 +2346,27 @@
         "if True:",
         f"{PAST}.test_checkpoints_that_can_not_be_true",
     ),
+    Proof(
+        "a table's age counts the time that its host was suspended",
+        "process/membership/readiness.py",
+        "self.fresh.view(self.boot_clock())",
+        "self.fresh.view(self.clock.monotonic())",
+        f"{SUSPENDED}.test_resumed_host_does_not_route_by_its_table",
+    ),
+    Proof(
+        "a store's answer is as old as its question, with the time suspended",
+        "process/table/table_follower.py",
+        "note_store_confirmation(asked_at, head.version)",
+        "note_store_confirmation(self._deps.boot_clock(), head.version)",
+        f"{SUSPENDED}.test_answer_of_the_store_to_a_question_before_the_suspend",
+    ),
+    Proof(
+        "hosts tell each other the age of their table with the time suspended",
+        "process/membership/peer_loop.py",
+        "deps.fresh.store_age(sent_at)",
+        "deps.fresh.store_age(now)",
+        f"{SUSPENDED}.test_age_that_a_resumed_host_tells_its_peers",
+    ),
 )
 
 
--- a/berylshift/version/freshness.py
+++ b/berylshift/version/freshness.py
@@ -42,7 +42,11 @@
 
 @dataclass
 class Freshness:
-    """Tracks when the view was last confirmed; times in monotonic seconds."""
+    """Tracks when the view was last confirmed.
+
+    Times are in seconds on the clock that runs while the host is suspended: a table may
+    change meanwhile.
+    """
 
     limit_seconds: float
     version: int = 0
