Take a lost lease for a new one at the system's first start alone

Cause: LeaderLease took a missing row in a later era of the store for one that nobody has ever held as long as the settings said first_start. A supervisor that starts a process again with the file that it has keeps that setting, so a host that started just after the store was restored from a copy without the row got the lease at once, while the holder that had not heard of the restore was still ordering: two holders for up to two seconds, and none of the gap that engines need to tell them apart.

Shown on the virtual clock: the host that starts gets a Grant half a second after the other one was granted the lease, which it still holds.

Change: the first host that joins writes the store's era into a row of its own (table keys, first-era); hosts that know it write it again where a restored copy has lost it, as they do with the shared key. A missing row counts as never held only if the settings say first start and no host has joined in an earlier era. While that is not known yet the lease is asked for again after 0.1 s, so that the first start does not wait for 6 s. A row that can't be read tells of an earlier start. A start costs one read more, the very first one a write.

Result: test_later_start_does_not_take_a_lease_that_the_store_has_lost failed before (a Grant in place of a refusal) and passes; test_first_start_takes_the_lease_at_once passes before and after.

Conclusion: two holders need a copy from before the system's very first join, in which nothing tells of the earlier start unless a host that knows it is up.

--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -23,6 +23,7 @@
     InstanceId,
     ServiceName,
     SoftwareVersion,
+    StoreEra,
 )
 from berylshift.messages.block_key import BlockHash
 from berylshift.messages.engine_control import EngineControl
@@ -677,10 +678,20 @@
             ports.rng,
             ports.boot_clock,
             self.store_watch.eras,
-            cfg.entry.first_start,
+            self._is_first_start,
             can_reacquire,
         )
 
+    def _is_first_start(self, era: StoreEra) -> bool | None:
+        """Return whether no host of the system has joined before an era of the store.
+
+        The settings may still say first start at a later one. ``None``: not known yet.
+        """
+        if not self.cfg.entry.first_start:
+            return False
+        first = self.load_loop.first_era
+        return None if first is None else first >= era
+
     def _make_leader_tasks(self) -> EntryLeaderTasks:
         ports = self.ports
         deps = LeaderTaskDependencies(
--- a/berylshift/platform/own_tables.py
+++ b/berylshift/platform/own_tables.py
@@ -7,11 +7,11 @@
 
 import msgspec
 
-from berylshift.ids import Revision, ServiceName
+from berylshift.ids import Revision, ServiceName, StoreEra
 from berylshift.messages.addresses import is_endpoint
 from berylshift.messages.json_decoding import MalformedJsonError, decode_json
 from berylshift.messages.usage import SettledUsage, UsageReport
-from berylshift.messages.wire_numbers import MAX_REQUESTS, MAX_TEXT, MAX_U64
+from berylshift.messages.wire_numbers import MAX_REQUESTS, MAX_TEXT, MAX_U64, Count
 from berylshift.platform import names
 from berylshift.platform.rows import (
     Row,
@@ -28,6 +28,7 @@
 from berylshift.store.checkpoint_rows import Checkpoint, CheckpointsSnapshot
 from berylshift.store.client import StoreClient
 from berylshift.store.crash_rows import CrashRow, CrashRowsSnapshot
+from berylshift.store.eras import FIRST_ERA
 from berylshift.store.host_rows import PORTS_PER_HOST, HostRecord
 from berylshift.store.interfaces import MalformedEntryError, ResponseLostError
 from berylshift.store.lease_rows import ABSENT, Granted, LeaseRecord, LeaseRow
@@ -136,6 +137,28 @@
             raise ResponseLostError("the shared key is not readable yet")
         return key
 
+    async def get_or_set_first_era(self, known: StoreEra | None) -> StoreEra:
+        """Return the store's era in which the first host of the system joined.
+
+        If the store does not tell, ``known`` is stored, or the current era if it is
+        ``None``. A row that can't be read tells of an earlier start, of any era.
+        """
+        table, name = names.KEY_TABLE, names.FIRST_ERA_KEY
+        for _ in range(2):
+            found = await _read_one(self._client, table, name)
+            try:
+                era = _record(found, name, Count)
+            except MalformedEntryError as exc:
+                logger.warning("malformed entry skipped", extra={"reason": str(exc)})
+                return FIRST_ERA
+            if era is not None:
+                return StoreEra(era)
+            first = found.era if known is None else known
+            write = RowWrite(table, name, msgspec.json.encode(first))
+            if await _write_at(self._client, write, ABSENT) is not None:
+                return first
+        raise ResponseLostError("the first era is not readable yet")
+
 
 class PlatformCrashes:
     """Replica crashes during requests, or under prompt blocks, in a table."""
--- a/berylshift/process/gossip/load_loop.py
+++ b/berylshift/process/gossip/load_loop.py
@@ -9,6 +9,7 @@
 import trio
 
 from berylshift.clock import Clock
+from berylshift.ids import StoreEra
 from berylshift.messages.load_digest import LoadDigest
 from berylshift.process.directory.store_era_tracker import StoreEraTracker
 from berylshift.process.gossip.digest_builder import DigestSources
@@ -66,6 +67,8 @@
         self._unknown_host = trio.Event()
         self._new_work = trio.Event()
         self._new_era = trio.Event()
+        # The store's era in which the first host joined; ``None``: not known yet.
+        self.first_era: StoreEra | None = None
         deps.eras.subscribe(lambda: self._new_era.set())
         self._protocol = GossipProtocol(
             deps.sources, self._hosts, deps.byte_budget, self._on_role
@@ -160,7 +163,8 @@
         A restored store has lost the rows of hosts that joined after its copy was made,
         possibly also the key. A host that starts meanwhile creates a new key, and hosts
         with different keys would reject each other's digests. Hosts with a key
-        therefore propose it again; the first one written becomes the key of all.
+        therefore propose it again; the first one written becomes the key of all. So
+        with the era in which the first host joined.
         """
         while True:
             await self._new_era.wait()
@@ -174,7 +178,9 @@
         deps = self._deps
         while True:
             try:
-                key = await deps.rows.get_or_set_shared_key(proposal)
+                rows = deps.rows
+                self.first_era = await rows.get_or_set_first_era(self.first_era)
+                key = await rows.get_or_set_shared_key(proposal)
                 await self._announce()
                 return key
             except PlatformError as exc:
--- a/berylshift/process/leader_tasks/leader_lease.py
+++ b/berylshift/process/leader_tasks/leader_lease.py
@@ -40,6 +40,9 @@
 # Bits of a fencing token below the store's era: an era has far fewer revisions, and the
 # token still fits into the integers that JSON represents exactly.
 REVISION_BITS = 36
+# How soon to ask again while it is not known whether the system starts for the first
+# time, in seconds.
+UNKNOWN_START_SECONDS = 0.1
 # The holder named in a refusal while a lease granted by a lost row may still be valid.
 UNKNOWN_HOLDER = "unknown"
 
@@ -75,15 +78,16 @@
         rng: random.Random,
         boot_clock: Callable[[], float],
         eras: StoreEraTracker | None = None,
-        is_first_start: bool = False,
+        is_first_start: Callable[[StoreEra], bool | None] = lambda era: False,
         can_reacquire: bool = False,
     ):
         """Separate the actions of two holders by ``holder_gap_seconds``.
 
         ``boot_clock`` gives seconds and runs while the host is suspended: a holder that
         was suspended past its lease must not use it after resuming. ``eras`` tells of a
-        restore of the store; ``is_first_start``: nobody has ever held the lease;
-        ``can_reacquire``: the holder may take it again before others do.
+        restore of the store; ``is_first_start``: whether no host of the system has
+        joined before an era, ``None`` if that is not known yet; ``can_reacquire``: the
+        holder may take it again before others do.
         """
         self._can_reacquire = can_reacquire
         self._is_first_start = is_first_start
@@ -146,9 +150,11 @@
         if row.record is not None and row.record.era == row.era:
             return None
         seconds_left = self._exclusive_seconds - self._eras.age()
-        if seconds_left > 0 and self._may_be_lost(row):
-            return Refused(UNKNOWN_HOLDER, seconds_left)
-        return None
+        if seconds_left <= 0 or not self._may_be_lost(row):
+            return None
+        if row.record is None and self._is_first_start(row.era) is None:
+            seconds_left = min(seconds_left, UNKNOWN_START_SECONDS)
+        return Refused(UNKNOWN_HOLDER, seconds_left)
 
     def _is_foreign(self, row: LeaseRow) -> bool:
         """Return whether no holder can have written a row.
@@ -189,7 +195,7 @@
         """
         if row.record is not None or self._eras.restore_count:
             return True
-        return row.era > FIRST_ERA and not self._is_first_start
+        return row.era > FIRST_ERA and not self._is_first_start(row.era)
 
     def _new_record(self, row: LeaseRow) -> LeaseRecord:
         grant = f"{self._rng.getrandbits(64):016x}"
--- a/berylshift/stand_ins/fake_directory.py
+++ b/berylshift/stand_ins/fake_directory.py
@@ -346,13 +346,16 @@
         self._hosts: dict[str, HostRecord] = {}
         self._key = ""
         self._now_ms = 0
+        self._first_era: StoreEra | None = None
+        self.era = FIRST_ERA
 
     def lose(self, hosts: Iterable[str], key: bool = False) -> None:
-        """Remove some rows, and optionally the key, as a restore does."""
+        """Remove some rows, and optionally the shared rows, as a restore does."""
         for host in hosts:
             self._hosts.pop(host, None)
         if key:
             self._key = ""
+            self._first_era = None
 
     async def announce(self, record: HostRecord) -> HostRecord:
         """Write a host's row."""
@@ -373,3 +376,9 @@
         """Return the key all hosts share."""
         self._key = self._key or proposal
         return self._key
+
+    async def get_or_set_first_era(self, known: StoreEra | None) -> StoreEra:
+        """Return the era in which the first host joined."""
+        if self._first_era is None:
+            self._first_era = self.era if known is None else known
+        return self._first_era
--- a/berylshift/store/host_rows.py
+++ b/berylshift/store/host_rows.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from berylshift.ids import StoreEra
 from berylshift.messages.wire_numbers import Count, Position
 
 # A host receives at its address and at the ports after it: load digests, queries for
@@ -42,3 +43,10 @@
 
     async def get_or_set_shared_key(self, proposal: str) -> str:
         """Return the key shared by all hosts; the first proposal is stored."""
+
+    async def get_or_set_first_era(self, known: StoreEra | None) -> StoreEra:
+        """Return the store's era in which the first host of the system joined.
+
+        If the store does not tell, ``known`` is stored, or the current era if it is
+        ``None``.
+        """
--- a/berylshift/tests/test_entry_first_start.py
+++ b/berylshift/tests/test_entry_first_start.py
@@ -4,6 +4,8 @@
 
 import trio
 
+from berylshift.ids import StoreEra
+from berylshift.process.leader_tasks.leader_lease import Grant, Refused
 from berylshift.process.streams.origin_records import KEEP_SECONDS
 from berylshift.tests.entry_world import routes
 from berylshift.tests.stale_list_world import StaleListWorld, StorePath
@@ -112,6 +114,27 @@
 
         self.assertFalse(run_first(task))
 
+    def check_lease(self, is_later_start: bool) -> Grant | Refused:
+        """Return what a host gets that starts as the store has lost all leases."""
+
+        async def task(world):
+            world.directory.era = world.leases.era = StoreEra(1)
+            world.host_rows.era = StoreEra(0 if is_later_start else 1)
+            await world.host_rows.get_or_set_first_era(None)
+            await world.add_hosts(1)
+            await trio.sleep(0.5)
+            return await world.hosts[0]._make_lease("phases/writer").acquire()
+
+        return run_first(task)
+
+    def test_later_start_does_not_take_a_lease_that_the_store_has_lost(self):
+        """Guards against orders beside those of a holder whose row was lost."""
+        self.assertIsInstance(self.check_lease(is_later_start=True), Refused)
+
+    def test_first_start_takes_the_lease_at_once(self):
+        """Guards against engines that wait for orders as a system starts."""
+        self.assertIsInstance(self.check_lease(is_later_start=False), Grant)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/berylshift/tests/test_leader_lease.py
+++ b/berylshift/tests/test_leader_lease.py
@@ -204,6 +204,48 @@
         world.rows.restore(10)
         self.assertIsInstance(world.acquire(1), Refused)
 
+    def start_with_first_settings(
+        self, world: Holders, first_era: int | None
+    ) -> LeaderLease:
+        """Return the lease of a host that starts now and still says first start."""
+        return LeaderLease(
+            world.rows,
+            "pool",
+            "h9",
+            HOLDER_GAP_SECONDS,
+            random.Random(9),
+            lambda: world.time,
+            is_first_start=lambda era: None if first_era is None else first_era >= era,
+        )
+
+    def test_a_later_start_with_the_settings_of_the_first_one_waits(self):
+        """Guards against two holders: one was granted the lease before a restore."""
+        world = Holders()
+        world.acquire(0)
+        world.time += 0.5
+        world.rows.restore(10)
+        later = self.start_with_first_settings(world, first_era=0)
+        self.assertIsInstance(trio.run(later.acquire), Refused)
+        self.assertIsNotNone(world.leases[0].held())
+        world.time += world.exclusive_seconds + 0.01
+        self.assertIsInstance(trio.run(later.acquire), Grant)
+
+    def test_the_first_start_is_not_delayed_in_a_later_era_of_the_store(self):
+        """Guards against engines that wait for orders as a system starts."""
+        world = Holders()
+        world.rows.restore(10)
+        first = self.start_with_first_settings(world, first_era=1)
+        self.assertIsInstance(trio.run(first.acquire), Grant)
+
+    def test_a_start_that_is_not_known_to_be_the_first_one_asks_again_soon(self):
+        """Guards against a first start that waits as a later one has to."""
+        world = Holders()
+        world.rows.restore(10)
+        unknown = self.start_with_first_settings(world, first_era=None)
+        refused = trio.run(unknown.acquire)
+        self.assertIsInstance(refused, Refused)
+        self.assertLessEqual(refused.seconds, 0.1)
+
     def test_a_holder_that_learns_of_the_new_era_stops(self):
         world = Holders()
         world.acquire(0)
--- a/berylshift/tests/test_platform_store.py
+++ b/berylshift/tests/test_platform_store.py
@@ -8,6 +8,7 @@
 
 from berylshift.connection.http_client import HttpClient, Outgoing
 from berylshift.connection.http_server import HttpServer
+from berylshift.ids import StoreEra
 from berylshift.messages.fingerprint import combine_hashes
 from berylshift.platform import names
 from berylshift.platform.own_tables import (
@@ -352,6 +353,39 @@
         self.assertEqual(set(keys), {"k0"})
         self.assertEqual([record.host for record in found], ["h1", "h2"])
 
+    def test_era_of_the_first_join_outlasts_a_restore(self):
+        """Guards against a later start that is taken for the system's first one."""
+
+        async def task(world):
+            hosts = PlatformHosts(world.calls)
+            world.store.era = 3
+            eras = [await hosts.get_or_set_first_era(None) for _ in range(2)]
+            world.store.era = 4
+            return [*eras, await hosts.get_or_set_first_era(None)]
+
+        self.assertEqual(self.run_store(task), [3, 3, 3])
+
+    def test_era_of_the_first_join_is_written_again_once_it_is_lost(self):
+        """Guards against a restore that makes each later start the first one."""
+
+        async def task(world):
+            hosts = PlatformHosts(world.calls)
+            world.store.era = 4
+            eras = [await hosts.get_or_set_first_era(StoreEra(3))]
+            return [*eras, await hosts.get_or_set_first_era(None)]
+
+        self.assertEqual(self.run_store(task), [3, 3])
+
+    def test_era_of_the_first_join_that_can_not_be_read(self):
+        """Guards against odd bytes that make a later start the first one."""
+
+        async def task(world):
+            world.store.era = 4
+            world.put(names.KEY_TABLE, names.FIRST_ERA_KEY, b"\xff")
+            return await PlatformHosts(world.calls).get_or_set_first_era(None)
+
+        self.assertEqual(self.run_store(task), 0)
+
     def test_hosts_join_in_the_order_of_the_stores_clock(self):
         """Guards against an earlier process of a host that is taken for a later one."""
 
--- a/berylshift/tests/test_scaling_loop.py
+++ b/berylshift/tests/test_scaling_loop.py
@@ -57,7 +57,7 @@
             3.0,
             random.Random(number),
             trio.current_time,
-            is_first_start=True,
+            is_first_start=lambda era: True,
             can_reacquire=True,
         )
         return ScaleLoop(
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -68,6 +68,7 @@
 TUNNEL_SERVER = "connection/tunnel_server.py"
 BLOCKS = "process/quarantine/block_quarantine.py"
 BLOCK_TESTS = "test_block_quarantine"
+FIRST_START = "test_entry_first_start.FirstStartTest"
 SUSPENDED = "test_suspended_hosts.SuspendedHostTest"
 PROOFS = (
     Proof(
@@ -2367,6 +2368,36 @@
         "deps.fresh.store_age(now)",
         f"{SUSPENDED}.test_age_that_a_resumed_host_tells_its_peers",
     ),
+    Proof(
+        "a later start takes no lost lease, whatever its settings say",
+        "entry_application.py",
+        "return None if first is None else first >= era",
+        "return True",
+        f"{FIRST_START}.test_later_start_does_not_take_a_lease_that_the_store_has_lost",
+    ),
+    Proof(
+        "the first start of a system is not delayed by a lease that is missing",
+        "entry_application.py",
+        "return None if first is None else first >= era",
+        "return False",
+        f"{FIRST_START}.test_first_start_takes_the_lease_at_once",
+    ),
+    Proof(
+        "a start not known to be the first one asks for its lease again soon",
+        "process/leader_tasks/leader_lease.py",
+        "if row.record is None and self._is_first_start(row.era) is None:",
+        "if False:",
+        "test_leader_lease.LeaderLeaseTest"
+        ".test_a_start_that_is_not_known_to_be_the_first_one_asks_again_soon",
+    ),
+    Proof(
+        "the era of the first join is written again once it is lost",
+        "platform/own_tables.py",
+        "first = found.era if known is None else known",
+        "first = found.era",
+        "test_platform_store.RowsTest"
+        ".test_era_of_the_first_join_is_written_again_once_it_is_lost",
+    ),
 )
 
 
