Ask for the first era beside the joining, not before it

Hosts that start together each wrote the row of the first era before they could read the key that they share, which a part of the store takes one after the other: on 195 hosts a second more until they hear each other. A task of its own asks after up to 0.3 s, when another host has mostly written the row. By calculation; the modules that touch it pass.

--- a/berylshift/process/gossip/load_loop.py
+++ b/berylshift/process/gossip/load_loop.py
@@ -25,6 +25,7 @@
 # trigger a read of the rows at once.
 HOST_LIST_SECONDS = 30.0
 RETRY_SECONDS = 1.0
+FIRST_ERA_JITTER_SECONDS = 0.3
 
 
 class LoadLink(Protocol):
@@ -152,6 +153,7 @@
             nursery.start_soon(link.receive, self._receive)
             nursery.start_soon(self._send, link)
             nursery.start_soon(self._refresh_hosts)
+            nursery.start_soon(self._find_first_era)
             found = await self._await_new_key(key)
             nursery.cancel_scope.cancel()
         logger.warning("key changed", extra={"reason": "store came back older"})
@@ -178,15 +180,28 @@
         deps = self._deps
         while True:
             try:
-                rows = deps.rows
-                self.first_era = await rows.get_or_set_first_era(self.first_era)
-                key = await rows.get_or_set_shared_key(proposal)
+                key = await deps.rows.get_or_set_shared_key(proposal)
                 await self._announce()
                 return key
             except PlatformError as exc:
                 logger.info("joining failed; retrying", extra={"reason": str(exc)})
                 await trio.sleep(RETRY_SECONDS)
 
+    async def _find_first_era(self) -> None:
+        """Learn in which era the first host joined, or tell it, in each era."""
+        deps = self._deps
+        # Hosts that start together would all write the row.
+        await trio.sleep(deps.rng.uniform(0, FIRST_ERA_JITTER_SECONDS))
+        while True:
+            new_era = self._new_era
+            try:
+                rows = deps.rows
+                self.first_era = await rows.get_or_set_first_era(self.first_era)
+                await new_era.wait()
+            except PlatformError as exc:
+                logger.info("first era not known yet", extra={"reason": str(exc)})
+                await trio.sleep(RETRY_SECONDS)
+
     async def _announce(self) -> None:
         deps = self._deps
         self._own = await deps.rows.announce(self._own)
