Partition the soak's hosts from each other, of any landing

The soak cut hosts off from the store, suspended and killed them, but datagrams between running hosts always arrived. The partitions are drawn apart from the other faults: seeds without them play as before.

--- a/berylshift/stand_ins/soak/release_world.py
+++ b/berylshift/stand_ins/soak/release_world.py
@@ -14,6 +14,7 @@
 from berylshift.messages.replicas import EnginePhase
 from berylshift.platform import names
 from berylshift.stand_ins.entry_replica import EntryReplica
+from berylshift.stand_ins.soak.partitions import draw_island
 from berylshift.stand_ins.soak.schedule import Fault
 from berylshift.stand_ins.soak.stream_callers import (
     StreamCaller,
@@ -159,6 +160,7 @@
             Fault.KILL_ALL: self._kill_all,
             Fault.FREEZE_ALL: self._freeze_all,
             Fault.CRASH: self._crash,
+            Fault.PARTITION: self._partition,
         }
 
     async def _release(self, replica: EntryReplica, seconds: float) -> None:
@@ -218,6 +220,14 @@
         if not host.is_restarting and (end == self._kill or not host.is_frozen):
             await end(host, seconds)
 
+    async def _partition(self, replica: EntryReplica, seconds: float) -> None:
+        """Lose the datagrams between two groups of hosts."""
+        ips = [host.address.partition(":")[0] for host in self.hosts]
+        island, others = draw_island(self.rng, ips)
+        self.partitions.begin(island, others)
+        await trio.sleep(seconds)
+        self.partitions.end(island, others)
+
     async def _strand(self, replica: EntryReplica, seconds: float) -> None:
         """Release a version while a host can't learn of it; then end the others."""
         host = self.rng.choice(self.hosts)
--- a/berylshift/stand_ins/soak/run.py
+++ b/berylshift/stand_ins/soak/run.py
@@ -11,9 +11,11 @@
 
 from berylshift.stand_ins.soak.callers import Kind
 from berylshift.stand_ins.soak.checks import find_violations, stream_outcome
+from berylshift.stand_ins.soak.partitions import Partitions
 from berylshift.stand_ins.soak.release_world import ReleaseWorld
 from berylshift.stand_ins.soak.schedule import (
     Event,
+    draw_partitions,
     draw_rejoins,
     draw_schedule,
     draw_silences,
@@ -41,6 +43,8 @@
     silences: bool = False
     # Whether engines of new versions replace others, under streams that are taken up.
     rejoins: bool = False
+    # Whether hosts are partitioned from each other, with ``rejoins``.
+    partitions: bool = False
     # The source tree that the hosts run from; empty: this one.
     tree: str = ""
 
@@ -68,9 +72,12 @@
 
 def _draw_events(spec: SoakSpec) -> list[Event]:
     if spec.rejoins:
-        return draw_rejoins(spec.seed, spec.seconds)
-    events = draw_schedule(spec.seed, spec.seconds)
-    if spec.silences:
+        events = draw_rejoins(spec.seed, spec.seconds)
+    else:
+        events = draw_schedule(spec.seed, spec.seconds)
+    if spec.rejoins and spec.partitions:
+        events += draw_partitions(spec.seed, spec.seconds)
+    if spec.silences and not spec.rejoins:
         events += draw_silences(spec.seed, spec.seconds)
     return sorted(events, key=lambda event: event.at)
 
@@ -90,6 +97,8 @@
             network,
             spec.silences,
         )
+        if spec.partitions:
+            world.partitions = Partitions(directory)
         try:
             await world.start()
             await _load(spec, world, events)
--- a/berylshift/stand_ins/soak/schedule.py
+++ b/berylshift/stand_ins/soak/schedule.py
@@ -34,10 +34,14 @@
     STORE_CUT = "store-cut"
     STORE_HELD = "store-held"
     CRASH = "crash"
+    PARTITION = "partition"
 
 
 # Drawn apart from the other faults.
 SILENCES = (Fault.ALL_SILENT, Fault.ONE_SILENT)
+# Drawn where hosts can be partitioned.
+PARTITION_SECONDS = (0.5, 6.0)
+PARTITION_PAUSE_SECONDS = (1.0, 6.0)
 # Drawn with software releases only.
 RELEASES = (
     Fault.RELEASE,
@@ -108,7 +112,7 @@
 def draw_schedule(seed: int, seconds: float) -> list[Event]:
     """Return the events of a run, in order."""
     rng = random.Random(seed)
-    apart = (*SILENCES, *RELEASES)
+    apart = (*SILENCES, *RELEASES, Fault.PARTITION)
     kinds = [fault for fault in Fault if fault not in apart]
     events = []
     for _ in range(SERIES):
@@ -138,6 +142,18 @@
     return events
 
 
+def draw_partitions(seed: int, seconds: float) -> list[Event]:
+    """Return partitions between hosts, which may overlap."""
+    rng = random.Random(f"partitions {seed}")
+    events = []
+    at = rng.uniform(*PARTITION_PAUSE_SECONDS)
+    while at < seconds - QUIET_END_SECONDS:
+        number, lasts = rng.randrange(1 << 16), rng.uniform(*PARTITION_SECONDS)
+        events.append(Event(at, Fault.PARTITION, number, lasts))
+        at += rng.uniform(*PARTITION_PAUSE_SECONDS)
+    return events
+
+
 def draw_rejoins(seed: int, seconds: float) -> list[Event]:
     """Return software releases, with faults beside each and series of others."""
     rng = random.Random(f"rejoins {seed}")
--- a/berylshift/stand_ins/soak/world.py
+++ b/berylshift/stand_ins/soak/world.py
@@ -31,10 +31,11 @@
     Request,
 )
 from berylshift.stand_ins.soak.checks import EXIT_SLACK_SECONDS, Disturbance, Silence
+from berylshift.stand_ins.soak.partitions import PROGRAM, Partitions
 from berylshift.stand_ins.soak.schedule import Event, Fault
 from berylshift.stand_ins.soak.stream_callers import StreamRecord
 from berylshift.stand_ins.store_server import StoreServer
-from berylshift.tools.processes import Programs
+from berylshift.tools.processes import NO_VARIABLES, Programs
 
 DOMAINS = 3
 GRACE_SECONDS = 8.0
@@ -126,6 +127,8 @@
     # Further settings of the section ``entry``.
     entry_settings: str = ""
     route_timeout_ms: int = 5000
+    # ``None``: hosts can't be partitioned from each other.
+    partitions: Partitions | None = None
     store: FaultyStore = field(default_factory=FaultyStore)
     store_address: str = ""
     state: FleetState = field(default_factory=FleetState)
@@ -281,8 +284,12 @@
         return "".join(found)
 
     async def _start_process(self, host: SoakHost) -> None:
+        ip = host.address.partition(":")[0]
+        program, variables = "berylshift.daemon", NO_VARIABLES
+        if self.partitions is not None:
+            program, variables = PROGRAM, self.partitions.environment(ip)
         await self.programs.start(
-            host.name, "berylshift.daemon", "--config", str(host.path)
+            host.name, program, "--config", str(host.path), variables=variables
         )
 
     async def _is_ready(self, host: SoakHost) -> bool:
--- a/berylshift/tools/processes.py
+++ b/berylshift/tools/processes.py
@@ -4,6 +4,7 @@
 import signal
 import subprocess
 import sys
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -11,6 +12,7 @@
 
 STOP_SECONDS = 15.0
 START_SECONDS = 20.0
+NO_VARIABLES: Mapping[str, str] = {}
 
 
 @dataclass
@@ -32,8 +34,13 @@
     # The source tree that the processes import; ``None``: that of this process.
     tree: Path | None = None
 
-    async def start(self, name: str, *args: str) -> Program:
-        """Start ``python -m args``; its stderr goes to a log file."""
+    async def start(
+        self, name: str, *args: str, variables: Mapping[str, str] = NO_VARIABLES
+    ) -> Program:
+        """Start ``python -m args``; its stderr goes to a log file.
+
+        ``variables`` are added to the environment.
+        """
         log_file = (self.log_dir / f"{name}.log").open("ab")
         process = await trio.lowlevel.open_process(
             [sys.executable, "-m", *args],
@@ -41,6 +48,7 @@
             stderr=log_file,
             start_new_session=True,
             cwd=self.tree,
+            env={**os.environ, **variables},
         )
         log_file.close()
         program = Program(name, process)
--- a/berylshift/tools/soak_command.py
+++ b/berylshift/tools/soak_command.py
@@ -24,6 +24,7 @@
         option("callers", None, "Callers.", flag=False, default="20"),
         option("silences", None, "Let decode engines pause."),
         option("rejoins", None, "Release engines under streams that are taken up."),
+        option("partitions", None, "Partition hosts from each other, with rejoins."),
         option("tree", None, "Run hosts of this source tree.", flag=False, default=""),
         option("logs", None, "Keep the hosts' logs here.", flag=False, default=""),
     ]
@@ -34,7 +35,7 @@
             count = int(self.option("seeds"))
             names = (
                 *("seed", "seconds", "hosts", "callers"),
-                *("silences", "rejoins", "tree"),
+                *("silences", "rejoins", "partitions", "tree"),
             )
             values = {name: self.option(name) for name in names}
             spec = msgspec.convert(values, SoakSpec, strict=False)
@@ -70,6 +71,7 @@
             self.line(f"  {line}")
         more = " --silences" if spec.silences else ""
         more += " --rejoins" if spec.rejoins else ""
+        more += " --partitions" if spec.partitions else ""
         more += f" --tree {spec.tree}" if spec.tree else ""
         self.line(
             f"  again: berylshift soak --seed {spec.seed} --seconds {spec.seconds:g}"
