Test the soak's partitions and play a seed with them

Change: the schedule is compared by seed; overlapping partitions are begun and ended and each host's file is read; datagrams between sockets are lost in both directions, pass from a host that is not partitioned and pass again after the end; one run of 15 s with releases and partitions (seed 2201).

Seen red with each of these taken out: the seed of the schedule, the count of overlapping partitions, the other direction, the loss of sent datagrams, the loss of received ones.

--- a/berylshift/tests/test_soak.py
+++ b/berylshift/tests/test_soak.py
@@ -1,14 +1,23 @@
-"""Tests of the soak's checks, and three short runs with fixed seeds."""
+"""Tests of the soak's checks and partitions, and short runs with fixed seeds."""
 
+import contextlib
+import socket
+import tempfile
 import unittest
 from collections import Counter
+from pathlib import Path
+from unittest import mock
 
+import msgspec
 import trio
 
 from berylshift.stand_ins.soak.callers import Kind, Request, expected_body
 from berylshift.stand_ins.soak.checks import Disturbance, Silence, find_violations
+from berylshift.stand_ins.soak.partitions import Partitions
+from berylshift.stand_ins.soak.program.partitioned_host import drop_datagrams
 from berylshift.stand_ins.soak.run import SoakSpec, run_soak
 from berylshift.stand_ins.soak.schedule import (
+    draw_partitions,
     draw_rejoins,
     draw_schedule,
     draw_silences,
@@ -22,6 +31,7 @@
 
 RUN_SECONDS = 15.0
 REJOIN_SECONDS = 20.0
+PARTITION_SECONDS = 15.0
 
 
 def request(kind: Kind = Kind.BOOKING, status: int = 200, **more) -> Request:
@@ -93,6 +103,67 @@
         self.assertNotEqual(draw_silences(5, 20.0), draw_silences(6, 20.0))
         self.assertEqual(draw_rejoins(5, 20.0), draw_rejoins(5, 20.0))
         self.assertNotEqual(draw_rejoins(5, 20.0), draw_rejoins(6, 20.0))
+        self.assertEqual(draw_partitions(5, 20.0), draw_partitions(5, 20.0))
+        self.assertNotEqual(draw_partitions(5, 20.0), draw_partitions(6, 20.0))
+
+
+class PartitionTest(unittest.TestCase):
+    """Which datagrams are lost between hosts."""
+
+    def setUp(self) -> None:
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.directory = Path(directory.name)
+        self.partitions = Partitions(self.directory)
+
+    def blocked(self, ip: str) -> set[str]:
+        path = Path(self.partitions.environment(ip)["SOAK_BLOCKED"])
+        return set(path.read_text().split())
+
+    def test_overlapping_partitions_end_one_by_one(self):
+        """Guards against a partition whose end ends another one, or none."""
+        first, second = (["a"], ["b", "c"]), (["a", "b"], ["c"])
+        self.partitions.begin(*first)
+        self.assertEqual([self.blocked(ip) for ip in "abc"], [{"b", "c"}, {"a"}, {"a"}])
+        self.partitions.begin(*second)
+        found = [self.blocked(ip) for ip in "abc"]
+        self.assertEqual(found, [{"b", "c"}, {"a", "c"}, {"a", "b"}])
+        self.partitions.end(*first)
+        self.assertEqual([self.blocked(ip) for ip in "abc"], [{"c"}, {"c"}, {"a", "b"}])
+        self.partitions.end(*second)
+        self.assertEqual([self.blocked(ip) for ip in "abc"], [set(), set(), set()])
+
+    def test_datagrams_are_lost_while_a_partition_lasts(self):
+        """Guards against hosts that are partitioned in name only."""
+        with socket.socket() as sock:
+            kind = type(trio.socket.from_stdlib_socket(sock))
+        kept = mock.patch.multiple(kind, sendto=kind.sendto, recvfrom=kind.recvfrom)
+
+        async def task() -> list[bytes]:
+            with contextlib.ExitStack() as stack, trio.fail_after(5):
+                socks = [trio.socket.socket(type=socket.SOCK_DGRAM) for _ in range(3)]
+                for number, sock in enumerate(socks):
+                    stack.enter_context(sock)
+                    await sock.bind((f"127.0.0.{number + 1}", 0))
+                near, far, other = socks
+                variables = self.partitions.environment("127.0.0.1")
+                drop_datagrams(Path(variables["SOAK_BLOCKED"]))
+                sides = ["127.0.0.1"], ["127.0.0.2"]
+                self.partitions.begin(*sides)
+                await near.sendto(b"lost", far.getsockname())
+                await far.sendto(b"lost", near.getsockname())
+                await other.sendto(b"other", near.getsockname())
+                got = [(await near.recvfrom(100))[0]]
+                self.partitions.end(*sides)
+                await near.sendto(b"after", far.getsockname())
+                await far.sendto(b"after", near.getsockname())
+                for sock in (near, far):
+                    got.append((await sock.recvfrom(100))[0])
+                return got
+
+        with kept:
+            got = trio.run(task)
+        self.assertEqual(got, [b"other", b"after", b"after"])
 
 
 class StreamCheckTest(unittest.TestCase):
@@ -158,6 +229,15 @@
         self.assertGreater(result.streams["taken up"], 20)
         self.assertGreater(result.streams["went on"], 5)
 
+    def test_streams_taken_up_during_partitions(self):
+        """Guards against joined streams where hosts can't ask each other."""
+        spec = SoakSpec(2201, PARTITION_SECONDS, hosts=4, callers=24, rejoins=True)
+        spec = msgspec.structs.replace(spec, partitions=True)
+        result = trio.run(run_soak, spec)
+        self.assertEqual(result.violations, [])
+        self.assertGreater(result.streams["taken up"], 15)
+        self.assertGreater(result.streams["went on"], 5)
+
 
 if __name__ == "__main__":
     unittest.main()
