Let the stand-in store drop its history after 20 s

Cause: the platform keeps the changes of the last 20 s, answers 410 for those before, and the stand-in kept all since its start. Each transaction also kept a copy of the whole log for restores, so that memory grew with the square of the writes.

Change: the log drops changes that are older than 20 s, a feed from before them is answered 410, and copies for restores are kept for 60 s.

Both tests failed before: no 410 for a change 32 s old; after 400 writes in 200 s copies of the log held 80,200 rows (20,301 after 201), now as many after 201 writes as after 400. The tests of restores hold unchanged (test_platform_store, 23 tests).

--- a/berylshift/stand_ins/store_server.py
+++ b/berylshift/stand_ins/store_server.py
@@ -1,5 +1,6 @@
 """A fake of the platform's store: rows, conditions and feeds over HTTP."""
 
+from collections import deque
 from dataclasses import dataclass, field
 
 import msgspec
@@ -16,6 +17,9 @@
 STATUS_GONE = 410
 # Not part of the platform's API: restores the store from a snapshot, for tests.
 RESTORE_PATH = "/stand-in/restore"
+# Feeds go back this far, and restores this far.
+HISTORY_SECONDS = 20.0
+SNAPSHOT_SECONDS = 60.0
 
 
 class StoreRow(msgspec.Struct):
@@ -63,6 +67,7 @@
     version: int = 1
     rows: dict[tuple[str, str], StoreRow] = field(default_factory=dict)
     log: list[StoreRow] = field(default_factory=list)
+    dropped: int = 0
 
 
 @dataclass
@@ -76,7 +81,11 @@
     changed: trio.Event = field(default_factory=trio.Event)
     # Encoded rows of other writers, which are added to each response.
     bad_rows: list[bytes] = field(default_factory=list)
-    snapshots: list[StoreSnapshot] = field(default_factory=list)
+    snapshots: deque[StoreSnapshot] = field(default_factory=deque)
+    # The changes up to this version are not in the log any more.
+    dropped: int = 0
+    # When each version in the log was made.
+    times: deque[tuple[float, int]] = field(default_factory=deque)
 
     async def handle(self, req: HttpRequest, responder: Responder) -> None:
         """Answer one call."""
@@ -101,6 +110,8 @@
         snapshot = candidates[-1] if candidates else StoreSnapshot()
         self.version = snapshot.version
         self.rows, self.log = dict(snapshot.rows), list(snapshot.log)
+        self.dropped = snapshot.dropped
+        self.times = deque([(trio.current_time(), self.version)])
         self.era += 1
 
     async def _handle_get(self, req: HttpRequest, responder: Responder) -> None:
@@ -112,7 +123,8 @@
 
     async def _handle_feed(self, req: HttpRequest, responder: Responder) -> None:
         table, after = req.query["table"], int(req.query["after"])
-        if after > self.version:
+        self._drop_history()
+        if not self.dropped <= after <= self.version:
             await self._respond(responder, [], status=STATUS_GONE)
             return
         with trio.move_on_after(int(req.query["wait_ms"]) / 1000):
@@ -139,13 +151,29 @@
             self.rows.pop((removed.table, removed.key), None)
             row = StoreRow(removed.table, removed.key, b"", self.version, deleted=True)
             self.log.append(row)
-        now = trio.current_time()
-        snapshot = StoreSnapshot(now, self.version, dict(self.rows), list(self.log))
-        self.snapshots.append(snapshot)
+        self._keep_snapshot()
         self.changed.set()
         self.changed = trio.Event()
         await self._respond(responder, [])
 
+    def _keep_snapshot(self) -> None:
+        now = trio.current_time()
+        self.times.append((now, self.version))
+        self._drop_history()
+        rows, log = dict(self.rows), list(self.log)
+        snapshot = StoreSnapshot(now, self.version, rows, log, self.dropped)
+        self.snapshots.append(snapshot)
+        # One that is older is what a restore from before the next one needs.
+        while len(self.snapshots) > 1 and self.snapshots[1].at < now - SNAPSHOT_SECONDS:
+            self.snapshots.popleft()
+
+    def _drop_history(self) -> None:
+        limit, before = trio.current_time() - HISTORY_SECONDS, self.dropped
+        while self.times and self.times[0][0] < limit:
+            self.dropped = self.times.popleft()[1]
+        if self.dropped > before:
+            self.log = [row for row in self.log if row.row_version > self.dropped]
+
     def _is_met(self, condition: StoreCondition) -> bool:
         row = self.rows.get((condition.table, condition.key))
         return condition.row_version == (row.row_version if row else 0)
--- a/berylshift/tests/test_platform_store.py
+++ b/berylshift/tests/test_platform_store.py
@@ -317,6 +317,43 @@
 
         self.assertEqual(self.run_store(task), (2, 1))
 
+    def test_changes_before_the_kept_history_are_lost(self):
+        """Guards against a stand-in that keeps its history longer than the platform."""
+
+        async def task(world):
+            crashes = PlatformCrashes(world.calls)
+            revisions = []
+            for number in range(4):
+                await crashes.change((CrashRow(FINGERPRINT, number, 900),), ())
+                revisions.append((await world.directory.read_replicas()).revision)
+                await trio.sleep(8)
+            for lost in revisions[:1]:
+                with self.assertRaises(HistoryLostError):
+                    await world.directory.await_replicas(lost, 0.0)
+            for kept in revisions[1:]:
+                await world.directory.await_replicas(kept, 0.0)
+
+        self.run_store(task)
+
+    def test_the_store_holds_no_more_after_a_long_time(self):
+        """Guards against a stand-in whose memory grows with the writes so far."""
+
+        async def task(world):
+            crashes = PlatformCrashes(world.calls)
+            sizes = []
+            for number in range(400):
+                await crashes.change((CrashRow(FINGERPRINT, number % 3, 900),), ())
+                await trio.sleep(0.5)
+                store = world.store
+                held = sum(len(each.log) for each in store.snapshots)
+                sizes.append((len(store.log), len(store.snapshots), held))
+            world.store.restore(50.0)
+            self.assertEqual(len((await crashes.read()).rows), 3)
+            return sizes
+
+        sizes = self.run_store(task)
+        self.assertEqual(sizes[200], sizes[399])
+
     def test_responses_contain_the_era(self):
         async def task(world):
             world.put(names.REPLICA_TABLE, "i-1", msgspec.json.encode(ENTRY))
