Renew the entries of the soak's replicas at every heartbeat

Cause: on the platform each replica writes its entry at every heartbeat. The soak wrote entries once, so hosts that start never found them in the store's recent history, and the feeds were silent between faults.

Change: in the world with releases, replicas that live and are listed write their entries every 1.2 s, with a higher sequence each; one lock for each keeps a renewal from bringing back an entry that is being removed.

--- a/berylshift/stand_ins/soak/release_world.py
+++ b/berylshift/stand_ins/soak/release_world.py
@@ -1,6 +1,6 @@
 """A soak's world in which engines of new software versions replace those before."""
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
@@ -46,7 +46,8 @@
 SERVE_ON_SECONDS = (0.0, 3.0)
 # Some replicas leave without having said that they drain.
 UNANNOUNCED_SHARE = 0.2
-CRASHED_ENTRY_SECONDS = 3.6
+HEARTBEAT_SECONDS = 1.2
+CRASHED_ENTRY_SECONDS = 3 * HEARTBEAT_SECONDS
 STRAND_SECONDS = (0.3, 2.0)
 
 
@@ -88,6 +89,11 @@
     paths: list[HostStore] = field(default_factory=list)
     released: int = 0
     former: list[EntryReplica] = field(default_factory=list)
+    # The states of replicas that are listed, and locks of their entries.
+    states: dict[EntryReplica, str] = field(default_factory=dict)
+    locks: dict[EntryReplica, trio.Lock] = field(
+        default_factory=lambda: defaultdict(trio.Lock)
+    )
 
     def __post_init__(self) -> None:
         """Draw what the whole run has."""
@@ -118,6 +124,23 @@
                 if self.released > 1:
                     await trio.sleep(self.rng.uniform(0, JOIN_PAUSE_SECONDS))
 
+    async def _list_replica(self, replica: EntryReplica, state: str = "ready") -> None:
+        is_new = replica not in self.states
+        self.states[replica] = state
+        if is_new:
+            self.nursery.start_soon(self._renew_entry, replica)
+        async with self.locks[replica]:
+            await super()._list_replica(replica, state)
+
+    async def _renew_entry(self, replica: EntryReplica) -> None:
+        """Write a replica's entry at every heartbeat, as replicas do."""
+        while True:
+            await trio.sleep(HEARTBEAT_SECONDS)
+            async with self.locks[replica]:
+                if not replica.alive or replica not in self.states:
+                    return
+                await super()._list_replica(replica, self.states[replica])
+
     async def _store_address_for(self, host: int) -> str:
         path = HostStore(self.store)
         self.paths.append(path)
@@ -181,7 +204,9 @@
 
     async def _remove_entry(self, replica: EntryReplica) -> None:
         row = {"table": names.REPLICA_TABLE, "key": replica.instance}
-        await self._transact({"remove": [row]})
+        self.states.pop(replica, None)
+        async with self.locks[replica]:
+            await self._transact({"remove": [row]})
 
     async def _crash(self, replica: EntryReplica, seconds: float) -> None:
         """End an engine, and start another one of its version."""
--- a/berylshift/stand_ins/soak/world.py
+++ b/berylshift/stand_ins/soak/world.py
@@ -141,6 +141,8 @@
     # Streams that their callers take up, if there are such callers.
     streams: list[StreamRecord] = field(default_factory=list)
     version: int = 1
+    # The number of the last entry of a replica that was written.
+    sequence: int = 0
     client: HttpClient = field(default_factory=HttpClient)
 
     async def start(self) -> None:
@@ -187,6 +189,7 @@
         return replica
 
     async def _list_replica(self, replica: EntryReplica, state: str = "ready") -> None:
+        self.sequence += 1
         service = "writer" if replica.phase is not EnginePhase.NONE else "desk"
         entry = {
             "service": service,
@@ -196,7 +199,7 @@
             "batch_slots": 8,
             "state": state,
             "cold_remaining_ms": 0,
-            "sequence": 1,
+            "sequence": self.sequence,
             "phase": replica.phase,
         }
         await self._write(names.REPLICA_TABLE, replica.instance, entry)
--- a/berylshift/tests/test_soak.py
+++ b/berylshift/tests/test_soak.py
@@ -1,20 +1,25 @@
 """Tests of the soak's checks and partitions, and short runs with fixed seeds."""
 
 import contextlib
+import random
 import socket
 import tempfile
 import unittest
 from collections import Counter
+from collections.abc import Callable
 from pathlib import Path
 from unittest import mock
 
 import msgspec
 import trio
+from trio.testing import MockClock
 
+from berylshift.stand_ins.entry_replica import EntryReplica
 from berylshift.stand_ins.soak.callers import Kind, Request, expected_body
 from berylshift.stand_ins.soak.checks import Disturbance, Silence, find_violations
 from berylshift.stand_ins.soak.partitions import Partitions
 from berylshift.stand_ins.soak.program.partitioned_host import drop_datagrams
+from berylshift.stand_ins.soak.release_world import ReleaseWorld
 from berylshift.stand_ins.soak.run import SoakSpec, run_soak
 from berylshift.stand_ins.soak.schedule import (
     draw_partitions,
@@ -166,6 +171,46 @@
         self.assertEqual(got, [b"other", b"after", b"after"])
 
 
+class RecordedWorld(ReleaseWorld):
+    """A world that records when entries were written or removed, without a store."""
+
+    async def _transact(self, transaction: dict) -> None:
+        (key,) = transaction
+        self.sent.append((round(trio.current_time() - self.began, 1), key))
+
+
+class EntryTest(unittest.TestCase):
+    """When the entries of a soak's replicas are written."""
+
+    def written(self, end: Callable) -> list[tuple[float, str]]:
+        """Return the writes of a replica that ends after 3 s, as ``end`` does."""
+
+        async def task() -> list[tuple[float, str]]:
+            async with trio.open_nursery() as nursery:
+                world = RecordedWorld(Path(), None, nursery, random.Random(1), 1, "")
+                world.sent, world.began = [], trio.current_time()
+                replica = EntryReplica("r-1", "127.0.0.1:1")
+                await world._list_replica(replica)
+                await trio.sleep(3)
+                await end(world, replica)
+                await trio.sleep(5)
+                nursery.cancel_scope.cancel()
+            return world.sent
+
+        return trio.run(task, clock=MockClock(autojump_threshold=0))
+
+    def test_entries_are_renewed_until_they_are_removed(self):
+        """Guards against replicas that do not write their entries at heartbeats."""
+        found = self.written(lambda world, replica: world._remove_entry(replica))
+        renewed = [(0.0, "write"), (1.2, "write"), (2.4, "write")]
+        self.assertEqual(found, [*renewed, (3.0, "remove")])
+
+    def test_entries_are_renewed_until_their_replica_crashes(self):
+        """Guards against crashed replicas that go on to write their entries."""
+        found = self.written(lambda world, replica: replica.crash(""))
+        self.assertEqual(found, [(0.0, "write"), (1.2, "write"), (2.4, "write")])
+
+
 class StreamCheckTest(unittest.TestCase):
     """What is wrong with a stream that its caller takes up."""
 
