--- a/berylshift/stand_ins/soak/release_world.py
+++ b/berylshift/stand_ins/soak/release_world.py
@@ -1,6 +1,6 @@
 """A soak's world in which engines of new software versions replace those before."""
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
@@ -14,6 +14,7 @@
 from berylshift.messages.replicas import EnginePhase
 from berylshift.platform import names
 from berylshift.stand_ins.entry_replica import EntryReplica
+from berylshift.stand_ins.soak.partitions import draw_island
 from berylshift.stand_ins.soak.schedule import Fault
 from berylshift.stand_ins.soak.stream_callers import (
     StreamCaller,
@@ -45,7 +46,8 @@
 SERVE_ON_SECONDS = (0.0, 3.0)
 # Some replicas leave without having said that they drain.
 UNANNOUNCED_SHARE = 0.2
-CRASHED_ENTRY_SECONDS = 3.6
+HEARTBEAT_SECONDS = 1.2
+CRASHED_ENTRY_SECONDS = 3 * HEARTBEAT_SECONDS
 STRAND_SECONDS = (0.3, 2.0)
 
 
@@ -87,6 +89,11 @@
     paths: list[HostStore] = field(default_factory=list)
     released: int = 0
     former: list[EntryReplica] = field(default_factory=list)
+    # The states of replicas that are listed, and locks of their entries.
+    states: dict[EntryReplica, str] = field(default_factory=dict)
+    locks: dict[EntryReplica, trio.Lock] = field(
+        default_factory=lambda: defaultdict(trio.Lock)
+    )
 
     def __post_init__(self) -> None:
         """Draw what the whole run has."""
@@ -117,6 +124,23 @@
                 if self.released > 1:
                     await trio.sleep(self.rng.uniform(0, JOIN_PAUSE_SECONDS))
 
+    async def _list_replica(self, replica: EntryReplica, state: str = "ready") -> None:
+        is_new = replica not in self.states
+        self.states[replica] = state
+        if is_new:
+            self.nursery.start_soon(self._renew_entry, replica)
+        async with self.locks[replica]:
+            await super()._list_replica(replica, state)
+
+    async def _renew_entry(self, replica: EntryReplica) -> None:
+        """Write a replica's entry at every heartbeat, as replicas do."""
+        while True:
+            await trio.sleep(HEARTBEAT_SECONDS)
+            async with self.locks[replica]:
+                if not replica.alive or replica not in self.states:
+                    return
+                await super()._list_replica(replica, self.states[replica])
+
     async def _store_address_for(self, host: int) -> str:
         path = HostStore(self.store)
         self.paths.append(path)
@@ -159,6 +183,7 @@
             Fault.KILL_ALL: self._kill_all,
             Fault.FREEZE_ALL: self._freeze_all,
             Fault.CRASH: self._crash,
+            Fault.PARTITION: self._partition,
         }
 
     async def _release(self, replica: EntryReplica, seconds: float) -> None:
@@ -179,7 +204,9 @@
 
     async def _remove_entry(self, replica: EntryReplica) -> None:
         row = {"table": names.REPLICA_TABLE, "key": replica.instance}
-        await self._transact({"remove": [row]})
+        self.states.pop(replica, None)
+        async with self.locks[replica]:
+            await self._transact({"remove": [row]})
 
     async def _crash(self, replica: EntryReplica, seconds: float) -> None:
         """End an engine, and start another one of its version."""
@@ -218,6 +245,14 @@
         if not host.is_restarting and (end == self._kill or not host.is_frozen):
             await end(host, seconds)
 
+    async def _partition(self, replica: EntryReplica, seconds: float) -> None:
+        """Lose the datagrams between two groups of hosts."""
+        ips = [host.address.partition(":")[0] for host in self.hosts]
+        island, others = draw_island(self.rng, ips)
+        self.partitions.begin(island, others)
+        await trio.sleep(seconds)
+        self.partitions.end(island, others)
+
     async def _strand(self, replica: EntryReplica, seconds: float) -> None:
         """Release a version while a host can't learn of it; then end the others."""
         host = self.rng.choice(self.hosts)
