Measure a request's head by the bytes received for it

The size of a complete head was summed up from its parsed parts, which leave out the spaces around values. Callers saw that a head of 2,001 bytes, most of them spaces, was answered with 200 where max_header_bytes is 2,000; the same head in two pieces was refused.

The connection now counts the bytes that it passed to the parser and subtracts those that the parser has not taken yet, so the size is that on the wire, also for pipelined requests.

--- a/berylshift/connection/http_request.py
+++ b/berylshift/connection/http_request.py
@@ -13,9 +13,6 @@
 STATUS_TOO_LARGE = 413
 STATUS_HEAD_TOO_LARGE = 431
 STATUS_NOT_IMPLEMENTED = 501
-# The rest of the request line and the empty line; the colon, space and end of a header.
-HEAD_FRAMING_BYTES = 14
-HEADER_FRAMING_BYTES = 4
 Headers = dict[str, str]
 
 
@@ -66,12 +63,8 @@
         raise RequestRejectedError(STATUS_NOT_IMPLEMENTED, "no tunnels are opened")
 
 
-def check_head_size(head: h11.Request, max_bytes: int) -> None:
+def check_head_size(size: int, max_bytes: int) -> None:
     """Reject a head over the limit: the parser applies it to incomplete heads only."""
-    size = len(head.method) + len(head.target) + HEAD_FRAMING_BYTES
-    size += sum(
-        len(name) + len(value) + HEADER_FRAMING_BYTES for name, value in head.headers
-    )
     if size > max_bytes:
         raise RequestRejectedError(STATUS_HEAD_TOO_LARGE, "headers are too large")
 
--- a/berylshift/connection/server_connection.py
+++ b/berylshift/connection/server_connection.py
@@ -94,6 +94,7 @@
     stream: trio.abc.Stream
     conn: h11.Connection = field(init=False)
     read_deadline: float = float("inf")
+    received_bytes: int = 0
     # Whether the current request is a HEAD request: the response has no body.
     is_head_request: bool = False
     head: h11.Request | None = None
@@ -270,7 +271,7 @@
     async def _wait_for_disconnect(self) -> None:
         early_bytes = 0
         while data := await self._receive():
-            self.conn.receive_data(data)
+            self._feed(data)
             early_bytes += len(data)
             if early_bytes > MAX_EARLY_BYTES:
                 await trio.sleep_forever()
@@ -281,6 +282,14 @@
         except trio.BrokenResourceError:
             return b""
 
+    def _feed(self, data: bytes) -> None:
+        self.conn.receive_data(data)
+        self.received_bytes += len(data)
+
+    def _parsed_bytes(self) -> int:
+        """Return how many of the received bytes the parser has taken."""
+        return self.received_bytes - len(self.conn.trailing_data[0])
+
     async def _next_event(self) -> h11.Event | type[h11.Event]:
         while True:
             try:
@@ -291,7 +300,7 @@
                 return event
             if self.conn.they_are_waiting_for_100_continue:
                 await self.send(h11.InformationalResponse(status_code=100, headers=[]))
-            self.conn.receive_data(await self._receive())
+            self._feed(await self._receive())
 
     async def _read_request(self) -> HttpRequest | None:
         self.read_deadline = trio.current_time() + self.server.limits.request_seconds
@@ -317,7 +326,7 @@
         if scope.cancelled_caught and self.server.accepts_requests:
             data = await self._final_read()
         if data:
-            self.conn.receive_data(data)
+            self._feed(data)
         return bool(data)
 
     async def _final_read(self) -> bytes:
@@ -332,12 +341,13 @@
 
     async def _read_buffered(self) -> HttpRequest | None:
         """Read the head, and the body up to the server's ``max_buffered_bytes``."""
+        start = self._parsed_bytes()
         head = await self._next_event()
         if not isinstance(head, h11.Request):
             return None
         self.head = head
         self.is_head_request = head.method == b"HEAD"
-        check_head_size(head, self.server.limits.header_bytes)
+        check_head_size(self._parsed_bytes() - start, self.server.limits.header_bytes)
         check_method(head)
         check_framing(head)
         self.body = body = RequestBody(declared_length(head))
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -2345,6 +2345,13 @@
         "if True:",
         f"{PAST}.test_checkpoints_that_can_not_be_true",
     ),
+    Proof(
+        "the limit on request heads holds for complete heads",
+        "connection/http_request.py",
+        "    if size > max_bytes:\n",
+        "    if False:\n",
+        "test_entry_caller_limits.HeadSizeTest",
+    ),
 )
 
 
