End the reading of a head after header_timeout_ms

The timeout was decoded from the configuration and used nowhere: a head had the 10 s that a whole request has. A caller that sent one byte of a head, or all but the last one, got its 408 after 10 s where the configuration says 2.

The reading of the head now has its own deadline, from its first byte; the body keeps the 10 s. Native hosts set no such limit and are unchanged. TimeTest.test_head_that_takes_more_than_the_limit was red before (the answer came 8 s late); heads and bodies just within their time pass before and after. Modules of the front's connections: 96 tests pass.

--- a/berylshift/connection/server_connection.py
+++ b/berylshift/connection/server_connection.py
@@ -342,7 +342,7 @@
     async def _read_buffered(self) -> HttpRequest | None:
         """Read the head, and the body up to the server's ``max_buffered_bytes``."""
         start = self._parsed_bytes()
-        head = await self._next_event()
+        head = await self._read_head()
         if not isinstance(head, h11.Request):
             return None
         self.head = head
@@ -361,6 +361,11 @@
         await self._read_body(body, self.server.max_buffered_bytes)
         return make_request(head, body)
 
+    async def _read_head(self) -> h11.Event | type[h11.Event]:
+        with trio.move_on_after(self.server.limits.header_seconds):
+            return await self._next_event()
+        raise RequestRejectedError(STATUS_TIMEOUT, "headers were sent too slowly")
+
     async def _read_body(self, body: RequestBody, max_bytes: float) -> None:
         """Read a body to its end, or until it has ``max_bytes``."""
         while not body.ended and body.size < max_bytes:
--- a/berylshift/connection/server_limits.py
+++ b/berylshift/connection/server_limits.py
@@ -18,6 +18,8 @@
 
     header_bytes: int = 16384
     body_bytes: int = 4194304
+    # From the first byte of a request to the end of its head.
+    header_seconds: float = float("inf")
     request_seconds: float = 10.0
     idle_seconds: float = 60.0
     write_seconds: float = 30.0
--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -643,6 +643,7 @@
         self.server.limits = ServerLimits(
             header_bytes=limits.header_bytes,
             body_bytes=limits.body_bytes,
+            header_seconds=limits.header_seconds,
             request_seconds=REQUEST_READ_TIMEOUT_SECONDS,
             idle_seconds=limits.idle_seconds + IDLE_SLACK_SECONDS,
             write_seconds=self.cfg.callers.write_seconds,
--- a/berylshift/tests/test_entry_caller_limits.py
+++ b/berylshift/tests/test_entry_caller_limits.py
@@ -139,6 +139,15 @@
         self.check_within(data[:1], wait, data[1:] + b"x")
         self.check_within(data[:-1], wait, data[-1:] + b"x")
 
+    def test_head_that_takes_more_than_the_limit(self):
+        data = head(b"content-length: 0")
+        wait = LIMITS.header_seconds
+        for size in (1, len(data) - 1):
+            self.check_over(408, data[:size], wait, b"")
+        slow = [part for n in range(60) for part in (data[n : n + 1], STEP_SECONDS)]
+        status, _, runs, is_whole = ask(*slow)
+        self.assertEqual((status, runs, is_whole), (408, 0, True))
+
     def test_body_may_take_longer_than_the_head(self):
         data = head(b"content-length: 1")
         self.check_within(data, LIMITS.header_seconds + STEP_SECONDS, b"x")
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -2352,6 +2352,13 @@
         "    if False:\n",
         "test_entry_caller_limits.HeadSizeTest",
     ),
+    Proof(
+        "callers' heads are read for a limited time",
+        "entry_application.py",
+        "            header_seconds=limits.header_seconds,\n",
+        "",
+        "test_entry_caller_limits.TimeTest",
+    ),
 )
 
 
