Refuse a chunk by its declared size

A chunked body was refused once more bytes than max_body_bytes had arrived. A caller that declared a chunk of 2^80 - 1 bytes and sent none of it was held for 10 s and then got 408; a declared length over the limit is refused at once.

Where the parser needs more bytes of a chunked body, the rest of its current chunk counts to the body's size, so 413 comes with the line that declares the chunk. The parser keeps that number in a private attribute; without it the body is refused as before, by the bytes that arrived. BodySizeTest.test_chunks_that_declare_too_much was red before (408 for 413) for chunks of a thousand bytes and of 2^80 - 1, first and later ones.

--- a/berylshift/connection/server_connection.py
+++ b/berylshift/connection/server_connection.py
@@ -298,6 +298,7 @@
                 raise RequestRejectedError(exc.error_status_hint, str(exc)) from exc
             if event is not h11.NEED_DATA:
                 return event
+            self._check_chunk()
             if self.conn.they_are_waiting_for_100_continue:
                 await self.send(h11.InformationalResponse(status_code=100, headers=[]))
             self._feed(await self._receive())
@@ -395,6 +396,15 @@
         self._check_size(body.size + len(event.data))
         body.add(bytes(event.data))
 
+    def _check_chunk(self) -> None:
+        """Reject a chunk whose declared size exceeds the limit.
+
+        The parser has no public attribute for the rest of the current chunk.
+        """
+        if self.body is not None and self.body.length is None:
+            rest = getattr(self.conn._reader, "_bytes_in_chunk", 0)
+            self._check_size(self.body.size + rest)
+
     def _check_size(self, size: int) -> None:
         if size > self.server.limits.body_bytes:
             raise RequestRejectedError(STATUS_TOO_LARGE, "body is too large")
--- a/berylshift/tests/test_entry_caller_limits.py
+++ b/berylshift/tests/test_entry_caller_limits.py
@@ -129,6 +129,17 @@
             parts = (chunk(limit - 100), STEP_SECONDS, chunk(101))
             self.check_over(413, start, *parts, limits=limits)
 
+    def test_chunks_that_declare_too_much(self):
+        """Guards against a wait for a body that can't be accepted."""
+        start = head(b"transfer-encoding: chunked")
+        for rest in (
+            b"3e9\r\n",
+            b"3e9\r\nx",
+            chunk(900) + b"65\r\n",
+            b"f" * 20 + b"\r\n",
+        ):
+            self.check_over(413, start + rest)
+
 
 class TimeTest(CallerLimitsCase):
     """Guards against callers that keep a connection open beyond its limits."""
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -2359,6 +2359,13 @@
         "",
         "test_entry_caller_limits.TimeTest",
     ),
+    Proof(
+        "a chunk that declares too much is refused before it arrives",
+        "connection/server_connection.py",
+        "            self._check_chunk()\n",
+        "",
+        "test_entry_caller_limits.BodySizeTest.test_chunks_that_declare_too_much",
+    ),
 )
 
 
