--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -2413,6 +2413,27 @@
         "test_platform_store.RowsTest"
         ".test_era_of_the_first_join_is_written_again_once_it_is_lost",
     ),
+    Proof(
+        "the limit on request heads holds for complete heads",
+        "connection/http_request.py",
+        "    if size > max_bytes:\n",
+        "    if False:\n",
+        "test_entry_caller_limits.HeadSizeTest",
+    ),
+    Proof(
+        "callers' heads are read for a limited time",
+        "entry_application.py",
+        "            header_seconds=limits.header_seconds,\n",
+        "",
+        "test_entry_caller_limits.TimeTest",
+    ),
+    Proof(
+        "a chunk that declares too much is refused before it arrives",
+        "connection/server_connection.py",
+        "            self._check_chunk()\n",
+        "",
+        "test_entry_caller_limits.BodySizeTest.test_chunks_that_declare_too_much",
+    ),
 )
 
 
