--- a/berylshift/tests/multi_host_world.py
+++ b/berylshift/tests/multi_host_world.py
@@ -4,6 +4,7 @@
 hosts, and those between a host and the store.
 """
 
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -42,6 +43,8 @@
 LATENCY_SECONDS = 0.002
 MAX_DATAGRAM_BYTES = 1400
 REFUSAL_SECONDS = 0.004
+# How often it is checked whether a datagram is still held.
+CHECK_SECONDS = 0.05
 TIMEOUT_SECONDS = DirectorySettings().timeout
 
 
@@ -53,6 +56,60 @@
     HELD = "held"
 
 
+class Paths(dict[str, Path]):
+    """What happens to datagrams, by the address of the host."""
+
+    def __init__(self) -> None:
+        """Start with no faults."""
+        super().__init__()
+        self._changed: dict[str, trio.Event] = {}
+
+    def __setitem__(self, address: str, path: Path) -> None:
+        """Set the path of a host."""
+        super().__setitem__(address, path)
+        self._notify(address)
+
+    def clear(self) -> None:
+        """Remove all faults."""
+        super().clear()
+        for address in list(self._changed):
+            self._notify(address)
+
+    def _notify(self, address: str) -> None:
+        event = self._changed.pop(address, None)
+        if event is not None:
+            event.set()
+
+    async def wait_while_held(self, address: str) -> None:
+        """Return at the first of regular checks at which the path is not held."""
+        began = trio.current_time()
+        while self.get(address) is Path.HELD:
+            await self._changed.setdefault(address, trio.Event()).wait()
+            checks = math.ceil((trio.current_time() - began) / CHECK_SECONDS)
+            await trio.sleep_until(began + checks * CHECK_SECONDS)
+
+
+class Datagram:
+    """A datagram on its way to several hosts."""
+
+    def __init__(self, key: str, data: bytes):
+        """Carry ``data``, which a sender with ``key`` has sealed."""
+        self._key = key
+        self._data = data
+        self._digest: LoadDigest | None = None
+
+    def open(self, key: str, codec: LoadCodec) -> LoadDigest:
+        """Return the digest; raise ``BadDatagramError``.
+
+        It can't be changed, so hosts with the sender's key share it.
+        """
+        if key != self._key:
+            return codec.decode(self._data)
+        if self._digest is None:
+            self._digest = codec.decode(self._data)
+        return self._digest
+
+
 class Net:
     """Delivers datagrams by address; each goes through the real codec."""
 
@@ -60,30 +117,46 @@
         """Deliver datagrams in tasks of ``nursery``."""
         self._nursery = nursery
         self.links: dict[str, NetLink] = {}
-        self.paths: dict[str, Path] = {}
+        self.paths = Paths()
         self.sent = 0
         self.received: dict[str, int] = {}
         self.sent_bytes = 0
         # Returns the further delay of a datagram in seconds; ``None``: it is lost.
         self.delay: Callable[[], float | None] = lambda: 0.0
 
-    def send(self, sender: str, address: str, data: bytes) -> None:
-        """Deliver a datagram, if neither end is cut."""
-        self.sent += 1
-        self.sent_bytes += len(data)
-        ends = (self.paths.get(sender), self.paths.get(address))
-        if Path.CUT in ends or address not in self.links:
-            return
-        delay = self.delay()
-        if delay is not None:
-            self._nursery.start_soon(self._deliver, address, data, delay)
-
-    async def _deliver(self, address: str, data: bytes, delay: float) -> None:
+    def send(self, sender: str, addresses: list[str], key: str, data: bytes) -> None:
+        """Deliver a datagram to each address that no cut separates from the sender."""
+        arriving: dict[float, list[str]] = {}
+        for address in addresses:
+            self.sent += 1
+            self.sent_bytes += len(data)
+            ends = (self.paths.get(sender), self.paths.get(address))
+            if Path.CUT in ends or address not in self.links:
+                continue
+            delay = self.delay()
+            if delay is not None:
+                arriving.setdefault(delay, []).append(address)
+        message = Datagram(key, data)
+        for delay, found in arriving.items():
+            self._nursery.start_soon(self._deliver_all, found, message, delay)
+
+    async def _deliver_all(
+        self, addresses: list[str], message: Datagram, delay: float
+    ) -> None:
         await trio.sleep(LATENCY_SECONDS + delay)
-        while self.paths.get(address) is Path.HELD:
-            await trio.sleep(0.05)
+        for address in addresses:
+            if self.paths.get(address) is Path.HELD:
+                self._nursery.start_soon(self._deliver_held, address, message)
+            else:
+                self._deliver(address, message)
+
+    async def _deliver_held(self, address: str, message: Datagram) -> None:
+        await self.paths.wait_while_held(address)
+        self._deliver(address, message)
+
+    def _deliver(self, address: str, message: Datagram) -> None:
         self.received[address] = self.received.get(address, 0) + 1
-        self.links[address].deliver(data)
+        self.links[address].deliver(message)
 
 
 class NetLink:
@@ -93,6 +166,7 @@
         """Listen on ``address``."""
         self._net = net
         self._address = address
+        self._key = key
         self._codec = LoadCodec(key)
         self._take = None
         net.links[address] = self
@@ -100,20 +174,19 @@
     async def send_to_all(self, addresses: list[str], message: LoadDigest) -> None:
         """Send a digest to each address."""
         data = self._codec.encode(message, MAX_DATAGRAM_BYTES)
-        for address in addresses:
-            self._net.send(self._address, address, data)
+        self._net.send(self._address, addresses, self._key, data)
 
     async def receive(self, on_message) -> None:
         """Receive until cancelled."""
         self._take = on_message
         await trio.sleep_forever()
 
-    def deliver(self, data: bytes) -> None:
+    def deliver(self, datagram: Datagram) -> None:
         """Decode a datagram and pass it on."""
         if self._take is None:
             return
         try:
-            message = self._codec.decode(data)
+            message = datagram.open(self._key, self._codec)
         except BadDatagramError:
             return
         self._take(message)
