Plan no phases by the load of a host that hears of no others

Cause: where engines differ in speed, the number of decode engines follows the streams that run, this host's own and those in the others' digests. A host that is cut off from the others, but not from the store and the engines, hears of its own share alone, takes the other streams for ended and, as soon as it gets the lease, orders the engines that they need to prefill.

Shown on the virtual clock, three hosts, 45 engines, 650 streams, one host partitioned at second 60: from 13.8 s later on two sides take turns with the lease, 96 orders in 140 s (52 to one phase, 44 to the other), down to 13 decode engines of the 21 that the streams need.

Change: while most other hosts have been silent for 4 s, a host takes no samples of the load and drops those of these 4 s. Its load is then not known, as after a start: no engine leaves decode for being too many, none joins it for the load. Capacity, gaps, the share and what is urgent still decide by the list and the speeds, so that nothing stops where most hosts are gone. A host that gets its load from a collector goes by the collector's last report.

Result: the partitioned host orders nothing in 140 s and 21 engines decode, in place of 96 orders (test_partitioned_host_takes_no_engines_that_others_streams_need failed before). A host that is left alone of three swaps the slow engines as before. The tests of the phase loop, the split, two speeds, orders, usage, collectors and the entry application pass.

Conclusion: a domain whose collector is partitioned notices that only after the 15 s for which a silent host counts as a member.

--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -733,6 +733,7 @@
             is_used=lambda: self.features.uses(Feature.PHASE_SPLIT, service),
             gap_limit=lambda: smallest_event_gap(self.routes.table, service),
             running=ObservedStreams(self.loads, self.peers).running,
+            hears_others=self._hears_others,
         )
         return PhaseLoop(
             service=service,
--- a/berylshift/process/gossip/peer_loads.py
+++ b/berylshift/process/gossip/peer_loads.py
@@ -312,12 +312,21 @@
 
         They are those of the time of a partition, directly or through collectors.
         """
+        if self.uses_collectors and not self.is_collector:
+            return self._is_told_of_most(seconds, now)
         found = [(1, sender.received_at) for sender in self._hosts.values()]
         found += [(each.hosts, each.received_at) for each in self._domains.values()]
         lately = sum(hosts for hosts, at in found if now - at < PARTITION_SECONDS)
         heard = sum(hosts for hosts, at in found if now - at < seconds)
         return 2 * heard >= lately
 
+    def _is_told_of_most(self, seconds: float, now: float) -> bool:
+        """Return whether a collector has told of most others within some seconds."""
+        total = self._total
+        if total is None or now - total.received_at >= seconds:
+            return False
+        return 2 * (total.hosts - 1) >= self.most_members(now)
+
     def most_members(self, now: float) -> int:
         """Return how many other hosts there were lately, also those silent since."""
         heard = sum(now - at < PARTITION_SECONDS for at in self._heard_at.values())
--- a/berylshift/scheduling/phase_split.py
+++ b/berylshift/scheduling/phase_split.py
@@ -65,6 +65,9 @@
 IMBALANCE_SECONDS = 3.0
 # The mean of this time does not follow the swings of demand between routes, in seconds.
 LOAD_WINDOW_SECONDS = 28.0
+# Other hosts send digests at least every three seconds, also while they have no work.
+# Where most have been silent for longer, their load is not known.
+SILENCE_SECONDS = 4.0
 # Share of the decode slots in use from which on more engines decode: it leaves slots
 # for the peak of a swing, since streams would wait for slots if all were in use.
 MAX_SLOT_SHARE = 0.5
@@ -118,12 +121,15 @@
         is_used: Callable[[], bool],
         gap_limit: Callable[[], float],
         running: Callable[[Iterable[Replica], float], float],
+        hears_others: Callable[[float], bool],
     ):
         """Decide while ``is_used``.
 
         ``gap_limit`` returns the longest acceptable gap between events, 0: none;
-        ``running`` how many requests run at some engines.
+        ``running`` how many requests run at some engines, as far as this host knows;
+        ``hears_others`` whether most other hosts were heard of within some seconds.
         """
+        self._hears_others = hears_others
         self._capacity = capacity
         self._is_used = is_used
         self._gap_limit = gap_limit
@@ -172,7 +178,11 @@
         self._factors.sample(engines, self._capacity, now)
         self._update_mode(engines, now)
         decode = _in_phase(engines, EnginePhase.DECODE)
-        self._streams.add(self._running(decode, now), now)
+        if self._hears_others(SILENCE_SECONDS):
+            self._streams.add(self._running(decode, now), now)
+        else:
+            # This host's requests alone; so may be those since the others fell silent.
+            self._streams.drop_since(now - SILENCE_SECONDS, now)
         if self._counts_capacity:
             factors = self._factors.known(engines)
             self._late = self._find_late(decode, factors, now)
@@ -486,7 +496,16 @@
     def add(self, value: float, now: float) -> None:
         """Add a value."""
         self._values.append((now, value))
-        while now - self._values[0][0] >= LOAD_WINDOW_SECONDS:
+        self._drop_old(now)
+
+    def drop_since(self, at: float, now: float) -> None:
+        """Drop the values of the time since ``at``, and old ones."""
+        while self._values and self._values[-1][0] >= at:
+            self._values.pop()
+        self._drop_old(now)
+
+    def _drop_old(self, now: float) -> None:
+        while self._values and now - self._values[0][0] >= LOAD_WINDOW_SECONDS:
             self._values.popleft()
 
     @property
--- a/berylshift/tests/phase_world.py
+++ b/berylshift/tests/phase_world.py
@@ -35,6 +35,7 @@
     ExpectedPhases,
 )
 from berylshift.process.directory.replica_set import ReplicaSet
+from berylshift.process.gossip.peer_loads import DIGEST_TTL_SECONDS
 from berylshift.process.leader_tasks.leader_lease import LeaderLease
 from berylshift.process.leader_tasks.phase_loop import PhaseLoop
 from berylshift.process.leader_tasks.phase_planner import PhasePlanner
@@ -138,6 +139,16 @@
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     # Receives neither the other hosts' digests nor the directory's feed.
     cut_off: bool = False
+    # Since when it exchanges no digests with the others; it reads the feed.
+    partitioned_since: float | None = None
+    # When digests of each other host arrived.
+    heard_at: dict[str, float] = field(default_factory=dict)
+
+    def hears_others(self, seconds: float) -> bool:
+        """Return whether most other hosts were heard of within some seconds."""
+        now = trio.current_time()
+        heard = sum(now - at < seconds for at in self.heard_at.values())
+        return 2 * heard >= len(self.heard_at)
 
 
 @dataclass
@@ -200,7 +211,8 @@
             SimulatedCapacity(self),
             lambda: self.uses_speeds,
             lambda: self.gap_limit,
-            lambda engines, now: self.running(now),
+            lambda engines, now: self._running(host, now),
+            lambda seconds: host.hears_others(seconds),
         )
         loop = PhaseLoop(
             service=SERVICE,
@@ -226,6 +238,13 @@
         with host.scope:
             await host.loop.run()
 
+    def _running(self, host: SimulatedHost, now: float) -> float:
+        """Return the streams that a host knows of; each host sends as many."""
+        since, count = host.partitioned_since, len(self.hosts)
+        if since is None or now - since < DIGEST_TTL_SECONDS:
+            return self.running(now)
+        return self.running(now) / count
+
     def kill_host(self, name: str) -> None:
         """End a host at whatever it is doing."""
         host = next(host for host in self.hosts if host.name == name)
@@ -269,10 +288,16 @@
             for sender in self.hosts:
                 updates = sender.phases.updates_to_send(now)
                 for host in self.hosts:
-                    if host is not sender and not (host.cut_off or sender.cut_off):
+                    if host is not sender and not self._is_cut(host, sender):
+                        host.heard_at[sender.name] = now
                         host.phases.apply_updates(updates, now)
                         host.replicas.expire(now)
 
+    def _is_cut(self, host: SimulatedHost, sender: SimulatedHost) -> bool:
+        """Return whether digests of a host do not reach another one."""
+        ends = (host, sender)
+        return any(end.cut_off or end.partitioned_since is not None for end in ends)
+
     def _observe(self, now: float) -> None:
         decoding = [item for item in self.engines.values() if item.decodes(now)]
         prefilling = [
--- a/berylshift/tests/test_gossip_collectors.py
+++ b/berylshift/tests/test_gossip_collectors.py
@@ -464,6 +464,20 @@
 
         self.assertEqual(run_world(task), ({True}, False))
 
+    def test_host_without_a_collector_hears_of_few(self):
+        """Guards against a host that takes its own load for that of all hosts."""
+
+        async def task(world):
+            await trio.sleep(5)
+            collectors = world.collectors()
+            host = next(each for each in world.hosts if each not in collectors)
+            before = host.peers.hears_most(4.0, trio.current_time())
+            world.net.paths[host.address] = Path.CUT
+            await trio.sleep(5)
+            return before, host.peers.hears_most(4.0, trio.current_time())
+
+        self.assertEqual(run_world(task), (True, False))
+
     def test_datagrams_received_by_a_host_do_not_grow_with_the_hosts(self):
         async def received_per_second(world):
             before = dict(world.net.received)
--- a/berylshift/tests/test_phase_loop.py
+++ b/berylshift/tests/test_phase_loop.py
@@ -221,6 +221,28 @@
                 # 650 streams take half of the slots of 20.3 engines.
                 self.assertAlmostEqual(len(world.decoding()), 21, delta=1)
 
+    def test_partitioned_host_takes_no_engines_that_others_streams_need(self):
+        """Guards against orders by the load of the host that holds the lease alone."""
+
+        async def partition(world, nursery, rows):
+            await trio.sleep(60.0)
+            world.hosts[0].partitioned_since = trio.current_time()
+
+        world = PhaseWorld(settled_engines(), running=lambda now: 650.0)
+        run_phases(world, 200.0, partition)
+        self.assertEqual(world.orders_since(60.0), [])
+        self.assertAlmostEqual(len(world.decoding()), 21, delta=1)
+
+    def test_host_that_is_left_alone_still_orders_by_capacity(self):
+        """Guards against a pool that nobody divides once most hosts are gone."""
+
+        async def kill(world, nursery, rows):
+            for _ in range(2):
+                world.kill_host(world.hosts[0].name)
+
+        world = run_phases(PhaseWorld(mixed_engines(seed=3)), 90.0, kill)
+        self.check_split(world)
+
     def test_slow_engines_that_keep_the_gap_stay(self):
         """Guards against orders that no caller gains from."""
         for limit in (2.0, 0.0):
--- a/berylshift/tests/test_scheduling_phase_split.py
+++ b/berylshift/tests/test_scheduling_phase_split.py
@@ -64,18 +64,26 @@
 class SplitTestCase(unittest.TestCase):
     def split(self, capacity, limit=LIMIT, running=0.0, used=True) -> PhaseSplit:
         return PhaseSplit(
-            capacity, lambda: used, lambda: limit, lambda engines, now: running
+            capacity,
+            lambda: used,
+            lambda: limit,
+            lambda engines, now: running,
+            lambda seconds: True,
         )
 
     def decide(
-        self, split: PhaseSplit, engines: list[Replica], seconds: float = 12.0
+        self,
+        split: PhaseSplit,
+        engines: list[Replica],
+        seconds: float = 12.0,
+        begin: float = 0.0,
     ) -> PhaseTargets | None:
-        """Return the decision after ``seconds``."""
+        """Return the decision after ``seconds``, counted from ``begin``."""
         count = len(engines)
         prefill = PhasePlanner(0.65).desired_prefill_engines(count)
         view = PoolView(engines, count - prefill, min_decode_engines(count))
-        steps = int(seconds / 0.25)
-        return [split.targets(view, 0.25 * step) for step in range(steps + 1)][-1]
+        times = [begin + 0.25 * step for step in range(int(seconds / 0.25) + 1)]
+        return [split.targets(view, at) for at in times][-1]
 
     def numbers(self, changes) -> list[int]:
         return sorted(int(change.replica.instance[-2:]) for change in changes)
@@ -193,6 +201,30 @@
         found = self.decide(self.split(Capacity(factors, gaps)), pool(self.PHASES))
         self.assertEqual(self.numbers(found.to_prefill), [0])
 
+    def test_load_of_the_time_in_which_others_fell_silent_does_not_count(self):
+        """Guards against a mean of all hosts' streams and of one host's.
+
+        The others are silent for 5 s, time and again; after 4 s that is noticed.
+        """
+        engines = pool("d" * 9 + "p" * 11)
+        running, hears = [260.0], [True]
+        split = PhaseSplit(
+            Capacity([FAST] * 9 + [SLOW] * 11),
+            lambda: True,
+            lambda: LIMIT,
+            lambda engines, now: running[0],
+            lambda seconds: hears[0],
+        )
+        seconds = LOAD_WINDOW_SECONDS + 10
+        self.assertEqual(self.decide(split, engines, seconds).to_prefill, ())
+        found = []
+        for second in range(1, 61):
+            running[0] = 20.0 if second % 8 < 5 else 260.0
+            hears[0] = second % 8 != 4
+            later = self.decide(split, engines, 0.0, begin=seconds + second)
+            found += later.to_prefill
+        self.assertEqual(found, [])
+
     def test_nothing_before_the_factors_have_lasted(self):
         factors = [SLOW, SLOW, FAST, FAST, FAST, FAST, FAST, FAST, SLOW, FAST]
         split = self.split(Capacity(factors))
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -2398,6 +2398,30 @@
         "test_platform_store.RowsTest"
         ".test_era_of_the_first_join_is_written_again_once_it_is_lost",
     ),
+    Proof(
+        "a partitioned host plans no phases by its own load",
+        "scheduling/phase_split.py",
+        "if self._hears_others(SILENCE_SECONDS):",
+        "if True:",
+        "test_phase_loop.StabilityTest"
+        ".test_partitioned_host_takes_no_engines_that_others_streams_need",
+    ),
+    Proof(
+        "load of the time in which the others fell silent is dropped",
+        "scheduling/phase_split.py",
+        "while self._values and self._values[-1][0] >= at:",
+        "while False:",
+        "test_scheduling_phase_split.DecisionTest"
+        ".test_load_of_the_time_in_which_others_fell_silent_does_not_count",
+    ),
+    Proof(
+        "a host that no collector tells of the others knows that",
+        "process/gossip/peer_loads.py",
+        "if self.uses_collectors and not self.is_collector:",
+        "if False:",
+        "test_gossip_collectors.AggregateTest"
+        ".test_host_without_a_collector_hears_of_few",
+    ),
 )
 
 
