Change weights and move routes in the soak, by seed

Cause: engines of the soak had no weights and one service, and its checks judged a stream by its software version alone. So a stream joined from two services, or an answer whose weights change unnamed, could not be seen.

Both are drawn apart, so the other faults of a seed stay as they were. Each event names the service and weights that made it; a stream of two services is joined, and an answer whose event has other weights than were last named is at fault. The short run with partitions plays both.

Seen red: checks without either rule; a stand-in that read its weights after the head was written.

--- a/berylshift/stand_ins/entry_replica.py
+++ b/berylshift/stand_ins/entry_replica.py
@@ -167,6 +167,9 @@
 class EntryReplica:
     """One replica; each request consumes one of ``faults``."""
 
+    # Its service, as its events name it beside the version; empty: they don't.
+    service: str = ""
+
     def __init__(
         self,
         instance: str,
@@ -357,6 +360,9 @@
         }
         if self.replica.started_ms is not None:
             report["born"] = self.replica.started_ms
+        if self.replica.weights is not None:
+            version = int(self.replica.weights)
+            report["models"] = [{"name": "m", "version": version, "adapters": []}]
         await self._send_response(
             200, msgspec.json.encode(report), headers, signed=False
         )
@@ -517,13 +523,14 @@
         event_count = int(headers[b"x-pieces"])
         if fault in UNFRAMED_FAULTS:
             await self._send_unframed_stream(headers, fault, first, event_count)
+        weights = self.replica.weights
         await self._send_event(self._stream_head(headers))
         state = self.replica.fleet_state
         request = headers[names.ATTEMPT_ID].decode()
         break_after = state.draw_break(request, first, event_count)
         for number in range(first, event_count + 1):
             await trio.sleep(self.replica.event_seconds)
-            event = b"id: %d\ndata: %s\n\n" % (number, self._event_data(number))
+            event, weights = self._event(number, weights), self.replica.weights
             if break_after is not None and number > break_after:
                 if break_after % 1:
                     size = state.rng.randrange(1, len(event))
@@ -593,10 +600,22 @@
             await self.reset()
         raise trio.BrokenResourceError("unframed stream sent")
 
+    def _event(self, number: int, named: bytes | None) -> bytes:
+        """Return an event, which names the weights unless they are ``named``."""
+        event = b"id: %d\ndata: %s\n\n" % (number, self._event_data(number))
+        weights = self.replica.weights
+        if weights in (named, None):
+            return event
+        return names.WEIGHT_VERSIONS + b": " + weights + b"\n" + event
+
     def _event_data(self, number: int) -> bytes:
-        """Return the data of an event, with the software version if there is one."""
-        version = self.replica.version.encode()
-        return b"piece-%d" % number + (b"@" + version if version else b"")
+        """Return the data of an event, which names what made it where that is known."""
+        replica = self.replica
+        parts = [(b"@", replica.version), (b"/", replica.service)]
+        data = b"".join(mark + name.encode() for mark, name in parts if name)
+        if replica.version and replica.weights is not None:
+            data += b"~" + replica.weights
+        return b"piece-%d" % number + data
 
     def _response_headers(self, headers, signed: bool) -> list:
         response_headers = []
--- a/berylshift/stand_ins/soak/release_world.py
+++ b/berylshift/stand_ins/soak/release_world.py
@@ -23,6 +23,7 @@
 )
 from berylshift.stand_ins.soak.world import (
     FAST,
+    OTHER_SERVICE,
     POLL_SECONDS,
     FaultyStore,
     SoakHost,
@@ -30,6 +31,10 @@
 )
 
 ENGINES = {EnginePhase.PREFILL: 1, EnginePhase.DECODE: 3}
+# Engines of the service that routes move to, at the first version for the whole run.
+OTHER_ENGINES = (EnginePhase.PREFILL, EnginePhase.DECODE, EnginePhase.DECODE)
+FIRST_VERSION = "v1.0"
+WEIGHTS_COUNT = 3
 BREAK_SHARE = 0.25
 SPLIT_SHARE = 0.2
 EVENT_SECONDS = (0.02, 0.08)
@@ -89,6 +94,9 @@
     paths: list[HostStore] = field(default_factory=list)
     released: int = 0
     former: list[EntryReplica] = field(default_factory=list)
+    # How many moves of the routes are not over.
+    moves: int = 0
+    routes_lock: trio.Lock = field(default_factory=trio.Lock)
     # The states of replicas that are listed, and locks of their entries.
     states: dict[EntryReplica, str] = field(default_factory=dict)
     locks: dict[EntryReplica, trio.Lock] = field(
@@ -105,6 +113,14 @@
 
     async def _start_replicas(self) -> None:
         await self._start_version()
+        for number, phase in enumerate(OTHER_ENGINES if self.has_changes else ()):
+            name = f"{OTHER_SERVICE}-{number}"
+            await self._start_replica(name, phase, FAST, FIRST_VERSION, OTHER_SERVICE)
+
+    async def _put_routes(self) -> None:
+        async with self.routes_lock:
+            self.stream_service = OTHER_SERVICE if self.moves else "writer"
+            await super()._put_routes()
 
     async def _start_version(self) -> None:
         """Start the engines of a further software version, or of an earlier one."""
@@ -184,6 +200,8 @@
             Fault.FREEZE_ALL: self._freeze_all,
             Fault.CRASH: self._crash,
             Fault.PARTITION: self._partition,
+            Fault.WEIGHTS: self._change_weights,
+            Fault.MOVE: self._move_routes,
         }
 
     async def _release(self, replica: EntryReplica, seconds: float) -> None:
@@ -253,6 +271,17 @@
         await trio.sleep(seconds)
         self.partitions.end(island, others)
 
+    async def _change_weights(self, replica: EntryReplica, seconds: float) -> None:
+        replica.weights = b"%d" % (int(replica.weights) % WEIGHTS_COUNT + 1)
+
+    async def _move_routes(self, replica: EntryReplica, seconds: float) -> None:
+        """Lead streams to another service for a while."""
+        self.moves += 1
+        await self._put_routes()
+        await trio.sleep(seconds)
+        self.moves -= 1
+        await self._put_routes()
+
     async def _strand(self, replica: EntryReplica, seconds: float) -> None:
         """Release a version while a host can't learn of it; then end the others."""
         host = self.rng.choice(self.hosts)
--- a/berylshift/stand_ins/soak/run.py
+++ b/berylshift/stand_ins/soak/run.py
@@ -15,6 +15,7 @@
 from berylshift.stand_ins.soak.release_world import ReleaseWorld
 from berylshift.stand_ins.soak.schedule import (
     Event,
+    draw_changes,
     draw_partitions,
     draw_rejoins,
     draw_schedule,
@@ -45,6 +46,8 @@
     rejoins: bool = False
     # Whether hosts are partitioned from each other, with ``rejoins``.
     partitions: bool = False
+    # Whether engines change their weights and routes move, with ``rejoins``.
+    changes: bool = False
     # The source tree that the hosts run from; empty: this one.
     tree: str = ""
 
@@ -67,16 +70,19 @@
     with tempfile.TemporaryDirectory(prefix="berylshift-soak-") as name:
         directory = Path(spec.log_dir or name).resolve()
         directory.mkdir(parents=True, exist_ok=True)
-        return await _play(spec, directory, _draw_events(spec))
+        return await _play(spec, directory, draw_events(spec))
 
 
-def _draw_events(spec: SoakSpec) -> list[Event]:
+def draw_events(spec: SoakSpec) -> list[Event]:
+    """Return the faults of a run, in order."""
     if spec.rejoins:
         events = draw_rejoins(spec.seed, spec.seconds)
     else:
         events = draw_schedule(spec.seed, spec.seconds)
     if spec.rejoins and spec.partitions:
         events += draw_partitions(spec.seed, spec.seconds)
+    if spec.rejoins and spec.changes:
+        events += draw_changes(spec.seed, spec.seconds)
     if spec.silences and not spec.rejoins:
         events += draw_silences(spec.seed, spec.seconds)
     return sorted(events, key=lambda event: event.at)
@@ -97,6 +103,7 @@
             network,
             spec.silences,
         )
+        world.has_changes = spec.changes
         if spec.partitions:
             world.partitions = Partitions(directory)
         try:
--- a/berylshift/stand_ins/soak/schedule.py
+++ b/berylshift/stand_ins/soak/schedule.py
@@ -35,6 +35,9 @@
     STORE_HELD = "store-held"
     CRASH = "crash"
     PARTITION = "partition"
+    WEIGHTS = "weights"
+    # Routes lead to another service for a while.
+    MOVE = "move"
 
 
 # Drawn apart from the other faults.
@@ -42,6 +45,11 @@
 # Drawn where hosts can be partitioned.
 PARTITION_SECONDS = (0.5, 6.0)
 PARTITION_PAUSE_SECONDS = (1.0, 6.0)
+# Drawn where engines change their weights and routes move.
+CHANGES = (Fault.WEIGHTS, Fault.MOVE)
+WEIGHTS_PAUSE_SECONDS = (0.1, 1.0)
+MOVE_SECONDS = (0.5, 6.0)
+MOVE_PAUSE_SECONDS = (2.0, 10.0)
 # Drawn with software releases only.
 RELEASES = (
     Fault.RELEASE,
@@ -112,7 +120,7 @@
 def draw_schedule(seed: int, seconds: float) -> list[Event]:
     """Return the events of a run, in order."""
     rng = random.Random(seed)
-    apart = (*SILENCES, *RELEASES, Fault.PARTITION)
+    apart = (*SILENCES, *RELEASES, *CHANGES, Fault.PARTITION)
     kinds = [fault for fault in Fault if fault not in apart]
     events = []
     for _ in range(SERIES):
@@ -145,12 +153,33 @@
 def draw_partitions(seed: int, seconds: float) -> list[Event]:
     """Return partitions between hosts, which may overlap."""
     rng = random.Random(f"partitions {seed}")
+    pause = PARTITION_PAUSE_SECONDS
+    return _draw_series(rng, seconds, Fault.PARTITION, pause, PARTITION_SECONDS)
+
+
+def draw_changes(seed: int, seconds: float) -> list[Event]:
+    """Return changes of engines' weights, and moves of routes, which may overlap."""
+    rng = random.Random(f"changes {seed}")
+    now = (0.0, 0.0)
+    return [
+        *_draw_series(rng, seconds, Fault.WEIGHTS, WEIGHTS_PAUSE_SECONDS, now),
+        *_draw_series(rng, seconds, Fault.MOVE, MOVE_PAUSE_SECONDS, MOVE_SECONDS),
+    ]
+
+
+def _draw_series(
+    rng: random.Random,
+    seconds: float,
+    fault: Fault,
+    pause: tuple[float, float],
+    duration: tuple[float, float],
+) -> list[Event]:
     events = []
-    at = rng.uniform(*PARTITION_PAUSE_SECONDS)
+    at = rng.uniform(*pause)
     while at < seconds - QUIET_END_SECONDS:
-        number, lasts = rng.randrange(1 << 16), rng.uniform(*PARTITION_SECONDS)
-        events.append(Event(at, Fault.PARTITION, number, lasts))
-        at += rng.uniform(*PARTITION_PAUSE_SECONDS)
+        number, lasts = rng.randrange(1 << 16), rng.uniform(*duration)
+        events.append(Event(at, fault, number, lasts))
+        at += rng.uniform(*pause)
     return events
 
 
--- a/berylshift/stand_ins/soak/stream_callers.py
+++ b/berylshift/stand_ins/soak/stream_callers.py
@@ -36,7 +36,13 @@
 NOTE_SHARE = 0.15
 # Prompts that are long enough for an engine of their own.
 LONG_PROMPT_SHARE = 0.5
-EVENT = re.compile(r"id: (\d+)\ndata: piece-(\d+)@(\S+)")
+# What made an event: software version and service, then weights, which a line before it
+# names if they have changed.
+EVENT = re.compile(
+    r"(?:berylshift-weight-versions: (?P<named>\d+)\n)?"
+    r"id: (?P<id>\d+)\ndata: piece-(?P<piece>\d+)@(?P<maker>[^\s~]+)"
+    r"(?:~(?P<weights>\d+))?"
+)
 SEPARATOR = "\n\n"
 
 
@@ -53,6 +59,18 @@
     data: str = ""
     is_complete: bool = False
     retry_after: float | None = None
+    # The version of the weights that the head of the response names.
+    weights: str | None = None
+
+    @property
+    def names_weights(self) -> bool:
+        """Return whether each event has the weights that were last named."""
+        named = self.weights
+        for event in filter(None, self.events):
+            named = event["named"] or named
+            if event["weights"] != named:
+                return False
+        return True
 
     @property
     def events(self) -> list[re.Match | None]:
@@ -76,7 +94,7 @@
     @property
     def ids(self) -> list[int]:
         """Return the ids of the events that the caller holds."""
-        return [int(event[1]) for event in self.events]
+        return [int(event["id"]) for event in self.events]
 
     @property
     def is_complete(self) -> bool:
@@ -92,8 +110,9 @@
     ids, tries = record.ids, record.tries
     faults = {
         "foreign": any(None in item.events for item in tries)
-        or any(event[1] != event[2] for event in record.events),
-        "joined": len({event[3] for event in record.events}) > 1,
+        or any(event["id"] != event["piece"] for event in record.events),
+        "joined": len({event["maker"] for event in record.events}) > 1,
+        "other weights": not all(item.names_weights for item in tries),
         "twice": len(set(ids)) < len(ids),
         "missing": set(ids) != set(range(1, max(ids, default=0) + 1)),
         "disordered": ids != sorted(ids),
@@ -115,15 +134,20 @@
     """Return the tries of a stream in one line."""
     parts = []
     for item in record.tries:
-        got = " ".join(f"{m[1]}@{m[3]}" if m else "?" for m in item.events)
+        got = " ".join(_label(m) if m else "?" for m in item.events)
         parts.append(
             f"{item.id} at host-{item.host + 1} after {item.after}"
-            f" ({item.resumes or 'unnamed'}): {item.status} [{got}]"
+            f" ({item.resumes or 'unnamed'}): {item.status}~{item.weights} [{got}]"
             f" {'end' if item.is_complete else 'broken'}"
         )
     return "; ".join(parts)
 
 
+def _label(event: re.Match) -> str:
+    change = f"={event['named']}" if event["named"] else ""
+    return f"{event['id']}@{event['maker']}~{event['weights']}{change}"
+
+
 def count_streams(records: Sequence[StreamRecord]) -> dict[str, int]:
     """Return how many streams there were, were taken up and went on."""
     taken_up = [[t for t in record.tries if t.after] for record in records]
@@ -223,6 +247,8 @@
                 found = {bytes(name): bytes(value) for name, value in response.headers}
                 if b"retry-after" in found:
                     item.retry_after = float(found[b"retry-after"])
+                weights = found.get(names.WEIGHT_VERSIONS)
+                item.weights = weights and weights.decode()
                 item.status = response.status_code
                 while isinstance(event := await connection.next_event(), h11.Data):
                     item.data += event.data.decode("latin-1")
--- a/berylshift/stand_ins/soak/world.py
+++ b/berylshift/stand_ins/soak/world.py
@@ -52,8 +52,10 @@
 FAULTY_REQUESTS = 5
 SLOW_STORE_SECONDS = 0.8
 RATE_LIMIT = 8.0
+OTHER_SERVICE = "editor"
 # How long work takes at replicas, as they state it, in percent of the usual time.
 FAST, SLOW = b",70", b",600"
+FIRST_WEIGHTS = b"1"
 SETTINGS = """[host]
 name = {name}
 domain = domain-{domain}
@@ -127,6 +129,10 @@
     # Further settings of the section ``entry``.
     entry_settings: str = ""
     route_timeout_ms: int = 5000
+    # Whether engines change their weights, and there is a service that routes move to.
+    has_changes: bool = False
+    # The service that streams are led to.
+    stream_service: str = "writer"
     # ``None``: hosts can't be partitioned from each other.
     partitions: Partitions | None = None
     store: FaultyStore = field(default_factory=FaultyStore)
@@ -168,7 +174,12 @@
                 await self._start_replica(f"{phase or 'plain'}-{number}", phase, suffix)
 
     async def _start_replica(
-        self, name: str, phase: str, load_suffix: bytes, version: str = ""
+        self,
+        name: str,
+        phase: str,
+        load_suffix: bytes,
+        version: str = "",
+        service: str = "",
     ) -> EntryReplica:
         listener = open_listener("127.0.0.1:0")
         replica = EntryReplica(
@@ -183,7 +194,8 @@
             )
         )
         replica.load_suffix = load_suffix
-        replica.version = SoftwareVersion(version)
+        replica.version, replica.service = SoftwareVersion(version), service
+        replica.weights = FIRST_WEIGHTS if self.has_changes else None
         self.replicas.append(replica)
         await self._list_replica(replica)
         return replica
@@ -192,7 +204,7 @@
         self.sequence += 1
         service = "writer" if replica.phase is not EnginePhase.NONE else "desk"
         entry = {
-            "service": service,
+            "service": replica.service or service,
             "address": replica.address,
             "zone": "domain-1",
             "version": replica.version or "v1",
@@ -208,10 +220,10 @@
         """Write the configuration under the next version."""
         self.version += 1
         kinds = {
-            Kind.NOTE: ("streaming", "writer", 1),
+            Kind.NOTE: ("streaming", self.stream_service, 1),
             Kind.LOOKUP: ("idempotent", "desk", 2),
             Kind.BOOKING: ("non_idempotent", "desk", 1),
-            Kind.BRIEF: ("streaming", "writer", 2),
+            Kind.BRIEF: ("streaming", self.stream_service, 2),
         }
         routes = [
             {
@@ -223,12 +235,13 @@
                 "target_latency_ms": 500,
                 "service": service,
                 "max_attempts": max_attempts,
-                "session_affinity": service == "writer",
+                "session_affinity": route_kind == "streaming",
                 "resumable": kind is Kind.BRIEF,
             }
             for kind, (route_kind, service, max_attempts) in kinds.items()
         ]
         services = [{"name": "desk"}, {"name": "writer"}]
+        services += [{"name": OTHER_SERVICE}] if self.has_changes else []
         config = {"version": self.version, "routes": routes, "services": services}
         await self._write(names.OPERATOR_TABLE, names.CONFIGURATION_KEY, config)
 
@@ -353,7 +366,7 @@
                 await self._host_faults()[event.fault](host, event.seconds)
             return
         replicas = self.replicas
-        if event.fault is Fault.ONE_SILENT:
+        if event.fault in (Fault.ONE_SILENT, Fault.WEIGHTS):
             replicas = self._decode_replicas()
         replica = replicas[event.number % len(replicas)]
         await self._other_faults()[event.fault](replica, event.seconds)
--- a/berylshift/tests/test_soak.py
+++ b/berylshift/tests/test_soak.py
@@ -10,18 +10,22 @@
 from pathlib import Path
 from unittest import mock
 
+import h11
 import msgspec
 import trio
-from trio.testing import MockClock
+from trio.testing import MockClock, memory_stream_pair
 
+from berylshift.ids import SoftwareVersion
+from berylshift.platform import names
 from berylshift.stand_ins.entry_replica import EntryReplica
 from berylshift.stand_ins.soak.callers import Kind, Request, expected_body
 from berylshift.stand_ins.soak.checks import Disturbance, Silence, find_violations
 from berylshift.stand_ins.soak.partitions import Partitions
 from berylshift.stand_ins.soak.program.partitioned_host import drop_datagrams
 from berylshift.stand_ins.soak.release_world import ReleaseWorld
-from berylshift.stand_ins.soak.run import SoakSpec, run_soak
+from berylshift.stand_ins.soak.run import SoakSpec, draw_events, run_soak
 from berylshift.stand_ins.soak.schedule import (
+    draw_changes,
     draw_partitions,
     draw_rejoins,
     draw_schedule,
@@ -110,6 +114,16 @@
         self.assertNotEqual(draw_rejoins(5, 20.0), draw_rejoins(6, 20.0))
         self.assertEqual(draw_partitions(5, 20.0), draw_partitions(5, 20.0))
         self.assertNotEqual(draw_partitions(5, 20.0), draw_partitions(6, 20.0))
+        self.assertEqual(draw_changes(5, 20.0), draw_changes(5, 20.0))
+        self.assertNotEqual(draw_changes(5, 20.0), draw_changes(6, 20.0))
+
+    def test_changes_leave_other_events_as_they_are(self):
+        """Guards against seeds that play otherwise since a kind of fault was added."""
+        spec = SoakSpec(5, 20.0, rejoins=True)
+        events = set(draw_events(spec))
+        more = {"partitions": True, "changes": True}
+        self.assertLess(events, set(draw_events(msgspec.structs.replace(spec, **more))))
+        self.assertEqual(events, set(draw_rejoins(5, 20.0)))
 
 
 class PartitionTest(unittest.TestCase):
@@ -249,6 +263,68 @@
             self.faults(("1@v1", False), ran=2, kind=Kind.NOTE), ["ran twice"]
         )
 
+    def test_streams_of_two_services_are_found(self):
+        """Guards against services that are told apart by their versions alone."""
+        found = self.faults(("1@v1", False), ("2@v1/other", False))
+        self.assertEqual(found, ["joined"])
+
+    def test_weights_that_change_unnamed_are_found(self):
+        """Guards against events that have other weights than their answer names."""
+        named = f"{names.WEIGHT_VERSIONS.decode()}: 2\n"
+        change = f"{named}id: 2\ndata: piece-2@v1~2\n\n"
+        first = ("1@v1~1", False)
+        self.assertEqual(self.faults(first, weights="1", rest=change), [])
+        third = "id: 3\ndata: piece-3@v1~2\n\n"
+        self.assertEqual(self.faults(first, weights="1", rest=change + third), [])
+        wrong = ["other weights"]
+        self.assertEqual(self.faults(("1@v1~1 2@v1~2", False), weights="1"), wrong)
+        third = third.replace("~2", "~1")
+        found = self.faults(first, weights="1", rest=change + third)
+        self.assertEqual(found, wrong)
+        self.assertEqual(self.faults(first), wrong)
+
+    def test_engines_name_the_weights_that_change_amid_a_stream(self):
+        """Guards against a soak whose engines keep their weights within an answer."""
+
+        async def task(silent_seconds: float) -> bytes:
+            replica = EntryReplica("r-1", "127.0.0.1:1")
+            replica.silent_until = trio.current_time() + silent_seconds
+            replica.version, replica.service = SoftwareVersion("v1"), "other"
+            replica.weights, replica.event_seconds = b"1", 1.0
+            host, engine = memory_stream_pair()
+            request = h11.Connection(h11.CLIENT).send(
+                h11.Request(
+                    method="POST",
+                    target="/brief/x",
+                    headers=[
+                        ("host", "x"),
+                        (names.ATTEMPT_ID, "r1"),
+                        ("x-pieces", "2"),
+                    ],
+                )
+            )
+            data = b""
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(replica.serve, engine)
+                await host.send_all(request)
+                await trio.sleep(1.5)
+                replica.weights = b"2"
+                await trio.sleep(3)
+                data = bytes(await host.receive_some())
+                nursery.cancel_scope.cancel()
+            return data
+
+        name = names.WEIGHT_VERSIONS.decode()
+        for silent_seconds, first, second in (
+            (0.0, "id: 1\ndata: piece-1@v1/other~1\n\n", f"{name}: 2\nid: 2\n"),
+            (2.0, f"{name}: 2\nid: 1\ndata: piece-1@v1/other~2\n\n", "id: 2\n"),
+        ):
+            clock = MockClock(autojump_threshold=0)
+            data = trio.run(task, silent_seconds, clock=clock).decode()
+            self.assertIn(f"{name}: 1\r\n", data)
+            self.assertIn(f"\n{first}", data)
+            self.assertIn(f"\n{second}data: piece-2@v1/other~2\n\n", data)
+
 
 class SoakTest(unittest.TestCase):
     """Guards against promises that are broken while faults come in series."""
@@ -275,9 +351,12 @@
         self.assertGreater(result.streams["went on"], 5)
 
     def test_streams_taken_up_during_partitions(self):
-        """Guards against joined streams where hosts can't ask each other."""
+        """Guards against joined streams where hosts can't ask each other.
+
+        Meanwhile engines change their weights and routes move to another service.
+        """
         spec = SoakSpec(2201, PARTITION_SECONDS, hosts=4, callers=24, rejoins=True)
-        spec = msgspec.structs.replace(spec, partitions=True)
+        spec = msgspec.structs.replace(spec, partitions=True, changes=True)
         result = trio.run(run_soak, spec)
         self.assertEqual(result.violations, [])
         self.assertGreater(result.streams["taken up"], 15)
--- a/berylshift/tools/soak_command.py
+++ b/berylshift/tools/soak_command.py
@@ -25,6 +25,7 @@
         option("silences", None, "Let decode engines pause."),
         option("rejoins", None, "Release engines under streams that are taken up."),
         option("partitions", None, "Partition hosts from each other, with rejoins."),
+        option("changes", None, "Change weights and move routes, with rejoins."),
         option("tree", None, "Run hosts of this source tree.", flag=False, default=""),
         option("logs", None, "Keep the hosts' logs here.", flag=False, default=""),
     ]
@@ -35,7 +36,7 @@
             count = int(self.option("seeds"))
             names = (
                 *("seed", "seconds", "hosts", "callers"),
-                *("silences", "rejoins", "partitions", "tree"),
+                *("silences", "rejoins", "partitions", "changes", "tree"),
             )
             values = {name: self.option(name) for name in names}
             spec = msgspec.convert(values, SoakSpec, strict=False)
@@ -72,6 +73,7 @@
         more = " --silences" if spec.silences else ""
         more += " --rejoins" if spec.rejoins else ""
         more += " --partitions" if spec.partitions else ""
+        more += " --changes" if spec.changes else ""
         more += f" --tree {spec.tree}" if spec.tree else ""
         self.line(
             f"  again: berylshift soak --seed {spec.seed} --seconds {spec.seconds:g}"
