--- a/berylshift/stand_ins/soak/release_world.py
+++ b/berylshift/stand_ins/soak/release_world.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from berylshift.connection.errors import ConnectionLayerError
 from berylshift.connection.http_request import Headers, HttpRequest
 from berylshift.connection.http_server import HttpServer
 from berylshift.connection.listeners import bound_address, open_listener
@@ -165,9 +166,16 @@
         return bound_address(listener)
 
     async def _transact(self, transaction: dict) -> None:
-        while self.store.down:
-            await trio.sleep(POLL_SECONDS)
-        await super()._transact(transaction)
+        """Write rows, again if the write failed: all of a world's may come twice."""
+        while True:
+            while self.store.down:
+                await trio.sleep(POLL_SECONDS)
+            try:
+                await super()._transact(transaction)
+            except ConnectionLayerError:
+                await trio.sleep(POLL_SECONDS)
+            else:
+                return
 
     def start_caller(self, name: str, nursery: trio.Nursery, **more: int) -> None:
         """Start a caller of streams that runs until cancelled."""
--- a/berylshift/tests/test_soak.py
+++ b/berylshift/tests/test_soak.py
@@ -6,7 +6,7 @@
 import tempfile
 import unittest
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 from unittest import mock
 
@@ -15,6 +15,8 @@
 import trio
 from trio.testing import MockClock, memory_stream_pair
 
+from berylshift.connection.errors import ConnectFailedError
+from berylshift.connection.http_client import HttpClient, Outgoing
 from berylshift.ids import SoftwareVersion
 from berylshift.platform import names
 from berylshift.stand_ins.entry_replica import EntryReplica
@@ -225,6 +227,39 @@
         self.assertEqual(found, [(0.0, "write"), (1.2, "write"), (2.4, "write")])
 
 
+class FailingClient(HttpClient):
+    """A client whose first request fails."""
+
+    failures = 0
+
+    @contextlib.asynccontextmanager
+    async def request(self, out: Outgoing) -> AsyncIterator[mock.AsyncMock]:
+        if not self.failures:
+            self.failures += 1
+            raise ConnectFailedError("connection attempt timed out")
+        self.sent = msgspec.json.decode(out.body)
+        yield mock.AsyncMock()
+
+
+class WriteTest(unittest.TestCase):
+    """How a soak's world writes to its store."""
+
+    def test_a_failed_write_is_made_again(self):
+        """Guards against a run that ends because the computer was busy for a moment."""
+
+        async def task() -> ReleaseWorld:
+            async with trio.open_nursery() as nursery:
+                world = ReleaseWorld(Path(), None, nursery, random.Random(1), 1, "")
+                world.client = FailingClient()
+                await world._remove_entry(EntryReplica("r-1", "127.0.0.1:1"))
+            return world
+
+        world = trio.run(task, clock=MockClock(autojump_threshold=0))
+        self.assertEqual(world.client.failures, 1)
+        (removed,) = world.client.sent["remove"]
+        self.assertEqual(removed["key"], "r-1")
+
+
 class StreamCheckTest(unittest.TestCase):
     """What is wrong with a stream that its caller takes up."""
 
