Let the fuzzer go on when a replica fails, and read what is held

With the refusal of CONNECT taken out, the fuzzer ended with the traceback of its own replica and showed no example. It now records the requests after which a replica failed and prints them. It also reads the bytes held for bodies and responses, which must be 0 at the end, and that no request reached a replica with two lengths.

--- a/berylshift/stand_ins/fuzz/odd_callers.py
+++ b/berylshift/stand_ins/fuzz/odd_callers.py
@@ -105,18 +105,19 @@
     def violations(self, ran: Counter[tuple[bytes, bytes]]) -> list[str]:
         """Return what is wrong with the runs of odd requests, by id and body."""
         found = [
-            f"ran {count} times, {self._max_runs[key]} allowed: {self._show(key[0])}"
+            f"ran {count} times, {self._max_runs[key]} allowed: {self.show(key[0])}"
             for key, count in ran.items()
             if count > self._max_runs[key]
         ]
         ids = {attempt for attempt, _ in ran}
         return found + [
-            f"status {status}, but it ran: {self._show(attempt)}"
+            f"status {status}, but it ran: {self.show(attempt)}"
             for attempt, status in self._not_run.items()
             if attempt in ids
         ]
 
-    def _show(self, attempt: bytes) -> str:
+    def show(self, attempt: bytes) -> str:
+        """Return an id and the example that had it."""
         return f"{attempt!r} of {self._examples.get(attempt, b'no example')!r}"
 
 
--- a/berylshift/stand_ins/fuzz/run.py
+++ b/berylshift/stand_ins/fuzz/run.py
@@ -11,6 +11,7 @@
 import msgspec
 import trio
 
+from berylshift.stand_ins.entry_replica import EntryReplica
 from berylshift.stand_ins.fuzz.odd_callers import (
     OddCallers,
     runs_of_odd,
@@ -32,7 +33,8 @@
 # Pools and the allocator may keep this much more than before.
 SPARE_DESCRIPTORS, SPARE_BYTES = 32, 48 << 20
 HELD = re.compile(
-    rb"^berylshift_(?:in_flight|request_body_bytes_in_memory) ([0-9.e+]+)$",
+    rb"^berylshift_(?:in_flight|request_body_bytes_in_memory"
+    rb"|(?:large_bodies|small_bodies|responses)_held_bytes) ([0-9.e+]+)$",
     re.MULTILINE,
 )
 
@@ -66,6 +68,7 @@
     """One host process with sound and odd callers."""
 
     slowest_ready = 0.0
+    failed_at_replicas: frozenset[str] = frozenset()
 
     @property
     def host(self) -> SoakHost:
@@ -77,6 +80,15 @@
         """Return the directory of the host's process in ``/proc``."""
         return Path(f"/proc/{self.programs.running[self.host.name].process.pid}")
 
+    async def serve_replica(
+        self, replica: EntryReplica, stream: trio.SocketStream
+    ) -> None:
+        """Serve one connection; note a request that the replica can't handle."""
+        try:
+            await replica.serve(stream)
+        except* Exception:
+            self.failed_at_replicas |= set(replica.arrivals[-1:])
+
     async def connect(self) -> trio.abc.Stream:
         """Connect to the host."""
         address, _, port = self.host.address.rpartition(":")
@@ -204,4 +216,14 @@
         for req in world.requests
         if req.ended_at is not None and req.status != STATUS_OK
     ]
+    found += [
+        f"a replica failed, after {odd.show(request.encode('latin-1'))}"
+        for request in world.failed_at_replicas
+    ]
+    found += [
+        f"two lengths at a replica: {odd.show(run.request.encode('latin-1'))}"
+        for replica in world.replicas
+        for run in replica.runs
+        if {b"content-length", b"transfer-encoding"} <= run.headers.keys()
+    ]
     return found + odd.violations(runs_of_odd(world.replicas, SOUND_PREFIX))
--- a/berylshift/stand_ins/soak/world.py
+++ b/berylshift/stand_ins/soak/world.py
@@ -172,7 +172,7 @@
         self.nursery.start_soon(
             partial(
                 trio.serve_listeners,
-                replica.serve,
+                partial(self.serve_replica, replica),
                 [listener],
                 handler_nursery=self.nursery,
             )
@@ -183,6 +183,12 @@
         await self._list_replica(replica)
         return replica
 
+    async def serve_replica(
+        self, replica: EntryReplica, stream: trio.SocketStream
+    ) -> None:
+        """Serve one connection to a replica."""
+        await replica.serve(stream)
+
     async def _list_replica(self, replica: EntryReplica, state: str = "ready") -> None:
         service = "writer" if replica.phase is not EnginePhase.NONE else "desk"
         entry = {
