Extend no past to a time at which a host may have been out of step

What callers saw: a stream of two versions right after a start of all hosts. Before, one host was cut off from the store and the others and began streams at replicas whose entries were gone but which served on; or a route's timeout had been shortened while long streams were open; or a host had read of a removal 1.5 s after the others. The store's history since a checkpoint held nothing of the former version, and the past was taken for known.

Cause: a checkpoint proves what the store listed since, not what hosts used since. Before the history was used, such streams were refused.

Change: a checkpoint is written 8 s late, and only if no listed host fell silent until then and no stream of a former route can still be open; and the past is known from the moment on by which a change is in force on all hosts. With collectors hosts are not heard one by one, so none is written.

Of the store's 20 s, checkpoints of an age from 16.1 s on (timeout 4 s, changes in force in 3 s) can be used, so the history helps less often; how often was not measured.

--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -269,6 +269,7 @@
             self.route_history,
             self.ports.clock,
             lambda: len(self.replicas) / self.heartbeat_seconds,
+            lambda: self.load_loop.hears_all(),
         )
 
     @cached_property
--- a/berylshift/process/directory/store_past_loop.py
+++ b/berylshift/process/directory/store_past_loop.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+from collections import deque
 from collections.abc import Callable, Iterator
 from typing import Protocol
 
@@ -28,6 +29,9 @@
 
 CHECKPOINT_SECONDS = 4.0
 SLOTS = 8
+# A checkpoint is written this many intervals after its time: by then a host that was
+# out of step would have been missed.
+DELAY_INTERVALS = 2
 # Older checkpoints are those of an earlier run of the system.
 MAX_AGE_SECONDS = 60.0
 # The store may read its clock and its revision at slightly different times.
@@ -44,6 +48,9 @@
     def version(self) -> TableVersion | None:
         """Return the version in force; ``None``: none is."""
 
+    def may_have_open_streams(self, now: float) -> bool:
+        """Return whether streams of former routes may still go on."""
+
     def extend_past(self, since: float) -> None:
         """Record that no tables but those known were in force from a time on."""
 
@@ -60,11 +67,14 @@
         routes: RoutePast,
         clock: Clock,
         entries_per_second: Callable[[], float],
+        hears_all: Callable[[], bool],
     ):
         """Extend the past of ``replicas`` and ``routes``.
 
-        ``entries_per_second`` returns how often replicas write their entries.
+        ``entries_per_second`` returns how often replicas write their entries,
+        ``hears_all`` whether no listed host is silent.
         """
+        self._hears_all = hears_all
         self._directory = directory
         self._rows = rows
         self._watch = watch
@@ -72,7 +82,8 @@
         self._routes = routes
         self._clock = clock
         self._entries_per_second = entries_per_second
-        self._written_ms = 0
+        # Checkpoints that are not written yet.
+        self._held: deque[Checkpoint] = deque()
         self._wanted = trio.Event()
         self._ended = trio.Event()
         # The start of the known past at the last attempt, and when that was.
@@ -95,22 +106,38 @@
         """
         while True:
             await trio.sleep(CHECKPOINT_SECONDS)
-            status = self._watch.last_read(Feed.REPLICAS)
-            routes = self._routes.version
-            if not self._watch.reads_feeds or status is None or routes is None:
+            checkpoint = self._checkpoint()
+            if checkpoint is None:
+                self._held.clear()
+                continue
+            if self._held and checkpoint.era != self._held[-1].era:
+                self._held.clear()
+            if self._held and checkpoint.store_ms <= self._held[-1].store_ms:
                 continue
-            if status.store_ms <= self._written_ms:
+            self._held.append(checkpoint)
+            if len(self._held) <= DELAY_INTERVALS:
                 continue
-            self._written_ms = status.store_ms
-            slot = status.store_ms // int(CHECKPOINT_SECONDS * 1000) % SLOTS
-            checkpoint = Checkpoint(
-                status.revision, status.store_ms, status.era, routes
-            )
+            oldest = self._held.popleft()
+            slot = oldest.store_ms // int(CHECKPOINT_SECONDS * 1000) % SLOTS
             try:
-                await self._rows.write(slot, checkpoint)
+                await self._rows.write(slot, oldest)
             except PlatformError as exc:
                 logger.info("checkpoint not written", extra={"reason": str(exc)})
 
+    def _checkpoint(self) -> Checkpoint | None:
+        """Return what the last read showed; ``None`` if it proves no past.
+
+        A host that is out of step goes on using what the store listed before, and so
+        do streams that began by a former route.
+        """
+        status, routes = self._watch.last_read(Feed.REPLICAS), self._routes.version
+        if not self._watch.reads_feeds or status is None or routes is None:
+            return None
+        is_settled = not self._routes.may_have_open_streams(self._clock.monotonic())
+        if not is_settled or not self._hears_all():
+            return None
+        return Checkpoint(status.revision, status.store_ms, status.era, routes)
+
     async def read_history(self) -> None:
         """Extend the known past whenever ``learn`` asks for it, until cancelled."""
         while True:
@@ -156,11 +183,9 @@
         _check_versions(changes)
         for service in versions.observe_passed((*changes.put, *changes.passed), now):
             self._replicas.on_further_version(service)
-        versions.extend_past(revision, now - _age(checkpoint, changes.store_ms))
-        logger.info(
-            "past of versions read",
-            extra={"revision": revision, "age": _age(checkpoint, changes.store_ms)},
-        )
+        age = self._known_seconds(checkpoint, changes.store_ms)
+        versions.extend_past(revision, now - age)
+        logger.info("past of versions read", extra={"revision": revision, "age": age})
 
     async def _extend_routes(self, checkpoint: Checkpoint) -> None:
         found = await self._directory.await_routes(Revision(checkpoint.revision), 0.0)
@@ -171,7 +196,15 @@
             raise HistoryLostError("the store's routes were not those in force")
         self._check_era(checkpoint, found.era)
         now = self._clock.monotonic()
-        self._routes.extend_past(now - _age(checkpoint, found.store_ms))
+        self._routes.extend_past(now - self._known_seconds(checkpoint, found.store_ms))
+
+    def _known_seconds(self, checkpoint: Checkpoint, store_ms: int) -> float:
+        """Return for how long what was listed since a checkpoint has been in use.
+
+        Hosts may have used for a while what was listed before.
+        """
+        age = (store_ms - checkpoint.store_ms) / 1000 - CLOCK_MARGIN_SECONDS
+        return age - self._watch.in_force_seconds
 
     def _check_era(self, checkpoint: Checkpoint, era: StoreEra) -> None:
         if not checkpoint.era == era == self._watch.eras.current:
@@ -189,8 +222,3 @@
         raise HistoryLostError("an entry was removed that was not written since")
     if any(rep.started_ms is not None for rep in written):
         raise HistoryLostError("replicas may start again under their names")
-
-
-def _age(checkpoint: Checkpoint, store_ms: int) -> float:
-    """Return for how many seconds a checkpoint was known to be past."""
-    return (store_ms - checkpoint.store_ms) / 1000 - CLOCK_MARGIN_SECONDS
--- a/berylshift/process/directory/store_watch.py
+++ b/berylshift/process/directory/store_watch.py
@@ -143,6 +143,7 @@
         self._feeds = {feed: _FeedState() for feed in Feed}
         self._recovered_ms = 0
         self.clock = StoreClock(boot_clock)
+        self.in_force_seconds = in_force_seconds
         self.feed_wait_seconds = FEED_WAIT_FRACTION * in_force_seconds
         self.max_age_seconds = MAX_STATUS_AGE_FRACTION * in_force_seconds
         # Whether this host reads the feeds on behalf of other hosts.
--- a/berylshift/process/gossip/load_loop.py
+++ b/berylshift/process/gossip/load_loop.py
@@ -14,7 +14,12 @@
 from berylshift.process.gossip.digest_builder import DigestSources
 from berylshift.process.gossip.host_list import HostList
 from berylshift.process.gossip.peer_loads import MEMBER_TTL_SECONDS
-from berylshift.process.gossip.protocol import REPEAT_SECONDS, GossipProtocol, HostRole
+from berylshift.process.gossip.protocol import (
+    PROBE_SECONDS,
+    REPEAT_SECONDS,
+    GossipProtocol,
+    HostRole,
+)
 from berylshift.store.host_rows import HostRecord, HostRows
 from berylshift.store.interfaces import PlatformError
 
@@ -24,6 +29,8 @@
 # trigger a read of the rows at once.
 HOST_LIST_SECONDS = 30.0
 RETRY_SECONDS = 1.0
+# An idle host that was not heard of for this long has not sent its usual digests.
+SILENT_SECONDS = 1.5 * PROBE_SECONDS
 
 
 class LoadLink(Protocol):
@@ -127,6 +134,18 @@
             if rec.host in recent or peers.was_heard(rec.host, now)
         ]
 
+    def hears_all(self) -> bool:
+        """Return whether no listed host is silent.
+
+        Where collectors are used, hosts are not heard of one by one: ``False``.
+        """
+        if not self._hosts.is_loaded or self._protocol.uses_collectors:
+            return False
+        now = self._deps.clock.monotonic()
+        heard_since = now - SILENT_SECONDS
+        peers = self._deps.sources.peers
+        return all(peers.heard_since(host, heard_since) for host in self._hosts.names())
+
     def task_rank(self, task: str) -> int | None:
         """Return this host's rank for a leader task; ``None``: not eligible."""
         return self._protocol.task_rank(task, self._deps.clock.monotonic())
--- a/berylshift/process/gossip/peer_loads.py
+++ b/berylshift/process/gossip/peer_loads.py
@@ -325,6 +325,10 @@
             return max(heard, self._most_hosts - 1)
         return heard
 
+    def heard_since(self, host: str, time: float) -> bool:
+        """Return whether a host sent a digest after a time."""
+        return self._heard_at.get(host, float("-inf")) >= time
+
     def was_heard(self, host: str, now: float) -> bool:
         """Return whether a host sent a digest recently."""
         at = self._heard_at.get(host)
--- a/berylshift/process/targets/route_history.py
+++ b/berylshift/process/targets/route_history.py
@@ -130,6 +130,14 @@
             if each.route.host == host and is_prefix and now - each.at <= MAX_SECONDS:
                 yield each
 
+    def may_have_open_streams(self, now: float) -> bool:
+        """Return whether streams of former routes may still go on."""
+        return any(
+            now - each.at < each.route.resumable_seconds
+            for each in self._former
+            if each.route.kind is RouteKind.STREAM
+        )
+
     def has_gained(self, service: ServiceName, seconds: float, now: float) -> bool:
         """Return whether paths of another service were led to this one recently."""
         return now - self._gained_at.get(service, float("-inf")) < seconds
--- a/berylshift/request/stream_binding.py
+++ b/berylshift/request/stream_binding.py
@@ -15,11 +15,6 @@
 from berylshift.process.targets.route_history import FormerRoute
 from berylshift.version.routes import Route, RouteKind
 
-# How long after a try a caller may come back, in seconds.
-MAX_RETURN_SECONDS = 5.0
-# Tries of one caller that a stream may last.
-MAX_TRIES = 2
-
 
 class ResumedBy(StrEnum):
     """Who resumed a stream: its host at another replica, or its caller."""
@@ -55,11 +50,6 @@
         self.has_no_replica = has_no_replica
 
 
-def _last_seconds(route: Route) -> float:
-    """Return for how long a stream may be resumed after it began by a route."""
-    return MAX_TRIES * route.timeout_seconds + MAX_RETURN_SECONDS
-
-
 class StreamBinding:
     """The service and version at which one request may be sent.
 
@@ -128,8 +118,8 @@
 
     def _longest_seconds(self) -> float:
         """Return how long ago a stream that is resumed now may have begun."""
-        current, former = _last_seconds(self._route), self._former_routes()
-        ended = [(_last_seconds(route), ago) for route, ago in former]
+        current, former = self._route.resumable_seconds, self._former_routes()
+        ended = [(route.resumable_seconds, ago) for route, ago in former]
         return max([current, *(seconds for seconds, ago in ended if ago < seconds)])
 
     def _version_with(
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -2360,6 +2360,36 @@
         "if False:",
         f"{OUT_OF_STEP}.OldRoutesTest.test_routes_that_a_restored_store_has_lost",
     ),
+    Proof(
+        "no checkpoint is written while a host is silent",
+        "process/directory/store_past_loop.py",
+        "if not is_settled or not self._hears_all():",
+        "if not is_settled:",
+        f"{OUT_OF_STEP}.OldListTest.test_host_that_has_just_started",
+    ),
+    Proof(
+        "no checkpoint is written while streams of former routes go on",
+        "process/directory/store_past_loop.py",
+        "if not is_settled or not self._hears_all():",
+        "if not self._hears_all():",
+        f"{OUT_OF_STEP}.OldRoutesTest"
+        ".test_timeout_that_is_shortened_before_all_hosts_start",
+    ),
+    Proof(
+        "a checkpoint is written once a silent host would be missed",
+        "process/directory/store_past_loop.py",
+        "if len(self._held) <= DELAY_INTERVALS:",
+        "if False:",
+        f"{OUT_OF_STEP}.OldListTest.test_host_that_fell_silent_before_a_checkpoint",
+    ),
+    Proof(
+        "hosts may use for a while what was listed before a checkpoint",
+        "process/directory/store_past_loop.py",
+        "return age - self._watch.in_force_seconds",
+        "return age",
+        f"{OUT_OF_STEP}.OldListTest"
+        ".test_host_that_reads_of_a_removal_later_than_a_checkpoint",
+    ),
 )
 
 
--- a/berylshift/version/routes.py
+++ b/berylshift/version/routes.py
@@ -26,6 +26,12 @@
     weight: int
 
 
+# How long after a try a caller may come back, in seconds.
+MAX_RETURN_SECONDS = 5.0
+# Tries of one caller that a stream may last.
+MAX_TRIES = 2
+
+
 class Route(msgspec.Struct, frozen=True):
     """Rules for the requests of one HTTP host below one path prefix.
 
@@ -63,6 +69,11 @@
             return self.resumable
         return self.kind is RouteKind.IDEMPOTENT
 
+    @property
+    def resumable_seconds(self) -> float:
+        """Return for how long a stream may be resumed after it began by this route."""
+        return MAX_TRIES * self.timeout_seconds + MAX_RETURN_SECONDS
+
     @property
     def caller_patience_seconds(self) -> float:
         """Return how long a caller waits for a stream's next event.
