Count what a collector tells as hearing of the others

Whether a host has heard of most others, which it asks before it settles a usage report, was judged by digests that it got itself and by those of other domains' collectors. Where collectors are used, a host that is not one gets neither: for ten minutes after its fleet grew that far it had heard of few, and waited as the host of the last rank does, up to three quarters of the time that a report has; after that it had no one to hear of, and reported alone while it was partitioned.

Such a host now goes by the total of its collector. The test failed at its first check (False in a fleet in touch) and passes; its proof is red, that of the collectors is red as before, and test_usage_loop passes.

--- a/berylshift/process/gossip/peer_loads.py
+++ b/berylshift/process/gossip/peer_loads.py
@@ -314,6 +314,10 @@
         """
         found = [(1, sender.received_at) for sender in self._hosts.values()]
         found += [(each.hosts, each.received_at) for each in self._domains.values()]
+        if self.uses_collectors and not self.is_collector:
+            # Only its collector tells this host of the others.
+            total = self._total
+            found = [] if total is None else [(total.hosts - 1, total.received_at)]
         lately = sum(hosts for hosts, at in found if now - at < PARTITION_SECONDS)
         heard = sum(hosts for hosts, at in found if now - at < seconds)
         return 2 * heard >= lately
--- a/berylshift/tests/test_gossip_collectors.py
+++ b/berylshift/tests/test_gossip_collectors.py
@@ -464,6 +464,19 @@
 
         self.assertEqual(run_world(task), ({True}, False))
 
+    def test_host_without_its_collector_hears_of_few(self):
+        """Guards against a partitioned host that reports usage alone."""
+
+        async def task(world):
+            await trio.sleep(5)
+            host = next(host for host in world.hosts if not host.peers.is_collector)
+            before = host.peers.hears_most(1.0, trio.current_time())
+            world.net.paths[host.address] = Path.CUT
+            await trio.sleep(20)
+            return before, host.peers.hears_most(10.0, trio.current_time())
+
+        self.assertEqual(run_world(task), (True, False))
+
     def test_datagrams_received_by_a_host_do_not_grow_with_the_hosts(self):
         async def received_per_second(world):
             before = dict(world.net.received)
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -2390,6 +2390,14 @@
         f"{OUT_OF_STEP}.OldListTest"
         ".test_host_that_reads_of_a_removal_later_than_a_checkpoint",
     ),
+    Proof(
+        "a host hears of the others through its collector",
+        "process/gossip/peer_loads.py",
+        "if self.uses_collectors and not self.is_collector:",
+        "if False:",
+        "test_gossip_collectors.AggregateTest"
+        ".test_host_without_its_collector_hears_of_few",
+    ),
 )
 
 
