--- a/berylshift/process/directory/store_past_loop.py
+++ b/berylshift/process/directory/store_past_loop.py
@@ -91,11 +91,15 @@
         that for as long as versions are kept, and a host that has started learns it
         from them; one that could not must wait for as long.
         """
-        is_same = self._replicas.versions.known_from == self._tried_from
-        if self._has_learned and is_same:
+        if self._knows_of_others():
             return seconds
         return max(seconds, self._keep_seconds)
 
+    def _knows_of_others(self) -> bool:
+        """Return whether this host has learned what others knew, since its last gap."""
+        is_same = self._replicas.versions.known_from == self._tried_from
+        return self._has_learned and is_same
+
     async def learn(self) -> None:
         """Return once the past is known as far back as the store can tell."""
         known_from = self._replicas.versions.known_from
@@ -109,16 +113,14 @@
         """Write down regularly what this host knows, until cancelled.
 
         Only hosts that read the feeds do, which are few. One that has just started
-        learns first what the others knew, so that none of it is lost.
+        learns first what the others knew: its own checkpoint would hide that.
         """
-        is_first = True
         while True:
             await trio.sleep(CHECKPOINT_SECONDS)
             if not self._watch.reads_feeds:
                 continue
-            if is_first:
+            if not self._knows_of_others():
                 await self.learn()
-            is_first = False
             checkpoint = self._checkpoint()
             if checkpoint is None:
                 continue
@@ -136,6 +138,8 @@
         since = self._known_since()
         if status is None or routes is None or table is None or since is None:
             return None
+        if not self._knows_of_others() and now - since < self._keep_seconds:
+            return None
         is_old = (status.era, status.store_ms) <= self._written
         if is_old or routes.era != status.era:
             return None
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -2458,6 +2458,13 @@
         "test_gossip_collectors.AggregateTest"
         ".test_host_without_a_collector_hears_of_few",
     ),
+    Proof(
+        "a host that could not learn of the past waits for as long as versions count",
+        "process/directory/store_past_loop.py",
+        "return max(seconds, self._keep_seconds)",
+        "return seconds",
+        f"{OUT_OF_STEP}.OldListTest.test_host_that_could_not_learn_of_the_past",
+    ),
 )
 
 
