Keep what a host has learned over a gap in what it follows

A gap, as after a restore of the store, made a host take itself for one that has just started, so streams without a record were refused for 120 s. What was listed before the gap is remembered; only what came and left in it is not known, which two timeouts and 5 s cover as before.

--- a/berylshift/process/directory/store_past_loop.py
+++ b/berylshift/process/directory/store_past_loop.py
@@ -78,7 +78,7 @@
         self._written = FIRST_ERA, 0
         self._wanted = trio.Event()
         self._ended = trio.Event()
-        # Whether the store's newest checkpoint was used, or there is none.
+        # Whether a checkpoint was used, none was there, or the past is long enough.
         self._has_learned = False
         # The start of the known past at the last attempt, and when that was.
         self._tried_from: Revision | None = None
@@ -96,9 +96,12 @@
         return max(seconds, self._keep_seconds)
 
     def _knows_of_others(self) -> bool:
-        """Return whether this host has learned what others knew, since its last gap."""
-        is_same = self._replicas.versions.known_from == self._tried_from
-        return self._has_learned and is_same
+        """Return whether this host has learned what others knew, or need not."""
+        since = self._known_since()
+        if since is not None:
+            age = self._clock.monotonic() - since
+            self._has_learned = self._has_learned or age >= self._keep_seconds
+        return self._has_learned
 
     async def learn(self) -> None:
         """Return once the past is known as far back as the store can tell."""
@@ -117,9 +120,10 @@
         """
         while True:
             await trio.sleep(CHECKPOINT_SECONDS)
+            knows_of_others = self._knows_of_others()
             if not self._watch.reads_feeds:
                 continue
-            if not self._knows_of_others():
+            if not knows_of_others:
                 await self.learn()
             checkpoint = self._checkpoint()
             if checkpoint is None:
@@ -138,7 +142,7 @@
         since = self._known_since()
         if status is None or routes is None or table is None or since is None:
             return None
-        if not self._knows_of_others() and now - since < self._keep_seconds:
+        if not self._knows_of_others():
             return None
         is_old = (status.era, status.store_ms) <= self._written
         if is_old or routes.era != status.era:
@@ -175,7 +179,6 @@
         """Extend the known past whenever ``learn`` asks for it, until cancelled."""
         while True:
             await self._wanted.wait()
-            self._has_learned = False
             try:
                 await self._extend()
             except (PlatformError, MalformedEntryError) as exc:
@@ -188,7 +191,7 @@
 
     async def _extend(self) -> None:
         found = await self._rows.read()
-        self._has_learned = not found.checkpoints
+        self._has_learned = self._has_learned or not found.checkpoints
         for checkpoint in _usable(found):
             try:
                 await self._extend_by(checkpoint)
