Apply a changed limit on request heads to open connections

The parser got max_header_bytes as a connection opened and kept it. After the operator raised the limit, callers that reuse connections got 431 for heads within the new limit whenever a head arrived in two pieces; after it was lowered, the part of a head that has arrived was held up to the old limit.

The parser now has no limit of its own; where it needs more bytes, what it has not taken yet is compared with the limit in effect, as complete heads are.

Conclusion: one place applies the limit, to complete and incomplete heads.

--- a/berylshift/connection/http_request.py
+++ b/berylshift/connection/http_request.py
@@ -64,7 +64,7 @@
 
 
 def check_head_size(size: int, max_bytes: int) -> None:
-    """Reject a head over the limit: the parser applies it to incomplete heads only."""
+    """Reject a head, or the part of it that has arrived, if it is over the limit."""
     if size > max_bytes:
         raise RequestRejectedError(STATUS_HEAD_TOO_LARGE, "headers are too large")
 
--- a/berylshift/connection/server_connection.py
+++ b/berylshift/connection/server_connection.py
@@ -1,6 +1,7 @@
 """One connection of an HTTP server: reads requests and runs their handler."""
 
 import logging
+import sys
 from collections.abc import Awaitable, Callable
 from contextlib import AbstractContextManager
 from dataclasses import dataclass, field
@@ -103,8 +104,8 @@
 
     def __post_init__(self) -> None:
         """Create the HTTP state of the connection."""
-        size = self.server.limits.header_bytes
-        self.conn = h11.Connection(h11.SERVER, max_incomplete_event_size=size)
+        # The server's limits may change while the connection is open.
+        self.conn = h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
 
     @property
     def closing(self) -> bool:
@@ -298,6 +299,8 @@
                 raise RequestRejectedError(exc.error_status_hint, str(exc)) from exc
             if event is not h11.NEED_DATA:
                 return event
+            unparsed = len(self.conn.trailing_data[0])
+            check_head_size(unparsed, self.server.limits.header_bytes)
             self._check_chunk()
             if self.conn.they_are_waiting_for_100_continue:
                 await self.send(h11.InformationalResponse(status_code=100, headers=[]))
--- a/berylshift/tests/test_entry_caller_limits.py
+++ b/berylshift/tests/test_entry_caller_limits.py
@@ -106,6 +106,53 @@
             self.check_over(431, *parts)
 
 
+class EndlessTest(CallerLimitsCase):
+    """Guards against lines without end, which are held until their time is over."""
+
+    def test_head(self):
+        self.check_within(head(size=LIMITS.header_bytes))
+        for start in (b"x", b"POST /book/x HTTP/1.1\r\nx: "):
+            self.check_over(431, start.ljust(LIMITS.header_bytes + 1, b"y"))
+
+    def test_chunk_line_and_trailers(self):
+        start = head(b"transfer-encoding: chunked")
+        endless = b"5;".ljust(LIMITS.header_bytes + 1, b"y")
+        self.check_over(431, start, endless)
+        self.check_over(431, start, b"0\r\n" + endless)
+
+
+class ChangedLimitTest(unittest.TestCase):
+    """Guards against open connections that keep a limit of an earlier version."""
+
+    def ask_after_change(self, limit: int, size: int) -> int:
+        """Return the status of a head in two pieces on a connection from before."""
+
+        async def task(world):
+            process = await start_process(world)
+            caller = process.connect()
+            await caller.ask("/book/x", "r0")
+            table = routes(2)
+            table.limits = CallerLimits(header_bytes=limit)
+            world.directory.put_routes(table)
+            await trio.sleep(0.1)
+            data = head(b"content-length: 0", size=size)
+            await caller.stream.send_all(data[:-1])
+            await trio.sleep(STEP_SECONDS)
+            await caller.stream.send_all(data[-1:])
+            return (await caller.read()).status
+
+        return run_socket_world(task)
+
+    def test_raised_limit(self):
+        limit = 2 * CallerLimits().header_bytes
+        self.assertEqual(self.ask_after_change(limit, limit), 200)
+        self.assertEqual(self.ask_after_change(limit, limit + 1), 431)
+
+    def test_lowered_limit(self):
+        self.assertEqual(self.ask_after_change(1000, 1000), 200)
+        self.assertEqual(self.ask_after_change(1000, 1001), 431)
+
+
 class BodySizeTest(CallerLimitsCase):
     """Guards against bodies over the limit that run, or are read to their end."""
 
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -2366,6 +2366,20 @@
         "",
         "test_entry_caller_limits.BodySizeTest.test_chunks_that_declare_too_much",
     ),
+    Proof(
+        "a changed limit on request heads holds on open connections",
+        "connection/server_connection.py",
+        "max_incomplete_event_size=sys.maxsize",
+        "max_incomplete_event_size=self.server.limits.header_bytes",
+        "test_entry_caller_limits.ChangedLimitTest",
+    ),
+    Proof(
+        "a head that never ends is refused at the limit",
+        "connection/server_connection.py",
+        "            check_head_size(unparsed, self.server.limits.header_bytes)\n",
+        "",
+        "test_entry_caller_limits.EndlessTest",
+    ),
 )
 
 
