--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -2465,6 +2465,20 @@
         "return seconds",
         f"{OUT_OF_STEP}.OldListTest.test_host_that_could_not_learn_of_the_past",
     ),
+    Proof(
+        "a changed limit on request heads holds on open connections",
+        "connection/server_connection.py",
+        "max_incomplete_event_size=sys.maxsize",
+        "max_incomplete_event_size=self.server.limits.header_bytes",
+        "test_entry_caller_limits.ChangedLimitTest",
+    ),
+    Proof(
+        "a head that never ends is refused at the limit",
+        "connection/server_connection.py",
+        "            check_head_size(unparsed, self.server.limits.header_bytes)\n",
+        "",
+        "test_entry_caller_limits.EndlessTest",
+    ),
 )
 
 
