Share the burst of retries with silent hosts in either part of a split fleet

What callers would see: a service that gets more retries than agreed while the fleet is split. A host that heard of half of the others or more counted only these. Four hosts split in halves used the burst twice, five hosts split two to three 1.4 times; four fifths of the limit are used, so only parts up to a quarter were covered.

Change: hosts that were heard of within ten minutes count for the budget until then. The test of split fleets of four, five and nine hosts was red for four and five (nine hosts use collectors) and passes, with that of five hosts that are all alone. A fleet whose hosts were replaced under other names uses a smaller part of its burst for ten minutes; shares of requests are as before.

--- a/berylshift/process/gossip/load_loop.py
+++ b/berylshift/process/gossip/load_loop.py
@@ -97,14 +97,15 @@
     def budget_hosts(self) -> int | None:
         """Return how many hosts share a budget; ``None``: not known yet.
 
-        A host that hears of less than half of the hosts that it knew lately may be
-        partitioned, and counts them all: they go on using the budget, too.
+        Hosts that fell silent lately may be partitioned and go on using the budget.
+        Those of the larger part of a split fleet count them, too, or both parts
+        together would use more than the budget.
         """
         known = self.known_hosts
         if known is None:
             return None
         most = 1 + self._deps.sources.peers.most_members(self._deps.clock.monotonic())
-        return most if 2 * known < most else known
+        return max(known, most)
 
     def sharing_hosts(self) -> list[HostRecord] | None:
         """Return the hosts that share limits, this one too; ``None``: not known yet.
--- a/berylshift/tests/test_entry_limits.py
+++ b/berylshift/tests/test_entry_limits.py
@@ -1,6 +1,7 @@
 """Replicas that state a limit in their responses: what all hosts send together."""
 
 import unittest
+from fractions import Fraction
 
 import trio
 
@@ -211,3 +212,17 @@
             return [host.retry_budget(PLAIN).host_count for host in world.hosts]
 
         self.assertEqual(run_entry(play, hosts=5), [5] * 5)
+
+    def test_halves_of_the_hosts_share_the_retry_budget(self):
+        """Guards against parts of a split fleet that use more than one burst."""
+        for hosts, cut in ((4, 2), (5, 2), (9, 4)):
+
+            async def play(world, cut=cut):
+                await trio.sleep(3)
+                world.island = {f"10.1.0.{host + 1}" for host in range(cut)}
+                await trio.sleep(20)
+                return [host.retry_budget(PLAIN).host_count for host in world.hosts]
+
+            with self.subTest(hosts=hosts, cut=cut):
+                counts = run_entry(play, hosts=hosts)
+                self.assertLessEqual(sum(Fraction(1, count) for count in counts), 1)
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -2286,8 +2286,8 @@
     Proof(
         "partitioned hosts share the burst of retries",
         "process/gossip/load_loop.py",
-        "most if 2 * known < most else known",
-        "known",
+        "return max(known, most)",
+        "return known",
         f"{LIMITS}.SharingHostsTest.test_partitioned_host_shares_the_retry_budget",
     ),
     Proof(
@@ -2398,6 +2398,13 @@
         "test_gossip_collectors.AggregateTest"
         ".test_host_without_its_collector_hears_of_few",
     ),
+    Proof(
+        "the larger part of a split fleet shares the burst of retries",
+        "process/gossip/load_loop.py",
+        "return max(known, most)",
+        "return most if 2 * known < most else known",
+        f"{LIMITS}.SharingHostsTest.test_halves_of_the_hosts_share_the_retry_budget",
+    ),
 )
 
 
