Don't take the fleet for idle while listed hosts are silent

A host that starts again while its settings still say first_start, and that is cut off from the other hosts but not from the store, heard of no work and held for 15 s that nobody needs the engines: it could take the lease and order all of them to another phase at once under the others' requests. Silence was taken for rest.

A host takes the system for idle only while it hears of all listed hosts, or its collector counts as many. The new test was red and passes; its proof is red. test_entry_first_start, test_entry_application with the first start, test_scaling_loop, test_gossip_protocol, test_entry_starts, test_entry_orders and test_phase_loop pass.

--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -758,11 +758,11 @@
 
         All engines may then change phase at once. A single restarted process has had
         no caller either; the setting ``first_start`` and what other hosts tell of their
-        requests tell the two apart.
+        requests tell the two apart, if none of them is silent.
         """
         if not self.cfg.entry.first_start or self.handler.handled:
             return False
-        if self.peers.has_heard_of_work:
+        if self.peers.has_heard_of_work or not self.load_loop.hears_listed():
             return False
         age = self.ports.clock.monotonic() - self._started
         return age < FIRST_START_SECONDS
--- a/berylshift/process/gossip/load_loop.py
+++ b/berylshift/process/gossip/load_loop.py
@@ -140,11 +140,19 @@
 
         Where collectors are used, hosts are not heard of one by one: ``False``.
         """
-        if not self._hosts.is_loaded or self._protocol.uses_collectors:
+        return not self._protocol.uses_collectors and self.hears_listed()
+
+    def hears_listed(self) -> bool:
+        """Return whether as many hosts are heard of as are listed.
+
+        Where collectors are used, they count the hosts.
+        """
+        if not self._hosts.is_loaded:
             return False
-        now = self._deps.clock.monotonic()
+        now, peers = self._deps.clock.monotonic(), self._deps.sources.peers
+        if self._protocol.uses_collectors:
+            return peers.member_count(now) >= len(self._hosts)
         heard_since = now - SILENT_SECONDS
-        peers = self._deps.sources.peers
         return all(peers.heard_since(host, heard_since) for host in self._hosts.names())
 
     def task_rank(self, task: str) -> int | None:
--- a/berylshift/tests/test_entry_first_start.py
+++ b/berylshift/tests/test_entry_first_start.py
@@ -112,6 +112,21 @@
 
         self.assertFalse(run_first(task))
 
+    def test_host_that_restarts_cut_off_from_busy_hosts_is_not_idle(self):
+        """Guards against orders to all engines at once by a host that hears of none."""
+
+        async def task(world):
+            await world.add_hosts(HOSTS)
+            await trio.sleep(2.0)
+            world.kill_host(1)
+            world.island = {f"10.1.0.{HOSTS + 1}"}
+            await world.add_hosts(1)
+            await trio.sleep(2.0)
+            await world.begin("r1", 0)
+            return world.hosts[HOSTS].is_idle()
+
+        self.assertFalse(run_first(task))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -2405,6 +2405,14 @@
         "return most if 2 * known < most else known",
         f"{LIMITS}.SharingHostsTest.test_halves_of_the_hosts_share_the_retry_budget",
     ),
+    Proof(
+        "a host that hears of no other does not take the fleet for idle",
+        "entry_application.py",
+        "self.peers.has_heard_of_work or not self.load_loop.hears_listed()",
+        "self.peers.has_heard_of_work",
+        "test_entry_first_start.FirstStartTest"
+        ".test_host_that_restarts_cut_off_from_busy_hosts_is_not_idle",
+    ),
 )
 
 
