--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -2288,8 +2288,8 @@
     Proof(
         "partitioned hosts share the burst of retries",
         "process/gossip/load_loop.py",
-        "most if 2 * known < most else known",
-        "known",
+        "return max(known, most)",
+        "return known",
         f"{LIMITS}.SharingHostsTest.test_partitioned_host_shares_the_retry_budget",
     ),
     Proof(
@@ -2479,6 +2479,21 @@
         "",
         "test_entry_caller_limits.EndlessTest",
     ),
+    Proof(
+        "the larger part of a split fleet shares the burst of retries",
+        "process/gossip/load_loop.py",
+        "return max(known, most)",
+        "return most if 2 * known < most else known",
+        f"{LIMITS}.SharingHostsTest.test_halves_of_the_hosts_share_the_retry_budget",
+    ),
+    Proof(
+        "a host that hears of no other does not take the fleet for idle",
+        "entry_application.py",
+        "self.peers.has_heard_of_work or not self.load_loop.hears_listed()",
+        "self.peers.has_heard_of_work",
+        "test_entry_first_start.FirstStartTest"
+        ".test_host_that_restarts_cut_off_from_busy_hosts_is_not_idle",
+    ),
 )
 
 
