Require a longer past while a listed host is silent

What callers saw: events of two versions, or of two services, in one stream. A host was cut off from the store and the others and began streams by its old list or routes 20 s after a change; the others had started after that change, and took a past as long as a stream can last for enough.

Cause: how long the past must be known was counted from the begin of a stream, not from the list by which it began. Silence of a host was taken for a host that is gone.

Change: a past of less than 120 s counts only while every listed host is heard of, by its digests or by what it sends for streams; where collectors are used they count the hosts. Otherwise the past must be known for 120 s, by this host or another one. A fleet that starts again as a whole while one listed host stays away refuses streams without a record for 120 s instead of 13 s.

--- a/berylshift/entry_application.py
+++ b/berylshift/entry_application.py
@@ -460,6 +460,7 @@
             learn_past=self.store_past.learn,
             is_sole=check.is_sole,
             is_store_lost=lambda: replicas.is_store_lost,
+            silent_hosts=lambda: self.load_loop.silent_hosts(),
             routes=self.route_history,
             routes_version=lambda: self.routes.table and self.routes.table.version,
         )
--- a/berylshift/process/gossip/load_loop.py
+++ b/berylshift/process/gossip/load_loop.py
@@ -143,17 +143,26 @@
         return not self._protocol.uses_collectors and self.hears_listed()
 
     def hears_listed(self) -> bool:
-        """Return whether as many hosts are heard of as are listed.
+        """Return whether as many hosts are heard of as are listed."""
+        return self.silent_hosts() == []
 
-        Where collectors are used, they count the hosts.
+    def silent_hosts(self) -> list[str] | None:
+        """Return the listed hosts that are not heard of; ``None``: not known.
+
+        Where collectors are used, they count the hosts, and it is not known which of
+        them are silent.
         """
         if not self._hosts.is_loaded:
-            return False
+            return None
         now, peers = self._deps.clock.monotonic(), self._deps.sources.peers
         if self._protocol.uses_collectors:
-            return peers.member_count(now) >= len(self._hosts)
+            return [] if peers.member_count(now) >= len(self._hosts) else None
         heard_since = now - SILENT_SECONDS
-        return all(peers.heard_since(host, heard_since) for host in self._hosts.names())
+        return [
+            host
+            for host in self._hosts.names()
+            if not peers.heard_since(host, heard_since)
+        ]
 
     def task_rank(self, task: str) -> int | None:
         """Return this host's rank for a leader task; ``None``: not eligible."""
--- a/berylshift/process/streams/origin_loop.py
+++ b/berylshift/process/streams/origin_loop.py
@@ -58,6 +58,8 @@
 MAX_QUERY_NUMBER = 0xFFFFFFFF
 # Origins in one datagram.
 MAX_TOLD = 64
+# A host that has sent nothing for this long is silent.
+SILENT_SECONDS = 4.5
 # Messages that wait to be sent: a further version makes each host tell all its streams.
 MAX_PENDING = 2048
 
@@ -93,6 +95,8 @@
     is_sole: Callable[[ServiceName, SoftwareVersion], Awaitable[bool]]
     # Whether the store can't be asked at present.
     is_store_lost: Callable[[], bool]
+    # The listed hosts that are not heard of; ``None``: not known.
+    silent_hosts: Callable[[], list[str] | None]
     # The routes, and the version in force; ``None``: none is.
     routes: RoutePast
     routes_version: Callable[[], TableVersion | None]
@@ -115,6 +119,7 @@
 @dataclass
 class _Query:
     search: OriginSearch
+    asked: OriginQuery
     waiting: set[str] = field(default_factory=set)
     # Whether this host has learned what the store can tell of the past.
     has_learned: bool = False
@@ -155,6 +160,8 @@
             OrderedDict()
         )
         self._queries: dict[int, _Query] = {}
+        # When each host was last heard of.
+        self._heard_at: dict[str, float] = {}
         self._last_query = deps.rng.randrange(MAX_QUERY_NUMBER)
         self.told = 0
         self.asked = 0
@@ -214,7 +221,7 @@
         now = self._deps.clock.monotonic()
         number = self._last_query = self._last_query % MAX_QUERY_NUMBER + 1
         asked = OriginQuery(number, stream_key(request), service_key(service), seconds)
-        query = _Query(OriginSearch(self._knowledge(asked, now)))
+        query = _Query(OriginSearch(self._knowledge(asked, now)), asked)
         finding = query.search.finding(())
         if finding.evidence is Evidence.OWN_RECORD:
             return finding
@@ -349,6 +356,8 @@
 
     def _receive(self, message: OriginMessage) -> None:
         now = self._deps.clock.monotonic()
+        if message.host:
+            self._heard_at[message.host] = now
         for origin in message.told:
             self.records.record(origin.stream, origin.variant, now)
         if message.query is not None:
@@ -370,6 +379,10 @@
             return
         query.waiting.discard(host)
         query.search.add(host, reply)
+        if query.search.finding(()).evidence is Evidence.UNKNOWN_PAST:
+            # It may have been the last host that was silent.
+            now = self._deps.clock.monotonic()
+            query.search.learn(self._knowledge(query.asked, now))
         query.notify()
 
     def _reply(self, query: OriginQuery, now: float) -> OriginReply:
@@ -380,8 +393,11 @@
         """Return what this host knows of a stream and its service."""
         sources = self._deps.versions
         only, has_several = self._only_variant(query.service, query.seconds, now)
-        is_complete = sources.is_complete(query.seconds, now)
-        is_complete = is_complete and sources.routes.is_complete(query.seconds, now)
+        seconds = query.seconds
+        if self._may_be_out_of_step(now):
+            seconds = max(seconds, KEEP_SECONDS)
+        is_complete = sources.is_complete(seconds, now)
+        is_complete = is_complete and sources.routes.is_complete(seconds, now)
         era, until = sources.position() or (FIRST_ERA, Revision(0))
         reply = OriginReply(
             query.number,
@@ -396,6 +412,17 @@
             reply, only, sources.known_from(), sources.routes.known_from
         )
 
+    def _may_be_out_of_step(self, now: float) -> bool:
+        """Return whether a host may begin streams by what was listed long ago.
+
+        One that is listed and silent may have heard of nothing for long.
+        """
+        silent = self._deps.versions.silent_hosts()
+        return silent is None or any(
+            now - self._heard_at.get(host, float("-inf")) >= SILENT_SECONDS
+            for host in silent
+        )
+
     def _only_variant(
         self, key: ServiceKey, seconds: float, now: float
     ) -> tuple[Variant | None, bool]:
--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -2413,6 +2413,20 @@
         "test_entry_first_start.FirstStartTest"
         ".test_host_that_restarts_cut_off_from_busy_hosts_is_not_idle",
     ),
+    Proof(
+        "a silent host may begin streams by what was listed long ago",
+        "process/streams/origin_loop.py",
+        "if self._may_be_out_of_step(now):",
+        "if False:",
+        f"{OUT_OF_STEP}.OldListTest.test_host_that_started_before_the_stream_began",
+    ),
+    Proof(
+        "a host that replies is not silent",
+        "process/streams/origin_loop.py",
+        "            self._heard_at[message.host] = now",
+        "            pass",
+        f"{PAST}.test_streams_go_on_after_a_start_of_all_hosts",
+    ),
 )
 
 
