Start the worlds of restarted hosts, and take streams up there, in one place

Cause: the set-up of the worlds and the take-up at a new host stood several times in test_entry_hosts_out_of_step and test_entry_store_past. Change: start_world, restart_all and resume_at_new_host; the order of events, the checks and the times are as before. Conclusion: the duplicates between these tests' set-ups are gone.

--- a/berylshift/tests/test_entry_hosts_out_of_step.py
+++ b/berylshift/tests/test_entry_hosts_out_of_step.py
@@ -40,6 +40,17 @@
         """Publish routes with a further one."""
         self.directory.put_routes(routes(version, route))
 
+    async def restart_all(self) -> None:
+        """Kill all hosts at once and start them where they reach everything."""
+        self.kill_all()
+        self.heal()
+        await self.start_hosts()
+
+    async def resume_at_new_host(self, stream: Stream) -> Stream:
+        """Take a stream up at one of the hosts that were started last."""
+        await self.stream(stream, "r1-again", HOSTS + 1, "r1", path=PATH)
+        return stream
+
 
 def run_restarted(task) -> Stream:
     """Run ``task(world)`` as ``run_moved``, in a world whose replicas renew entries."""
@@ -114,8 +125,7 @@
             world.kill_all()
             await trio.sleep(1.0)
             await world.start_hosts()
-            await world.stream(stream, "r1-again", HOSTS + 1, "r1", path=PATH)
-            return stream
+            return await world.resume_at_new_host(stream)
 
         self.check_not_joined(run_restarted(task))
 
@@ -137,8 +147,7 @@
             world.kill_all()
             await trio.sleep(1.0)
             await world.start_hosts()
-            await world.stream(stream, "r1-again", HOSTS + 1, "r1", path=PATH)
-            return stream
+            return await world.resume_at_new_host(stream)
 
         self.check_not_joined(run_restarted(task))
 
@@ -169,8 +178,7 @@
             await world.start_hosts()
             await trio.sleep(AGE_SECONDS)
             stream = await world.begin_on_route(0)
-            await world.stream(stream, "r1-again", HOSTS + 1, "r1", path=PATH)
-            return stream
+            return await world.resume_at_new_host(stream)
 
         self.check_not_joined(run_restarted(task))
 
@@ -184,12 +192,8 @@
             world.directory.forget_history()
             await trio.sleep(AGE_SECONDS)
             stream = await world.begin_on_route(0)
-            for host in range(HOSTS):
-                world.kill_host(host)
-            world.heal()
-            await world.start_hosts()
-            await world.stream(stream, "r1-again", HOSTS + 1, "r1", path=PATH)
-            return stream
+            await world.restart_all()
+            return await world.resume_at_new_host(stream)
 
         self.check_not_joined(run_restarted(task))
 
@@ -205,8 +209,7 @@
             await world.start_hosts()
             await trio.sleep(AGE_SECONDS)
             stream = await world.begin_on_route(0)
-            await world.stream(stream, "r1-again", HOSTS + 1, "r1", path=PATH)
-            return stream
+            return await world.resume_at_new_host(stream)
 
         self.check_not_joined(run_restarted(task))
 
@@ -226,12 +229,8 @@
             world.directory.forget_history()
             await trio.sleep(RECENT_SECONDS)
             stream = await world.begin_on_route(0)
-            for host in range(HOSTS):
-                world.kill_host(host)
-            world.heal()
-            await world.start_hosts()
-            await world.stream(stream, "r1-again", HOSTS + 1, "r1", path=PATH)
-            return stream
+            await world.restart_all()
+            return await world.resume_at_new_host(stream)
 
         self.check_not_joined(run_restarted(task))
 
@@ -254,8 +253,7 @@
             world.kill_all()
             await world.start_hosts()
             await trio.sleep_until(released_at + HORIZON_SECONDS + 0.5)
-            await world.stream(stream, "r1-again", HOSTS + 1, "r1", path=PATH)
-            return stream
+            return await world.resume_at_new_host(stream)
 
         self.check_not_joined(run_restarted(task))
 
--- a/berylshift/tests/test_entry_store_past.py
+++ b/berylshift/tests/test_entry_store_past.py
@@ -45,6 +45,16 @@
             self.kill_host(host)
 
 
+async def start_world(nursery: trio.Nursery) -> RestartWorld:
+    """Return a world whose hosts have started before engines of one version."""
+    world = RestartWorld(nursery)
+    world.directory.put_routes(routes())
+    world.add_engines(OLD, 3, prefill=1)
+    await world.start_hosts()
+    nursery.start_soon(world.renew)
+    return world
+
+
 def run_restart(before=None, after=None, resumes: str | None = "r1") -> Stream:
     """Return a stream that is taken up after a start of all hosts.
 
@@ -53,11 +63,7 @@
 
     async def main():
         async with trio.open_nursery() as nursery:
-            world = RestartWorld(nursery)
-            world.directory.put_routes(routes())
-            world.add_engines(OLD, 3, prefill=1)
-            await world.start_hosts()
-            nursery.start_soon(world.renew)
+            world = await start_world(nursery)
             await trio.sleep(KEEP_SECONDS)
             if before is not None:
                 await before(world)
@@ -149,11 +155,7 @@
 
         async def main():
             async with trio.open_nursery() as nursery:
-                world = RestartWorld(nursery)
-                world.directory.put_routes(routes())
-                world.add_engines(OLD, 3, prefill=1)
-                await world.start_hosts()
-                nursery.start_soon(world.renew)
+                world = await start_world(nursery)
                 await trio.sleep(KEEP_SECONDS)
                 await replace_hosts(world)
                 stream = await world.begin("r1", HOSTS)
@@ -237,11 +239,7 @@
 
         async def main():
             async with trio.open_nursery() as nursery:
-                world = RestartWorld(nursery)
-                world.directory.put_routes(routes())
-                world.add_engines(OLD, 3, prefill=1)
-                await world.start_hosts()
-                nursery.start_soon(world.renew)
+                world = await start_world(nursery)
                 await trio.sleep(seconds)
                 nursery.cancel_scope.cancel()
                 return world.checkpoint_rows.writes
