Take no reset for the end of a response while its request is sent

What callers saw: a replica answered a long upload at once with a 200 that had no length, sent a part of the body and reset the connection while the upload was being written.

Cause: a request over 4,096 bytes is sent by one task while another one reads the response. The kernel reports a reset once, to the system call that comes first. When that was the sender's, its error was dropped, and the reader got an end of file, by which a body without length ends.

Evidence: on loopback, after a reset with a full send buffer, send gives ECONNRESET and recv then the bytes and an end of file; recv first gives the bytes and ECONNRESET.

Change: SendingHalf records the error of each send where it is raised. A reader that gets an end of file stops a send that is still under way, waits for its error, which the event loop may deliver later than the end of file, and raises ConnectionBrokenError for a reset. EPIPE as the first error means that the peer had ended its half before: such an end stays an end. The end of a tunnel is marked, and is not judged by how the request was sent.

Why this works: an end of file without a reset needs no send that failed, and a reset that the reader does not get itself is in the sender's error.

--- a/berylshift/connection/http_client.py
+++ b/berylshift/connection/http_client.py
@@ -15,6 +15,7 @@
     ConnectFailedError,
     ConnectionBrokenError,
 )
+from berylshift.connection.sending_half import SendingHalf
 from berylshift.connection.tunnel_stream import TunnelStream
 from berylshift.ids import RequestId
 
@@ -97,6 +98,8 @@
         self.exchanges = 0
         # Ids of the requests that it has carried; ``None``: calls without an id.
         self.carried: set[RequestId | None] = set()
+        # Of a request that another task sends.
+        self._sending: SendingHalf | None = None
 
     async def send_request(self, out: Outgoing) -> None:
         """Send a complete request; raise ``ConnectionBrokenError``."""
@@ -131,9 +134,21 @@
                 data = await self.stream.receive_some(READ_BYTES)
             except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
                 raise ConnectionBrokenError(str(exc)) from exc
+            if not data:
+                await self._check_end()
             self.received_bytes = self.received_bytes or bool(data)
             self.conn.receive_data(data)
 
+    async def _check_end(self) -> None:
+        """Raise ``ConnectionBrokenError`` if the end of the connection is a reset.
+
+        The end of a tunnel is marked, and says nothing of how the request was sent.
+        """
+        if self._sending is None or isinstance(self.stream, TunnelStream):
+            return
+        if await self._sending.hides_reset():
+            raise ConnectionBrokenError("connection reset while the request was sent")
+
     def _protocol_error(self, exc: h11.RemoteProtocolError) -> Exception:
         is_closed = self.conn.trailing_data[1]
         if is_closed:
@@ -172,15 +187,16 @@
                 on_size(body.add(data))
         return body.whole()
 
-    def split(self, method: bytes) -> h11.Connection:
-        """Return the HTTP state for a task that goes on sending a ``method`` request.
+    def split(self, method: bytes) -> tuple[h11.Connection, SendingHalf]:
+        """Return HTTP state and stream for a task that sends a ``method`` request.
 
         The task that reads has ``conn``, a state of its own in which the request is
         sent: it may have to replace that one, whatever the other task has done by then.
         """
         writer = self.conn
         self.conn = state_after_send(method)
-        return writer
+        self._sending = SendingHalf(self.stream)
+        return writer, self._sending
 
     def read_next_response(self, method: bytes) -> None:
         """Expect another response to a ``method`` request after the last one."""
--- a/berylshift/connection/target_client.py
+++ b/berylshift/connection/target_client.py
@@ -28,6 +28,7 @@
     has_no_input,
 )
 from berylshift.connection.request_body import BodyBrokenError, RequestBody
+from berylshift.connection.sending_half import SendingHalf
 from berylshift.connection.target_request import ConnectionUse, TargetRequest
 from berylshift.connection.target_response import (
     DEFAULT_KEEP_ALIVE_SECONDS,
@@ -290,9 +291,9 @@
             return sent
         if self._send_nursery is None:
             raise ConnectionBrokenError("the target client is not running")
-        writer = connection.split(out.method)
+        writer, half = connection.split(out.method)
         self._send_nursery.start_soon(
-            _send_concurrently, connection.stream, writer, head, body, scope, sent
+            _send_concurrently, half, writer, head, body, scope, sent
         )
         return sent
 
@@ -411,7 +412,7 @@
 
 
 async def _send_concurrently(
-    stream: trio.abc.Stream,
+    half: SendingHalf,
     writer: h11.Connection,
     head: bytes,
     body: RequestBody,
@@ -426,22 +427,22 @@
     """
     with scope:
         try:
-            await _send_all(stream, writer, head, body)
+            await _send_all(half, writer, head, body)
             sent.set()
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return
         except BodyBrokenError:
-            close_now(stream)
+            close_now(half.stream)
         except Exception:
             logger.exception("request not sent")
-            close_now(stream)
+            close_now(half.stream)
 
 
 async def _send_all(
-    stream: trio.abc.Stream, writer: h11.Connection, head: bytes, body: RequestBody
+    half: SendingHalf, writer: h11.Connection, head: bytes, body: RequestBody
 ) -> None:
-    await stream.send_all(head)
+    await half.send_all(head)
     async with contextlib.aclosing(body.chunks()) as chunks:
         async for data in chunks:
-            await stream.send_all(writer.send(h11.Data(data=data)) or b"")
-    await stream.send_all(writer.send(h11.EndOfMessage()) or b"")
+            await half.send_all(writer.send(h11.Data(data=data)) or b"")
+    await half.send_all(writer.send(h11.EndOfMessage()) or b"")
--- /dev/null
+++ b/berylshift/tests/test_entry_broken_answers.py
@@ -0,0 +1,131 @@
+"""Tests of broken answers of replicas, from a real socket to the caller."""
+
+import unittest
+
+import trio
+
+from berylshift.tests.entry_world import Reply, prompt_headers, stream_body
+from berylshift.tests.tcp_world import (
+    LONG_BYTES,
+    OK,
+    PAUSE_SECONDS,
+    WHOLE,
+    Order,
+    Peer,
+    answer,
+    reset_without_length,
+    run_tcp,
+)
+
+STATUS_FAILED = 502
+SENDER_ORDERS = (Order.SENDER_FIRST, Order.SENDER_LATE)
+EVENTS = stream_body(1, 3)
+PROMPT = prompt_headers(3, 9000, 0)
+
+
+async def reset_stream(peer: Peer) -> None:
+    """Send whole events without length, and reset the connection."""
+    await peer.read_head()
+    await peer.send(OK, body=EVENTS)
+    await trio.sleep(PAUSE_SECONDS)
+    peer.reset()
+
+
+async def answer_early(peer: Peer, *fields: bytes, body: bytes = WHOLE) -> None:
+    """Answer before the request was read, and read the rest."""
+    await peer.read_head()
+    await peer.send(OK, *fields, body=body)
+    await peer.end()
+
+
+def upload(path: str, headers=()):
+    """Return a task that sends a long request and returns the reply."""
+
+    async def task(world) -> Reply:
+        return await world.ask(path, body=b"x" * LONG_BYTES, headers=headers)
+
+    return task
+
+
+class ResetUploadTest(unittest.TestCase):
+    """Replicas that reset their connection while a request is sent to them."""
+
+    def test_request_that_may_run_once(self):
+        """Guards against a part of an answer that its caller gets as a whole one."""
+        for order in SENDER_ORDERS:
+            with self.subTest(order=order):
+                reply = run_tcp(upload("/book/x"), order, s1=reset_without_length)
+                self.assertEqual(reply.status, STATUS_FAILED)
+
+    def test_repeatable_request(self):
+        """Guards against a part of an answer that keeps a request from its retry."""
+        for order in SENDER_ORDERS:
+            with self.subTest(order=order):
+                asked = []
+
+                async def reset_once(peer: Peer, asked=asked) -> None:
+                    asked.append(peer)
+                    broken = len(asked) == 1
+                    await (reset_without_length(peer) if broken else answer(peer))
+
+                scripts = {"s1": reset_once, "s2": reset_once}
+                reply = run_tcp(upload("/look/x"), order, **scripts)
+                self.assertEqual(
+                    (reply.status, reply.body, reply.whole), (200, WHOLE, True)
+                )
+
+    def test_stream(self):
+        """Guards against a stream that breaks off between events and looks whole."""
+        for order in SENDER_ORDERS:
+            with self.subTest(order=order):
+                reply = run_tcp(upload("/note/x", PROMPT), order, d1=reset_stream)
+                self.assertEqual((reply.body, reply.whole), (EVENTS, False))
+
+    def test_prefill(self):
+        """Guards against a handle that is used although its answer broke off."""
+        handle = b'{"kv_handle":"h1","tokens":9000,"version":1}'
+        sources = []
+
+        async def reset_handle(peer: Peer) -> None:
+            await peer.read_head()
+            await peer.send(OK, body=handle)
+            await trio.sleep(PAUSE_SECONDS)
+            peer.reset()
+
+        async def decode(peer: Peer) -> None:
+            sources.append(b"kv-source" in (await peer.read_head()).lower())
+            await peer.read_body()
+            await peer.send(OK, b"content-length: %d" % len(EVENTS), body=EVENTS)
+
+        scripts = {"p1": reset_handle, "d1": decode}
+        for order in SENDER_ORDERS:
+            with self.subTest(order=order):
+                run_tcp(upload("/note/x", PROMPT), order, **scripts)
+                self.assertNotIn(True, sources)
+
+
+class EarlyAnswerTest(unittest.TestCase):
+    """Whole answers that come while the request is still being sent."""
+
+    def test_whole_answers_arrive(self):
+        """Guards against whole early answers that are taken for broken ones."""
+        chunks = b"%x\r\n%s\r\n0\r\n\r\n" % (len(WHOLE), WHOLE)
+        cases = {
+            "length": ((b"content-length: %d" % len(WHOLE),), WHOLE),
+            "chunks": ((b"transfer-encoding: chunked",), chunks),
+            "orderly end": ((), WHOLE),
+        }
+        for name, (fields, body) in cases.items():
+            with self.subTest(name):
+
+                async def early(peer: Peer, fields=fields, body=body) -> None:
+                    await answer_early(peer, *fields, body=body)
+
+                reply = run_tcp(upload("/book/x"), s1=early)
+                self.assertEqual(
+                    (reply.status, reply.body, reply.whole), (200, WHOLE, True)
+                )
+
+
+if __name__ == "__main__":
+    unittest.main()
