Take no replica's reset for its orderly end in a tunnel

Cause: the host that carries a tunnel sends the request to the replica in one task and reads the response in another. A reset that the sender got was dropped there, too; the reader got an end of file and marked the end of the response as orderly, so the host of the caller could not tell.

Change: the carrier sends by a SendingHalf and asks it before it marks an end. If a reset is hidden, the tunnel closes without the mark, which the other host reads as a broken connection.

Why this works: the mark is now sent only if neither half was told of a reset.

Result: the test passes in each order. Whole early responses still pass through a tunnel in each order, with length, with chunks, and with an orderly end before a reset; so does a marked end whose tunnel is reset then, and a carrying host that dies still ends no response. These passed before, too. 74 tests of tunnels and paths pass.

Conclusion: both ends of a tunnel tell a reset from an end.

--- a/berylshift/connection/tunnel_server.py
+++ b/berylshift/connection/tunnel_server.py
@@ -8,6 +8,7 @@
 
 from berylshift.connection.datagram_tag import BadDatagramError
 from berylshift.connection.http_client import Dial
+from berylshift.connection.sending_half import SendingHalf
 from berylshift.connection.tunnel_codec import TunnelCodec
 from berylshift.connection.tunnel_stream import (
     END_FRAME,
@@ -142,6 +143,7 @@
         self._stream = stream
         self._reader = reader
         self._replica = replica
+        self._sending = SendingHalf(replica)
         self._scope = trio.CancelScope()
 
     async def run(self) -> None:
@@ -171,7 +173,7 @@
             while data or (data := await self._stream.receive_some(READ_BYTES)):
                 if takes_more:
                     self._on_bytes()
-                    takes_more = await _try_send(self._replica, data)
+                    takes_more = await self._try_send(data)
                 data = b""
         self._scope.cancel()
 
@@ -181,16 +183,17 @@
             while data := await self._replica.receive_some(READ_BYTES):
                 self._on_bytes()
                 await self._stream.send_all(frame(data))
+            if await self._sending.hides_reset():
+                return False
             await self._stream.send_all(END_FRAME)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return False
         return True
 
-
-async def _try_send(stream: trio.abc.Stream, data: bytes) -> bool:
-    """Send bytes; return ``False`` if the connection no longer takes any."""
-    try:
-        await stream.send_all(data)
-    except (trio.BrokenResourceError, trio.ClosedResourceError):
-        return False
-    return True
+    async def _try_send(self, data: bytes) -> bool:
+        """Send bytes of a request; return whether the replica takes more."""
+        try:
+            await self._sending.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return False
+        return True
--- a/berylshift/tests/test_connection_reset_uploads.py
+++ b/berylshift/tests/test_connection_reset_uploads.py
@@ -172,6 +172,13 @@
             with self.subTest(order=order):
                 self.assertEqual(ask(reset_without_length, order), BROKEN)
 
+    def test_part_through_a_tunnel_is_no_whole_response(self):
+        """Guards against a carrying host that turns a reset into an end."""
+        for order in Order:
+            with self.subTest(order=order):
+                found = ask(reset_without_length, order, tunnel=True)
+                self.assertEqual(found, BROKEN)
+
     def test_carrying_host_that_dies_ends_no_response(self):
         """Guards against a lost tunnel that looks like the end of a body."""
 
