Reject responses in whose head or trailers a line is folded

What callers saw: a replica in trouble sends a head in which the name of a field begins with a blank or a tab. The caller got a 200 in which that line was joined to the field before it: after "Berylshift-Response-Signature: s" the line " X: a" made the signature "s X: a", and " Content-Length: 3" did not frame the body, so the caller got all bytes up to the close of the connection.

Cause: h11 reads a line that begins with a blank as the rest of the line before it, as HTTP/1.0 did. All other blanks and control bytes in names it rejects.

Change: ResponseParser is h11's client side, and rejects a head, an informational response or trailers with such a line; a gateway may (RFC 9112, section 5.2). A connection that has sent a malformed response is not pooled: after a folded trailer h11 itself has read the message to its end, and the client of engines and the store would have used the connection again.

Why this works: the bytes that an event other than data consumes are those of a head or of trailers alone, so bodies that look like folded lines pass. The check costs a search of each read, and a copy of the buffer only once such a line has arrived.

Result: the cases above are refused; the caller gets 502, or the whole answer of another replica where the request may be repeated.

Conclusion: no line of a head changes the value of another field.

--- a/berylshift/connection/http_client.py
+++ b/berylshift/connection/http_client.py
@@ -15,6 +15,7 @@
     ConnectFailedError,
     ConnectionBrokenError,
 )
+from berylshift.connection.response_parser import ResponseParser
 from berylshift.connection.sending_half import SendingHalf
 from berylshift.connection.tunnel_stream import TunnelStream
 from berylshift.ids import RequestId
@@ -87,7 +88,7 @@
     def __init__(self, stream: trio.abc.Stream):
         """Start the client side of HTTP on ``stream``."""
         self.stream = stream
-        self.conn = h11.Connection(h11.CLIENT)
+        self.conn: h11.Connection = ResponseParser()
         self.idle_since = 0.0
         self.reusable_until = 0.0
         self.received_bytes = False
@@ -98,6 +99,8 @@
         self.exchanges = 0
         # Ids of the requests that it has carried; ``None``: calls without an id.
         self.carried: set[RequestId | None] = set()
+        # Whether the peer has sent bytes that are no response.
+        self._is_malformed = False
         # Of a request that another task sends.
         self._sending: SendingHalf | None = None
 
@@ -124,6 +127,7 @@
             try:
                 event = self.conn.next_event()
             except h11.RemoteProtocolError as exc:
+                self._is_malformed = True
                 raise self._protocol_error(exc) from exc
             if event is h11.PAUSED:
                 # The parser stops for good at a protocol switch that nobody asked for.
@@ -212,7 +216,9 @@
 
         Another task may have closed the connection after its last byte was read.
         """
-        if self.conn.our_state is not h11.DONE or is_closed(self.stream):
+        if self._is_malformed or is_closed(self.stream):
+            return False
+        if self.conn.our_state is not h11.DONE:
             return False
         return self.conn.their_state is h11.DONE and not self.conn.trailing_data[0]
 
@@ -375,7 +381,7 @@
 
 def state_after_send(method: bytes) -> h11.Connection:
     """Return the HTTP state of a client that has sent a ``method`` request."""
-    conn = h11.Connection(h11.CLIENT)
+    conn = ResponseParser()
     conn.send(h11.Request(method=method, target=b"/", headers=[(b"host", b"-")]))
     conn.send(h11.EndOfMessage())
     return conn
--- a/berylshift/tests/test_entry_broken_answers.py
+++ b/berylshift/tests/test_entry_broken_answers.py
@@ -13,6 +13,7 @@
     Order,
     Peer,
     answer,
+    field,
     reset_without_length,
     run_tcp,
 )
@@ -20,6 +21,8 @@
 STATUS_FAILED = 502
 SENDER_ORDERS = (Order.SENDER_FIRST, Order.SENDER_LATE)
 EVENTS = stream_body(1, 3)
+LENGTH = b"content-length: %d" % len(EVENTS)
+HANDLE = b'{"kv_handle":"h1","tokens":9000,"version":1}'
 PROMPT = prompt_headers(3, 9000, 0)
 
 
@@ -83,19 +86,18 @@
 
     def test_prefill(self):
         """Guards against a handle that is used although its answer broke off."""
-        handle = b'{"kv_handle":"h1","tokens":9000,"version":1}'
         sources = []
 
         async def reset_handle(peer: Peer) -> None:
             await peer.read_head()
-            await peer.send(OK, body=handle)
+            await peer.send(OK, body=HANDLE)
             await trio.sleep(PAUSE_SECONDS)
             peer.reset()
 
         async def decode(peer: Peer) -> None:
             sources.append(b"kv-source" in (await peer.read_head()).lower())
             await peer.read_body()
-            await peer.send(OK, b"content-length: %d" % len(EVENTS), body=EVENTS)
+            await peer.send(OK, LENGTH, body=EVENTS)
 
         scripts = {"p1": reset_handle, "d1": decode}
         for order in SENDER_ORDERS:
@@ -103,6 +105,103 @@
                 run_tcp(upload("/note/x", PROMPT), order, **scripts)
                 self.assertNotIn(True, sources)
 
+    def test_stream_that_may_be_resumed(self):
+        """Guards against a stream that is not resumed after its replica's reset."""
+        asked = []
+
+        async def reset_first(peer: Peer) -> None:
+            asked.append(field(await peer.read_head(), b"last-event-id"))
+            if len(asked) == 1:
+                await peer.send(OK, body=stream_body(1, 2))
+                await trio.sleep(PAUSE_SECONDS)
+                peer.reset()
+                return
+            await peer.read_body()
+            rest = stream_body(3, 3)
+            await peer.send(OK, b"content-length: %d" % len(rest), body=rest)
+
+        scripts = {"d1": reset_first, "d2": reset_first}
+        reply = run_tcp(upload("/brief/x", PROMPT), Order.SENDER_FIRST, **scripts)
+        self.assertEqual((reply.body, reply.whole), (EVENTS, True))
+        self.assertEqual(asked, [None, b"2"])
+
+
+class BrokenHeadTest(unittest.TestCase):
+    """Replicas that send a head that is no HTTP."""
+
+    def check_refused(self, *head: bytes) -> None:
+        """Check that neither an answer nor a stream with this head is taken."""
+
+        async def broken(peer: Peer) -> None:
+            await peer.read_head()
+            await peer.read_body()
+            await peer.send(*head, body=EVENTS)
+            await peer.end()
+
+        async def task(world) -> list[int]:
+            replies = [
+                await world.ask("/book/x"),
+                await world.ask("/look/x", "r2"),
+                await world.ask("/note/x", "r3", headers=PROMPT),
+            ]
+            return [reply.status for reply in replies]
+
+        with self.subTest(head=head):
+            statuses = run_tcp(task, s1=broken, d1=broken)
+            self.assertEqual(statuses, [STATUS_FAILED] * 3)
+
+    def test_status_that_no_answer_has(self):
+        """Guards against a status 000 that reaches the caller."""
+        for status in (b"000", b"099"):
+            self.check_refused(b"HTTP/1.1 " + status + b" X")
+            self.check_refused(b"HTTP/1.1 " + status + b" X", LENGTH)
+
+    def test_name_with_a_blank_or_a_control_byte(self):
+        """Guards against a signature, or a body, that a malformed line changes."""
+        for name in (b" a", b"\ta", b"a b", b"a ", b"a\x01", b"\x7fa"):
+            self.check_refused(OK, name + b": 1", LENGTH)
+        for byte in b" \t\x01":
+            self.check_refused(OK, bytes([byte]) + b"content-length: 3")
+
+    def test_repeatable_request(self):
+        """Guards against a malformed head that keeps a request from its retry."""
+        asked = []
+
+        async def broken_first(peer: Peer) -> None:
+            await peer.read_head()
+            asked.append(peer)
+            if len(asked) == 1:
+                await peer.send(OK, b" a: 1", LENGTH, body=EVENTS)
+            else:
+                await peer.send(OK, LENGTH, body=EVENTS)
+            await peer.end()
+
+        async def task(world) -> Reply:
+            return await world.ask("/look/x")
+
+        reply = run_tcp(task, s1=broken_first, s2=broken_first)
+        self.assertEqual((reply.status, reply.body), (200, EVENTS))
+        self.assertEqual(len(asked), 2)
+
+    def test_prefill(self):
+        """Guards against a handle out of an answer with a malformed head."""
+        sources = []
+
+        async def prefill(peer: Peer) -> None:
+            await peer.read_head()
+            await peer.send(OK, b" a: 1", body=HANDLE)
+            await peer.end()
+
+        async def decode(peer: Peer) -> None:
+            sources.append(b"kv-source" in (await peer.read_head()).lower())
+            await peer.send(OK, LENGTH, body=EVENTS)
+
+        async def task(world) -> Reply:
+            return await world.ask("/note/x", headers=PROMPT)
+
+        run_tcp(task, p1=prefill, d1=decode)
+        self.assertNotIn(True, sources)
+
 
 class EarlyAnswerTest(unittest.TestCase):
     """Whole answers that come while the request is still being sent."""
