Add the proofs of broken responses, and follow two that had moved

Change: a proof for each; "a truncated body is not sent as complete" and "a reset by the replica is no end of a response" name the same statements where they stand now. Conclusion: each safeguard against a broken response has a test that fails without it.

--- a/berylshift/tools/proofs.py
+++ b/berylshift/tools/proofs.py
@@ -71,6 +71,11 @@
 BLOCK_TESTS = "test_block_quarantine"
 FIRST_START = "test_entry_first_start.FirstStartTest"
 SUSPENDED = "test_suspended_hosts.SuspendedHostTest"
+UPLOADS = "test_connection_reset_uploads"
+HEADS = "test_connection_broken_heads"
+SENDING_HALF = "connection/sending_half.py"
+HTTP_CLIENT = "connection/http_client.py"
+PARSER = "connection/response_parser.py"
 PROOFS = (
     Proof(
         "replicas receive the customer name, never the key",
@@ -328,9 +333,9 @@
     Proof(
         "a truncated body is not sent as complete",
         "connection/target_client.py",
-        "BodyBrokenError:\n            close_now(stream)\n",
+        "BodyBrokenError:\n            close_now(half.stream)\n",
         "BodyBrokenError:\n"
-        '            await stream.send_all(writer.send(h11.EndOfMessage()) or b"")\n',
+        '            await half.send_all(writer.send(h11.EndOfMessage()) or b"")\n',
         "test_request_bodies.ClientTest.test_truncated_body_is_not_sent_as_complete",
     ),
     Proof(
@@ -1848,9 +1853,9 @@
     Proof(
         "a reset by the replica is no end of a response",
         TUNNEL_SERVER,
-        "            return False\n        return True\n\n\nasync def _try_send",
+        "            return False\n        return True\n\n    async def _try_send",
         "            await self._stream.send_all(END_FRAME)\n"
-        "        return True\n\n\nasync def _try_send",
+        "        return True\n\n    async def _try_send",
         f"{TUNNELS}.test_reset_by_the_replica_is_no_end_of_a_response",
     ),
     Proof(
@@ -2494,6 +2499,76 @@
         "test_entry_first_start.FirstStartTest"
         ".test_host_that_restarts_cut_off_from_busy_hosts_is_not_idle",
     ),
+    Proof(
+        "a reset that the sending task was told of ends no response",
+        HTTP_CLIENT,
+        "        if await self._sending.hides_reset():\n",
+        "        if False:\n",
+        f"{UPLOADS}.ResetTest.test_part_without_length_is_no_whole_response",
+    ),
+    Proof(
+        "the reader waits for an error that the sending task has not seen yet",
+        SENDING_HALF,
+        "        await self._call_ended.wait()\n",
+        "",
+        f"{UPLOADS}.ResetTest.test_part_without_length_is_no_whole_response",
+    ),
+    Proof(
+        "the reader does not wait for a peer that reads no more",
+        SENDING_HALF,
+        "        self._call_scope.cancel()\n",
+        "",
+        f"{UPLOADS}.WholeTest.test_orderly_end_while_the_request_is_stuck",
+    ),
+    Proof(
+        "an orderly end stays one if the connection is reset later",
+        SENDING_HALF,
+        "self._was_reset = not _follows_orderly_end(exc)",
+        "self._was_reset = True",
+        f"{UPLOADS}.WholeTest.test_orderly_end_before_a_reset",
+    ),
+    Proof(
+        "the marked end of a response stays one if its tunnel is reset later",
+        HTTP_CLIENT,
+        " or isinstance(self.stream, TunnelStream):",
+        ":",
+        f"{UPLOADS}.WholeTest.test_marked_end_before_the_carrying_host_closes",
+    ),
+    Proof(
+        "a carrying host marks no reset as an end",
+        TUNNEL_SERVER,
+        "            if await self._sending.hides_reset():\n",
+        "            if False:\n",
+        f"{UPLOADS}.ResetTest.test_part_through_a_tunnel_is_no_whole_response",
+    ),
+    Proof(
+        "a folded line in a response is rejected",
+        PARSER,
+        "            if FOLDED_LINE.search(parsed):\n",
+        "            if False:\n",
+        f"{HEADS}.BrokenHeadTest",
+    ),
+    Proof(
+        "a folded line is noticed whose blank arrives alone",
+        PARSER,
+        "        if begins_folded or FOLDED_LINE",
+        "        if FOLDED_LINE",
+        f"{HEADS}.BrokenHeadTest.test_folded_lines_split_between_two_reads",
+    ),
+    Proof(
+        "a name that begins with a line feed does not end the head",
+        PARSER,
+        "            if is_head and _ends_at_line_feed(parsed):\n",
+        "            if False:\n",
+        f"{HEADS}.BrokenHeadTest.test_names_with_bytes_that_no_name_holds",
+    ),
+    Proof(
+        "a connection with a malformed response is not pooled",
+        HTTP_CLIENT,
+        "        if self._is_malformed or is_closed(self.stream):\n",
+        "        if is_closed(self.stream):\n",
+        f"{HEADS}.BrokenHeadTest.test_connection_with_a_bad_trailer_is_not_used_again",
+    ),
 )
 
 
