Say once how a replica of the tests resets its connection

Change: Peer.reset_after_pause, and an answer without arguments; events, orders and checks are as before. Conclusion: nothing else changes.

--- a/berylshift/tests/tcp_world.py
+++ b/berylshift/tests/tcp_world.py
@@ -152,6 +152,11 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         sock.close()
 
+    async def reset_after_pause(self) -> None:
+        """Reset the connection once the client has read what was sent, or waits."""
+        await trio.sleep(PAUSE_SECONDS)
+        self.reset()
+
     async def end(self) -> None:
         """End the connection in order, and read what still comes."""
         await self.stream.send_eof()
@@ -204,17 +209,15 @@
     """Send a part of a body that has no length, and reset the connection."""
     await peer.read_head()
     await peer.send(OK, body=WHOLE[:6])
-    await trio.sleep(PAUSE_SECONDS)
-    peer.reset()
+    await peer.reset_after_pause()
 
 
-async def answer(peer: Peer, *fields: bytes, body: bytes = WHOLE) -> None:
+async def answer(peer: Peer) -> None:
     """Answer each request on a connection with a whole body and its length."""
     while True:
         await peer.read_head()
         await peer.read_body()
-        length = b"content-length: %d" % len(body)
-        await peer.send(OK, length, *fields, body=body)
+        await peer.send(OK, b"content-length: %d" % len(WHOLE), body=WHOLE)
 
 
 class TcpWorld(EntryWorld):
--- a/berylshift/tests/test_connection_broken_calls.py
+++ b/berylshift/tests/test_connection_broken_calls.py
@@ -25,7 +25,6 @@
     LIMIT_SECONDS,
     LONG_BYTES,
     OK,
-    PAUSE_SECONDS,
     Peer,
     connect,
     listen,
@@ -131,8 +130,7 @@
     """Send an answer without length, and reset the connection; read no body."""
     await peer.read_head()
     await peer.send(OK, body=body)
-    await trio.sleep(PAUSE_SECONDS)
-    peer.reset()
+    await peer.reset_after_pause()
 
 
 async def folded_line(peer: Peer, body: bytes) -> None:
--- a/berylshift/tests/test_connection_reset_uploads.py
+++ b/berylshift/tests/test_connection_reset_uploads.py
@@ -39,8 +39,7 @@
     """Send a whole body with its length, and reset the connection."""
     await peer.read_head()
     await peer.send(OK, b"content-length: %d" % len(WHOLE), body=WHOLE)
-    await trio.sleep(PAUSE_SECONDS)
-    peer.reset()
+    await peer.reset_after_pause()
 
 
 async def reset_after_chunks(peer: Peer) -> None:
@@ -48,16 +47,14 @@
     await peer.read_head()
     body = b"%x\r\n%s\r\n0\r\n\r\n" % (len(WHOLE), WHOLE)
     await peer.send(OK, b"transfer-encoding: chunked", body=body)
-    await trio.sleep(PAUSE_SECONDS)
-    peer.reset()
+    await peer.reset_after_pause()
 
 
 async def reset_within_length(peer: Peer) -> None:
     """Send a part of a body with its length, and reset the connection."""
     await peer.read_head()
     await peer.send(OK, b"content-length: %d" % len(WHOLE), body=WHOLE[:6])
-    await trio.sleep(PAUSE_SECONDS)
-    peer.reset()
+    await peer.reset_after_pause()
 
 
 async def end_then_reset(peer: Peer) -> None:
@@ -262,8 +259,7 @@
             await peer.stream.send_all(frame(codec.encode_status(TunnelStatus.OPEN)))
             await peer.read_head()
             await peer.stream.send_all(frame(OK + b"\r\n\r\n" + WHOLE) + END_FRAME)
-            await trio.sleep(PAUSE_SECONDS)
-            peer.reset()
+            await peer.reset_after_pause()
 
         for order in (None, Order.SENDER_FIRST, Order.SENDER_LATE):
             with self.subTest(order=order):
--- a/berylshift/tests/test_entry_broken_answers.py
+++ b/berylshift/tests/test_entry_broken_answers.py
@@ -2,13 +2,10 @@
 
 import unittest
 
-import trio
-
 from berylshift.tests.entry_world import Reply, prompt_headers, stream_body
 from berylshift.tests.tcp_world import (
     LONG_BYTES,
     OK,
-    PAUSE_SECONDS,
     WHOLE,
     Order,
     Peer,
@@ -30,8 +27,7 @@
     """Send whole events without length, and reset the connection."""
     await peer.read_head()
     await peer.send(OK, body=EVENTS)
-    await trio.sleep(PAUSE_SECONDS)
-    peer.reset()
+    await peer.reset_after_pause()
 
 
 async def answer_early(peer: Peer, *fields: bytes, body: bytes = WHOLE) -> None:
@@ -91,8 +87,7 @@
         async def reset_handle(peer: Peer) -> None:
             await peer.read_head()
             await peer.send(OK, body=HANDLE)
-            await trio.sleep(PAUSE_SECONDS)
-            peer.reset()
+            await peer.reset_after_pause()
 
         async def decode(peer: Peer) -> None:
             sources.append(b"kv-source" in (await peer.read_head()).lower())
@@ -113,8 +108,7 @@
             asked.append(field(await peer.read_head(), b"last-event-id"))
             if len(asked) == 1:
                 await peer.send(OK, body=stream_body(1, 2))
-                await trio.sleep(PAUSE_SECONDS)
-                peer.reset()
+                await peer.reset_after_pause()
                 return
             await peer.read_body()
             rest = stream_body(3, 3)
