Say more plainly what the parts of broken responses are for

Cause: the change read as a newcomer would: a comment without its subject, a docstring that had to be read twice, two types in tests that were too narrow. Change: their words.

--- a/berylshift/connection/http_client.py
+++ b/berylshift/connection/http_client.py
@@ -101,7 +101,7 @@
         self.carried: set[RequestId | None] = set()
         # Whether the peer has sent bytes that are no response.
         self._is_malformed = False
-        # Of a request that another task sends.
+        # Set if another task sends the request while the response is read.
         self._sending: SendingHalf | None = None
 
     async def send_request(self, out: Outgoing) -> None:
--- a/berylshift/connection/response_parser.py
+++ b/berylshift/connection/response_parser.py
@@ -14,8 +14,8 @@
     h11 joins a line that begins with a blank to the line before it. A field whose name
     begins with one would change the value of another field, and would not count itself,
     not even one that tells where the body ends. A gateway may reject such a response
-    (RFC 9112, section 5.2); so it is with trailers. A name that begins with a line feed
-    would end the head, and the rest of the head would count as body.
+    (RFC 9112, section 5.2). Trailers are read in the same way. A name that begins with
+    a line feed would end the head, and the rest of the head would count as body.
     """
 
     def __init__(self) -> None:
--- a/berylshift/tests/test_connection_broken_heads.py
+++ b/berylshift/tests/test_connection_broken_heads.py
@@ -113,7 +113,7 @@
                     self.check_refused(*(message(*others, line) for line in lines))
 
     def test_bad_name_in_an_informational_response(self):
-        """Guards against a malformed head that is skipped."""
+        """Guards against a malformed head before the one that counts."""
         for byte in b" \t\x00\x01\n\x0b\r\x7f":
             with self.subTest(byte=byte):
                 self.check_refused(
--- a/berylshift/tests/test_connection_reset_uploads.py
+++ b/berylshift/tests/test_connection_reset_uploads.py
@@ -111,11 +111,11 @@
             yield client, address
             nursery.cancel_scope.cancel()
 
-    async def dial(self, address: str) -> trio.SocketStream:
+    async def dial(self, address: str) -> trio.abc.Stream:
         """Connect to the peer."""
         return await connect(address, self.order)
 
-    async def dial_host(self, address: str) -> trio.SocketStream:
+    async def dial_host(self, address: str) -> trio.abc.Stream:
         """Connect to the host that carries tunnels."""
         return await connect(address, self.host_order)
 
